--- /dev/null
+++ b/internal/encap/encap.go
@@ -0,0 +1,180 @@
+// Package encap carries IPv4 packets between fabric, balancers and agents in
+// Geneve over UDP (RFC 8926).
+//
+// The virtual network identifier is the service. One option carries what the
+// receiving agent needs to check that it is the addressee and to settle
+// disagreement between table versions.
+package encap
+
+import (
+	"encoding/binary"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+// Routing is the content of the Geneve option that a balancer adds.
+type Routing struct {
+	// Version is the table version that the sender used.
+	Version table.Version
+	// Backend is the addressed row.
+	Backend table.BackendID
+	// Incarnation is the incarnation of the addressed row.
+	Incarnation table.Incarnation
+	// Hops counts how many agents have passed the packet along.
+	Hops uint8
+	// HandedOver is set when the agent that owns the decision about a new
+	// flow has decided that the addressed agent shall open it.
+	HandedOver bool
+}
+
+const (
+	optionClass      = 0xff56 // from the experimental range of RFC 8926
+	optionType       = 1
+	routingSize      = 20
+	flagHandedOver   = 1
+	geneveHeaderSize = 8
+	optionHeaderSize = 4
+	// Overhead is the number of bytes that encapsulation with routing adds in
+	// front of an IPv4 packet, below UDP.
+	Overhead = geneveHeaderSize + optionHeaderSize + routingSize
+)
+
+// Encoder writes Geneve headers without allocating. It is not safe for
+// concurrent use.
+type Encoder struct {
+	buffer  gopacket.SerializeBuffer
+	header  layers.Geneve
+	option  layers.GeneveOption
+	options [1]*layers.GeneveOption
+	data    [routingSize]byte
+}
+
+// NewEncoder returns an encoder.
+func NewEncoder() *Encoder {
+	encoder := &Encoder{buffer: gopacket.NewSerializeBufferExpectedSize(Overhead, 0)}
+	encoder.header.Protocol = layers.EthernetTypeIPv4
+	encoder.option = layers.GeneveOption{Class: optionClass, Type: optionType, Data: encoder.data[:]}
+	encoder.options[0] = &encoder.option
+	return encoder
+}
+
+// AppendPlain appends a Geneve header without options and the packet to
+// destination, as the fabric sends it.
+func (e *Encoder) AppendPlain(destination, packet []byte) []byte {
+	e.header.VNI = 0
+	e.header.Options = nil
+	return e.append(destination, packet)
+}
+
+// AppendRouted appends a Geneve header with routing and the packet to
+// destination.
+func (e *Encoder) AppendRouted(destination []byte, service table.ServiceID, routing Routing, packet []byte) []byte {
+	binary.BigEndian.PutUint64(e.data[0:], uint64(routing.Version))
+	binary.BigEndian.PutUint32(e.data[8:], uint32(routing.Backend))
+	binary.BigEndian.PutUint32(e.data[12:], uint32(routing.Incarnation))
+	e.data[16] = routing.Hops
+	e.data[17] = 0
+	if routing.HandedOver {
+		e.data[17] = flagHandedOver
+	}
+	e.header.VNI = uint32(service)
+	e.header.Options = e.options[:]
+	return e.append(destination, packet)
+}
+
+func (e *Encoder) append(destination, packet []byte) []byte {
+	if err := e.buffer.Clear(); err != nil {
+		panic("encap: cannot clear an in-memory buffer: " + err.Error())
+	}
+	if err := e.header.SerializeTo(e.buffer, gopacket.SerializeOptions{FixLengths: true}); err != nil {
+		panic("encap: service identifier exceeds the checked range: " + err.Error())
+	}
+	destination = append(destination, e.buffer.Bytes()...)
+	return append(destination, packet...)
+}
+
+// Outcome tells whether a datagram could be decoded and, if not, why.
+type Outcome uint8
+
+// The outcomes of Decode.
+const (
+	Decoded Outcome = iota
+	Malformed
+	WrongVersion
+	WrongProtocol
+	UnknownCriticalOption
+	outcomeCount
+)
+
+// Outcomes lists every outcome, for counters that are kept by reason.
+func Outcomes() []Outcome {
+	all := make([]Outcome, outcomeCount)
+	for i := range all {
+		all[i] = Outcome(i)
+	}
+	return all
+}
+
+// String returns the outcome in the form used as a metric label.
+func (o Outcome) String() string {
+	names := [...]string{"decoded", "malformed", "wrong_version", "wrong_protocol", "unknown_critical_option"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return "invalid"
+}
+
+// Datagram is a decoded Geneve datagram. Packet aliases the decoded bytes.
+type Datagram struct {
+	Service    table.ServiceID
+	Routing    Routing
+	HasRouting bool
+	Packet     []byte
+}
+
+// Decoder decodes Geneve datagrams. It is not safe for concurrent use.
+type Decoder struct {
+	header layers.Geneve
+}
+
+// NewDecoder returns a decoder.
+func NewDecoder() *Decoder { return &Decoder{} }
+
+// Decode reads one UDP payload. A datagram without options costs no
+// allocation.
+func (d *Decoder) Decode(data []byte) (Datagram, Outcome) {
+	if err := d.header.DecodeFromBytes(data, gopacket.NilDecodeFeedback); err != nil {
+		return Datagram{}, Malformed
+	}
+	if d.header.Version != 0 {
+		return Datagram{}, WrongVersion
+	}
+	if d.header.Protocol != layers.EthernetTypeIPv4 {
+		return Datagram{}, WrongProtocol
+	}
+	datagram := Datagram{Service: table.ServiceID(d.header.VNI), Packet: d.header.Payload}
+	for _, option := range d.header.Options {
+		if option.Class == optionClass && option.Type == optionType && len(option.Data) == routingSize {
+			datagram.Routing = decodeRouting(option.Data)
+			datagram.HasRouting = true
+			continue
+		}
+		if d.header.CriticalOption {
+			return Datagram{}, UnknownCriticalOption
+		}
+	}
+	return datagram, Decoded
+}
+
+func decodeRouting(data []byte) Routing {
+	return Routing{
+		Version:     table.Version(binary.BigEndian.Uint64(data[0:])),
+		Backend:     table.BackendID(binary.BigEndian.Uint32(data[8:])),
+		Incarnation: table.Incarnation(binary.BigEndian.Uint32(data[12:])),
+		Hops:        data[16],
+		HandedOver:  data[17]&flagHandedOver != 0,
+	}
+}
