Add slot lookup by weighted rendezvous hashing

Cause: balancers need the same primary row for a flow without talking to each other, in tables small enough for 1,500 services. Change: power-of-two slots a service, primary by integer weighted rendezvous, control messages in Geneve with the control bit.

--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -1,5 +1,5 @@
-// Package encap carries IPv4 packets between fabric, balancers and agents in
-// Geneve over UDP (RFC 8926).
+// Package encap carries IPv4 packets between fabric, balancers and agents, and
+// control messages between agents, in Geneve over UDP (RFC 8926).
 //
 // The virtual network identifier is the service. One option carries what the
 // receiving agent needs to check that it is the addressee and to settle
@@ -36,6 +36,9 @@
 	routingSize      = 20
 	flagHandedOver   = 1
 	geneveHeaderSize = 8
+	// controlProtocol is the EtherType for local experiments (IEEE 802); it
+	// marks control messages, together with the control bit of Geneve.
+	controlProtocol = layers.EthernetType(0x88b5)
 	optionHeaderSize = 4
 	// Overhead is the number of bytes that encapsulation with routing adds in
 	// front of an IPv4 packet, below UDP.
@@ -69,6 +72,19 @@
 	return e.append(destination, packet)
 }
 
+// AppendControl appends a Geneve header with the control bit and an encoded
+// control message to destination.
+func (e *Encoder) AppendControl(destination []byte, service table.ServiceID, message []byte) []byte {
+	e.header.VNI = uint32(service)
+	e.header.Options = nil
+	e.header.OAMPacket = true
+	e.header.Protocol = controlProtocol
+	destination = e.append(destination, message)
+	e.header.OAMPacket = false
+	e.header.Protocol = layers.EthernetTypeIPv4
+	return destination
+}
+
 // AppendRouted appends a Geneve header with routing and the packet to
 // destination.
 func (e *Encoder) AppendRouted(destination []byte, service table.ServiceID, routing Routing, packet []byte) []byte {
@@ -127,9 +143,11 @@
 	return "invalid"
 }
 
-// Datagram is a decoded Geneve datagram. Packet aliases the decoded bytes.
+// Datagram is a decoded Geneve datagram. Packet aliases the decoded bytes; it
+// is an IPv4 packet, or a control message if Control is set.
 type Datagram struct {
 	Service    table.ServiceID
+	Control    bool
 	Routing    Routing
 	HasRouting bool
 	Packet     []byte
@@ -152,10 +170,15 @@
 	if d.header.Version != 0 {
 		return Datagram{}, WrongVersion
 	}
-	if d.header.Protocol != layers.EthernetTypeIPv4 {
+	control := d.header.OAMPacket
+	if d.header.Protocol != payloadProtocol(control) {
 		return Datagram{}, WrongProtocol
 	}
-	datagram := Datagram{Service: table.ServiceID(d.header.VNI), Packet: d.header.Payload}
+	datagram := Datagram{
+		Service: table.ServiceID(d.header.VNI),
+		Control: control,
+		Packet:  d.header.Payload,
+	}
 	for _, option := range d.header.Options {
 		if option.Class == optionClass && option.Type == optionType && len(option.Data) == routingSize {
 			datagram.Routing = decodeRouting(option.Data)
@@ -169,6 +192,13 @@
 	return datagram, Decoded
 }
 
+func payloadProtocol(control bool) layers.EthernetType {
+	if control {
+		return controlProtocol
+	}
+	return layers.EthernetTypeIPv4
+}
+
 func decodeRouting(data []byte) Routing {
 	return Routing{
 		Version:     table.Version(binary.BigEndian.Uint64(data[0:])),
--- /dev/null
+++ b/internal/lookup/slots.go
@@ -0,0 +1,102 @@
+package lookup
+
+import (
+	"encoding/binary"
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+// Candidate is a row that can be the primary of a slot.
+type Candidate struct {
+	Backend table.BackendID
+	Weight  uint32
+}
+
+// NoCandidate marks a slot that has no primary.
+const NoCandidate = -1
+
+const (
+	slotsPerCandidate = 32
+	minimumSlots      = 64
+	maximumSlots      = 4096
+)
+
+// SlotCount returns how many hash slots a service with that many rows has. It
+// is a power of two, so that adding a row rarely changes it.
+func SlotCount(rows int) int {
+	wanted := rows * slotsPerCandidate
+	count := minimumSlots
+	for count < wanted && count < maximumSlots {
+		count *= 2
+	}
+	return count
+}
+
+// SlotOf returns the slot of a flow hash among count slots, count being a
+// power of two.
+func SlotOf(flowHash uint64, count int) int {
+	return int(flowHash>>32) & (count - 1)
+}
+
+// Primary returns the index of the candidate that holds the slot, by weighted
+// rendezvous hashing (Thaler and Ravishankar, "Using name-based mappings to
+// increase hit rates", 1998; weights after Schindelhauer and Schomaker,
+// "Weighted distributed hash tables", 2005). Removing a candidate moves only
+// the slots it held. It returns NoCandidate if there is none with a weight.
+func Primary(service table.ServiceID, slot int, candidates []Candidate) int {
+	best := NoCandidate
+	var bestScore uint64
+	for index, candidate := range candidates {
+		if candidate.Weight == 0 {
+			continue
+		}
+		score := negativeLog2(rendezvousHash(service, slot, candidate.Backend))
+		if best == NoCandidate || scoreLess(score, candidate.Weight, bestScore, candidates[best].Weight) {
+			best = index
+			bestScore = score
+		}
+	}
+	return best
+}
+
+// scoreLess reports whether a/weightA < b/weightB. Integers keep the outcome
+// the same on every processor.
+func scoreLess(a uint64, weightA uint32, b uint64, weightB uint32) bool {
+	return a*uint64(weightB) < b*uint64(weightA)
+}
+
+func rendezvousHash(service table.ServiceID, slot int, backend table.BackendID) uint64 {
+	var encoded [12]byte
+	binary.BigEndian.PutUint32(encoded[0:], uint32(service))
+	binary.BigEndian.PutUint32(encoded[4:], uint32(slot))
+	binary.BigEndian.PutUint32(encoded[8:], uint32(backend))
+	return xxhash.Sum64(encoded[:])
+}
+
+const logFractionBits = 24
+
+// negativeLog2 returns -log2(value / 2^64) as a fixed-point number with
+// logFractionBits fraction bits, by repeated squaring.
+func negativeLog2(value uint64) uint64 {
+	if value == 0 {
+		value = 1
+	}
+	leading := bits.LeadingZeros64(value)
+	mantissa := value << leading // in [2^63, 2^64), stands for [1, 2)
+	var fraction uint64
+	for range logFractionBits {
+		high, low := bits.Mul64(mantissa, mantissa) // stands for [1, 4)
+		fraction <<= 1
+		if high>>63 == 1 {
+			fraction |= 1
+			mantissa = high
+			continue
+		}
+		mantissa = high<<1 | low>>63
+	}
+	integer := uint64(63-leading)<<logFractionBits | fraction
+	return 64<<logFractionBits - integer
+}
