--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -38,7 +38,7 @@
 	geneveHeaderSize = 8
 	// controlProtocol is the EtherType for local experiments (IEEE 802); it
 	// marks control messages, together with the control bit of Geneve.
-	controlProtocol = layers.EthernetType(0x88b5)
+	controlProtocol  = layers.EthernetType(0x88b5)
 	optionHeaderSize = 4
 	// Overhead is the number of bytes that encapsulation with routing adds in
 	// front of an IPv4 packet, below UDP.
