Add the strict settings file

Cause: every process needs its addresses, zone and role from one file, and a typing error there must not become a default without notice. Change: strict TOML parsed once into a typed value; every broken rule is reported together as file, line, key and rule; name, zone and log level can be overridden from the command line.

--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,210 @@
+package settings_test
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/internal/settings"
+)
+
+const balancerFile = `name = "balancer-1"
+zone = "casablanca-1"
+[log]
+level = "debug"
+[observability]
+listen = "127.0.0.1:0"
+[platform]
+configuration_url = "http://127.0.0.1:9000/v1/configuration"
+machines_url = "http://127.0.0.1:9000/v1/machines"
+poll_interval = "250ms"
+[control]
+listen = "127.0.0.1:7000"
+[balancer]
+listen = "0.0.0.0:6081"
+sockets = 2
+baseline = "hash"
+`
+
+const agentFile = `name = "agent-1"
+zone = "kolkata-2"
+[observability]
+listen = "127.0.0.1:9100"
+[agent]
+listen = "127.0.0.1:6181"
+fabric = "127.0.0.1:6080"
+daemons = ["127.0.0.1:7000", "127.0.0.1:7001"]
+[[agent.backend]]
+service = "glossary export"
+name = "export-1"
+address = "127.0.0.1:8081"
+[[agent.backend]]
+service = "glossary export"
+name = "export-2"
+address = "127.0.0.1:8082"
+`
+
+func endpoint(text string) netip.AddrPort { return netip.MustParseAddrPort(text) }
+
+var _ = Describe("Parse", func() {
+	It("returns the typed values of a balancer", func() {
+		parsed, err := settings.Parse("b.toml", []byte(balancerFile))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*parsed).To(Equal(settings.Settings{
+			Name:          "balancer-1",
+			Zone:          "casablanca-1",
+			Log:           settings.Log{Level: log.DebugLevel},
+			Observability: settings.Observability{Listen: endpoint("127.0.0.1:0")},
+			Platform: settings.Platform{
+				ConfigurationURL: "http://127.0.0.1:9000/v1/configuration",
+				MachinesURL:      "http://127.0.0.1:9000/v1/machines",
+				PollInterval:     250 * time.Millisecond,
+			},
+			Control: settings.Control{Listen: endpoint("127.0.0.1:7000")},
+			Balancer: &settings.Balancer{
+				Listen: endpoint("0.0.0.0:6081"), Sockets: 2, Baseline: settings.BaselineHash,
+			},
+		}))
+	})
+
+	It("returns the typed values and defaults of an agent", func() {
+		parsed, err := settings.Parse("a.toml", []byte(agentFile))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(parsed.Log.Level).To(Equal(log.InfoLevel))
+		Expect(parsed.Balancer).To(BeNil())
+		Expect(*parsed.Agent).To(Equal(settings.Agent{
+			Listen:      endpoint("127.0.0.1:6181"),
+			Fabric:      endpoint("127.0.0.1:6080"),
+			Daemons:     []netip.AddrPort{endpoint("127.0.0.1:7000"), endpoint("127.0.0.1:7001")},
+			StopTimeout: 20 * time.Second,
+			FlowLimit:   100_000,
+			Backends: []settings.AgentBackend{
+				{Service: "glossary export", Name: "export-1", Address: endpoint("127.0.0.1:8081")},
+				{Service: "glossary export", Name: "export-2", Address: endpoint("127.0.0.1:8082")},
+			},
+		}))
+	})
+
+	DescribeTable("reports one broken rule with its line and key",
+		func(file, old, replacement, expected string) {
+			Expect(strings.Count(file, old)).To(Equal(1), "the text to replace")
+			changed := strings.Replace(file, old, replacement, 1)
+			_, err := settings.Parse("f.toml", []byte(changed))
+			Expect(err).To(BeAssignableToTypeOf(settings.Errors{}))
+			Expect(err.Error()).To(Equal(expected))
+		},
+		Entry("not TOML", balancerFile, `[log]`, `[log`,
+			"f.toml:3: expected ']' to close table name"),
+		Entry("key given twice", balancerFile, `sockets = 2`, "sockets = 2\nsockets = 3",
+			"f.toml:16: balancer.sockets: key sockets is already defined"),
+		Entry("value where a table should be", balancerFile, "[log]\nlevel = \"debug\"", "log = 5\n",
+			"f.toml:3: log: must be a table, begun by [log]"),
+		Entry("table where an array of tables should be", agentFile, agentFile[strings.Index(agentFile, "[[agent.backend]]"):], "backend = 5",
+			"f.toml:9: agent.backend: must be an array of tables, each begun by [[agent.backend]]"),
+		Entry("unknown key", balancerFile, `sockets = 2`, "sockets = 2\nsocket = 2",
+			"f.toml:16: balancer.socket: is not a known key"),
+		Entry("unknown table", balancerFile, `[log]`, "[logs]\n[log]",
+			"f.toml:3: logs: is not a known key"),
+		Entry("missing name", balancerFile, `name = "balancer-1"`, ``,
+			"f.toml: name: is required"),
+		Entry("empty name", balancerFile, `name = "balancer-1"`, `name = ""`,
+			"f.toml:1: name: must have 1 to 64 letters, digits, dots, hyphens or underscores and begin with a letter or digit"),
+		Entry("name too long", balancerFile, `"balancer-1"`, `"`+strings.Repeat("a", 65)+`"`,
+			"f.toml:1: name: must have 1 to 64 letters, digits, dots, hyphens or underscores and begin with a letter or digit"),
+		Entry("zone of the wrong type", balancerFile, `"casablanca-1"`, `7`,
+			"f.toml:2: zone: must be a string"),
+		Entry("unknown level", balancerFile, `"debug"`, `"verbose"`,
+			"f.toml:4: log.level: must be debug, info, warn or error"),
+		Entry("missing key of a table", balancerFile, `listen = "127.0.0.1:0"`, ``,
+			"f.toml:5: observability.listen: is required"),
+		Entry("relative URL", balancerFile, `"http://127.0.0.1:9000/v1/machines"`, `"/v1/machines"`,
+			"f.toml:9: platform.machines_url: must be an http or https URL, such as http://192.0.2.1:9000/v1/configuration"),
+		Entry("duration without unit", balancerFile, `"250ms"`, `"250"`,
+			"f.toml:10: platform.poll_interval: must be a duration with a unit, such as 500ms or 20s"),
+		Entry("duration out of bounds", balancerFile, `"250ms"`, `"-1s"`,
+			"f.toml:10: platform.poll_interval: must be from 10ms to 1m0s"),
+		Entry("address by name", balancerFile, `"127.0.0.1:7000"`, `"localhost:7000"`,
+			"f.toml:12: control.listen: must be an IPv4 address and a port, such as 192.0.2.1:6081"),
+		Entry("IPv6 address", balancerFile, `"127.0.0.1:7000"`, `"[::1]:7000"`,
+			"f.toml:12: control.listen: must be an IPv4 address and a port, such as 192.0.2.1:6081"),
+		Entry("port 0", balancerFile, `"127.0.0.1:7000"`, `"127.0.0.1:0"`,
+			"f.toml:12: control.listen: must have a port other than 0"),
+		Entry("number as text", balancerFile, `sockets = 2`, `sockets = "2"`,
+			"f.toml:15: balancer.sockets: must be an integer"),
+		Entry("number out of bounds", balancerFile, `sockets = 2`, `sockets = 0`,
+			"f.toml:15: balancer.sockets: must be from 1 to 64"),
+		Entry("unknown baseline", balancerFile, `"hash"`, `"random"`,
+			`f.toml:16: balancer.baseline: must be empty or "hash"`),
+		Entry("balancer without control", balancerFile, "[control]\nlisten = \"127.0.0.1:7000\"\n", "",
+			"f.toml: control: is required for a balancer"),
+		Entry("both roles", balancerFile, "[control]", agentFile[strings.Index(agentFile, "[agent]"):]+"[control]",
+			"f.toml:11: agent: must not stand beside a balancer table"),
+		Entry("agent on the unspecified address", agentFile, `"127.0.0.1:6181"`, `"0.0.0.0:6181"`,
+			"f.toml:6: agent.listen: must not be the unspecified address 0.0.0.0"),
+		Entry("no daemon", agentFile, `["127.0.0.1:7000", "127.0.0.1:7001"]`, `[]`,
+			"f.toml:8: agent.daemons: must be an array of at least one address"),
+		Entry("daemon given twice", agentFile, `"127.0.0.1:7001"`, `"127.0.0.1:7000"`,
+			"f.toml:8: agent.daemons: names 127.0.0.1:7000 twice"),
+		Entry("key of the second row", agentFile, `"127.0.0.1:8082"`, `8082`,
+			"f.toml:16: agent.backend[1].address: must be a string"),
+		Entry("row given twice", agentFile, `"export-2"`, `"export-1"`,
+			"f.toml:15: agent.backend[1].name: must be unique within its service"),
+		Entry("no row", agentFile, agentFile[strings.Index(agentFile, "[[agent.backend]]"):], "",
+			"f.toml:5: agent.backend: is required at least once"),
+	)
+
+	It("reports all broken rules, sorted by line", func() {
+		_, err := settings.Parse("f.toml", []byte("zone = 3\nnames = 1\n[log]\nlevel = \"x\"\n[balancer]\nlisten = \"x\"\n"))
+		var broken settings.Errors
+		Expect(errors.As(err, &broken)).To(BeTrue())
+		keys := make([]string, len(broken))
+		for index, rule := range broken {
+			keys[index] = rule.Key
+		}
+		Expect(keys).To(Equal([]string{
+			"control", "name", "observability.listen", "platform",
+			"zone", "names", "log.level", "balancer.listen",
+		}))
+	})
+
+	It("lets overrides take the place of keys", func() {
+		parsed, err := settings.Parse("b.toml", []byte(strings.Replace(balancerFile, "[log]\nlevel = \"debug\"", "", 1)),
+			settings.Override{Key: settings.KeyName, Value: "other"},
+			settings.Override{Key: settings.KeyZone, Value: "there"},
+			settings.Override{Key: settings.KeyLogLevel, Value: "error"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(parsed.Name).To(Equal("other"))
+		Expect(parsed.Zone).To(Equal("there"))
+		Expect(parsed.Log.Level).To(Equal(log.ErrorLevel))
+	})
+
+	It("reports a broken override against the command line", func() {
+		_, err := settings.Parse("b.toml", []byte(balancerFile),
+			settings.Override{Key: settings.KeyLogLevel, Value: "loud"},
+			settings.Override{Key: "balancer.sockets", Value: "3"})
+		Expect(err).To(MatchError("command line: balancer.sockets: cannot be overridden\n" +
+			"command line: log.level: must be debug, info, warn or error"))
+	})
+})
+
+var _ = Describe("Load", func() {
+	It("reads a file", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "agent.toml")
+		Expect(os.WriteFile(path, []byte(agentFile), 0o600)).To(Succeed())
+		loaded, err := settings.Load(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(loaded.Name).To(Equal("agent-1"))
+	})
+
+	It("reports a file that cannot be read", func() {
+		_, err := settings.Load(filepath.Join(GinkgoT().TempDir(), "absent.toml"))
+		Expect(errors.Is(err, os.ErrNotExist)).To(BeTrue())
+	})
+})
