--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -167,6 +167,9 @@
 	if err := d.header.DecodeFromBytes(data, gopacket.NilDecodeFeedback); err != nil {
 		return Datagram{}, Malformed
 	}
+	if !d.optionsFill() {
+		return Datagram{}, Malformed
+	}
 	if d.header.Version != 0 {
 		return Datagram{}, WrongVersion
 	}
@@ -192,6 +195,13 @@
 	return datagram, Decoded
 }
 
+// optionsFill reports whether the options end where the header says. The
+// library reads an option that runs over the end as if the packet began behind
+// it, and counts the offset of the packet in 8 bits.
+func (d *Decoder) optionsFill() bool {
+	return len(d.header.Contents) == geneveHeaderSize+int(d.header.OptionsLength)
+}
+
 func payloadProtocol(control bool) layers.EthernetType {
 	if control {
 		return controlProtocol
