--- /dev/null
+++ b/internal/platform/fetch_error.go
@@ -0,0 +1,62 @@
+package platform
+
+import (
+	"net/url"
+
+	"github.com/pkg/errors"
+)
+
+// FetchReason tells what went wrong with a request.
+type FetchReason uint8
+
+// The reasons for a failed request.
+const (
+	// Unreachable means that no whole answer came in time.
+	Unreachable FetchReason = iota
+	// BadStatus means an HTTP status other than 200.
+	BadStatus
+	// BadContent means an answer that breaks a rule, such as a table that is
+	// not valid.
+	BadContent
+)
+
+// String returns the reason in words.
+func (r FetchReason) String() string {
+	switch r {
+	case Unreachable:
+		return "unreachable"
+	case BadStatus:
+		return "bad status"
+	case BadContent:
+		return "bad content"
+	}
+	return "unknown"
+}
+
+// FetchError is a failed request to the platform.
+type FetchError struct {
+	URL    string
+	Reason FetchReason
+	// Cause is the error below, such as a table.CellError.
+	Cause error
+}
+
+// Error implements error.
+func (e FetchError) Error() string {
+	return "platform: " + e.URL + ": " + e.Reason.String() + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e FetchError) Unwrap() error { return e.Cause }
+
+func asFetchError(err error) error {
+	var known FetchError
+	if errors.As(err, &known) {
+		return known
+	}
+	var failed *url.Error
+	if errors.As(err, &failed) {
+		return FetchError{failed.URL, Unreachable, failed.Err}
+	}
+	return FetchError{"", Unreachable, err}
+}
