Add the agent: admission, leases, user-space transport

Cause: balancers keep no flow state, so the process beside a back end must settle which row owns a flow, whatever table a balancer used. Change: admission state machine (open, locate, hand over, fence, refuse), lease registry and client, gVisor stack per row, splice to the back end that is dialled before the handshake completes.

--- /dev/null
+++ b/internal/admission/arrive.go
@@ -0,0 +1,189 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+// Arrive handles a packet addressed to this row. The returned effects are
+// valid until the next call.
+func (m *Machine) Arrive(now time.Duration, packet Packet) []Effect {
+	m.effects = m.effects[:0]
+	key := KeyOf(packet.Summary.Flow.Source)
+	if known, exists := m.flows[key]; exists {
+		if m.arriveKnown(now, key, known, packet) {
+			return m.effects
+		}
+	}
+	if undecided, exists := m.pending[key]; exists {
+		if m.arriveUndecided(undecided, packet) {
+			return m.effects
+		}
+		m.abandon(key)
+	}
+	if packet.opensFlow() {
+		m.arriveNew(now, key, packet)
+		return m.effects
+	}
+	m.locate(now, key, packet)
+	return m.effects
+}
+
+// arriveKnown handles a packet of a remembered flow. It returns false if the
+// flow is to be decided or located afresh.
+func (m *Machine) arriveKnown(now time.Duration, key FlowKey, known flow, packet Packet) bool {
+	reused := packet.Summary.Opening && packet.sequence() != known.sequence
+	switch known.state {
+	case stateOpen, stateLingering:
+		// If the caller reuses its port, the transport stack challenges the
+		// segment (RFC 5961, section 4), so that a forged one cannot end the
+		// flow.
+		m.emit(Effect{Kind: Deliver, Packet: packet})
+	case stateRemote:
+		if reused {
+			return false
+		}
+		known.expires = now + m.config.RemoteRetention
+		m.flows[key] = known
+		m.forward(known.owner, known.handedOver && packet.opensFlow(), packet)
+	case stateFenced:
+		return m.arriveFenced(now, key, known, packet)
+	case stateClosed:
+		return m.arriveClosed(key, reused, packet)
+	case stateRefused:
+		if reused {
+			return false
+		}
+		m.refuse(packet)
+	}
+	return true
+}
+
+func (m *Machine) arriveClosed(key FlowKey, reused bool, packet Packet) bool {
+	if reused || packet.Summary.Flow.Protocol == table.ProtocolUDP {
+		delete(m.flows, key)
+		return false
+	}
+	m.drop(DropClosed, packet)
+	return true
+}
+
+// arriveFenced handles a packet of a flow that another row said it is about to
+// open.
+func (m *Machine) arriveFenced(now time.Duration, key FlowKey, known flow, packet Packet) bool {
+	obsolete := !packet.opensFlow() || packet.Routing.HandedOver ||
+		now >= known.expires || packet.sequence() != known.sequence
+	if obsolete {
+		delete(m.flows, key)
+		return false
+	}
+	m.forward(known.owner, false, packet)
+	return true
+}
+
+// arriveUndecided handles a further packet of a flow that is being decided. It
+// returns false if the packet opens another flow with the same key.
+func (m *Machine) arriveUndecided(undecided *pending, packet Packet) bool {
+	if packet.Summary.Opening && packet.sequence() != undecided.sequence {
+		return false
+	}
+	if packet.opensFlow() && undecided.purpose == PurposeLocate {
+		return false
+	}
+	if packet.Summary.Opening {
+		m.drop(DropDuplicate, packet)
+		return true
+	}
+	if len(undecided.held) >= heldPackets {
+		m.drop(DropDuplicate, packet)
+		return true
+	}
+	undecided.held = append(undecided.held, packet)
+	return true
+}
+
+// arriveNew handles the first packet of a flow that this row does not know.
+func (m *Machine) arriveNew(now time.Duration, key FlowKey, packet Packet) {
+	if m.config.Stateless {
+		m.openLocally(key, packet.sequence(), packet)
+		return
+	}
+	if !m.holdsLease(now) {
+		m.drop(DropNoLease, packet)
+		m.emit(Effect{Kind: Refresh})
+		return
+	}
+	if packet.Routing.Version > m.Version() {
+		m.awaitVersion(now, key, packet)
+		return
+	}
+	if packet.Routing.HandedOver {
+		m.arriveHandedOver(now, key, packet)
+		return
+	}
+	m.decide(now, key, packet)
+}
+
+// arriveHandedOver opens a flow that its primary decided to give to this row.
+// After an interrupted lease the packet may be old, and the primary's decision
+// may have been replaced; the caller's retransmission brings a fresh one.
+func (m *Machine) arriveHandedOver(now time.Duration, key FlowKey, packet Packet) {
+	if m.settling(now) {
+		m.drop(DropNoLease, packet)
+		return
+	}
+	if !m.available() {
+		m.refuseNew(now, key, packet)
+		return
+	}
+	m.openLocally(key, packet.sequence(), packet)
+}
+
+// decide begins the decision about a new flow, if it is this row's to make.
+func (m *Machine) decide(now time.Duration, key FlowKey, packet Packet) {
+	hash := packet.Summary.Flow.Hash()
+	primary, exists := m.history.current.primary(hash)
+	if !exists {
+		m.drop(DropNoPrimary, packet)
+		return
+	}
+	if primary != m.config.Row {
+		m.forward(primary, false, packet)
+		return
+	}
+	m.beginOpen(now, key, hash, packet)
+}
+
+// openLocally makes the flow this row's own and delivers its first packet.
+func (m *Machine) openLocally(key FlowKey, sequence uint32, packet Packet) {
+	if len(m.flows) >= m.config.FlowLimit {
+		m.drop(DropFlowLimit, packet)
+		return
+	}
+	m.flows[key] = flow{state: stateOpen, sequence: sequence}
+	m.open++
+	m.emit(Effect{Kind: Deliver, Packet: packet})
+}
+
+// refuse answers a packet of a refused flow.
+func (m *Machine) refuse(packet Packet) {
+	if packet.Summary.Flow.Protocol != table.ProtocolTCP || packet.Summary.Reset {
+		m.drop(DropClosed, packet)
+		return
+	}
+	m.emit(Effect{Kind: Reset, Packet: packet})
+}
+
+// refuseNew remembers that a flow was refused, so that a retransmission of its
+// first packet cannot open it.
+func (m *Machine) refuseNew(now time.Duration, key FlowKey, packet Packet) {
+	if len(m.flows) < m.config.FlowLimit {
+		m.flows[key] = flow{
+			state:    stateRefused,
+			sequence: packet.sequence(),
+			expires:  now + m.config.ClosedRetention,
+		}
+	}
+	m.refuse(packet)
+}
--- /dev/null
+++ b/internal/admission/pending.go
@@ -0,0 +1,65 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+// ask is the state of one query to one row.
+type ask struct {
+	row table.BackendID
+	// required: the flow may not be opened before the row has answered or its
+	// lease must have ended. Others are only asked for their load.
+	required  bool
+	deadline  time.Duration
+	answered  bool
+	expired   bool
+	open      uint32
+	available bool
+}
+
+func (a *ask) settled() bool { return a.answered || a.expired }
+
+// pending is a flow that is being decided.
+type pending struct {
+	sequence uint32
+	purpose  Purpose
+	hash     uint64
+	started  time.Duration
+	resend   time.Duration
+	asks     []ask
+	held     []Packet
+	// askedAll is set once every row of the service has been asked.
+	askedAll bool
+	// behind is set while the row waits for the table version of the packet.
+	behind table.Version
+}
+
+func (p *pending) ask(row table.BackendID) *ask {
+	for index := range p.asks {
+		if p.asks[index].row == row {
+			return &p.asks[index]
+		}
+	}
+	return nil
+}
+
+func (p *pending) settled() bool {
+	for index := range p.asks {
+		if !p.asks[index].settled() {
+			return false
+		}
+	}
+	return true
+}
+
+// answeredByAll reports whether no ask ended without an answer.
+func (p *pending) answeredByAll() bool {
+	for index := range p.asks {
+		if !p.asks[index].answered {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,297 @@
+// Package agent implements the process beside back ends: it receives the
+// packets that balancers send to its rows, lets package admission decide about
+// them, terminates the flows it owns, and joins them to the back ends.
+package agent
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-kit/kit/metrics"
+	"github.com/go-kit/kit/metrics/discard"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/vanetiller/vanetiller/internal/admission"
+	"github.com/vanetiller/vanetiller/internal/control"
+	"github.com/vanetiller/vanetiller/internal/encap"
+	"github.com/vanetiller/vanetiller/internal/netstack"
+	"github.com/vanetiller/vanetiller/internal/packet"
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+// Backend is a real back end that the agent stands beside.
+type Backend struct {
+	// Service and Name identify the table row.
+	Service string
+	Name    string
+	// Address is where the back end listens.
+	Address netip.AddrPort
+}
+
+// Metrics are the agent's counters and gauges.
+type Metrics struct {
+	// Dropped counts discarded packets by label reason.
+	Dropped metrics.Counter
+	// Forwarded counts packets passed along to other agents.
+	Forwarded metrics.Counter
+	// Delivered counts packets given to the local transport stack.
+	Delivered metrics.Counter
+	// Queries counts messages sent to other agents.
+	Queries metrics.Counter
+	// Refused counts flows refused before their handshake completed.
+	Refused metrics.Counter
+	// OpenFlows is the number of open flows.
+	OpenFlows metrics.Gauge
+}
+
+// DiscardMetrics returns metrics that are not kept.
+func DiscardMetrics() Metrics {
+	return Metrics{
+		Dropped:   discard.NewCounter(),
+		Forwarded: discard.NewCounter(),
+		Delivered: discard.NewCounter(),
+		Queries:   discard.NewCounter(),
+		Refused:   discard.NewCounter(),
+		OpenFlows: discard.NewGauge(),
+	}
+}
+
+// Config holds the checked settings of an agent.
+type Config struct {
+	// Listen receives Geneve; it equals the agent column of the rows served.
+	Listen netip.AddrPort
+	// Fabric is where answers to callers are sent.
+	Fabric netip.AddrPort
+	// Daemons are the control addresses to which heartbeats are sent.
+	Daemons  []netip.AddrPort
+	Backends []Backend
+	// StopTimeout bounds how long a planned stop waits for open flows.
+	StopTimeout time.Duration
+	// FlowLimit is the largest number of flows in memory for each row.
+	FlowLimit int
+	// Stateless is the negative control of experiments: see
+	// admission.Config.
+	Stateless bool
+	Logger    *log.Logger
+	Metrics   Metrics
+}
+
+// Agent runs the rows of one process.
+type Agent struct {
+	config  Config
+	started time.Time
+	socket  *net.UDPConn
+	control *net.UDPConn
+	refuser *netstack.Stack
+
+	// mutex guards everything below.
+	mutex    sync.Mutex
+	client   *control.Client
+	table    *table.Table
+	rows     map[rowKey]*row
+	peers    map[table.BackendID]peer
+	leaving  bool
+	decoder  *packet.Decoder
+	envelope *encap.Decoder
+	encoder  *encap.Encoder
+	output   []byte
+
+	group   *errgroup.Group
+	context context.Context
+}
+
+// rowKey tells apart successive uses of one row identifier.
+type rowKey struct {
+	backend     table.BackendID
+	incarnation table.Incarnation
+}
+
+// peer is where another row of one of the agent's services is reached.
+type peer struct {
+	agent       netip.AddrPort
+	incarnation table.Incarnation
+	service     table.ServiceID
+}
+
+// New binds the agent's sockets. It fails if an address is in use.
+func New(config Config) (*Agent, error) {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(config.Listen))
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", config.Listen)
+	}
+	enlargeBuffers(socket)
+	heartbeats, err := net.ListenUDP("udp4", &net.UDPAddr{IP: config.Listen.Addr().AsSlice()})
+	if err != nil {
+		_ = socket.Close()
+		return nil, errors.Wrap(err, "open heartbeat socket")
+	}
+	refuser, err := netstack.New(nil)
+	if err != nil {
+		_ = socket.Close()
+		_ = heartbeats.Close()
+		return nil, err
+	}
+	started := time.Now()
+	address := table.Endpoint(config.Listen.String())
+	return &Agent{
+		config:   config,
+		started:  started,
+		socket:   socket,
+		control:  heartbeats,
+		refuser:  refuser,
+		client:   control.NewClient(address, uint64(started.UnixNano()), config.Daemons),
+		rows:     make(map[rowKey]*row),
+		peers:    make(map[table.BackendID]peer),
+		decoder:  packet.NewDecoder(),
+		envelope: encap.NewDecoder(),
+		encoder:  encap.NewEncoder(),
+	}, nil
+}
+
+const socketBufferSize = 4 << 20
+
+func enlargeBuffers(socket *net.UDPConn) {
+	// The kernel may grant less; losses are then counted as usual.
+	_ = socket.SetReadBuffer(socketBufferSize)
+	_ = socket.SetWriteBuffer(socketBufferSize)
+}
+
+// now is the time since the agent started, on the monotonic clock, which goes
+// on while the process is paused.
+func (a *Agent) now() time.Duration { return time.Since(a.started) }
+
+// Run serves until ctx ends, and then stops as planned: no new flows, open ones
+// finish within the stop timeout. It returns nil after a planned stop.
+func (a *Agent) Run(ctx context.Context) error {
+	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	a.group, a.context = errgroup.WithContext(serving)
+	a.group.Go(a.receivePackets)
+	a.group.Go(a.receiveGrants)
+	a.group.Go(a.tick)
+	a.group.Go(func() error { return a.transmit(a.refuser) })
+	a.group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			a.stop()
+		case <-a.context.Done():
+		}
+		cancel()
+		return nil
+	})
+	a.group.Go(func() error {
+		<-a.context.Done()
+		_ = a.socket.Close()
+		_ = a.control.Close()
+		return nil
+	})
+	err := a.group.Wait()
+	a.closeRows()
+	return err
+}
+
+func (a *Agent) closeRows() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, served := range a.rows {
+		served.stack.Close()
+	}
+	a.refuser.Close()
+}
+
+const (
+	tickInterval     = 5 * time.Millisecond
+	stopPollInterval = 50 * time.Millisecond
+	// handoffTime is how long a stopping agent goes on passing packets along
+	// after its last flow, until balancers no longer send to it.
+	handoffTime = 1500 * time.Millisecond
+)
+
+// stop lets open flows finish.
+func (a *Agent) stop() {
+	a.mutex.Lock()
+	a.leaving = true
+	a.client.Leave()
+	for _, served := range a.rows {
+		served.machine.Leave()
+	}
+	open := a.openFlows()
+	a.mutex.Unlock()
+	a.config.Logger.Info("stopping", "open_flows", open)
+	deadline := time.Now().Add(a.config.StopTimeout)
+	earliest := time.Now().Add(handoffTime)
+	for time.Now().Before(deadline) {
+		a.mutex.Lock()
+		remaining := a.activeFlows()
+		a.mutex.Unlock()
+		if remaining == 0 && time.Now().After(earliest) {
+			break
+		}
+		time.Sleep(stopPollInterval)
+	}
+	a.mutex.Lock()
+	remaining := a.openFlows()
+	a.mutex.Unlock()
+	a.config.Logger.Info("stopped", "cut_flows", remaining)
+}
+
+// openFlows returns the flows open at all rows. The mutex must be held.
+func (a *Agent) openFlows() uint32 {
+	var open uint32
+	for _, served := range a.rows {
+		open += served.machine.Open()
+	}
+	return open
+}
+
+// activeFlows returns the flows that still need this process: open, ending or
+// undecided. The mutex must be held.
+func (a *Agent) activeFlows() int {
+	active := 0
+	for _, served := range a.rows {
+		active += served.active + served.machine.Pending()
+	}
+	return active
+}
+
+func (a *Agent) tick() error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-a.context.Done():
+			return nil
+		case <-ticker.C:
+			a.tickOnce()
+		}
+	}
+}
+
+func (a *Agent) tickOnce() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	now := a.now()
+	a.sendHeartbeats(now)
+	for _, served := range a.rows {
+		a.execute(served, served.machine.Tick(now))
+	}
+	a.config.Metrics.OpenFlows.Set(float64(a.openFlows()))
+}
+
+// dropped counts a discarded packet.
+func (a *Agent) dropped(reason string) {
+	a.config.Metrics.Dropped.With("reason", reason).Add(1)
+}
+
+func (a *Agent) machineConfig(id table.BackendID) admission.Config {
+	config := admission.DefaultConfig(id)
+	config.LeaseDuration = control.MaximumLease
+	config.FlowLimit = a.config.FlowLimit
+	config.Stateless = a.config.Stateless
+	return config
+}
--- /dev/null
+++ b/internal/control/client.go
@@ -0,0 +1,194 @@
+package control
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+// outstandingHeartbeats is how many sent heartbeats are remembered for each
+// daemon, to count a lease from the time its heartbeat was sent.
+const outstandingHeartbeats = 8
+
+type sentHeartbeat struct {
+	sequence uint64
+	at       time.Duration
+}
+
+type daemonRecord struct {
+	address  netip.AddrPort
+	due      time.Duration
+	interval time.Duration
+	sent     []sentHeartbeat
+	granted  time.Duration
+	lease    time.Duration
+	heard    bool
+	down     []table.BackendID
+	leaving  []table.BackendID
+}
+
+// Outgoing is a heartbeat to be sent to a daemon.
+type Outgoing struct {
+	Daemon    netip.AddrPort
+	Heartbeat Heartbeat
+}
+
+// State is what an agent holds from its daemons.
+type State struct {
+	// Table is the agent's part of the newest table received, nil before the
+	// first grant.
+	Table *table.Table
+	// Down and Leaving list the rows that every daemon heard from recently
+	// reports so.
+	Down    []table.BackendID
+	Leaving []table.BackendID
+	// LeaseUntil is when the lease ends.
+	LeaseUntil time.Duration
+}
+
+// Client keeps an agent's leases. It is not safe for concurrent use.
+type Client struct {
+	agent    table.Endpoint
+	start    uint64
+	sequence uint64
+	leaving  bool
+	daemons  []*daemonRecord
+	held     *table.Table
+	lease    time.Duration
+}
+
+// NewClient returns the client of the agent with the given address. Start must
+// differ from that of earlier processes at the address.
+func NewClient(agent table.Endpoint, start uint64, daemons []netip.AddrPort) *Client {
+	client := &Client{agent: agent, start: start}
+	for _, address := range daemons {
+		client.daemons = append(client.daemons, &daemonRecord{address: address, interval: minimumInterval})
+	}
+	return client
+}
+
+// Leave marks the agent as stopping and makes all heartbeats due.
+func (c *Client) Leave() {
+	c.leaving = true
+	c.Refresh()
+}
+
+// Refresh makes all heartbeats due.
+func (c *Client) Refresh() {
+	for _, daemon := range c.daemons {
+		daemon.due = 0
+	}
+}
+
+// Tick returns the heartbeats that are due.
+func (c *Client) Tick(now time.Duration) []Outgoing {
+	var outgoing []Outgoing
+	for _, daemon := range c.daemons {
+		if now < daemon.due {
+			continue
+		}
+		c.sequence++
+		daemon.due = now + daemon.interval
+		daemon.sent = append(daemon.sent, sentHeartbeat{sequence: c.sequence, at: now})
+		if len(daemon.sent) > outstandingHeartbeats {
+			daemon.sent = slices.Delete(daemon.sent, 0, 1)
+		}
+		outgoing = append(outgoing, Outgoing{Daemon: daemon.address, Heartbeat: c.heartbeat()})
+	}
+	return outgoing
+}
+
+func (c *Client) heartbeat() Heartbeat {
+	heartbeat := Heartbeat{
+		Agent:    c.agent,
+		Start:    c.start,
+		Sequence: c.sequence,
+		Leaving:  c.leaving,
+	}
+	if c.held != nil {
+		heartbeat.Version = c.held.Version
+	}
+	return heartbeat
+}
+
+// Receive handles a grant. It returns false if the grant answers no heartbeat
+// that is remembered.
+func (c *Client) Receive(now time.Duration, from netip.AddrPort, grant Grant) bool {
+	daemon := c.daemon(from)
+	if daemon == nil {
+		return false
+	}
+	sent, remembered := daemon.take(grant.Sequence)
+	if !remembered {
+		return false
+	}
+	daemon.heard = true
+	daemon.granted = now
+	daemon.interval = time.Duration(grant.IntervalMillis) * time.Millisecond
+	daemon.lease = time.Duration(grant.LeaseMillis) * time.Millisecond
+	daemon.down = grant.Down
+	daemon.leaving = grant.Leaving
+	c.lease = max(c.lease, sent+daemon.lease)
+	if grant.Table != nil && (c.held == nil || grant.Version > c.held.Version) {
+		c.held = grant.Table
+	}
+	return true
+}
+
+func (c *Client) daemon(address netip.AddrPort) *daemonRecord {
+	for _, daemon := range c.daemons {
+		if daemon.address == address {
+			return daemon
+		}
+	}
+	return nil
+}
+
+// take returns when the heartbeat was sent and forgets it and earlier ones.
+func (d *daemonRecord) take(sequence uint64) (time.Duration, bool) {
+	for index, sent := range d.sent {
+		if sent.sequence == sequence {
+			d.sent = slices.Delete(d.sent, 0, index+1)
+			return sent.at, true
+		}
+	}
+	return 0, false
+}
+
+// State returns what the agent holds now.
+func (c *Client) State(now time.Duration) State {
+	state := State{Table: c.held, LeaseUntil: c.lease}
+	first := true
+	for _, daemon := range c.daemons {
+		if !daemon.heard || now >= daemon.granted+daemon.lease {
+			continue
+		}
+		if first {
+			state.Down = slices.Clone(daemon.down)
+			state.Leaving = slices.Clone(daemon.leaving)
+			first = false
+			continue
+		}
+		state.Down = intersect(state.Down, daemon.down)
+		state.Leaving = union(state.Leaving, daemon.leaving)
+	}
+	return state
+}
+
+// intersect returns the rows in both lists.
+func intersect(a, b []table.BackendID) []table.BackendID {
+	return slices.DeleteFunc(a, func(row table.BackendID) bool { return !slices.Contains(b, row) })
+}
+
+// union returns the rows in either list, sorted.
+func union(a, b []table.BackendID) []table.BackendID {
+	for _, row := range b {
+		if !slices.Contains(a, row) {
+			a = append(a, row)
+		}
+	}
+	slices.Sort(a)
+	return a
+}
--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,157 @@
+package control
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+const (
+	serverTickInterval = 100 * time.Millisecond
+	datagramSize       = 64 << 10
+)
+
+// ServerConfig holds the settings of a Server.
+type ServerConfig struct {
+	// Listen receives heartbeats.
+	Listen netip.AddrPort
+	// Unavailable is called, never concurrently, with the rows that must not
+	// be given new flows, whenever they or the table have changed.
+	Unavailable func(configuration *table.Table, rows []table.BackendID)
+}
+
+// Server answers agents' heartbeats over UDP.
+type Server struct {
+	config  ServerConfig
+	socket  *net.UDPConn
+	started time.Time
+
+	mutex         sync.Mutex
+	registry      *Registry
+	configuration *table.Table
+	reported      []table.BackendID
+	changed       bool
+}
+
+// NewServer binds the control socket. It fails if the address is in use.
+func NewServer(config ServerConfig) (*Server, error) {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(config.Listen))
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", config.Listen)
+	}
+	return &Server{
+		config:   config,
+		socket:   socket,
+		started:  time.Now(),
+		registry: NewRegistry(),
+	}, nil
+}
+
+// Publish installs a table unless it is older than the one held.
+func (s *Server) Publish(configuration *table.Table) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.registry.Confirm()
+	if s.configuration != nil && configuration.Version < s.configuration.Version {
+		return
+	}
+	s.configuration = configuration
+	s.changed = true
+	s.registry.Publish(s.now(), configuration)
+	s.report()
+}
+
+// Confirm tells the server that its table is the newest that can be had.
+func (s *Server) Confirm() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.registry.Confirm()
+}
+
+// Run answers heartbeats until ctx ends; it then returns nil.
+func (s *Server) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		<-ctx.Done()
+		return s.socket.Close()
+	})
+	group.Go(s.receive)
+	group.Go(func() error { return s.tick(ctx) })
+	return group.Wait()
+}
+
+func (s *Server) now() time.Duration { return time.Since(s.started) }
+
+func (s *Server) tick(ctx context.Context) error {
+	ticker := time.NewTicker(serverTickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			s.mutex.Lock()
+			s.registry.Tick(s.now())
+			s.report()
+			s.mutex.Unlock()
+		}
+	}
+}
+
+// report tells about changed availability. The mutex must be held.
+func (s *Server) report() {
+	if s.configuration == nil {
+		return
+	}
+	unavailable := s.registry.Unavailable(s.now())
+	if !s.changed && slices.Equal(unavailable, s.reported) {
+		return
+	}
+	s.reported = unavailable
+	s.changed = false
+	s.config.Unavailable(s.configuration, unavailable)
+}
+
+func (s *Server) receive() error {
+	buffer := make([]byte, datagramSize)
+	for {
+		count, from, err := s.socket.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			continue
+		}
+		var datagram Datagram
+		if _, err := datagram.UnmarshalMsg(buffer[:count]); err != nil || datagram.Heartbeat == nil {
+			continue
+		}
+		s.answer(from, *datagram.Heartbeat)
+	}
+}
+
+func (s *Server) answer(to netip.AddrPort, heartbeat Heartbeat) {
+	s.mutex.Lock()
+	now := s.now()
+	s.registry.Tick(now)
+	grant, granted := s.registry.Receive(now, heartbeat)
+	s.report()
+	s.mutex.Unlock()
+	if !granted {
+		return
+	}
+	encoded, err := (&Datagram{Grant: &grant}).MarshalMsg(nil)
+	if err != nil {
+		panic("control: cannot encode a grant: " + err.Error())
+	}
+	// A lost grant is repeated with the next heartbeat.
+	_, _ = s.socket.WriteToUDPAddrPort(encoded, to)
+}
