Add callers, experiments and the bench command

Nothing drove the whole path yet. Add callers on a user-space network stack that verify each answer, experiments with seeded schedules over two shapes (casablanca and kolkata), and vanetiller-bench with demo, run and list. Each flow writes to one connection of its own, since http.Transport would retry on another one and hide broken flows.

--- /dev/null
+++ b/bench/caller/client.go
@@ -0,0 +1,265 @@
+// This file implements the HTTP flows of callers.
+//
+// Each flow writes its requests to one connection of its own instead of using
+// http.Transport, which would open another connection after a failure and so
+// hide what is measured here.
+
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/bench/exchange"
+)
+
+// Dialer opens TCP connections to services.
+type Dialer interface {
+	DialTCP(ctx context.Context, service netip.AddrPort) (net.Conn, error)
+}
+
+// Client runs flows. It is safe for concurrent use.
+type Client struct {
+	// Dialer opens the connections.
+	Dialer Dialer
+	// ConnectTimeout bounds the handshake.
+	ConnectTimeout time.Duration
+	// ProgressTimeout is how long an established flow may go without sending
+	// or receiving a byte before it counts as broken.
+	ProgressTimeout time.Duration
+}
+
+// Run does one flow and reports how it went. A flow that is under way when ctx
+// ends is broken with CauseCancelled.
+func (c *Client) Run(ctx context.Context, plan Plan) Result {
+	result := Result{Plan: plan, Outcome: OutcomeCompleted, Started: time.Now()}
+	raw, err := c.dial(ctx, plan.Service.Address)
+	result.Opening = time.Since(result.Started)
+	if err != nil {
+		result.fail(classifyDial(ctx, err))
+		return result
+	}
+	defer raw.Close()
+	stop := context.AfterFunc(ctx, func() { raw.Close() })
+	defer stop()
+	connection := &progressConn{Conn: raw, timeout: c.ProgressTimeout}
+	flow := &flow{plan: plan, connection: connection, reader: bufio.NewReader(connection), result: &result}
+	if failure := flow.run(ctx); failure != nil {
+		if ctx.Err() != nil {
+			failure = &failed{OutcomeBroken, CauseCancelled, ctx.Err()}
+		}
+		result.fail(failure)
+	}
+	result.Ended = time.Now()
+	return result
+}
+
+func (c *Client) dial(ctx context.Context, service netip.AddrPort) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.ConnectTimeout)
+	defer cancel()
+	return c.Dialer.DialTCP(ctx, service)
+}
+
+func (r *Result) fail(failure *failed) {
+	r.Outcome = failure.outcome
+	r.Cause = failure.cause
+	r.Detail = failure.detail.Error()
+	r.Ended = time.Now()
+}
+
+// progressConn fails when nothing moves for a while.
+type progressConn struct {
+	net.Conn
+	timeout time.Duration
+}
+
+// Read implements net.Conn.
+func (c *progressConn) Read(data []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(data)
+}
+
+// Write implements net.Conn.
+func (c *progressConn) Write(data []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(data)
+}
+
+// flow is one established connection.
+type flow struct {
+	plan       Plan
+	connection net.Conn
+	reader     *bufio.Reader
+	result     *Result
+}
+
+func (f *flow) run(ctx context.Context) *failed {
+	switch f.plan.Kind {
+	case KindUpload:
+		body := exchange.Content(f.plan.ID, f.plan.Pieces*f.plan.PieceSize)
+		return f.exchange(ctx, 0, http.MethodPost, exchange.PathUpload, body, f.plan.Pieces)
+	case KindDownload:
+		return f.exchange(ctx, 0, http.MethodGet, f.downloadPath(), nil, 1)
+	case KindSubmit:
+		body := exchange.Content(f.plan.ID, f.plan.PieceSize)
+		return f.timed(ctx, 0, http.MethodPost, exchange.PathSubmit, body)
+	case KindPoll:
+		return f.polls(ctx)
+	}
+	return &failed{OutcomeBroken, CauseMalformedRequest, errors.Errorf("unknown kind %q", f.plan.Kind)}
+}
+
+func (f *flow) downloadPath() string {
+	query := url.Values{}
+	query.Set(exchange.QuerySize, strconv.Itoa(f.plan.Pieces*f.plan.PieceSize))
+	query.Set(exchange.QueryPieces, strconv.Itoa(f.plan.Pieces))
+	query.Set(exchange.QueryPause, strconv.FormatInt(f.plan.Pause.Milliseconds(), 10))
+	return exchange.PathDownload + "?" + query.Encode()
+}
+
+func (f *flow) polls(ctx context.Context) *failed {
+	for number := range f.plan.Pieces {
+		if failure := f.timed(ctx, number, http.MethodGet, exchange.PathPoll, nil); failure != nil {
+			return failure
+		}
+		if number+1 < f.plan.Pieces && !pause(ctx, f.plan.Pause) {
+			return &failed{OutcomeBroken, CauseCancelled, ctx.Err()}
+		}
+	}
+	return nil
+}
+
+func (f *flow) timed(ctx context.Context, number int, method, path string, body []byte) *failed {
+	started := time.Now()
+	failure := f.exchange(ctx, number, method, path, body, 1)
+	if failure == nil {
+		f.result.Answers = append(f.result.Answers, time.Since(started))
+	}
+	return failure
+}
+
+// exchange sends one request, in pieces, and checks its answer.
+func (f *flow) exchange(ctx context.Context, number int, method, path string, body []byte, pieces int) *failed {
+	identifier := fmt.Sprintf("%s-%d", f.plan.ID, number)
+	f.result.Request = identifier
+	request, err := f.newRequest(method, path, identifier, body)
+	if err != nil {
+		return &failed{OutcomeBroken, CauseMalformedRequest, err}
+	}
+	var encoded bytes.Buffer
+	if err := request.Write(&encoded); err != nil {
+		return &failed{OutcomeBroken, CauseMalformedRequest, err}
+	}
+	if failure := f.send(ctx, encoded.Bytes(), pieces); failure != nil {
+		return failure
+	}
+	response, err := http.ReadResponse(f.reader, request)
+	if err != nil {
+		return classifyTransfer(err)
+	}
+	defer response.Body.Close()
+	return f.check(response, identifier, body)
+}
+
+func (f *flow) newRequest(method, path, identifier string, body []byte) (*http.Request, error) {
+	target := "http://" + f.plan.Service.Address.String() + path
+	request, err := http.NewRequest(method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	request.Header.Set(exchange.HeaderRequest, identifier)
+	request.Header.Set(exchange.HeaderFlow, f.plan.ID)
+	request.Header.Set(exchange.HeaderService, f.plan.Service.Name)
+	return request, nil
+}
+
+// send writes the encoded request in pieces with pauses between them. The
+// first piece holds the whole header, as the body is the larger part.
+func (f *flow) send(ctx context.Context, encoded []byte, pieces int) *failed {
+	for piece := range pieces {
+		start, end := piece*len(encoded)/pieces, (piece+1)*len(encoded)/pieces
+		if _, err := f.connection.Write(encoded[start:end]); err != nil {
+			return classifyTransfer(err)
+		}
+		if piece+1 < pieces && !pause(ctx, f.plan.Pause) {
+			return &failed{OutcomeBroken, CauseCancelled, ctx.Err()}
+		}
+	}
+	return nil
+}
+
+// check reads the answer and verifies that it is whole and the flow's own.
+func (f *flow) check(response *http.Response, identifier string, body []byte) *failed {
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return classifyTransfer(err)
+	}
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(exchange.HeaderNotRun) != "" {
+		return &failed{OutcomeRefused, CauseShed, errors.New(response.Status)}
+	}
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return &failed{OutcomeBroken, CauseWrongService, errors.New(response.Status)}
+	}
+	if response.StatusCode/100 != 2 {
+		return &failed{OutcomeBroken, CauseWrongStatus, errors.New(response.Status)}
+	}
+	if answered := response.Header.Get(exchange.HeaderRequest); answered != identifier {
+		return &failed{OutcomeBroken, CauseForeignAnswer, errors.Errorf("answer to %q instead of %q", answered, identifier)}
+	}
+	if service := response.Header.Get(exchange.HeaderService); service != f.plan.Service.Name {
+		return &failed{OutcomeBroken, CauseWrongService, errors.Errorf("answer of service %q", service)}
+	}
+	if failure := f.checkBackend(response.Header.Get(exchange.HeaderBackend)); failure != nil {
+		return failure
+	}
+	return f.checkContent(response, content, identifier, body)
+}
+
+func (f *flow) checkBackend(backend string) *failed {
+	if f.result.Backend != "" && f.result.Backend != backend {
+		return &failed{OutcomeBroken, CauseBackendChanged, errors.Errorf("%s, then %s", f.result.Backend, backend)}
+	}
+	f.result.Backend = backend
+	return nil
+}
+
+func (f *flow) checkContent(response *http.Response, content []byte, identifier string, body []byte) *failed {
+	if f.plan.Kind == KindDownload {
+		expected := exchange.Content(identifier, f.plan.Pieces*f.plan.PieceSize)
+		if !bytes.Equal(content, expected) {
+			return &failed{OutcomeBroken, CauseWrongContent, errors.Errorf("%d bytes differ from the expected %d", len(content), len(expected))}
+		}
+		return nil
+	}
+	if answered := response.Header.Get(exchange.HeaderChecksum); answered != exchange.Checksum(body) {
+		return &failed{OutcomeBroken, CauseWrongContent, errors.Errorf("checksum %q of the body", answered)}
+	}
+	return nil
+}
+
+// pause returns false when ctx ends first.
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/bench/caller/client_test.go
@@ -0,0 +1,183 @@
+package caller_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/bench/backend"
+	"github.com/vanetiller/vanetiller/bench/caller"
+	"github.com/vanetiller/vanetiller/bench/exchange"
+)
+
+var (
+	loopback = netip.MustParseAddrPort("127.0.0.1:0")
+	service  = caller.Service{Name: "audio", Address: netip.MustParseAddrPort("198.51.100.2:80")}
+)
+
+func newClient(choose func() netip.AddrPort) *caller.Client {
+	callers, err := caller.NewStack(newLoop(choose), []netip.Addr{
+		netip.MustParseAddr("203.0.113.10"), netip.MustParseAddr("203.0.113.11"),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- callers.Run(ctx) }()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(done, "30s").Should(Receive(BeNil()))
+	})
+	return &caller.Client{Dialer: callers, ConnectTimeout: 30 * time.Second, ProgressTimeout: 30 * time.Second}
+}
+
+func startBackend(settings backend.Settings) *backend.Backend {
+	settings.Listen = loopback
+	created, err := backend.New(settings)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- created.Run(ctx) }()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(done, "30s").Should(Receive(BeNil()))
+	})
+	return created
+}
+
+// startServer serves one handler in place of a back end.
+func startServer(handler http.HandlerFunc) netip.AddrPort {
+	listener, err := net.Listen("tcp4", loopback.String())
+	Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	DeferCleanup(server.Close)
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func plan(kind caller.Kind) caller.Plan {
+	return caller.Plan{
+		ID: "flow-1", Service: service, Kind: kind,
+		Pieces: 4, PieceSize: 3000, Pause: time.Millisecond,
+	}
+}
+
+var _ = Describe("Client", func() {
+	DescribeTable("completes every kind of flow on one back end",
+		func(kind caller.Kind, answers int) {
+			ledger := backend.NewLedger()
+			server := startBackend(backend.Settings{Service: "audio", Name: "audio-1", Ledger: ledger})
+			client := newClient(server.Address)
+			result := client.Run(context.Background(), plan(kind))
+			Expect(result.Outcome).To(Equal(caller.OutcomeCompleted), result.Detail)
+			Expect(result.Backend).To(Equal("audio-1"))
+			Expect(result.Answers).To(HaveLen(answers))
+			Expect(ledger.BackendsOf("flow-1")).To(Equal([]string{"audio-1"}))
+			Expect(ledger.Ran(result.Request)).To(Equal(kind == caller.KindSubmit))
+			Expect(ledger.Totals()).To(Equal(backend.Totals{}))
+			Expect(server.Counters().Accepted).To(BeEquivalentTo(1))
+		},
+		Entry("upload", caller.KindUpload, 0),
+		Entry("download", caller.KindDownload, 0),
+		Entry("poll", caller.KindPoll, 4),
+		Entry("submission", caller.KindSubmit, 1),
+	)
+
+	It("reports a refused connection", func() {
+		client := newClient(func() netip.AddrPort { return netip.AddrPort{} })
+		result := client.Run(context.Background(), plan(caller.KindPoll))
+		Expect(result.Outcome).To(Equal(caller.OutcomeRefused))
+		Expect(result.Cause).To(Equal(caller.CauseConnectRefused))
+	})
+
+	It("reports a submission that the back end refuses before running it", func() {
+		ledger := backend.NewLedger()
+		gate := make(chan struct{})
+		server := startServer(func(writer http.ResponseWriter, request *http.Request) {
+			close(gate)
+			writer.Header().Set(exchange.HeaderNotRun, "true")
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		})
+		result := newClient(func() netip.AddrPort { return server }).Run(context.Background(), plan(caller.KindSubmit))
+		Expect(gate).To(BeClosed())
+		Expect(result.Outcome).To(Equal(caller.OutcomeRefused))
+		Expect(result.Cause).To(Equal(caller.CauseShed))
+		Expect(ledger.Ran(result.Request)).To(BeFalse())
+	})
+
+	It("notices a request that reached another service", func() {
+		ledger := backend.NewLedger()
+		server := startBackend(backend.Settings{Service: "transcription", Name: "transcription-1", Ledger: ledger})
+		result := newClient(server.Address).Run(context.Background(), plan(caller.KindSubmit))
+		Expect(result.Outcome).To(Equal(caller.OutcomeBroken))
+		Expect(result.Cause).To(Equal(caller.CauseWrongService))
+		Expect(ledger.Totals()).To(Equal(backend.Totals{Misdelivered: 1}))
+		Expect(ledger.Ran(result.Request)).To(BeFalse())
+	})
+
+	It("notices a flow that two back ends have seen and a submission that ran twice", func() {
+		ledger := backend.NewLedger()
+		first := startBackend(backend.Settings{Service: "audio", Name: "audio-1", Ledger: ledger})
+		second := startBackend(backend.Settings{Service: "audio", Name: "audio-2", Ledger: ledger})
+		for _, server := range []*backend.Backend{first, second} {
+			newClient(server.Address).Run(context.Background(), plan(caller.KindSubmit))
+		}
+		Expect(ledger.Totals()).To(Equal(backend.Totals{DoubleOpened: 1, DoubleRuns: 1}))
+	})
+
+	DescribeTable("notices a wrong answer",
+		func(kind caller.Kind, spoil func(http.ResponseWriter), cause caller.Cause) {
+			server := startServer(func(writer http.ResponseWriter, request *http.Request) {
+				header := writer.Header()
+				header.Set(exchange.HeaderRequest, request.Header.Get(exchange.HeaderRequest))
+				header.Set(exchange.HeaderService, "audio")
+				header.Set(exchange.HeaderBackend, "audio-1")
+				header.Set(exchange.HeaderChecksum, exchange.Checksum(nil))
+				spoil(writer)
+			})
+			result := newClient(func() netip.AddrPort { return server }).Run(context.Background(), plan(kind))
+			Expect(result.Outcome).To(Equal(caller.OutcomeBroken))
+			Expect(result.Cause).To(Equal(cause))
+		},
+		Entry("answer to another request", caller.KindPoll, func(writer http.ResponseWriter) {
+			writer.Header().Set(exchange.HeaderRequest, "flow-2-0")
+		}, caller.CauseForeignAnswer),
+		Entry("checksum of another body", caller.KindUpload, func(http.ResponseWriter) {}, caller.CauseWrongContent),
+		Entry("content of another request", caller.KindDownload, func(writer http.ResponseWriter) {
+			_, _ = writer.Write(exchange.Content("flow-2-0", 12000))
+		}, caller.CauseWrongContent),
+		Entry("status", caller.KindPoll, func(writer http.ResponseWriter) {
+			writer.WriteHeader(http.StatusInternalServerError)
+		}, caller.CauseWrongStatus),
+		Entry("answer cut short", caller.KindDownload, func(writer http.ResponseWriter) {
+			writer.Header().Set("Content-Length", "12000")
+			_, _ = writer.Write(exchange.Content("flow-1-0", 6000))
+		}, caller.CauseCutShort),
+	)
+})
+
+var _ = Describe("Backend", func() {
+	It("sheds a submission for which it has no slot and does not run it", func() {
+		ledger := backend.NewLedger()
+		server := startBackend(backend.Settings{
+			Service: "audio", Name: "audio-1", Ledger: ledger, Slots: 1, WorkTime: time.Hour,
+		})
+		client := newClient(server.Address)
+		holding, release := context.WithCancel(context.Background())
+		held := make(chan caller.Result, 1)
+		go func() { held <- client.Run(holding, plan(caller.KindSubmit)) }()
+		Eventually(func() bool { return ledger.Ran("flow-1-0") }, "30s").Should(BeTrue())
+		second := plan(caller.KindSubmit)
+		second.ID = "flow-2"
+		result := client.Run(context.Background(), second)
+		Expect(result.Outcome).To(Equal(caller.OutcomeRefused))
+		Expect(ledger.Ran(result.Request)).To(BeFalse())
+		Expect(server.Counters().Shed).To(BeEquivalentTo(1))
+		release()
+		Eventually(held, "30s").Should(Receive(HaveField("Cause", caller.CauseCancelled)))
+	})
+})
--- /dev/null
+++ b/bench/caller/flow.go
@@ -0,0 +1,107 @@
+// This file defines what a flow does and how it ended.
+
+package caller
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Service is what a flow connects to.
+type Service struct {
+	// Name is the service name in the table.
+	Name string
+	// Address is the virtual address of the service.
+	Address netip.AddrPort
+}
+
+// Kind is what a flow does on its connection.
+type Kind string
+
+// The kinds of flows.
+const (
+	// KindUpload sends one body in pieces.
+	KindUpload Kind = "upload"
+	// KindDownload reads one answer that is streamed in pieces.
+	KindDownload Kind = "download"
+	// KindPoll sends small requests on a connection that it keeps open.
+	KindPoll Kind = "poll"
+	// KindSubmit sends one submission that must run at most once.
+	KindSubmit Kind = "submit"
+)
+
+// Plan is one flow.
+type Plan struct {
+	// ID identifies the flow and is the stem of its request identifiers.
+	ID string
+	// Service is what the flow connects to.
+	Service Service
+	// Kind is what the flow does.
+	Kind Kind
+	// Pieces is the number of pieces of a body, or of polls.
+	Pieces int
+	// PieceSize is the number of bytes of a piece; polls have none.
+	PieceSize int
+	// Pause is the time between two pieces.
+	Pause time.Duration
+}
+
+// Outcome is how a flow ended.
+type Outcome string
+
+// The outcomes of flows.
+const (
+	// OutcomeCompleted means that every answer was whole and the flow's own.
+	OutcomeCompleted Outcome = "completed"
+	// OutcomeRefused means that the connection was refused, or that the back
+	// end answered that the request has not run.
+	OutcomeRefused Outcome = "refused"
+	// OutcomeNotOpened means that the handshake got no answer in time.
+	OutcomeNotOpened Outcome = "not_opened"
+	// OutcomeBroken means that an established flow was reset, stalled, or got
+	// a wrong answer.
+	OutcomeBroken Outcome = "broken"
+)
+
+// Cause says why a flow did not complete.
+type Cause string
+
+// The causes.
+const (
+	CauseNone             Cause = ""
+	CauseConnectRefused   Cause = "connection_refused"
+	CauseConnectTimeout   Cause = "connect_timeout"
+	CauseConnectFailed    Cause = "connect_failed"
+	CauseShed             Cause = "shed"
+	CauseStalled          Cause = "stalled"
+	CauseReset            Cause = "reset"
+	CauseCutShort         Cause = "cut_short"
+	CauseWrongStatus      Cause = "wrong_status"
+	CauseWrongService     Cause = "wrong_service"
+	CauseForeignAnswer    Cause = "foreign_answer"
+	CauseWrongContent     Cause = "wrong_content"
+	CauseBackendChanged   Cause = "backend_changed"
+	CauseCancelled        Cause = "cancelled"
+	CauseMalformedRequest Cause = "malformed_request"
+)
+
+// Result is how one flow went.
+type Result struct {
+	Plan    Plan
+	Outcome Outcome
+	Cause   Cause
+	// Detail is the text of the error behind the cause.
+	Detail string
+	// Backend is the back end that answered, if any did.
+	Backend string
+	// Request is the last request that was sent.
+	Request string
+	// Opening is how long the handshake took.
+	Opening time.Duration
+	// Answers are the times from sending a poll or a submission to the end of
+	// its answer.
+	Answers []time.Duration
+	// Started is when the handshake began and Ended when the flow ended.
+	Started time.Time
+	Ended   time.Time
+}
--- /dev/null
+++ b/bench/experiment/cluster.go
@@ -0,0 +1,274 @@
+// This file implements the start and stop of everything an experiment needs.
+
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/vanetiller/vanetiller/bench/backend"
+	"github.com/vanetiller/vanetiller/bench/caller"
+	"github.com/vanetiller/vanetiller/bench/fabric"
+	"github.com/vanetiller/vanetiller/bench/fleet"
+	"github.com/vanetiller/vanetiller/bench/platform"
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+// Options configures one run.
+type Options struct {
+	Shape      Shape
+	Experiment Experiment
+	Seed       uint64
+	// Duration is the length of the event phase.
+	Duration time.Duration
+	// Baseline names a simpler method to compare with; empty for the product.
+	Baseline string
+	// Directory takes the daemon binary, settings and logs.
+	Directory string
+	// Progress takes one line for each step.
+	Progress io.Writer
+}
+
+// Cluster is everything that runs during an experiment. Events are applied by
+// one goroutine at a time.
+type Cluster struct {
+	options  Options
+	platform *platform.Platform
+	fabric   *fabric.Fabric
+	fleet    *fleet.Fleet
+	ledger   *backend.Ledger
+	stack    *caller.Stack
+	client   *caller.Client
+	running  *errgroup.Group
+	started  time.Time
+
+	mutex     sync.Mutex
+	version   table.Version
+	balancers []*balancerMember
+	endpoints []*endpointMember
+	// expected are the processes that the schedule has ended or is ending.
+	expected map[*fleet.Process]expectedExit
+	faults   []string
+}
+
+type expectedExit int
+
+const (
+	exitPlanned expectedExit = iota
+	exitKilled
+)
+
+const (
+	portsPerBalancer = 3
+	portsPerEndpoint = 2
+	connectTimeout   = 20 * time.Second
+	progressTimeout  = 20 * time.Second
+	healthTimeout    = 15 * time.Second
+)
+
+// NewCluster opens every socket and starts every daemon. It fails when the
+// daemon cannot be built or does not become healthy. The returned cluster
+// must be stopped also after an error.
+func NewCluster(ctx context.Context, options Options) (*Cluster, error) {
+	cluster := &Cluster{
+		options:  options,
+		ledger:   backend.NewLedger(),
+		expected: make(map[*fleet.Process]expectedExit),
+		started:  time.Now(),
+	}
+	cluster.running, ctx = errgroup.WithContext(ctx)
+	steps := []func(context.Context) error{
+		cluster.build, cluster.startNetwork, cluster.startMembers, cluster.startDaemons,
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return cluster, err
+		}
+	}
+	return cluster, nil
+}
+
+func (c *Cluster) build(ctx context.Context) error {
+	c.progress("building the daemon")
+	directory, err := filepath.Abs(c.options.Directory)
+	if err != nil {
+		return errors.Wrap(err, "directory")
+	}
+	built, err := fleet.New(ctx, directory)
+	c.fleet = built
+	return err
+}
+
+func (c *Cluster) startNetwork(ctx context.Context) error {
+	var err error
+	c.platform, err = platform.New(fleet.AnyPort())
+	if err != nil {
+		return err
+	}
+	c.fabric, err = fabric.New(fabric.Settings{
+		Listen:   fleet.AnyPort(),
+		Requests: c.options.Experiment.Network,
+		Answers:  c.options.Experiment.Network,
+		Seed:     c.options.Seed,
+	})
+	if err != nil {
+		return err
+	}
+	c.stack, err = caller.NewStack(c.fabric, c.options.Shape.Callers)
+	if err != nil {
+		return err
+	}
+	c.client = &caller.Client{Dialer: c.stack, ConnectTimeout: connectTimeout, ProgressTimeout: progressTimeout}
+	c.running.Go(func() error { return c.platform.Run(ctx) })
+	c.running.Go(func() error { return c.fabric.Run(ctx) })
+	c.running.Go(func() error { return c.stack.Run(ctx) })
+	return nil
+}
+
+func (c *Cluster) startMembers(ctx context.Context) error {
+	names := c.options.Shape.balancerNames()
+	endpoints := 0
+	for _, service := range c.options.Shape.Services {
+		endpoints += service.Endpoints + service.Spares
+	}
+	addresses, err := fleet.FreeAddresses(len(names)*portsPerBalancer + endpoints*portsPerEndpoint)
+	if err != nil {
+		return err
+	}
+	ports := &addressPool{addresses}
+	for i, name := range names {
+		c.balancers = append(c.balancers, &balancerMember{
+			name: name, zone: c.zone(i),
+			listen: ports.take(), control: ports.take(), observability: ports.take(),
+		})
+	}
+	for _, service := range c.options.Shape.Services {
+		if err := c.startBackends(ctx, service, ports); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type addressPool struct{ free []netip.AddrPort }
+
+func (p *addressPool) take() netip.AddrPort {
+	taken := p.free[0]
+	p.free = p.free[1:]
+	return taken
+}
+
+func (c *Cluster) startBackends(ctx context.Context, service ServiceShape, ports *addressPool) error {
+	for i, name := range service.endpointNames() {
+		created, err := backend.New(backend.Settings{
+			Service: service.Name, Name: name, Listen: fleet.AnyPort(),
+			Slots: service.Slots, WorkTime: submissionTime, Ledger: c.ledger,
+		})
+		if err != nil {
+			return err
+		}
+		c.running.Go(func() error { return created.Run(ctx) })
+		member := &endpointMember{
+			service: service.Name, zone: c.zone(i), backend: created,
+			agent: ports.take(), observability: ports.take(),
+		}
+		member.row = table.Backend{
+			ID: table.BackendID(len(c.endpoints) + 1), Service: service.ID, Name: name, Incarnation: 1,
+			Agent:  table.Endpoint(member.agent.String()),
+			Weight: initialWeight, ConnectionLimit: connectionLimit,
+		}
+		c.endpoints = append(c.endpoints, member)
+	}
+	return nil
+}
+
+func (c *Cluster) zone(number int) string {
+	return fmt.Sprintf("%s-%d", c.options.Shape.Name, number%c.options.Shape.Zones+1)
+}
+
+// startDaemons starts agents and balancers that are no spares and waits until
+// all are healthy.
+func (c *Cluster) startDaemons(ctx context.Context) error {
+	c.progress("starting %d balancers and the agents", c.options.Shape.Balancers)
+	position := 0
+	for _, service := range c.options.Shape.Services {
+		for i := range service.Endpoints + service.Spares {
+			member := c.endpoints[position]
+			position++
+			if i >= service.Endpoints {
+				continue
+			}
+			if err := c.startAgent(member); err != nil {
+				return err
+			}
+		}
+	}
+	c.publishTable()
+	for _, member := range c.balancers[:c.options.Shape.Balancers] {
+		if err := c.startBalancer(member); err != nil {
+			return err
+		}
+	}
+	c.publishMachines()
+	c.platform.SetFaults(platform.Faults{Skew: c.options.Experiment.Skew})
+	if err := c.waitHealthy(ctx); err != nil {
+		return err
+	}
+	for _, member := range c.balancers[:c.options.Shape.Balancers] {
+		c.fabric.AddBalancer(member.listen)
+	}
+	return nil
+}
+
+func (c *Cluster) waitHealthy(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	for _, member := range c.balancers {
+		if member.process != nil {
+			if err := fleet.WaitHealthy(ctx, member.process, member.observability); err != nil {
+				return err
+			}
+		}
+	}
+	for _, member := range c.endpoints {
+		if member.process != nil {
+			if err := fleet.WaitHealthy(ctx, member.process, member.observability); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Stop ends the daemons. The sockets close with the context of NewCluster.
+func (c *Cluster) Stop() {
+	if c.fleet == nil {
+		return
+	}
+	c.expectAll()
+	for _, process := range c.fleet.Stop() {
+		c.fault("%s did not stop in time and was killed", process.Name())
+	}
+}
+
+// fault records that something broke beside the flows.
+func (c *Cluster) fault(format string, arguments ...any) {
+	text := fmt.Sprintf(format, arguments...)
+	c.progress("fault: %s", text)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.faults = append(c.faults, text)
+}
+
+func (c *Cluster) progress(format string, arguments ...any) {
+	elapsed := time.Since(c.started).Seconds()
+	fmt.Fprintf(c.options.Progress, "%6.1fs %s\n", elapsed, fmt.Sprintf(format, arguments...))
+}
--- /dev/null
+++ b/bench/experiment/event.go
@@ -0,0 +1,110 @@
+// This file defines the events of a schedule and the experiments that use
+// them.
+
+package experiment
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/bench/fabric"
+)
+
+// EventKind is what happens to a balancer or a back end.
+type EventKind string
+
+// The kinds of events. Those after the comment line "recoveries" are put into
+// a schedule to end an earlier event.
+const (
+	EventBalancerAdd      EventKind = "balancer_add"
+	EventBalancerRemove   EventKind = "balancer_remove"
+	EventBalancerKill     EventKind = "balancer_kill"
+	EventBalancerPause    EventKind = "balancer_pause"
+	EventEndpointAdd      EventKind = "endpoint_add"
+	EventEndpointDrain    EventKind = "endpoint_drain"
+	EventEndpointReweight EventKind = "endpoint_reweight"
+	EventAgentStop        EventKind = "agent_stop"
+	EventAgentKill        EventKind = "agent_kill"
+
+	// recoveries
+
+	EventBalancerResume  EventKind = "balancer_resume"
+	EventBalancerStart   EventKind = "balancer_start"
+	EventEndpointUndrain EventKind = "endpoint_undrain"
+	EventAgentStart      EventKind = "agent_start"
+)
+
+// Event is one entry of a schedule.
+type Event struct {
+	// At is the time since the start of the event phase.
+	At time.Duration
+	// Kind is what happens.
+	Kind EventKind
+	// Target is the name of the balancer or back end.
+	Target string
+	// Weight is the new weight of EventEndpointReweight.
+	Weight uint32
+}
+
+// Experiment is a named choice of events and disturbances.
+type Experiment struct {
+	Name string
+	// Description says in one line what is tried.
+	Description string
+	// Kinds are the events to draw from.
+	Kinds []EventKind
+	// AtOnce is the number of events that happen at the same moment.
+	AtOnce int
+	// Spacing is the mean time between events.
+	Spacing time.Duration
+	// Network disturbs the packets in both directions.
+	Network fabric.Impairment
+	// Skew is the longest time by which a table revision reaches one balancer
+	// later than another.
+	Skew time.Duration
+}
+
+const (
+	defaultSpacing = 3 * time.Second
+	revisionSkew   = 3 * time.Second
+)
+
+var (
+	balancerKinds = []EventKind{EventBalancerAdd, EventBalancerRemove, EventBalancerKill, EventBalancerPause}
+	plannedKinds  = []EventKind{
+		EventBalancerAdd, EventBalancerRemove,
+		EventEndpointAdd, EventEndpointDrain, EventEndpointReweight, EventAgentStop,
+	}
+	tableKinds = []EventKind{EventEndpointAdd, EventEndpointDrain, EventEndpointReweight}
+	allKinds   = []EventKind{
+		EventBalancerAdd, EventBalancerRemove, EventBalancerKill, EventBalancerPause,
+		EventEndpointAdd, EventEndpointDrain, EventEndpointReweight, EventAgentStop, EventAgentKill,
+	}
+)
+
+// Experiments lists the experiments.
+func Experiments() []Experiment {
+	lossy := fabric.Impairment{
+		Loss: 0.005, Duplication: 0.005, Reordering: 0.01, ReorderingDelay: 5 * time.Millisecond,
+	}
+	return []Experiment{
+		{Name: "steady", Description: "no events; imbalance and answer times"},
+		{Name: "balancers", Description: "balancers join, leave, die and pause", Kinds: balancerKinds, AtOnce: 1, Spacing: defaultSpacing},
+		{Name: "planned", Description: "planned changes of balancers and back ends", Kinds: plannedKinds, AtOnce: 1, Spacing: defaultSpacing},
+		{Name: "revisions", Description: "table changes that reach balancers seconds apart", Kinds: tableKinds, AtOnce: 1, Spacing: defaultSpacing, Skew: revisionSkew},
+		{Name: "churn", Description: "every kind of event, two at once, revisions seconds apart", Kinds: allKinds, AtOnce: 2, Spacing: defaultSpacing, Skew: revisionSkew},
+		{Name: "lossy", Description: "churn with loss, duplication and reordering", Kinds: allKinds, AtOnce: 2, Spacing: defaultSpacing, Skew: revisionSkew, Network: lossy},
+	}
+}
+
+// ExperimentNamed returns the experiment of that name. It fails for an unknown
+// name.
+func ExperimentNamed(name string) (Experiment, error) {
+	for _, experiment := range Experiments() {
+		if experiment.Name == name {
+			return experiment, nil
+		}
+	}
+	return Experiment{}, errors.Errorf("unknown experiment %q", name)
+}
--- /dev/null
+++ b/bench/experiment/run.go
@@ -0,0 +1,60 @@
+// This file implements the phases of a run.
+
+package experiment
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// steadyTime lets the first flows end, so that open flows are spread over
+	// their whole length before imbalance is measured.
+	steadyTime = 6 * time.Second
+	// settleTime follows the last event.
+	settleTime = 3 * time.Second
+)
+
+// Run does one experiment and reports what happened. It fails when the cluster
+// cannot be started; broken promises are part of the report.
+func Run(ctx context.Context, options Options) (Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	cluster, err := NewCluster(ctx, options)
+	defer cluster.close(cancel)
+	if err != nil {
+		return Report{}, err
+	}
+	cluster.progress("opening flows")
+	load := newLoad(cluster.client, options.Seed)
+	for _, service := range options.Shape.Services {
+		load.start(ctx, service)
+	}
+	sleep(ctx, rampTime+steadyTime)
+	imbalance := cluster.measureImbalance(ctx)
+	cluster.progress("%d flows open, imbalance %.2f", imbalance.Open, imbalance.Mean)
+	events := Schedule(options.Shape, options.Experiment, options.Duration, options.Seed)
+	cluster.Play(ctx, events)
+	sleep(ctx, settleTime)
+	cluster.progress("letting %d flows finish", load.open.Load())
+	load.end()
+	if ctx.Err() != nil {
+		return Report{}, errors.Wrap(ctx.Err(), "run")
+	}
+	cluster.Stop()
+	report := cluster.report(load.finished())
+	report.Events = len(events)
+	report.Imbalance, report.ImbalancePeak, report.ImbalanceFlows = imbalance.Mean, imbalance.Peak, imbalance.Open
+	return report, nil
+}
+
+// close ends everything that is still running.
+func (c *Cluster) close(cancel context.CancelFunc) {
+	c.Stop()
+	cancel()
+	if err := c.running.Wait(); err != nil {
+		c.progress("fault: %v", err)
+	}
+}
--- /dev/null
+++ b/bench/experiment/schedule.go
@@ -0,0 +1,204 @@
+// This file implements the seeded schedule of events. It is a pure function of
+// shape, experiment, duration and seed.
+
+package experiment
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Lengths of outages and the least number of members that stay.
+const (
+	balancerOutage    = 4 * time.Second
+	balancerPause     = 3 * time.Second
+	drainTime         = 6 * time.Second
+	agentOutage       = 5 * time.Second
+	agentStopTime     = 14 * time.Second
+	minimumBalancers  = 2
+	minimumEndpoints  = 2
+	weightChoices     = 3
+	weightStep        = 50
+	scheduleStreamKey = 0x5c4ed
+)
+
+type memberState int
+
+const (
+	memberSpare memberState = iota
+	memberLive
+	memberBusy
+)
+
+type member struct {
+	name    string
+	service int
+	state   memberState
+	// until is when a busy member is live again.
+	until time.Duration
+}
+
+// planner keeps the state that the fleet will have at each moment, so that it
+// draws only events that are possible then.
+type planner struct {
+	random    *rand.Rand
+	balancers []*member
+	endpoints []*member
+	events    []Event
+}
+
+// Schedule returns the events of an experiment in order of time. Events whose
+// recovery would come after the duration are still followed by it.
+func Schedule(shape Shape, experiment Experiment, duration time.Duration, seed uint64) []Event {
+	if len(experiment.Kinds) == 0 {
+		return nil
+	}
+	plan := newPlanner(shape, seed)
+	for at := experiment.Spacing / 2; at < duration; at += plan.gap(experiment.Spacing) {
+		plan.recover(at)
+		for range experiment.AtOnce {
+			plan.draw(at, experiment.Kinds)
+		}
+	}
+	slices.SortStableFunc(plan.events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return plan.events
+}
+
+func newPlanner(shape Shape, seed uint64) *planner {
+	plan := &planner{random: rand.New(rand.NewPCG(seed, scheduleStreamKey))}
+	for i, name := range shape.balancerNames() {
+		plan.balancers = append(plan.balancers, newMember(name, 0, i < shape.Balancers))
+	}
+	for number, service := range shape.Services {
+		for i, name := range service.endpointNames() {
+			plan.endpoints = append(plan.endpoints, newMember(name, number, i < service.Endpoints))
+		}
+	}
+	return plan
+}
+
+func newMember(name string, service int, live bool) *member {
+	state := memberSpare
+	if live {
+		state = memberLive
+	}
+	return &member{name: name, service: service, state: state}
+}
+
+// gap is between half and one and a half times the spacing.
+func (p *planner) gap(spacing time.Duration) time.Duration {
+	return spacing/2 + time.Duration(p.random.Int64N(int64(spacing)))
+}
+
+func (p *planner) recover(now time.Duration) {
+	for _, member := range slices.Concat(p.balancers, p.endpoints) {
+		if member.state == memberBusy && member.until <= now {
+			member.state = memberLive
+		}
+	}
+}
+
+// draw adds one possible event, trying the kinds in random order.
+func (p *planner) draw(at time.Duration, kinds []EventKind) {
+	for _, index := range p.random.Perm(len(kinds)) {
+		if p.try(at, kinds[index]) {
+			return
+		}
+	}
+}
+
+func (p *planner) try(at time.Duration, kind EventKind) bool {
+	switch kind {
+	case EventBalancerAdd:
+		return p.add(at, kind, p.balancers)
+	case EventEndpointAdd:
+		return p.add(at, kind, p.endpoints)
+	case EventBalancerRemove, EventBalancerKill:
+		return p.disturb(at, kind, p.balancerToDisturb(), EventBalancerStart, balancerOutage)
+	case EventBalancerPause:
+		return p.disturb(at, kind, p.balancerToDisturb(), EventBalancerResume, balancerPause)
+	case EventEndpointDrain:
+		return p.disturb(at, kind, p.endpointToDisturb(), EventEndpointUndrain, drainTime)
+	case EventAgentStop:
+		return p.disturb(at, kind, p.endpointToDisturb(), EventAgentStart, agentStopTime)
+	case EventAgentKill:
+		return p.disturb(at, kind, p.endpointToDisturb(), EventAgentStart, agentOutage)
+	case EventEndpointReweight:
+		return p.reweight(at)
+	}
+	panic("experiment: unknown event kind " + string(kind))
+}
+
+func (p *planner) add(at time.Duration, kind EventKind, members []*member) bool {
+	spare := p.pick(members, func(m *member) bool { return m.state == memberSpare })
+	if spare == nil {
+		return false
+	}
+	spare.state = memberLive
+	p.events = append(p.events, Event{At: at, Kind: kind, Target: spare.name})
+	return true
+}
+
+func (p *planner) disturb(at time.Duration, kind EventKind, target *member, recovery EventKind, outage time.Duration) bool {
+	if target == nil {
+		return false
+	}
+	target.state = memberBusy
+	target.until = at + outage
+	p.events = append(p.events,
+		Event{At: at, Kind: kind, Target: target.name},
+		Event{At: target.until, Kind: recovery, Target: target.name})
+	return true
+}
+
+func (p *planner) reweight(at time.Duration) bool {
+	target := p.pick(p.endpoints, func(m *member) bool { return m.state == memberLive })
+	if target == nil {
+		return false
+	}
+	weight := uint32(weightStep * (1 + p.random.IntN(weightChoices)))
+	p.events = append(p.events, Event{At: at, Kind: EventEndpointReweight, Target: target.name, Weight: weight})
+	return true
+}
+
+func (p *planner) balancerToDisturb() *member {
+	live := func(m *member) bool { return m.state == memberLive }
+	if count(p.balancers, live) <= minimumBalancers {
+		return nil
+	}
+	return p.pick(p.balancers, live)
+}
+
+func (p *planner) endpointToDisturb() *member {
+	return p.pick(p.endpoints, func(m *member) bool {
+		peers := count(p.endpoints, func(peer *member) bool {
+			return peer.service == m.service && peer.state == memberLive
+		})
+		return m.state == memberLive && peers > minimumEndpoints
+	})
+}
+
+func (p *planner) pick(members []*member, eligible func(*member) bool) *member {
+	var candidates []*member
+	for _, member := range members {
+		if eligible(member) {
+			candidates = append(candidates, member)
+		}
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	return candidates[p.random.IntN(len(candidates))]
+}
+
+func count(members []*member, eligible func(*member) bool) int {
+	counted := 0
+	for _, member := range members {
+		if eligible(member) {
+			counted++
+		}
+	}
+	return counted
+}
--- /dev/null
+++ b/bench/fleet/health.go
@@ -0,0 +1,46 @@
+// This file implements waiting until a daemon reports that it is ready.
+
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const healthInterval = 50 * time.Millisecond
+
+// WaitHealthy returns when the daemon answers its health check with the status
+// 200. It fails when the process ends or ctx does.
+func WaitHealthy(ctx context.Context, process *Process, observability netip.AddrPort) error {
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	for {
+		if healthy(ctx, observability) {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-process.Done():
+			return errors.Errorf("%s ended with code %d before it was healthy", process.Name(), process.Exit().Code)
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%s did not become healthy", process.Name())
+		}
+	}
+}
+
+func healthy(ctx context.Context, observability netip.AddrPort) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+observability.String()+"/healthz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/cmd/vanetiller-bench/commands.go
@@ -0,0 +1,141 @@
+// This file implements the commands demo, run and list.
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/bench/experiment"
+)
+
+func demo(ctx context.Context, arguments []string) int {
+	var values parameters
+	flags := newFlagSet("demo", &values, demoDuration)
+	positional, err := parseInterleaved(flags, arguments)
+	if err == nil && len(positional) > 0 {
+		err = errors.Errorf("unexpected argument %q", positional[0])
+	}
+	if err != nil {
+		return usageError(err)
+	}
+	return execute(ctx, values, demoExperiment)
+}
+
+func run(ctx context.Context, arguments []string) int {
+	var values parameters
+	flags := newFlagSet("run", &values, defaultDuration)
+	flags.BoolVar(&values.json, "json", false, "print one line of JSON on stdout instead of the summary")
+	positional, err := parseInterleaved(flags, arguments)
+	if err == nil && len(positional) != 1 {
+		err = errors.New("run needs one experiment; vanetiller-bench list names them")
+	}
+	if err != nil {
+		return usageError(err)
+	}
+	return execute(ctx, values, positional[0])
+}
+
+// execute does one run and prints its report.
+func execute(ctx context.Context, values parameters, experimentName string) int {
+	options, err := values.options(experimentName)
+	if err != nil {
+		return usageError(err)
+	}
+	temporary := options.Directory == ""
+	if temporary {
+		options.Directory, err = os.MkdirTemp("", "vanetiller-bench-")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "vanetiller-bench:", err)
+			return exitBroken
+		}
+	}
+	report, err := experiment.Run(ctx, options)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "vanetiller-bench:", err)
+		fmt.Fprintln(os.Stderr, "logs are in", options.Directory)
+		return exitBroken
+	}
+	if err := printReport(report, values.json); err != nil {
+		fmt.Fprintln(os.Stderr, "vanetiller-bench:", err)
+		return exitBroken
+	}
+	if !report.Kept() {
+		fmt.Fprintln(os.Stderr, "logs are in", options.Directory)
+		return exitBroken
+	}
+	if temporary {
+		return removeDirectory(options.Directory)
+	}
+	return exitKept
+}
+
+func removeDirectory(directory string) int {
+	if err := os.RemoveAll(directory); err != nil {
+		fmt.Fprintln(os.Stderr, "vanetiller-bench:", err)
+		return exitBroken
+	}
+	return exitKept
+}
+
+func printReport(report experiment.Report, asJSON bool) error {
+	if !asJSON {
+		if err := printSummary(report); err != nil {
+			return err
+		}
+	}
+	encoded, err := json.Marshal(report)
+	if err != nil {
+		return errors.Wrap(err, "report")
+	}
+	_, err = fmt.Println(string(encoded))
+	return errors.Wrap(err, "report")
+}
+
+const (
+	tabPadding = 2
+	tabWidth   = 8
+)
+
+func printSummary(report experiment.Report) error {
+	table := tabwriter.NewWriter(os.Stdout, 0, tabWidth, tabPadding, ' ', 0)
+	fmt.Fprintf(table, "%s on %s, seed %d, %.0f s\n\n", report.Experiment, report.Shape, report.Seed, report.Seconds)
+	fmt.Fprintf(table, "flows\t%d\t%d completed, %d refused, %d with a killed agent\n",
+		report.Flows, report.Completed, report.Refused, report.BrokenByEndpointKill)
+	fmt.Fprintf(table, "events\t%d\n", report.Events)
+	fmt.Fprintf(table, "imbalance\t%.2f\tpeak %.2f with at least %d flows open\n",
+		report.Imbalance, report.ImbalancePeak, report.ImbalanceFlows)
+	fmt.Fprintf(table, "answers\t%.2f ms\tmedian; %.2f ms for 99 of 100\n", report.P50, report.P99)
+	fmt.Fprintf(table, "handshakes\t%.2f ms\tmedian; %.2f ms for 99 of 100\n\n", report.OpenP50, report.OpenP99)
+	for _, promise := range report.Promises() {
+		verdict := "kept"
+		if promise.Broken > 0 {
+			verdict = fmt.Sprintf("BROKEN %d times", promise.Broken)
+		}
+		fmt.Fprintf(table, "%s\t%s\n", promise.Name, verdict)
+	}
+	for _, cause := range report.Causes {
+		fmt.Fprintf(table, "%s, %s\t%d\tsuch as %s\n", cause.Outcome, cause.Cause, cause.Count, cause.Example)
+	}
+	return errors.Wrap(table.Flush(), "summary")
+}
+
+func list() int {
+	table := tabwriter.NewWriter(os.Stdout, 0, tabWidth, tabPadding, ' ', 0)
+	for _, listed := range experiment.Experiments() {
+		fmt.Fprintf(table, "experiment\t%s\t%s\n", listed.Name, listed.Description)
+	}
+	for _, shape := range experiment.Shapes() {
+		fmt.Fprintf(table, "shape\t%s\t%d balancers, %d services, %d zones\n",
+			shape.Name, shape.Balancers, len(shape.Services), shape.Zones)
+	}
+	if err := table.Flush(); err != nil {
+		return exitBroken
+	}
+	return exitKept
+}
--- /dev/null
+++ b/cmd/vanetiller-bench/flags.go
@@ -0,0 +1,105 @@
+// This file implements the flags of the commands.
+
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/bench/experiment"
+)
+
+const (
+	defaultShape    = "casablanca"
+	defaultSeed     = 1
+	defaultDuration = 30 * time.Second
+	demoDuration    = 16 * time.Second
+	demoExperiment  = "churn"
+
+	baselineNone = "none"
+	baselineHash = "hash"
+)
+
+// parameters are the values of the flags.
+type parameters struct {
+	shape     string
+	seed      uint64
+	duration  time.Duration
+	baseline  string
+	directory string
+	json      bool
+}
+
+func newFlagSet(command string, values *parameters, duration time.Duration) *flag.FlagSet {
+	flags := flag.NewFlagSet(command, flag.ContinueOnError)
+	flags.SetOutput(os.Stderr)
+	flags.StringVar(&values.shape, "shape", defaultShape, "`name` of the fleet and traffic: casablanca or kolkata")
+	flags.Uint64Var(&values.seed, "seed", defaultSeed, "`number` that determines events, spraying and disturbances")
+	flags.DurationVar(&values.duration, "duration", duration, "length of the event `time`, such as 30s or 2m")
+	flags.StringVar(&values.baseline, "baseline", baselineNone, "`method` to run instead of the product's: none (the product) or hash (a stateless hash)")
+	flags.StringVar(&values.directory, "directory", "", "`path` for the daemon binary, settings and logs (default: a temporary directory that is removed when every promise was kept)")
+	return flags
+}
+
+// parseInterleaved parses flags before and after the positional arguments and
+// returns the latter. It fails as flag.FlagSet.Parse does.
+func parseInterleaved(flags *flag.FlagSet, arguments []string) ([]string, error) {
+	var positional []string
+	for len(arguments) > 0 {
+		if err := flags.Parse(arguments); err != nil {
+			return nil, err
+		}
+		arguments = flags.Args()
+		if len(arguments) > 0 {
+			positional = append(positional, arguments[0])
+			arguments = arguments[1:]
+		}
+	}
+	return positional, nil
+}
+
+// options checks the values and turns them into the options of a run.
+func (p parameters) options(experimentName string) (experiment.Options, error) {
+	shape, err := experiment.ShapeNamed(p.shape)
+	if err != nil {
+		return experiment.Options{}, err
+	}
+	chosen, err := experiment.ExperimentNamed(experimentName)
+	if err != nil {
+		return experiment.Options{}, err
+	}
+	baseline, err := parseBaseline(p.baseline)
+	if err != nil {
+		return experiment.Options{}, err
+	}
+	if p.duration < 0 {
+		return experiment.Options{}, errors.New("-duration must not be negative")
+	}
+	return experiment.Options{
+		Shape: shape, Experiment: chosen, Seed: p.seed, Duration: p.duration,
+		Baseline: baseline, Directory: p.directory, Progress: os.Stderr,
+	}, nil
+}
+
+func parseBaseline(name string) (string, error) {
+	switch name {
+	case baselineNone, "":
+		return "", nil
+	case baselineHash:
+		return baselineHash, nil
+	}
+	return "", errors.Errorf("unknown baseline %q: must be none or hash", name)
+}
+
+// usageError prints the error and returns the exit status.
+func usageError(err error) int {
+	if errors.Is(err, flag.ErrHelp) {
+		return exitKept
+	}
+	fmt.Fprintln(os.Stderr, "vanetiller-bench:", err)
+	return exitUsage
+}
