--- a/bench/backend/handler.go
+++ b/bench/backend/handler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/vanetiller/vanetiller/bench/exchange"
+	"github.com/vanetiller/vanetiller/bench/timing"
 )
 
 // Load is the answer to exchange.PathLoad.
@@ -76,7 +77,7 @@
 			return
 		}
 		flush(writer)
-		if piece+1 < pieces && !wait(request, time.Duration(pause)*time.Millisecond) {
+		if piece+1 < pieces && !timing.Sleep(request.Context(), time.Duration(pause)*time.Millisecond) {
 			return
 		}
 	}
@@ -103,7 +104,7 @@
 	}
 	defer b.running.Add(-1)
 	b.settings.Ledger.submissionRan(request.Header.Get(exchange.HeaderRequest))
-	wait(request, b.settings.WorkTime)
+	timing.Sleep(request.Context(), b.settings.WorkTime)
 	writer.Header().Set(exchange.HeaderChecksum, checksum)
 	writer.WriteHeader(http.StatusOK)
 }
@@ -129,15 +130,3 @@
 		return
 	}
 }
-
-// wait returns false when the caller goes away before the pause is over.
-func wait(request *http.Request, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-request.Context().Done():
-		return false
-	}
-}
--- a/bench/caller/client.go
+++ b/bench/caller/client.go
@@ -22,6 +22,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanetiller/vanetiller/bench/exchange"
+	"github.com/vanetiller/vanetiller/bench/timing"
 )
 
 // Dialer opens TCP connections to services.
@@ -137,7 +138,7 @@
 		if failure := f.timed(ctx, number, http.MethodGet, exchange.PathPoll, nil); failure != nil {
 			return failure
 		}
-		if number+1 < f.plan.Pieces && !pause(ctx, f.plan.Pause) {
+		if number+1 < f.plan.Pieces && !timing.Sleep(ctx, f.plan.Pause) {
 			return &failed{OutcomeBroken, CauseCancelled, ctx.Err()}
 		}
 	}
@@ -196,7 +197,7 @@
 		if _, err := f.connection.Write(encoded[start:end]); err != nil {
 			return classifyTransfer(err)
 		}
-		if piece+1 < pieces && !pause(ctx, f.plan.Pause) {
+		if piece+1 < pieces && !timing.Sleep(ctx, f.plan.Pause) {
 			return &failed{OutcomeBroken, CauseCancelled, ctx.Err()}
 		}
 	}
@@ -251,15 +252,3 @@
 	}
 	return nil
 }
-
-// pause returns false when ctx ends first.
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/bench/experiment/apply.go
+++ b/bench/experiment/apply.go
@@ -8,6 +8,7 @@
 
 	"github.com/vanetiller/vanetiller/bench/fleet"
 	"github.com/vanetiller/vanetiller/bench/platform"
+	"github.com/vanetiller/vanetiller/bench/timing"
 )
 
 const (
@@ -28,7 +29,7 @@
 func (c *Cluster) Play(ctx context.Context, events []Event) {
 	start := time.Now()
 	for _, event := range events {
-		if !sleep(ctx, time.Until(start.Add(event.At))) {
+		if !timing.Sleep(ctx, time.Until(start.Add(event.At))) {
 			return
 		}
 		c.progress("event %s %s", event.Kind, event.Target)
@@ -38,17 +39,6 @@
 	}
 }
 
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (c *Cluster) apply(ctx context.Context, event Event) error {
 	switch event.Kind {
 	case EventBalancerAdd, EventBalancerStart:
--- a/bench/experiment/imbalance.go
+++ b/bench/experiment/imbalance.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/vanetiller/vanetiller/bench/timing"
 )
 
 // Imbalance is the largest number of open flows per weight of a back end over
@@ -29,7 +31,7 @@
 // measureImbalance samples the open connections of the back ends.
 func (c *Cluster) measureImbalance(ctx context.Context) Imbalance {
 	var measured Imbalance
-	for sleep(ctx, imbalanceInterval) {
+	for timing.Sleep(ctx, imbalanceInterval) {
 		worst, open := c.sampleImbalance()
 		measured.Samples++
 		measured.Mean += (worst - measured.Mean) / float64(measured.Samples)
--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/bench/timing"
 )
 
 const (
@@ -32,12 +34,12 @@
 	for _, service := range options.Shape.Services {
 		load.start(ctx, service)
 	}
-	sleep(ctx, rampTime+steadyTime)
+	timing.Sleep(ctx, rampTime+steadyTime)
 	imbalance := cluster.measureImbalance(ctx)
 	cluster.progress("%d flows open, imbalance %.2f", imbalance.Open, imbalance.Mean)
 	events := Schedule(options.Shape, options.Experiment, options.Duration, options.Seed)
 	cluster.Play(ctx, events)
-	sleep(ctx, settleTime)
+	timing.Sleep(ctx, settleTime)
 	cluster.progress("letting %d flows finish", load.open.Load())
 	load.end()
 	if ctx.Err() != nil {
--- a/bench/platform/history.go
+++ b/bench/platform/history.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/vanetiller/vanetiller/bench/timing"
 )
 
 // QueryReader is the query member that names the reader of a document. Readers
@@ -58,14 +60,8 @@
 
 // apply waits for the delay and fails when the service is down.
 func (f Faults) apply(ctx context.Context) error {
-	if f.Delay > 0 {
-		timer := time.NewTimer(f.Delay)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	if !timing.Sleep(ctx, f.Delay) {
+		return ctx.Err()
 	}
 	if f.Down {
 		return errDown
--- a/cmd/vanetiller-bench/commands.go
+++ b/cmd/vanetiller-bench/commands.go
@@ -30,7 +30,7 @@
 func run(ctx context.Context, arguments []string) int {
 	var values parameters
 	flags := newFlagSet("run", &values, defaultDuration)
-	flags.BoolVar(&values.json, "json", false, "print one line of JSON on stdout instead of the summary")
+	flags.BoolVar(&values.json, "json", false, "print only the line of JSON that otherwise follows the summary")
 	positional, err := parseInterleaved(flags, arguments)
 	if err == nil && len(positional) != 1 {
 		err = errors.New("run needs one experiment; vanetiller-bench list names them")
