Separate the report from the cluster and test it

Counting a flow as broken, or as broken by the kill of its back end's agent, could be tried only with a whole cluster. Derive the report from the recorded results, ledger and kills alone, and check each outcome, each promise and the imbalance figure in tables.

--- a/bench/experiment/apply.go
+++ b/bench/experiment/apply.go
@@ -177,7 +177,7 @@
 func (c *Cluster) killAgent(member *endpointMember) error {
 	c.expect(member.process, exitKilled)
 	c.mutex.Lock()
-	member.kills = append(member.kills, time.Now())
+	c.kills = append(c.kills, kill{backend: member.row.Name, at: time.Now()})
 	c.mutex.Unlock()
 	return member.process.Kill()
 }
--- a/bench/experiment/cluster.go
+++ b/bench/experiment/cluster.go
@@ -57,6 +57,7 @@
 	// expected are the processes that the schedule has ended or is ending.
 	expected map[*fleet.Process]expectedExit
 	faults   []string
+	kills    []kill
 }
 
 type expectedExit int
--- a/bench/experiment/members.go
+++ b/bench/experiment/members.go
@@ -37,7 +37,6 @@
 	process       *fleet.Process
 	state         platform.State
 	listed        bool
-	kills         []time.Time
 }
 
 const (
--- a/bench/experiment/report.go
+++ b/bench/experiment/report.go
@@ -11,6 +11,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/vanetiller/vanetiller/bench/backend"
 	"github.com/vanetiller/vanetiller/bench/caller"
 	"github.com/vanetiller/vanetiller/bench/fabric"
 )
@@ -128,42 +129,44 @@
 	return float64(l.histogram.ValueAtPercentile(percent)) / 1000
 }
 
-// report sums up the results of the flows.
-func (c *Cluster) report(results []caller.Result) Report {
-	totals := c.ledger.Totals()
+// kill is the moment at which the schedule killed the agent of a back end.
+type kill struct {
+	backend string
+	at      time.Time
+}
+
+// evidence is everything that a run leaves behind.
+type evidence struct {
+	options Options
+	results []caller.Result
+	ledger  *backend.Ledger
+	kills   []kill
+	faults  []string
+}
+
+// newReport sums up the evidence.
+func newReport(seen evidence) Report {
+	totals := seen.ledger.Totals()
 	report := Report{
-		Experiment:        c.options.Experiment.Name,
-		Shape:             c.options.Shape.Name,
-		Baseline:          c.options.Baseline,
-		Seed:              c.options.Seed,
-		Flows:             len(results),
-		Misdelivered:      totals.Misdelivered,
-		DoubleOpened:      totals.DoubleOpened,
-		DoubleRuns:        totals.DoubleRuns,
-		Fabric:            c.fabric.Counters(),
-		UnusedConnections: c.unusedConnections(),
-		Causes:            countCauses(results),
+		Experiment:   seen.options.Experiment.Name,
+		Shape:        seen.options.Shape.Name,
+		Baseline:     seen.options.Baseline,
+		Seed:         seen.options.Seed,
+		Flows:        len(seen.results),
+		Misdelivered: totals.Misdelivered,
+		DoubleOpened: totals.DoubleOpened,
+		DoubleRuns:   totals.DoubleRuns,
+		Causes:       countCauses(seen.results),
+		Faults:       seen.faults,
 	}
-	answers, openings := newLatencies(), newLatencies()
-	for _, result := range results {
-		c.countResult(&report, result)
-		if result.Outcome == caller.OutcomeCompleted {
-			openings.add(result.Opening)
-		}
-		for _, answer := range result.Answers {
-			answers.add(answer)
-		}
+	for _, result := range seen.results {
+		seen.count(&report, result)
 	}
-	report.P50, report.P99 = answers.milliseconds(medianPercent), answers.milliseconds(tailPercent)
-	report.OpenP50, report.OpenP99 = openings.milliseconds(medianPercent), openings.milliseconds(tailPercent)
-	report.Seconds = time.Since(c.started).Seconds()
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	report.Faults = slices.Clone(c.faults)
+	addLatencies(&report, seen.results)
 	return report
 }
 
-func (c *Cluster) countResult(report *Report, result caller.Result) {
+func (e evidence) count(report *Report, result caller.Result) {
 	switch result.Outcome {
 	case caller.OutcomeCompleted:
 		report.Completed++
@@ -171,11 +174,11 @@
 		report.NotOpened++
 	case caller.OutcomeRefused:
 		report.Refused++
-		if c.ledger.Ran(result.Request) {
+		if e.ledger.Ran(result.Request) {
 			report.FalseRefusals++
 		}
 	case caller.OutcomeBroken:
-		if c.killedDuring(result) {
+		if e.killedDuring(result) {
 			report.BrokenByEndpointKill++
 		} else {
 			report.BrokenFlows++
@@ -185,29 +188,25 @@
 
 // killedDuring reports whether the agent of a back end that has seen the flow
 // was killed while the flow was open.
-func (c *Cluster) killedDuring(result caller.Result) bool {
-	seen := c.ledger.BackendsOf(result.Plan.ID)
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for _, member := range c.endpoints {
-		if !slices.Contains(seen, member.row.Name) {
-			continue
-		}
-		for _, kill := range member.kills {
-			if kill.After(result.Started) && kill.Before(result.Ended) {
-				return true
-			}
-		}
-	}
-	return false
+func (e evidence) killedDuring(result caller.Result) bool {
+	seen := e.ledger.BackendsOf(result.Plan.ID)
+	return slices.ContainsFunc(e.kills, func(k kill) bool {
+		return slices.Contains(seen, k.backend) && k.at.After(result.Started) && k.at.Before(result.Ended)
+	})
 }
 
-func (c *Cluster) unusedConnections() int64 {
-	var unused int64
-	for _, member := range c.endpoints {
-		unused += member.backend.Counters().ClosedUnused
+func addLatencies(report *Report, results []caller.Result) {
+	answers, openings := newLatencies(), newLatencies()
+	for _, result := range results {
+		if result.Outcome == caller.OutcomeCompleted {
+			openings.add(result.Opening)
+		}
+		for _, answer := range result.Answers {
+			answers.add(answer)
+		}
 	}
-	return unused
+	report.P50, report.P99 = answers.milliseconds(medianPercent), answers.milliseconds(tailPercent)
+	report.OpenP50, report.OpenP99 = openings.milliseconds(medianPercent), openings.milliseconds(tailPercent)
 }
 
 func countCauses(results []caller.Result) []CauseCount {
--- /dev/null
+++ b/bench/experiment/report_test.go
@@ -0,0 +1,129 @@
+package experiment_test
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/bench/backend"
+	"github.com/vanetiller/vanetiller/bench/caller"
+	"github.com/vanetiller/vanetiller/bench/exchange"
+	"github.com/vanetiller/vanetiller/bench/experiment"
+)
+
+const (
+	testBackend = "audio-1"
+	testFlow    = "audio-0-0"
+	testRequest = "audio-0-0-0"
+)
+
+// submitTo makes a back end see one submission of the flow.
+func submitTo(ledger *backend.Ledger, name, service string) {
+	server, err := backend.New(backend.Settings{
+		Service: "audio", Name: name, Ledger: ledger, Listen: netip.MustParseAddrPort("127.0.0.1:0"),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	url := "http://" + server.Address().String() + exchange.PathSubmit
+	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader("body"))
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set(exchange.HeaderFlow, testFlow)
+	request.Header.Set(exchange.HeaderRequest, testRequest)
+	request.Header.Set(exchange.HeaderService, service)
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.Body.Close()).To(Succeed())
+	cancel()
+	Eventually(done, "30s").Should(Receive(BeNil()))
+}
+
+var _ = Describe("Report", func() {
+	start := time.Unix(1000, 0)
+	ended := func(outcome caller.Outcome) caller.Result {
+		return caller.Result{
+			Plan: caller.Plan{ID: testFlow}, Outcome: outcome, Request: testRequest,
+			Started: start, Ended: start.Add(10 * time.Second),
+		}
+	}
+	killed := func(name string, after time.Duration) []experiment.Kill {
+		return []experiment.Kill{{Backend: name, At: start.Add(after)}}
+	}
+
+	DescribeTable("counts each flow once",
+		func(outcome caller.Outcome, kills []experiment.Kill, expected experiment.Report) {
+			ledger := backend.NewLedger()
+			submitTo(ledger, testBackend, "audio")
+			report := experiment.NewReport(ledger, []caller.Result{ended(outcome)}, kills)
+			expected.Flows = 1
+			expected.Causes = report.Causes
+			expected.OpenP50, expected.OpenP99 = report.OpenP50, report.OpenP99
+			Expect(report).To(Equal(expected))
+		},
+		Entry("completed", caller.OutcomeCompleted, nil, experiment.Report{Completed: 1}),
+		Entry("not opened", caller.OutcomeNotOpened, nil, experiment.Report{NotOpened: 1}),
+		Entry("refused although it ran", caller.OutcomeRefused, nil, experiment.Report{Refused: 1, FalseRefusals: 1}),
+		Entry("broken", caller.OutcomeBroken, nil, experiment.Report{BrokenFlows: 1}),
+		Entry("broken by the kill of its back end's agent", caller.OutcomeBroken, killed(testBackend, time.Second), experiment.Report{BrokenByEndpointKill: 1}),
+		Entry("broken while another back end's agent was killed", caller.OutcomeBroken, killed("audio-2", time.Second), experiment.Report{BrokenFlows: 1}),
+		Entry("broken after an earlier kill", caller.OutcomeBroken, killed(testBackend, -time.Second), experiment.Report{BrokenFlows: 1}),
+		Entry("broken before a later kill", caller.OutcomeBroken, killed(testBackend, time.Minute), experiment.Report{BrokenFlows: 1}),
+	)
+
+	DescribeTable("counts faults of the ledger",
+		func(prepare func(*backend.Ledger), expected backend.Totals) {
+			ledger := backend.NewLedger()
+			prepare(ledger)
+			report := experiment.NewReport(ledger, nil, nil)
+			Expect(backend.Totals{
+				DoubleOpened: report.DoubleOpened, DoubleRuns: report.DoubleRuns, Misdelivered: report.Misdelivered,
+			}).To(Equal(expected))
+		},
+		Entry("nothing", func(*backend.Ledger) {}, backend.Totals{}),
+		Entry("one run", func(ledger *backend.Ledger) { submitTo(ledger, "audio-1", "audio") }, backend.Totals{}),
+		Entry("two runs on one back end", func(ledger *backend.Ledger) {
+			submitTo(ledger, "audio-1", "audio")
+			submitTo(ledger, "audio-1", "audio")
+		}, backend.Totals{DoubleRuns: 1}),
+		Entry("two back ends", func(ledger *backend.Ledger) {
+			submitTo(ledger, "audio-1", "audio")
+			submitTo(ledger, "audio-2", "audio")
+		}, backend.Totals{DoubleOpened: 1, DoubleRuns: 1}),
+		Entry("another service", func(ledger *backend.Ledger) { submitTo(ledger, "audio-1", "transcription") }, backend.Totals{Misdelivered: 1}),
+	)
+
+	DescribeTable("is kept only without a broken promise",
+		func(spoil func(*experiment.Report), kept bool) {
+			report := experiment.Report{Flows: 1000, Completed: 1000, ImbalanceFlows: experiment.MinimumOpenFlows, BrokenByEndpointKill: 5, Refused: 3}
+			spoil(&report)
+			Expect(report.Kept()).To(Equal(kept))
+		},
+		Entry("all kept", func(*experiment.Report) {}, true),
+		Entry("broken flow", func(r *experiment.Report) { r.BrokenFlows = 1 }, false),
+		Entry("flow not opened", func(r *experiment.Report) { r.NotOpened = 1 }, false),
+		Entry("misdelivered request", func(r *experiment.Report) { r.Misdelivered = 1 }, false),
+		Entry("double opened flow", func(r *experiment.Report) { r.DoubleOpened = 1 }, false),
+		Entry("double run", func(r *experiment.Report) { r.DoubleRuns = 1 }, false),
+		Entry("false refusal", func(r *experiment.Report) { r.FalseRefusals = 1 }, false),
+		Entry("daemon fault", func(r *experiment.Report) { r.Faults = []string{"ended"} }, false),
+		Entry("too few flows", func(r *experiment.Report) { r.ImbalanceFlows = experiment.MinimumOpenFlows - 1 }, false),
+		Entry("nothing completed", func(r *experiment.Report) { r.Completed = 0 }, false),
+	)
+
+	DescribeTable("computes imbalance per weight",
+		func(shares []float64, expected float64) {
+			Expect(experiment.LargestOverMean(shares)).To(BeNumerically("~", expected, 1e-9))
+		},
+		Entry("no back end", nil, 0.0),
+		Entry("no flow", []float64{0, 0}, 0.0),
+		Entry("equal", []float64{3, 3, 3}, 1.0),
+		Entry("one has all", []float64{6, 0, 0}, 3.0),
+		Entry("slightly uneven", []float64{1, 1, 1, 2}, 1.6),
+	)
+})
--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/vanetiller/vanetiller/bench/caller"
 	"github.com/vanetiller/vanetiller/bench/timing"
 )
 
@@ -60,3 +62,19 @@
 		c.progress("fault: %v", err)
 	}
 }
+
+func (c *Cluster) report(results []caller.Result) Report {
+	c.mutex.Lock()
+	seen := evidence{
+		options: c.options, results: results, ledger: c.ledger,
+		kills: slices.Clone(c.kills), faults: slices.Clone(c.faults),
+	}
+	c.mutex.Unlock()
+	report := newReport(seen)
+	report.Fabric = c.fabric.Counters()
+	report.Seconds = time.Since(c.started).Seconds()
+	for _, member := range c.endpoints {
+		report.UnusedConnections += member.backend.Counters().ClosedUnused
+	}
+	return report
+}
