Add vanetillerd with both roles

Cause: the roles, the platform client and the control server existed as packages only, and nothing could be started. Change: internal/daemon joins them as groups; a stopping balancer forwards for two more seconds while it reports not ready; a repeated revision confirms the table to the control server. The client now refuses an answer read after its timeout, so that a process that was paused for longer than that cannot confirm its table by an answer from before the pause.

--- /dev/null
+++ b/internal/daemon/command_test.go
@@ -0,0 +1,110 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/daemon"
+)
+
+const agentSettings = `name = "agent-1"
+zone = "zone-1"
+[observability]
+listen = "127.0.0.1:0"
+[agent]
+listen = "127.0.0.1:6181"
+fabric = "127.0.0.1:6080"
+daemons = ["127.0.0.1:7000"]
+[[agent.backend]]
+service = "lookup"
+name = "lookup-1"
+address = "127.0.0.1:8081"
+`
+
+func writeSettings(text string) string {
+	path := filepath.Join(GinkgoT().TempDir(), "settings.toml")
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return path
+}
+
+type outcome struct {
+	Status int
+	Stdout string
+	Stderr string
+}
+
+func command(arguments ...string) outcome {
+	var stdout, stderr bytes.Buffer
+	status := daemon.Command(context.Background(), arguments, &stdout, &stderr)
+	return outcome{status, stdout.String(), stderr.String()}
+}
+
+var _ = Describe("Command", func() {
+	It("explains every flag with its default", func() {
+		help := command("-help")
+		Expect(help.Status).To(Equal(daemon.ExitStopped))
+		Expect(help.Stderr).To(BeEmpty())
+		for _, flag := range []string{"-settings FILE", "-name NAME", "-zone ZONE", "-log-level LEVEL", "-check", "-version"} {
+			Expect(help.Stdout).To(MatchRegexp(`(?m)^  %s\n    \t.*default`, flag))
+		}
+	})
+
+	It("prints the version", func() {
+		printed := command("-version")
+		Expect(printed.Status).To(Equal(daemon.ExitStopped))
+		Expect(printed.Stdout).To(MatchRegexp(`^vanetillerd \S+ \(go\S+\)\n$`))
+	})
+
+	DescribeTable("refuses wrong usage with status 2",
+		func(message string, arguments ...string) {
+			refused := command(arguments...)
+			Expect(refused.Status).To(Equal(daemon.ExitUsage))
+			Expect(refused.Stdout).To(BeEmpty())
+			Expect(refused.Stderr).To(ContainSubstring(message))
+		},
+		Entry("no settings", "-settings is required"),
+		Entry("unknown flag", "flag provided but not defined: -port", "-port", "1"),
+		Entry("stray argument", "unexpected argument run", "-version", "run"),
+		Entry("absent file", "no such file", "-settings", "/nonexistent/settings.toml"),
+	)
+
+	It("accepts valid settings, also by overrides", func() {
+		path := writeSettings(strings.Replace(agentSettings, `zone = "zone-1"`, "", 1))
+		checked := command("-settings", path, "-check", "-zone", "zone-2", "-log-level", "warn")
+		Expect(checked).To(Equal(outcome{daemon.ExitStopped, path + ": settings are valid\n", ""}))
+	})
+
+	DescribeTable("names file, line, key and rule of wrong settings, with -check or without",
+		func(arguments ...string) {
+			path := writeSettings(strings.Replace(agentSettings, `"127.0.0.1:6080"`, `"fabric:6080"`, 1))
+			refused := command(append([]string{"-settings", path}, arguments...)...)
+			Expect(refused).To(Equal(outcome{daemon.ExitUsage, "",
+				path + ":7: agent.fabric: must be an IPv4 address and a port, such as 192.0.2.1:6081\n"}))
+		},
+		Entry("check", "-check"),
+		Entry("run"),
+	)
+
+	It("reports a wrong override", func() {
+		refused := command("-settings", writeSettings(agentSettings), "-name", "")
+		Expect(refused.Status).To(Equal(daemon.ExitUsage))
+		Expect(refused.Stderr).To(HavePrefix("command line: name: must have 1 to 64"))
+	})
+
+	It("fails with status 1 if an address is in use", func() {
+		taken, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(taken.Close)
+		path := writeSettings(strings.Replace(agentSettings, "127.0.0.1:0", taken.Addr().String(), 1))
+		failed := command("-settings", path)
+		Expect(failed.Status).To(Equal(daemon.ExitFailed))
+		Expect(failed.Stderr).To(ContainSubstring("address already in use"))
+	})
+})
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,186 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+
+	"github.com/vanetiller/vanetiller/internal/daemon"
+	"github.com/vanetiller/vanetiller/internal/observability"
+	"github.com/vanetiller/vanetiller/internal/settings"
+)
+
+// generous bounds waiting for real sockets; no verdict depends on it.
+const generous = time.Minute
+
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+func tableOf(version int, weight int) string {
+	return fmt.Sprintf(`{"version": %d, "services": [
+		{"id": 7, "name": "lookup", "address": "198.51.100.1:80", "protocol": "tcp", "owner": "gateway"}],
+		"backends": [{"id": 9, "service": 7, "name": "lookup-1", "incarnation": 1, "agent": "127.0.0.1:6181",
+		"weight": %d, "connection_limit": 3, "drain": false}]}`, version, weight)
+}
+
+// source stands in for the platform.
+type source struct {
+	*httptest.Server
+	configuration atomic.Pointer[string]
+}
+
+func newSource() *source {
+	created := &source{}
+	created.Server = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/machines" {
+			_, _ = writer.Write([]byte(`{"revision": 1, "machines": [
+				{"name": "b", "address": "127.0.0.1:7000", "role": "balancer", "state": "leaving"}]}`))
+			return
+		}
+		if answer := created.configuration.Load(); answer != nil {
+			_, _ = writer.Write([]byte(*answer))
+			return
+		}
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	DeferCleanup(created.Close)
+	return created
+}
+
+func (s *source) publish(revision int, table string) {
+	answer := fmt.Sprintf(`{"revision": %d, "table": %s}`, revision, table)
+	s.configuration.Store(&answer)
+}
+
+func common() settings.Settings {
+	return settings.Settings{
+		Name: "test-1", Zone: "zone-1", Log: settings.Log{Level: log.InfoLevel},
+		Observability: settings.Observability{Listen: anyPort},
+	}
+}
+
+type running struct {
+	daemon *daemon.Daemon
+	log    *gbytes.Buffer
+	stop   context.CancelFunc
+	ended  <-chan error
+}
+
+func start(checked settings.Settings) running {
+	output := gbytes.NewBuffer()
+	created, err := daemon.New(&checked, output)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ended <- created.Run(ctx)
+	}()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(done, generous).Should(BeClosed())
+	})
+	return running{created, output, cancel, ended}
+}
+
+func (r running) get(path string) string {
+	response, err := http.Get("http://" + r.daemon.Observability().String() + path)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return fmt.Sprintf("%d %s", response.StatusCode, body)
+}
+
+func (r running) expectPlannedStop() {
+	r.stop()
+	Eventually(r.ended, generous).Should(Receive(BeNil()))
+	Expect(r.daemon.Status()).To(Equal(observability.Status{
+		Reasons: []observability.Reason{{Condition: "serving", Reason: "stopping"}},
+	}))
+	for _, line := range strings.Split(strings.TrimSpace(string(r.log.Contents())), "\n") {
+		Expect(json.Valid([]byte(line))).To(BeTrue(), line)
+		Expect(line).To(And(ContainSubstring(`"name":"test-1"`), ContainSubstring(`"zone":"zone-1"`)))
+	}
+}
+
+const ready = `200 {"ready":true,"reasons":[]}` + "\n"
+
+var _ = Describe("Daemon", func() {
+	It("runs a balancer that puts accepted tables in force and keeps them", func() {
+		platform := newSource()
+		checked := common()
+		checked.Platform = settings.Platform{
+			ConfigurationURL: platform.URL + "/configuration",
+			MachinesURL:      platform.URL + "/machines",
+			PollInterval:     10 * time.Millisecond,
+		}
+		checked.Control = settings.Control{Listen: anyPort}
+		checked.Balancer = &settings.Balancer{Listen: anyPort, Sockets: 1}
+		balancer := start(checked)
+		metrics := func() string { return balancer.get("/metrics") }
+
+		By("not being ready without a table")
+		Eventually(metrics, generous).Should(ContainSubstring(
+			`vanetiller_platform_polls_total{outcome="failed",service="configuration"}`))
+		Expect(balancer.get("/healthz")).To(Equal(
+			`503 {"ready":false,"reasons":[{"condition":"table","reason":"no table from the platform yet"}]}` + "\n"))
+
+		By("refusing a table that is not valid")
+		platform.publish(1, tableOf(4, 10_001))
+		Eventually(metrics, generous).Should(ContainSubstring(
+			`vanetiller_platform_polls_total{outcome="invalid",service="configuration"}`))
+		Expect(balancer.get("/healthz")).To(HavePrefix("503 "))
+
+		By("being ready with a table")
+		platform.publish(2, tableOf(5, 10))
+		Eventually(func() string { return balancer.get("/healthz") }, generous).Should(Equal(ready))
+		Expect(metrics()).To(And(
+			ContainSubstring("\nvanetiller_table_version 5\n"),
+			ContainSubstring("\nvanetiller_platform_revision{service=\"configuration\"} 2\n")))
+
+		By("never going back to an older revision or an older table")
+		platform.publish(1, tableOf(6, 10))
+		Eventually(metrics, generous).Should(ContainSubstring(
+			`vanetiller_platform_polls_total{outcome="stale",service="configuration"}`))
+		platform.publish(3, tableOf(4, 10))
+		Eventually(metrics, generous).Should(ContainSubstring(
+			"\nvanetiller_platform_revision{service=\"configuration\"} 3\n"))
+		Expect(metrics()).To(ContainSubstring("\nvanetiller_table_version 5\n"))
+
+		By("showing the list of machines")
+		Eventually(metrics, generous).Should(ContainSubstring(
+			"\nvanetiller_platform_machines{role=\"balancer\",state=\"leaving\"} 1\n"))
+
+		balancer.expectPlannedStop()
+	})
+
+	It("runs an agent", func() {
+		checked := common()
+		checked.Agent = &settings.Agent{
+			Listen: anyPort, Fabric: netip.MustParseAddrPort("127.0.0.1:9"),
+			Daemons:     []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:9")},
+			StopTimeout: 10 * time.Second, FlowLimit: 10,
+			Backends: []settings.AgentBackend{{Service: "lookup", Name: "lookup-1", Address: netip.MustParseAddrPort("127.0.0.1:9")}},
+		}
+		agent := start(checked)
+		Eventually(func() string { return agent.get("/healthz") }, generous).Should(Equal(ready))
+		Eventually(func() string { return agent.get("/metrics") }, generous).Should(
+			ContainSubstring("\nvanetiller_agent_open_flows 0\n"))
+		agent.expectPlannedStop()
+	})
+})
--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"github.com/go-kit/kit/metrics"
+
+	"github.com/vanetiller/vanetiller/internal/agent"
+	"github.com/vanetiller/vanetiller/internal/balancer"
+	"github.com/vanetiller/vanetiller/internal/platform"
+)
+
+// reasonLabel is the label of the agent's dropped packets.
+const reasonLabel = "reason"
+
+func newBalancerMetrics(shared parts) balancer.Metrics {
+	return balancer.Metrics{
+		Forwarded: shared.metrics.Counter("balancer_forwarded_packets_total", "Packets sent to an agent."),
+		Dropped: shared.metrics.Counter("balancer_dropped_packets_total",
+			"Datagrams of the fabric that were not sent on, by reason.", balancer.ReasonLabel),
+	}
+}
+
+func newBalancerGauges(shared parts) balancerGauges {
+	return balancerGauges{
+		tableVersion: shared.metrics.Gauge("table_version", "Version of the table in force."),
+		unavailableRows: shared.metrics.Gauge("unavailable_rows",
+			"Rows that get no new flows since their agent is down or leaving."),
+		machines: shared.metrics.Gauge("platform_machines",
+			"Machines that the platform lists, by role and state.", "role", "state"),
+	}
+}
+
+const serviceLabel = "service"
+
+// pollerMetrics are shared by the pollers of both services of the platform.
+type pollerMetrics struct {
+	polls    metrics.Counter
+	revision metrics.Gauge
+}
+
+func newPollerMetrics(shared parts) pollerMetrics {
+	return pollerMetrics{
+		polls: shared.metrics.Counter("platform_polls_total",
+			"Requests to the platform, by service and outcome.", serviceLabel, platform.OutcomeLabel),
+		revision: shared.metrics.Gauge("platform_revision",
+			"Newest revision received from the platform, by service.", serviceLabel),
+	}
+}
+
+func (p pollerMetrics) of(service string) platform.PollerMetrics {
+	return platform.PollerMetrics{
+		Polls:    p.polls.With(serviceLabel, service),
+		Revision: p.revision.With(serviceLabel, service),
+	}
+}
+
+func newAgentMetrics(shared parts) agent.Metrics {
+	return agent.Metrics{
+		Dropped: shared.metrics.Counter("agent_dropped_packets_total",
+			"Packets that were discarded, by reason.", reasonLabel),
+		Forwarded: shared.metrics.Counter("agent_forwarded_packets_total", "Packets passed along to other agents."),
+		Delivered: shared.metrics.Counter("agent_delivered_packets_total", "Packets given to the local transport stack."),
+		Queries:   shared.metrics.Counter("agent_messages_sent_total", "Messages sent to other agents."),
+		Refused:   shared.metrics.Counter("agent_refused_flows_total", "Flows refused before their handshake completed."),
+		OpenFlows: shared.metrics.Gauge("agent_open_flows", "Open flows."),
+	}
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -12,8 +12,10 @@
 	"github.com/pkg/errors"
 )
 
-// DefaultTimeout bounds one request, from dialling to the end of the body.
-const DefaultTimeout = 2 * time.Second
+// DefaultTimeout bounds one request, from dialling to the end of the body. A
+// daemon takes itself for paused after no less than this time, so an answer
+// that is accepted was never held up by a pause of the process.
+const DefaultTimeout = time.Second
 
 // ClientConfig is the configuration of a Client.
 type ClientConfig struct {
@@ -21,6 +23,8 @@
 	MachinesURL      string
 	// Timeout bounds one request; 0 means DefaultTimeout.
 	Timeout time.Duration
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
 }
 
 // Client reads from the services of the platform. It is safe for concurrent
@@ -28,6 +32,8 @@
 type Client struct {
 	configuration endpoint.Endpoint
 	machines      endpoint.Endpoint
+	timeout       time.Duration
+	now           func() time.Time
 }
 
 // NewClient returns a client. It fails if a URL cannot be parsed.
@@ -36,6 +42,10 @@
 	if timeout == 0 {
 		timeout = DefaultTimeout
 	}
+	now := config.Now
+	if now == nil {
+		now = time.Now
+	}
 	// The platform is reached directly by IP number, so proxy settings of the
 	// environment do not apply.
 	client := &http.Client{Timeout: timeout, Transport: &http.Transport{}}
@@ -47,27 +57,36 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Client{configuration, machines}, nil
+	return &Client{configuration, machines, timeout, now}, nil
 }
 
 // Configuration requests the current configuration. Errors are of type
 // FetchError.
 func (c *Client) Configuration(ctx context.Context) (Configuration, error) {
-	return fetch[Configuration](ctx, c.configuration)
+	return fetch[Configuration](ctx, c, c.configuration)
 }
 
 // Machines requests the current list of machines. Errors are of type
 // FetchError.
 func (c *Client) Machines(ctx context.Context) (Machines, error) {
-	return fetch[Machines](ctx, c.machines)
+	return fetch[Machines](ctx, c, c.machines)
 }
 
-func fetch[Answer any](ctx context.Context, request endpoint.Endpoint) (Answer, error) {
+// errLate is the cause for an answer that came after the timeout. The HTTP
+// client alone does not ensure this: a process that was paused may read an
+// answer that waited in the socket before its timer fires.
+var errLate = errors.New("answer came after the timeout")
+
+func fetch[Answer any](ctx context.Context, client *Client, request endpoint.Endpoint) (Answer, error) {
+	var none Answer
+	started := client.now()
 	response, err := request(ctx, nil)
 	if err != nil {
-		var none Answer
 		return none, asFetchError(err)
 	}
+	if client.now().Sub(started) > client.timeout {
+		return none, FetchError{"", Unreachable, errLate}
+	}
 	return response.(Answer), nil
 }
 
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -159,6 +159,24 @@
 		Expect(failed.Reason).To(Equal(platform.Unreachable))
 	})
 
+	It("refuses an answer that was read after the timeout, as by a paused process", func(ctx context.Context) {
+		server := httptest.NewServer(respond(http.StatusOK, `{"revision": 2, "machines": []}`))
+		DeferCleanup(server.Close)
+		var clock time.Time
+		client, err := platform.NewClient(platform.ClientConfig{
+			ConfigurationURL: server.URL,
+			MachinesURL:      server.URL,
+			Timeout:          patient,
+			Now: func() time.Time {
+				clock = clock.Add(patient + time.Nanosecond)
+				return clock
+			},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = client.Machines(ctx)
+		Expect(err).To(MatchError(ContainSubstring("after the timeout")))
+	})
+
 	It("refuses a URL that cannot be parsed", func() {
 		_, err := platform.NewClient(platform.ClientConfig{ConfigurationURL: "http://[::1"})
 		Expect(err).To(HaveOccurred())
--- a/internal/platform/fetch_error.go
+++ b/internal/platform/fetch_error.go
@@ -35,6 +35,7 @@
 
 // FetchError is a failed request to the platform.
 type FetchError struct {
+	// URL is empty if the failure has to do with no single URL.
 	URL    string
 	Reason FetchReason
 	// Cause is the error below, such as a table.CellError.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -7,6 +7,8 @@
 package platform
 
 import (
+	"slices"
+
 	"github.com/pkg/errors"
 
 	"github.com/vanetiller/vanetiller/internal/table"
@@ -36,6 +38,9 @@
 	RoleAgent    Role = "agent"
 )
 
+// Roles lists every role, for metrics that are kept by role.
+func Roles() []Role { return []Role{RoleBalancer, RoleAgent} }
+
 // MachineState is what the platform believes about a machine. The list lags
 // behind reality.
 type MachineState string
@@ -46,6 +51,9 @@
 	StateLeaving MachineState = "leaving"
 )
 
+// MachineStates lists every state, for metrics that are kept by state.
+func MachineStates() []MachineState { return []MachineState{StateLive, StateLeaving} }
+
 // Machine is one row of the platform's list of machines.
 type Machine struct {
 	Name    string         `json:"name"`
@@ -60,6 +68,17 @@
 	Machines []Machine
 }
 
+// Count returns the number of machines with the role in the state.
+func (m Machines) Count(role Role, state MachineState) int {
+	count := 0
+	for _, machine := range m.Machines {
+		if machine.Role == role && machine.State == state {
+			count++
+		}
+	}
+	return count
+}
+
 // CurrentRevision implements Snapshot.
 func (m Machines) CurrentRevision() Revision { return m.Revision }
 
@@ -70,10 +89,10 @@
 	if !m.Address.AddrPort().Addr().Is4() {
 		return errors.Errorf("machine %q: address %q is not an IPv4 address and a port", m.Name, m.Address)
 	}
-	if m.Role != RoleBalancer && m.Role != RoleAgent {
+	if !slices.Contains(Roles(), m.Role) {
 		return errors.Errorf("machine %q: unknown role %q", m.Name, m.Role)
 	}
-	if m.State != StateLive && m.State != StateLeaving {
+	if !slices.Contains(MachineStates(), m.State) {
 		return errors.Errorf("machine %q: unknown state %q", m.Name, m.State)
 	}
 	return nil
--- a/internal/platform/poller.go
+++ b/internal/platform/poller.go
@@ -35,6 +35,9 @@
 	Fetch func(context.Context) (Answer, error)
 	// Deliver receives answers in order of rising revisions, one at a time.
 	Deliver func(Answer)
+	// Confirm is called when the service gives the revision that was
+	// delivered last once more. It may be nil.
+	Confirm func()
 	// Interval is the time from one answer to the next request.
 	Interval time.Duration
 	Logger   *log.Logger
@@ -64,6 +67,9 @@
 	if config.Random == nil {
 		config.Random = rand.Float64
 	}
+	if config.Confirm == nil {
+		config.Confirm = func() {}
+	}
 	if config.Metrics.Polls == nil {
 		config.Metrics.Polls = discard.NewCounter()
 	}
@@ -96,9 +102,12 @@
 	step := p.decider.Decide(resultOf(err), revision, p.config.Random())
 	p.config.Metrics.Polls.With(OutcomeLabel, step.Outcome.String()).Add(1)
 	p.report(step, revision, err)
-	if step.Outcome == OutcomeNew {
+	switch step.Outcome {
+	case OutcomeNew:
 		p.config.Metrics.Revision.Set(float64(revision))
 		p.config.Deliver(answer)
+	case OutcomeUnchanged:
+		p.config.Confirm()
 	}
 	return step.Delay
 }
--- a/internal/platform/poller_test.go
+++ b/internal/platform/poller_test.go
@@ -28,6 +28,7 @@
 
 type run struct {
 	delivered []platform.Revision
+	confirmed int
 	delays    []time.Duration
 }
 
@@ -44,6 +45,7 @@
 			return platform.Machines{Revision: answer.revision}, answer.err
 		},
 		Deliver:  func(answer platform.Machines) { observed.delivered = append(observed.delivered, answer.Revision) },
+		Confirm:  func() { observed.confirmed++ },
 		Interval: time.Second,
 		Logger:   log.New(io.Discard),
 		Random:   func() float64 { return 0 },
@@ -79,6 +81,11 @@
 		Entry("back with an old revision", []reply{{9, nil}, {0, errDown}, {8, nil}, {10, nil}}, []platform.Revision{9, 10}, 1, 2, 1, 1),
 	)
 
+	It("confirms only the newest revision", func() {
+		observed := play([]reply{{2, nil}, {2, nil}, {1, nil}, {0, errDown}, {0, errInvalid}, {2, nil}, {3, nil}})
+		Expect(observed.confirmed).To(Equal(2))
+	})
+
 	It("ends without delivering an answer that comes after its context", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		poller := platform.NewPoller(platform.PollerConfig[platform.Machines]{
