Make the balancer's decision and table rebuild faster

A decision with encapsulation took 309 to 342 ns on a machine with load 3, mostly in gopacket's layer parser, in hashing netip keys and in copies of wide structs. Layers are now decoded one by one, services are found by one word, and results are written in place: decode and decision take 80 to 111 ns, with encapsulation 193 to 198 ns, at load 5, without allocation. Primary skips logarithms that cannot win, so a build of 1,500 services and 12,000 rows takes 253 to 268 ms instead of 603 to 743, and Rebuild takes over unchanged services: 2.9 to 3.4 ms after one changed weight; 1,063 bytes of heap per service. Fuzz targets ran 15 s each without a finding.

--- a/internal/balancer/decider.go
+++ b/internal/balancer/decider.go
@@ -23,9 +23,11 @@
 // clock and keeps nothing between datagrams but buffers that it reuses, so it
 // is not safe for concurrent use.
 type Decider struct {
-	outer *encap.Decoder
-	inner *packet.Decoder
-	encap *encap.Encoder
+	outer    *encap.Decoder
+	inner    *packet.Decoder
+	encap    *encap.Encoder
+	datagram encap.Datagram
+	summary  packet.Summary
 }
 
 // NewDecider returns a decider.
@@ -60,24 +62,24 @@
 
 // unwrap returns the IPv4 packet inside a datagram from the fabric.
 func (d *Decider) unwrap(datagram []byte) ([]byte, Reason) {
-	decoded, outcome := d.outer.Decode(datagram)
-	if outcome != encap.Decoded {
+	if outcome := d.outer.DecodeInto(datagram, &d.datagram); outcome != encap.Decoded {
 		return nil, reasonOfEncap[outcome]
 	}
-	if decoded.Control {
+	if d.datagram.Control {
 		return nil, Control
 	}
-	if decoded.HasRouting {
+	if d.datagram.HasRouting {
 		return nil, AlreadyRouted
 	}
-	return decoded.Packet, Forwarded
+	return d.datagram.Packet, Forwarded
 }
 
-func (d *Decider) target(table *lookup.Table, content []byte) (lookup.Target, Reason) {
-	summary, outcome := d.inner.Decode(content)
-	if outcome != packet.Decoded {
-		return lookup.Target{}, reasonOfPacket[outcome]
+// target returns the row for a packet; it is nil unless the reason is
+// Forwarded.
+func (d *Decider) target(table *lookup.Table, content []byte) (*lookup.Target, Reason) {
+	if outcome := d.inner.DecodeInto(content, &d.summary); outcome != packet.Decoded {
+		return nil, reasonOfPacket[outcome]
 	}
-	target, routed := table.Route(summary.Flow)
-	return target, reasonOfRoute[routed]
+	target, outcome := table.Find(&d.summary.Flow)
+	return target, reasonOfRoute[outcome]
 }
--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -164,24 +164,38 @@
 // Decode reads one UDP payload. A datagram without options costs no
 // allocation.
 func (d *Decoder) Decode(data []byte) (Datagram, Outcome) {
+	var datagram Datagram
+	if outcome := d.DecodeInto(data, &datagram); outcome != Decoded {
+		return Datagram{}, outcome
+	}
+	return datagram, Decoded
+}
+
+// DecodeInto is Decode for callers that reuse a datagram, which saves copying
+// it. The datagram is meaningful only when the outcome is Decoded.
+func (d *Decoder) DecodeInto(data []byte, datagram *Datagram) Outcome {
 	if err := d.header.DecodeFromBytes(data, gopacket.NilDecodeFeedback); err != nil {
-		return Datagram{}, Malformed
+		return Malformed
 	}
 	if !d.optionsFill() {
-		return Datagram{}, Malformed
+		return Malformed
 	}
 	if d.header.Version != 0 {
-		return Datagram{}, WrongVersion
+		return WrongVersion
 	}
 	control := d.header.OAMPacket
 	if d.header.Protocol != payloadProtocol(control) {
-		return Datagram{}, WrongProtocol
-	}
-	datagram := Datagram{
-		Service: table.ServiceID(d.header.VNI),
-		Control: control,
-		Packet:  d.header.Payload,
+		return WrongProtocol
 	}
+	datagram.Service = table.ServiceID(d.header.VNI)
+	datagram.Control = control
+	datagram.HasRouting = false
+	datagram.Routing = Routing{}
+	datagram.Packet = d.header.Payload
+	return d.readOptions(datagram)
+}
+
+func (d *Decoder) readOptions(datagram *Datagram) Outcome {
 	for _, option := range d.header.Options {
 		if option.Class == optionClass && option.Type == optionType && len(option.Data) == routingSize {
 			datagram.Routing = decodeRouting(option.Data)
@@ -189,10 +203,10 @@
 			continue
 		}
 		if d.header.CriticalOption {
-			return Datagram{}, UnknownCriticalOption
+			return UnknownCriticalOption
 		}
 	}
-	return datagram, Decoded
+	return Decoded
 }
 
 // optionsFill reports whether the options end where the header says. The
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -7,7 +7,9 @@
 package lookup
 
 import (
+	"encoding/binary"
 	"net/netip"
+	"slices"
 
 	"github.com/vanetiller/vanetiller/internal/packet"
 	"github.com/vanetiller/vanetiller/internal/table"
@@ -56,14 +58,27 @@
 	return "invalid"
 }
 
-type serviceKey struct {
-	address  netip.AddrPort
-	protocol table.Protocol
+// serviceKey is a service's IPv4 address, port and protocol in one word, which
+// a map hashes and compares faster than a netip.AddrPort.
+type serviceKey uint64
+
+// keyOf returns false for an address that is not IPv4, which no service has.
+func keyOf(address netip.AddrPort, protocol table.Protocol) (serviceKey, bool) {
+	if !address.Addr().Is4() {
+		return 0, false
+	}
+	host := address.Addr().As4()
+	key := uint64(binary.BigEndian.Uint32(host[:]))
+	key = key<<16 | uint64(address.Port())
+	key = key<<8 | uint64(protocol)
+	return serviceKey(key), true
 }
 
 type serviceEntry struct {
-	targets []Target
-	slots   []int16
+	service    table.ServiceID
+	targets    []Target
+	candidates []Candidate // what slots were computed from
+	slots      []int16
 }
 
 // Table answers lookups for one version and one liveness view. It is safe for
@@ -75,6 +90,13 @@
 
 // Build computes the lookup table.
 func Build(configuration *table.Table, alive Liveness) *Table {
+	return Rebuild(&Table{}, configuration, alive)
+}
+
+// Rebuild computes the same lookup table as Build, but takes over the slots of
+// services whose rows have the same weights and liveness as in previous, which
+// may have been built from any version and liveness view.
+func Rebuild(previous *Table, configuration *table.Table, alive Liveness) *Table {
 	built := &Table{
 		version:  configuration.Version,
 		services: make(map[serviceKey]*serviceEntry, len(configuration.Services)),
@@ -84,24 +106,42 @@
 		rows[backend.Service] = append(rows[backend.Service], backend)
 	}
 	for _, service := range configuration.Services {
-		key := serviceKey{service.Address.AddrPort(), service.Protocol}
-		built.services[key] = buildService(service.ID, rows[service.ID], alive)
+		key, valid := keyOf(service.Address.AddrPort(), service.Protocol)
+		if !valid {
+			continue
+		}
+		built.services[key] = buildService(previous.services[key], service.ID, rows[service.ID], alive)
 	}
 	return built
 }
 
-func buildService(service table.ServiceID, rows []table.Backend, alive Liveness) *serviceEntry {
-	slots := Assign(service, rows, alive)
-	entry := &serviceEntry{slots: slots, targets: make([]Target, len(rows))}
+// buildService returns the entry of a service; previous is the last entry with
+// the same address, or nil.
+func buildService(previous *serviceEntry, service table.ServiceID, rows []table.Backend, alive Liveness) *serviceEntry {
+	entry := &serviceEntry{
+		service:    service,
+		targets:    targetsOf(rows),
+		candidates: candidatesOf(rows, alive),
+	}
+	if previous != nil && previous.service == service && slices.Equal(previous.candidates, entry.candidates) {
+		entry.slots = previous.slots
+		return entry
+	}
+	entry.slots = assign(service, entry.candidates)
+	return entry
+}
+
+func targetsOf(rows []table.Backend) []Target {
+	targets := make([]Target, len(rows))
 	for index, row := range rows {
-		entry.targets[index] = Target{
-			Service:     service,
+		targets[index] = Target{
+			Service:     row.Service,
 			Backend:     row.ID,
 			Incarnation: row.Incarnation,
 			Agent:       row.Agent.AddrPort(),
 		}
 	}
-	return entry
+	return targets
 }
 
 // Assign returns, for every slot of the service, the index in rows of its
@@ -109,18 +149,28 @@
 // rows that are not alive; if no row is alive, liveness is ignored, since
 // sending nowhere cannot be better.
 func Assign(service table.ServiceID, rows []table.Backend, alive Liveness) []int16 {
-	candidates := candidatesOf(rows, alive)
-	if !anyWeight(candidates) {
-		candidates = candidatesOf(rows, AllAlive)
-	}
-	slots := make([]int16, SlotCount(len(rows)))
+	return assign(service, candidatesOf(rows, alive))
+}
+
+func assign(service table.ServiceID, candidates []Candidate) []int16 {
+	slots := make([]int16, SlotCount(len(candidates)))
 	for slot := range slots {
 		slots[slot] = int16(Primary(service, slot, candidates))
 	}
 	return slots
 }
 
+// candidatesOf returns a candidate for each row; one that may hold no slot has
+// weight 0.
 func candidatesOf(rows []table.Backend, alive Liveness) []Candidate {
+	candidates := candidatesAlive(rows, alive)
+	if !anyWeight(candidates) {
+		return candidatesAlive(rows, AllAlive)
+	}
+	return candidates
+}
+
+func candidatesAlive(rows []table.Backend, alive Liveness) []Candidate {
 	candidates := make([]Candidate, len(rows))
 	for index, row := range rows {
 		candidates[index].Backend = row.ID
@@ -145,13 +195,27 @@
 
 // Route returns the primary row for a flow.
 func (t *Table) Route(flow packet.Flow) (Target, Outcome) {
-	entry, exists := t.services[serviceKey{flow.Destination, flow.Protocol}]
+	target, outcome := t.Find(&flow)
+	if outcome != Routed {
+		return Target{}, outcome
+	}
+	return *target, Routed
+}
+
+// Find is Route without copies. The target is shared and must not be changed;
+// it is nil unless the outcome is Routed.
+func (t *Table) Find(flow *packet.Flow) (*Target, Outcome) {
+	key, valid := keyOf(flow.Destination, flow.Protocol)
+	if !valid {
+		return nil, UnknownService
+	}
+	entry, exists := t.services[key]
 	if !exists {
-		return Target{}, UnknownService
+		return nil, UnknownService
 	}
 	index := entry.slots[SlotOf(flow.Hash(), len(entry.slots))]
 	if index == NoCandidate {
-		return Target{}, NoBackend
+		return nil, NoBackend
 	}
-	return entry.targets[index], Routed
+	return &entry.targets[index], Routed
 }
--- /dev/null
+++ b/internal/lookup/lookup_bench_test.go
@@ -0,0 +1,80 @@
+package lookup_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"testing"
+
+	"github.com/vanetiller/vanetiller/internal/lookup"
+	"github.com/vanetiller/vanetiller/internal/packet"
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+const (
+	benchmarkServices = 1500
+	benchmarkRows     = 8
+	benchmarkSeed     = 20
+)
+
+// randomFlows returns flows to the services of a fleet in random order.
+func randomFlows(configuration *table.Table, count int) []packet.Flow {
+	random := rand.New(rand.NewPCG(benchmarkSeed, 0))
+	flows := make([]packet.Flow, count)
+	for i := range flows {
+		service := configuration.Services[random.IntN(len(configuration.Services))]
+		flows[i] = packet.Flow{
+			Source:      netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(random.Uint32()), 1}), uint16(random.Uint32())),
+			Destination: service.Address.AddrPort(),
+			Protocol:    service.Protocol,
+		}
+	}
+	return flows
+}
+
+// BenchmarkRoute looks up random flows over all services, so that most
+// lookups find their service outside the nearest caches.
+func BenchmarkRoute(b *testing.B) {
+	configuration := fleet(benchmarkServices, benchmarkRows)
+	built := lookup.Build(configuration, lookup.AllAlive)
+	const flowCount = 1 << 16
+	flows := randomFlows(configuration, flowCount)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if _, outcome := built.Route(flows[i%flowCount]); outcome != lookup.Routed {
+			b.Fatal(outcome)
+		}
+	}
+}
+
+func BenchmarkBuild(b *testing.B) {
+	configuration := fleet(benchmarkServices, benchmarkRows)
+	heap := heapOfBuild(configuration)
+	for b.Loop() {
+		lookup.Build(configuration, lookup.AllAlive)
+	}
+	b.ReportMetric(heap/benchmarkServices, "heap-B/service")
+}
+
+// BenchmarkRebuildOneService changes one weight in turn.
+func BenchmarkRebuildOneService(b *testing.B) {
+	configuration := fleet(benchmarkServices, benchmarkRows)
+	built := lookup.Build(configuration, lookup.AllAlive)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		configuration.Backends[i%len(configuration.Backends)].Weight = uint32(50 + i%100)
+		built = lookup.Rebuild(built, configuration, lookup.AllAlive)
+	}
+}
+
+// heapOfBuild returns the bytes that stay reachable after a build.
+func heapOfBuild(configuration *table.Table) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	built := lookup.Build(configuration, lookup.AllAlive)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(built)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
--- a/internal/lookup/slots.go
+++ b/internal/lookup/slots.go
@@ -48,20 +48,42 @@
 // the slots it held. It returns NoCandidate if there is none with a weight.
 func Primary(service table.ServiceID, slot int, candidates []Candidate) int {
 	best := NoCandidate
-	var bestScore uint64
+	var leader contender
 	for index, candidate := range candidates {
 		if candidate.Weight == 0 {
 			continue
 		}
-		score := negativeLog2(rendezvousHash(service, slot, candidate.Backend))
-		if best == NoCandidate || scoreLess(score, candidate.Weight, bestScore, candidates[best].Weight) {
+		challenger := contender{hash: rendezvousHash(service, slot, candidate.Backend), weight: candidate.Weight}
+		if best != NoCandidate && challenger.cannotBeat(leader) {
+			continue
+		}
+		challenger.score = negativeLog2(challenger.hash)
+		if best == NoCandidate || scoreLess(challenger.score, challenger.weight, leader.score, leader.weight) {
 			best = index
-			bestScore = score
+			leader = challenger
 		}
 	}
 	return best
 }
 
+// contender is a candidate for a slot.
+type contender struct {
+	hash   uint64
+	weight uint32
+	score  uint64
+}
+
+// cannotBeat reports cases in which the score of c is not less than the
+// leader's, whatever the logarithm's fraction is. It spares computing most
+// logarithms and does not change the outcome.
+func (c contender) cannotBeat(leader contender) bool {
+	if c.weight == leader.weight {
+		return c.hash <= leader.hash
+	}
+	leastScore := uint64(bits.LeadingZeros64(c.hash)) << logFractionBits
+	return !scoreLess(leastScore, c.weight, leader.score, leader.weight)
+}
+
 // scoreLess reports whether a/weightA < b/weightB. Integers keep the outcome
 // the same on every processor.
 func scoreLess(a uint64, weightA uint32, b uint64, weightB uint32) bool {
@@ -70,8 +92,9 @@
 
 func rendezvousHash(service table.ServiceID, slot int, backend table.BackendID) uint64 {
 	var encoded [12]byte
-	binary.BigEndian.PutUint32(encoded[0:], uint32(service))
-	binary.BigEndian.PutUint32(encoded[4:], uint32(slot))
+	// One store as wide as the first load of Sum64 keeps the processor from
+	// stalling.
+	binary.BigEndian.PutUint64(encoded[0:], uint64(service)<<32|uint64(uint32(slot)))
 	binary.BigEndian.PutUint32(encoded[8:], uint32(backend))
 	return xxhash.Sum64(encoded[:])
 }
@@ -89,13 +112,12 @@
 	var fraction uint64
 	for range logFractionBits {
 		high, low := bits.Mul64(mantissa, mantissa) // stands for [1, 4)
-		fraction <<= 1
-		if high>>63 == 1 {
-			fraction |= 1
-			mantissa = high
-			continue
+		bit := high >> 63
+		fraction = fraction<<1 | bit
+		if bit == 0 {
+			high = high<<1 | low>>63
 		}
-		mantissa = high<<1 | low>>63
+		mantissa = high
 	}
 	integer := uint64(63-leading)<<logFractionBits | fraction
 	return 64<<logFractionBits - integer
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -1,9 +1,9 @@
 // Package packet decodes the IPv4 packets of callers and derives the flow
 // that each belongs to.
 //
-// Decoding is gopacket's; this package only keeps the decoding layers together
-// so that a decode needs no allocation, and turns its outcome into a typed
-// reason for dropping.
+// Decoding is gopacket's; this package only keeps the layers together so that a
+// decode needs no allocation, and turns its outcome into a typed reason for
+// dropping.
 package packet
 
 import (
@@ -11,7 +11,6 @@
 	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/gopacket/gopacket"
 	"github.com/gopacket/gopacket/layers"
 
 	"github.com/vanetiller/vanetiller/internal/table"
@@ -30,16 +29,22 @@
 // value for the same flow.
 func (f Flow) Hash() uint64 {
 	var encoded [flowEncodingSize]byte
-	source := f.Source.Addr().As4()
-	destination := f.Destination.Addr().As4()
-	copy(encoded[0:4], source[:])
-	binary.BigEndian.PutUint16(encoded[4:6], f.Source.Port())
-	copy(encoded[6:10], destination[:])
-	binary.BigEndian.PutUint16(encoded[10:12], f.Destination.Port())
+	source := ipv4Of(f.Source)
+	destination := ipv4Of(f.Destination)
+	// The stores are as wide as the loads of Sum64; a wide load after narrower
+	// stores stalls the processor.
+	first := uint64(source)<<32 | uint64(f.Source.Port())<<16 | uint64(destination)>>16
+	binary.BigEndian.PutUint64(encoded[0:], first)
+	binary.BigEndian.PutUint32(encoded[8:], destination<<16|uint32(f.Destination.Port()))
 	encoded[12] = byte(f.Protocol)
 	return xxhash.Sum64(encoded[:])
 }
 
+func ipv4Of(endpoint netip.AddrPort) uint32 {
+	address := endpoint.Addr().As4()
+	return binary.BigEndian.Uint32(address[:])
+}
+
 // Outcome tells whether a packet could be decoded and, if not, why.
 type Outcome uint8
 
@@ -95,48 +100,53 @@
 // Decoder decodes packets without allocating. It is not safe for concurrent
 // use.
 type Decoder struct {
-	ip      layers.IPv4
-	tcp     layers.TCP
-	udp     layers.UDP
-	payload gopacket.Payload
-	parser  *gopacket.DecodingLayerParser
-	decoded []gopacket.LayerType
+	ip       layers.IPv4
+	tcp      layers.TCP
+	udp      layers.UDP
+	feedback truncation
 }
 
+// truncation records that a layer was shorter than its header says.
+type truncation struct{ found bool }
+
+// SetTruncated implements gopacket.DecodeFeedback.
+func (t *truncation) SetTruncated() { t.found = true }
+
 // NewDecoder returns a decoder for IPv4 packets that carry TCP or UDP.
-func NewDecoder() *Decoder {
-	decoder := &Decoder{decoded: make([]gopacket.LayerType, 0, 4)}
-	decoder.parser = gopacket.NewDecodingLayerParser(
-		layers.LayerTypeIPv4, &decoder.ip, &decoder.tcp, &decoder.udp, &decoder.payload)
-	decoder.parser.IgnoreUnsupported = true
-	return decoder
-}
+func NewDecoder() *Decoder { return &Decoder{} }
 
 // Decode reads one IPv4 packet. The summary is meaningful only when the
 // outcome is Decoded.
 func (d *Decoder) Decode(data []byte) (Summary, Outcome) {
+	var summary Summary
+	outcome := d.DecodeInto(data, &summary)
+	return summary, outcome
+}
+
+// DecodeInto is Decode for callers that reuse a summary, which saves copying
+// it. The summary is changed only when the outcome is Decoded.
+//
+// The layers are decoded one by one, since gopacket.DecodingLayerParser costs
+// more than the decoding.
+func (d *Decoder) DecodeInto(data []byte, summary *Summary) Outcome {
 	if outcome := checkShape(data); outcome != Decoded {
-		return Summary{}, outcome
-	}
-	if err := d.parser.DecodeLayers(data, &d.decoded); err != nil {
-		return Summary{}, Truncated
-	}
-	if d.parser.Truncated {
-		return Summary{}, Truncated
+		return outcome
 	}
-	if len(d.decoded) < 2 {
-		return Summary{}, UnknownTransport
+	d.feedback.found = false
+	if d.isTruncated(d.ip.DecodeFromBytes(data, &d.feedback)) {
+		return Truncated
 	}
-	switch d.decoded[1] {
-	case layers.LayerTypeTCP:
-		return d.summarizeTCP()
-	case layers.LayerTypeUDP:
-		return Summary{
-			Flow:          d.flow(uint16(d.udp.SrcPort), uint16(d.udp.DstPort), table.ProtocolUDP),
-			PayloadLength: len(d.udp.Payload),
-		}, Decoded
+	switch d.ip.Protocol {
+	case layers.IPProtocolTCP:
+		return d.decodeTCP(summary)
+	case layers.IPProtocolUDP:
+		return d.decodeUDP(summary)
 	}
-	return Summary{}, UnknownTransport
+	return UnknownTransport
+}
+
+func (d *Decoder) isTruncated(err error) bool {
+	return err != nil || d.feedback.found
 }
 
 const (
@@ -159,27 +169,37 @@
 	return Decoded
 }
 
-func (d *Decoder) summarizeTCP() (Summary, Outcome) {
+func (d *Decoder) decodeTCP(summary *Summary) Outcome {
+	if d.isTruncated(d.tcp.DecodeFromBytes(d.ip.Payload, &d.feedback)) {
+		return Truncated
+	}
 	if d.tcp.SYN && (d.tcp.FIN || d.tcp.RST) {
-		return Summary{}, BadTCPFlags
+		return BadTCPFlags
 	}
-	return Summary{
-		Flow:          d.flow(uint16(d.tcp.SrcPort), uint16(d.tcp.DstPort), table.ProtocolTCP),
-		Sequence:      d.tcp.Seq,
-		Opening:       d.tcp.SYN && !d.tcp.ACK,
-		Reset:         d.tcp.RST,
-		Closing:       d.tcp.FIN,
-		PayloadLength: len(d.tcp.Payload),
-	}, Decoded
+	d.setFlow(&summary.Flow, uint16(d.tcp.SrcPort), uint16(d.tcp.DstPort), table.ProtocolTCP)
+	summary.Sequence = d.tcp.Seq
+	summary.Opening = d.tcp.SYN && !d.tcp.ACK
+	summary.Reset = d.tcp.RST
+	summary.Closing = d.tcp.FIN
+	summary.PayloadLength = len(d.tcp.Payload)
+	return Decoded
 }
 
-func (d *Decoder) flow(sourcePort, destinationPort uint16, protocol table.Protocol) Flow {
-	var source, destination [4]byte
-	copy(source[:], d.ip.SrcIP)
-	copy(destination[:], d.ip.DstIP)
-	return Flow{
-		Source:      netip.AddrPortFrom(netip.AddrFrom4(source), sourcePort),
-		Destination: netip.AddrPortFrom(netip.AddrFrom4(destination), destinationPort),
-		Protocol:    protocol,
+func (d *Decoder) decodeUDP(summary *Summary) Outcome {
+	if d.isTruncated(d.udp.DecodeFromBytes(d.ip.Payload, &d.feedback)) {
+		return Truncated
 	}
+	d.setFlow(&summary.Flow, uint16(d.udp.SrcPort), uint16(d.udp.DstPort), table.ProtocolUDP)
+	summary.Sequence = 0
+	summary.Opening = false
+	summary.Reset = false
+	summary.Closing = false
+	summary.PayloadLength = len(d.udp.Payload)
+	return Decoded
+}
+
+func (d *Decoder) setFlow(flow *Flow, sourcePort, destinationPort uint16, protocol table.Protocol) {
+	flow.Source = netip.AddrPortFrom(netip.AddrFrom4([4]byte(d.ip.SrcIP)), sourcePort)
+	flow.Destination = netip.AddrPortFrom(netip.AddrFrom4([4]byte(d.ip.DstIP)), destinationPort)
+	flow.Protocol = protocol
 }
--- /dev/null
+++ b/internal/packet/packet_fuzz_test.go
@@ -0,0 +1,73 @@
+package packet_test
+
+import (
+	"testing"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+
+	"github.com/vanetiller/vanetiller/internal/packet"
+)
+
+func serialize(t testing.TB, parts ...gopacket.SerializableLayer) []byte {
+	t.Helper()
+	buffer := gopacket.NewSerializeBuffer()
+	if err := gopacket.SerializeLayers(buffer, gopacket.SerializeOptions{FixLengths: true}, parts...); err != nil {
+		t.Fatal(err)
+	}
+	return buffer.Bytes()
+}
+
+func header(protocol layers.IPProtocol, options ...layers.IPv4Option) *layers.IPv4 {
+	return &layers.IPv4{
+		Version: 4, IHL: 5, TTL: 64, Protocol: protocol,
+		SrcIP: []byte{192, 0, 2, 1}, DstIP: []byte{198, 51, 100, 1}, Options: options,
+	}
+}
+
+func seeds(t testing.TB) [][]byte {
+	tcp := &layers.TCP{SrcPort: 5000, DstPort: 443, SYN: true, Seq: 7}
+	tcpWithOptions := &layers.TCP{SrcPort: 5000, DstPort: 443, ACK: true, Options: []layers.TCPOption{
+		{OptionType: layers.TCPOptionKindMSS, OptionLength: 4, OptionData: []byte{5, 180}},
+		{OptionType: layers.TCPOptionKindNop, OptionLength: 1},
+		{OptionType: layers.TCPOptionKindSACK, OptionLength: 10, OptionData: make([]byte, 8)},
+	}}
+	udp := &layers.UDP{SrcPort: 5000, DstPort: 53}
+	ipOption := layers.IPv4Option{OptionType: 7, OptionLength: 3, OptionData: []byte{4}}
+	return [][]byte{
+		{},
+		serialize(t, header(layers.IPProtocolTCP), tcp, gopacket.Payload("hello")),
+		serialize(t, header(layers.IPProtocolTCP), tcpWithOptions),
+		serialize(t, header(layers.IPProtocolTCP, ipOption), tcp),
+		serialize(t, header(layers.IPProtocolUDP), udp, gopacket.Payload("hello")),
+		serialize(t, header(layers.IPProtocolICMPv4), &layers.ICMPv4{}),
+	}
+}
+
+// FuzzDecode checks that no input makes the decoder panic, and what it says
+// about packets that it accepts.
+func FuzzDecode(f *testing.F) {
+	for _, seed := range seeds(f) {
+		f.Add(seed)
+	}
+	decoder := packet.NewDecoder()
+	f.Fuzz(func(t *testing.T, data []byte) {
+		summary, outcome := decoder.Decode(data)
+		if outcome != packet.Decoded {
+			if summary != (packet.Summary{}) {
+				t.Fatalf("%s with a summary: %+v", outcome, summary)
+			}
+			return
+		}
+		if !summary.Flow.Source.Addr().Is4() || !summary.Flow.Destination.Addr().Is4() {
+			t.Fatalf("flow is not IPv4: %+v", summary.Flow)
+		}
+		if summary.PayloadLength < 0 || summary.PayloadLength >= len(data) {
+			t.Fatalf("payload of %d bytes in a packet of %d", summary.PayloadLength, len(data))
+		}
+		again, _ := packet.NewDecoder().Decode(data)
+		if again != summary {
+			t.Fatalf("a fresh decoder says %+v, a used one %+v", again, summary)
+		}
+	})
+}
