Add a comparison of the balancer with a bare relay

The price of the balancer's decision can only be judged beside a relay that moves the same batches unread. Compare runs both in alternating rounds in one process, with flooding senders for the rate and stamped packets at an even rate for the delay.

--- /dev/null
+++ b/bench/relay/compare.go
@@ -0,0 +1,147 @@
+package relay
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/vanetiller/vanetiller/internal/balancer"
+	"github.com/vanetiller/vanetiller/internal/lookup"
+)
+
+// Side is what was measured of one relay.
+type Side struct {
+	// PacketsPerSecond is the median rate of sending over the rounds, with
+	// senders that offer more than can be relayed.
+	PacketsPerSecond float64
+	// Rounds are the rates of all rounds in order.
+	Rounds []float64
+	// Received is the share of the packets sent that reached a sink. The rest
+	// overran the sinks' receive queues.
+	Received float64
+	// DelayP50 and DelayP99 are percentiles of the time from sender to sink
+	// at Options.DelayRate.
+	DelayP50 time.Duration
+	DelayP99 time.Duration
+	// DelaySamples is the number of packets behind the percentiles.
+	DelaySamples int64
+}
+
+// Report is the outcome of a comparison.
+type Report struct {
+	Options  Options
+	Bare     Side
+	Balancer Side
+}
+
+// RelativeRate returns the balancer's rate as a share of the bare relay's.
+func (r Report) RelativeRate() float64 {
+	return r.Balancer.PacketsPerSecond / r.Bare.PacketsPerSecond
+}
+
+// AddedDelayP50 returns how much longer the median packet takes through the
+// balancer than through the bare relay.
+func (r Report) AddedDelayP50() time.Duration { return r.Balancer.DelayP50 - r.Bare.DelayP50 }
+
+// AddedDelayP99 is AddedDelayP50 for the 99th percentile.
+func (r Report) AddedDelayP99() time.Duration { return r.Balancer.DelayP99 - r.Bare.DelayP99 }
+
+// measured collects the rounds of one relay.
+type measured struct {
+	open     opener
+	rates    []float64
+	sent     int64
+	received int64
+	delays   *hdrhistogram.Histogram
+}
+
+// opener opens a relay to the sinks that counts what it sends.
+type opener func(sinks []netip.AddrPort, sent *packetCounter) (relay, error)
+
+// Compare measures both relays in turn. It fails if options are out of range,
+// a socket fails or ctx ends.
+func Compare(ctx context.Context, options Options) (Report, error) {
+	if err := options.validate(); err != nil {
+		return Report{}, err
+	}
+	datagrams, err := sampleDatagrams(options)
+	if err != nil {
+		return Report{}, err
+	}
+	bare := &measured{open: openBare(options), delays: newHistogram()}
+	balanced := &measured{open: openBalancer(options), delays: newHistogram()}
+	for round := range options.Rounds {
+		// Alternating the order keeps a drift of the machine from favouring
+		// one side.
+		turns := []*measured{bare, balanced}
+		if round%2 == 1 {
+			slices.Reverse(turns)
+		}
+		for _, side := range turns {
+			if err := side.measureRound(ctx, options, datagrams); err != nil {
+				return Report{}, err
+			}
+		}
+	}
+	return Report{Options: options, Bare: bare.side(), Balancer: balanced.side()}, nil
+}
+
+func openBare(options Options) opener {
+	return func(sinks []netip.AddrPort, sent *packetCounter) (relay, error) {
+		return newBareRelay(loopback().AddrPort(), options.Sockets, sinks, sent)
+	}
+}
+
+func openBalancer(options Options) opener {
+	return func(sinks []netip.AddrPort, sent *packetCounter) (relay, error) {
+		opened, err := balancer.New(balancer.Config{
+			Listen:  loopback().AddrPort(),
+			Sockets: options.Sockets,
+			Metrics: balancer.Metrics{Forwarded: sent},
+		})
+		if err != nil {
+			return nil, err
+		}
+		opened.Publish(lookup.Build(sampleTable(options, sinks), lookup.AllAlive))
+		return opened, nil
+	}
+}
+
+func (m *measured) measureRound(ctx context.Context, options Options, datagrams [][]byte) error {
+	flooded, err := runRound(ctx, m.open, options, datagrams, flood)
+	if err != nil {
+		return err
+	}
+	m.rates = append(m.rates, float64(flooded.sent)/flooded.elapsed.Seconds())
+	m.sent += flooded.sent
+	m.received += flooded.received
+	paced, err := runRound(ctx, m.open, options, datagrams, pace)
+	if err != nil {
+		return err
+	}
+	m.delays.Merge(paced.delays)
+	return nil
+}
+
+func (m *measured) side() Side {
+	return Side{
+		PacketsPerSecond: median(m.rates),
+		Rounds:           m.rates,
+		Received:         float64(m.received) / float64(m.sent),
+		DelayP50:         time.Duration(m.delays.ValueAtPercentile(50)),
+		DelayP99:         time.Duration(m.delays.ValueAtPercentile(99)),
+		DelaySamples:     m.delays.TotalCount(),
+	}
+}
+
+func median(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	middle := len(sorted) / 2
+	if len(sorted)%2 == 1 {
+		return sorted[middle]
+	}
+	return (sorted[middle-1] + sorted[middle]) / 2
+}
