--- a/internal/platform/poller.go
+++ b/internal/platform/poller.go
@@ -115,10 +115,15 @@
 // report logs changes of the outcome only, since a service may fail for hours.
 func (p *Poller[Answer]) report(step Step, revision Revision, err error) {
 	changed := step.Outcome != p.last
+	failedBefore := p.last == OutcomeFailed || p.last == OutcomeInvalid
 	p.last = step.Outcome
 	switch step.Outcome {
 	case OutcomeNew:
 		p.config.Logger.Info("platform revision received", "revision", uint64(revision))
+	case OutcomeUnchanged:
+		if failedBefore {
+			p.config.Logger.Info("platform answers again", "revision", uint64(revision))
+		}
 	case OutcomeStale:
 		if changed {
 			p.config.Logger.Warn("platform gives an old revision", "revision", uint64(revision))
