Send datagrams for one agent in one message

Datagrams of a batch for the same agent and of one size now go as one message with UDP_SEGMENT; where the kernel refuses that they go singly.

--- a/internal/balancer/udpfront/pump.go
+++ b/internal/balancer/udpfront/pump.go
@@ -5,11 +5,12 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/net/ipv4"
+	"golang.org/x/sys/unix"
 )
 
 const (
 	// BatchSize is the largest number of datagrams that one system call
-	// receives or sends.
+	// receives, and of messages that one sends.
 	BatchSize = 64
 	// MaxDatagram is the room in bytes for one datagram. A longer one is cut
 	// to this size, which leaves more than the largest packet that is carried
@@ -22,9 +23,9 @@
 	connection *ipv4.PacketConn
 	handler    Handler
 	received   []ipv4.Message
-	sending    []ipv4.Message
 	outputs    [][]byte
-	addresses  []net.UDPAddr
+	grouper    *grouper
+	single     []ipv4.Message
 }
 
 func newPump(connection *net.UDPConn, handler Handler) *pump {
@@ -32,16 +33,13 @@
 		connection: ipv4.NewPacketConn(connection),
 		handler:    handler,
 		received:   make([]ipv4.Message, BatchSize),
-		sending:    make([]ipv4.Message, BatchSize),
 		outputs:    make([][]byte, BatchSize),
-		addresses:  make([]net.UDPAddr, BatchSize),
+		grouper:    newGrouper(BatchSize),
+		single:     make([]ipv4.Message, 1),
 	}
 	for i := range BatchSize {
 		created.received[i].Buffers = [][]byte{make([]byte, MaxDatagram)}
 		created.outputs[i] = make([]byte, 0, MaxDatagram)
-		created.addresses[i].IP = make(net.IP, net.IPv4len)
-		created.sending[i].Buffers = make([][]byte, 1)
-		created.sending[i].Addr = &created.addresses[i]
 	}
 	return created
 }
@@ -56,46 +54,61 @@
 		if err != nil {
 			return errors.WithStack(err)
 		}
-		ready := p.handle(p.received[:count])
-		p.handler.Finish(p.send(p.sending[:ready]))
+		p.handle(p.received[:count])
+		p.handler.Finish(p.send(p.grouper.finish()))
 	}
 }
 
-// handle fills the sending messages from the received ones and returns their
-// number.
-func (p *pump) handle(received []ipv4.Message) int {
-	ready := 0
+// handle lets the handler decide about every received datagram and collects
+// what is to be sent.
+func (p *pump) handle(received []ipv4.Message) {
 	for i := range received {
 		message := &received[i]
-		datagram, forward := p.handler.Handle(message.Buffers[0][:message.N], p.outputs[ready])
-		if !forward {
-			continue
+		datagram, forward := p.handler.Handle(message.Buffers[0][:message.N], p.outputs[i])
+		if forward {
+			p.grouper.add(datagram)
 		}
-		p.address(ready, datagram)
-		ready++
 	}
-	return ready
 }
 
-func (p *pump) address(index int, datagram Datagram) {
-	address := &p.addresses[index]
-	destination := datagram.Destination.Addr().As4()
-	copy(address.IP, destination[:])
-	address.Port = int(datagram.Destination.Port())
-	p.sending[index].Buffers[0] = datagram.Payload
-}
-
-// send returns how many of the messages the kernel refused. The kernel stops
-// at the first message that it refuses, so that one is skipped.
+// send returns how many datagrams the kernel refused. The kernel stops at the
+// first message that it refuses, so sending goes on behind that one.
 func (p *pump) send(messages []ipv4.Message) int {
 	failed := 0
 	for len(messages) > 0 {
 		sent, err := p.connection.WriteBatch(messages, 0)
 		if err != nil {
+			failed += p.recover(&messages[0], err)
 			sent = 1
-			failed++
 		}
 		messages = messages[sent:]
 	}
 	return failed
 }
+
+// recover handles a message that the kernel refused, and returns how many of
+// its datagrams cannot be sent.
+func (p *pump) recover(refused *ipv4.Message, cause error) int {
+	if len(refused.Buffers) == 1 {
+		return 1
+	}
+	if errors.Is(cause, unix.EIO) {
+		// The path has no checksum offload, so it never takes UDP_SEGMENT.
+		p.grouper.stopGrouping()
+	}
+	return p.sendSingly(refused)
+}
+
+// sendSingly sends the datagrams of a refused message without UDP_SEGMENT,
+// which some paths refuse for datagrams that they send otherwise, and returns
+// how many are refused again.
+func (p *pump) sendSingly(refused *ipv4.Message) int {
+	failed := 0
+	for i := range refused.Buffers {
+		p.single[0] = ipv4.Message{Buffers: refused.Buffers[i : i+1], Addr: refused.Addr}
+		if _, err := p.connection.WriteBatch(p.single, 0); err != nil {
+			failed++
+		}
+	}
+	return failed
+}
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -74,18 +74,29 @@
 	return serviceKey(key), true
 }
 
+// serviceEntry is kept by value in the map of services, since a lookup costs
+// mostly the memory accesses that wait for each other.
 type serviceEntry struct {
+	slots   []int16 // index in targets, or NoCandidate
+	targets []Target
+	origin  *origin
+}
+
+// origin is what the slots of a service were computed from.
+type origin struct {
 	service    table.ServiceID
-	targets    []Target
-	candidates []Candidate // what slots were computed from
-	slots      []int16
+	candidates []Candidate
+}
+
+func (o *origin) equal(other *origin) bool {
+	return o != nil && o.service == other.service && slices.Equal(o.candidates, other.candidates)
 }
 
 // Table answers lookups for one version and one liveness view. It is safe for
 // concurrent use.
 type Table struct {
 	version  table.Version
-	services map[serviceKey]*serviceEntry
+	services map[serviceKey]serviceEntry
 }
 
 // Build computes the lookup table.
@@ -99,7 +110,7 @@
 func Rebuild(previous *Table, configuration *table.Table, alive Liveness) *Table {
 	built := &Table{
 		version:  configuration.Version,
-		services: make(map[serviceKey]*serviceEntry, len(configuration.Services)),
+		services: make(map[serviceKey]serviceEntry, len(configuration.Services)),
 	}
 	rows := make(map[table.ServiceID][]table.Backend, len(configuration.Services))
 	for _, backend := range configuration.Backends {
@@ -116,18 +127,17 @@
 }
 
 // buildService returns the entry of a service; previous is the last entry with
-// the same address, or nil.
-func buildService(previous *serviceEntry, service table.ServiceID, rows []table.Backend, alive Liveness) *serviceEntry {
-	entry := &serviceEntry{
-		service:    service,
-		targets:    targetsOf(rows),
-		candidates: candidatesOf(rows, alive),
-	}
-	if previous != nil && previous.service == service && slices.Equal(previous.candidates, entry.candidates) {
+// the same address, or empty.
+func buildService(previous serviceEntry, service table.ServiceID, rows []table.Backend, alive Liveness) serviceEntry {
+	entry := serviceEntry{
+		targets: targetsOf(rows),
+		origin:  &origin{service: service, candidates: candidatesOf(rows, alive)},
+	}
+	if previous.origin.equal(entry.origin) {
 		entry.slots = previous.slots
 		return entry
 	}
-	entry.slots = assign(service, entry.candidates)
+	entry.slots = assign(service, entry.origin.candidates)
 	return entry
 }
 
--- a/internal/lookup/rebuild_test.go
+++ b/internal/lookup/rebuild_test.go
@@ -136,7 +136,7 @@
 	}
 	for key, entry := range want.services {
 		if !reflect.DeepEqual(entry, got.services[key]) {
-			t.Fatalf("service %d: got %+v, want %+v", entry.service, got.services[key], entry)
+			t.Fatalf("service %d: got %+v, want %+v", entry.origin.service, got.services[key], entry)
 		}
 	}
 }
