--- a/bench/caller/client.go
+++ b/bench/caller/client.go
@@ -52,6 +52,7 @@
 		return result
 	}
 	defer raw.Close()
+	result.Caller = raw.LocalAddr().String()
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	defer stop()
 	connection := &progressConn{Conn: raw, timeout: c.ProgressTimeout}
--- a/bench/experiment/cluster.go
+++ b/bench/experiment/cluster.go
@@ -255,7 +255,7 @@
 		return
 	}
 	c.expectAll()
-	for _, process := range c.fleet.Stop() {
+	for _, process := range c.fleet.Stop(agentExitLimit) {
 		c.fault("%s did not stop in time and was killed", process.Name())
 	}
 }
--- a/bench/experiment/load.go
+++ b/bench/experiment/load.go
@@ -69,7 +69,8 @@
 	}
 }
 
-// wait returns false when no further flow shall start.
+// wait returns false when no further flow shall start, also when the load ends
+// in the same moment as the delay.
 func (l *load) wait(ctx context.Context, delay time.Duration) bool {
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
@@ -79,7 +80,16 @@
 	case <-ctx.Done():
 		return false
 	case <-timer.C:
+		return !l.isEnding() && ctx.Err() == nil
+	}
+}
+
+func (l *load) isEnding() bool {
+	select {
+	case <-l.ending:
 		return true
+	default:
+		return false
 	}
 }
 
--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	// startTime lets the agents obtain leases for longer than the longest one
+	// lasts, so that the start of a whole fleet does not count as an event.
+	startTime = 5 * time.Second
 	// steadyTime lets the first flows end, so that open flows are spread over
 	// their whole length before imbalance is measured.
 	steadyTime = 6 * time.Second
@@ -31,6 +34,7 @@
 	if err != nil {
 		return Report{}, err
 	}
+	timing.Sleep(ctx, startTime)
 	cluster.progress("opening flows")
 	load := newLoad(cluster.client, options.Seed)
 	for _, service := range options.Shape.Services {
@@ -48,7 +52,11 @@
 		return Report{}, errors.Wrap(ctx.Err(), "run")
 	}
 	cluster.Stop()
-	report := cluster.report(load.finished())
+	results := load.finished()
+	if err := cluster.writeTrace(results); err != nil {
+		return Report{}, err
+	}
+	report := cluster.report(results)
 	report.Events = len(events)
 	report.Imbalance, report.ImbalancePeak, report.ImbalanceFlows = imbalance.Mean, imbalance.Peak, imbalance.Open
 	return report, nil
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -26,7 +26,6 @@
 	daemonPackage     = "github.com/vanetiller/vanetiller/cmd/vanetillerd"
 	daemonName        = "vanetillerd"
 	directoryMode     = 0o700
-	stopGracePeriod   = 10 * time.Second
 	settingsExtension = ".toml"
 	logExtension      = ".log"
 )
@@ -67,15 +66,15 @@
 }
 
 // Stop resumes and terminates every process and kills those that have not
-// ended after a grace period. It returns the processes that had to be killed.
-func (f *Fleet) Stop() []*Process {
+// ended after the grace period. It returns the processes that had to be killed.
+func (f *Fleet) Stop(grace time.Duration) []*Process {
 	running := f.Running()
 	for _, process := range running {
 		// A process that ends in between needs no signal.
 		_ = process.Resume()
 		_ = process.Terminate()
 	}
-	deadline := time.NewTimer(stopGracePeriod)
+	deadline := time.NewTimer(grace)
 	defer deadline.Stop()
 	var killed []*Process
 	for _, process := range running {
