Add the replicated log and the table's state machine

No machine has a disk, so the log is Raft in memory in which a restarted process gets a new identity and counts in no quorum until a committed configuration holds it. Replicas lead; witnesses vote, acknowledge and lead when the replicas are gone. The changelog applies committed changes to the table.

--- /dev/null
+++ b/internal/agreement/agreement_suite_test.go
@@ -0,0 +1,13 @@
+package agreement_test
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestAgreement(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "agreement")
+}
--- /dev/null
+++ b/internal/changelog/change.go
@@ -0,0 +1,110 @@
+package changelog
+
+import (
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+//go:generate go tool msgp -tests=false
+
+// MaximumTextLength bounds the identifier, author and reason of a change, in
+// bytes.
+const MaximumTextLength = 256
+
+// ChangeID identifies a change. Whoever makes the change chooses it; a repeat
+// of the change has the same identifier.
+type ChangeID string
+
+// Revision numbers the states of the platform's configuration service.
+type Revision uint64
+
+// CellUpdate sets cells of one row; a nil cell stays as it is.
+type CellUpdate struct {
+	Backend         table.BackendID `msg:"b"`
+	Weight          *uint32         `msg:"w"`
+	ConnectionLimit *uint32         `msg:"l"`
+	Drain           *bool           `msg:"d"`
+}
+
+// RowExpectation makes a change depend on a row not having changed since a
+// table version.
+type RowExpectation struct {
+	Backend table.BackendID `msg:"b"`
+	// Version is the table version of the row's last change; zero means that
+	// the row does not exist.
+	Version table.Version `msg:"v"`
+}
+
+// Import brings in a revision of the platform's configuration.
+type Import struct {
+	Revision Revision        `msg:"r"`
+	Services []table.Service `msg:"s"`
+	Backends []table.Backend `msg:"b"`
+}
+
+// Change is one change of the table. Its parts are applied in the order of the
+// fields.
+type Change struct {
+	ID ChangeID `msg:"id"`
+	// Base is the table version known to the author when the change was made.
+	// A repeat keeps it.
+	Base table.Version `msg:"base"`
+	Who  string        `msg:"who"`
+	// When is the author's time, in nanoseconds since 1970.
+	When int64  `msg:"when"`
+	Why  string `msg:"why"`
+	// ExpectedVersion is the table version that the change depends on; zero
+	// means any.
+	ExpectedVersion table.Version     `msg:"ev"`
+	ExpectedRows    []RowExpectation  `msg:"er"`
+	AddServices     []table.Service   `msg:"as"`
+	AddBackends     []table.Backend   `msg:"ab"`
+	Cells           []CellUpdate      `msg:"c"`
+	RemoveBackends  []table.BackendID `msg:"rb"`
+	RemoveServices  []table.ServiceID `msg:"rs"`
+	Import          *Import           `msg:"im"`
+}
+
+// Time returns the author's time of the change.
+func (c *Change) Time() time.Time { return time.Unix(0, c.When).UTC() }
+
+// Refusal names the row, the column and the rule that a change breaks.
+type Refusal struct {
+	Row    string `msg:"row"`
+	Column string `msg:"column"`
+	Rule   string `msg:"rule"`
+}
+
+// CellError returns the refusal as the table's error.
+func (r Refusal) CellError() table.CellError {
+	return table.CellError{Row: r.Row, Column: r.Column, Rule: r.Rule}
+}
+
+// Outcome is what became of a change.
+type Outcome struct {
+	ID       ChangeID `msg:"id"`
+	Accepted bool     `msg:"ok"`
+	// Version is the table version after the change.
+	Version table.Version `msg:"v"`
+	// Refusal is set if the change was not accepted.
+	Refusal *Refusal `msg:"no"`
+}
+
+// CellChange is one cell that an accepted change altered, in text form.
+type CellChange struct {
+	Row    string `msg:"row"`
+	Column string `msg:"column"`
+	Old    string `msg:"old"`
+	New    string `msg:"new"`
+}
+
+// Record is one accepted change in the history.
+type Record struct {
+	Version table.Version `msg:"v"`
+	ID      ChangeID      `msg:"id"`
+	Who     string        `msg:"who"`
+	When    int64         `msg:"when"`
+	Why     string        `msg:"why"`
+	Cells   []CellChange  `msg:"cells"`
+}
--- /dev/null
+++ b/internal/changelog/draft.go
@@ -0,0 +1,146 @@
+package changelog
+
+import (
+	"slices"
+
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+// draft is the state that a change would lead to. It is dropped if any part of
+// the change is refused.
+type draft struct {
+	table    *table.Table
+	retired  []table.ServiceID
+	imported Import
+}
+
+func (s *State) newDraft() *draft {
+	return &draft{
+		table:    s.snapshot.Table.Clone(),
+		retired:  slices.Clone(s.snapshot.RetiredServices),
+		imported: s.snapshot.Imported,
+	}
+}
+
+func (d *draft) apply(change *Change) error {
+	for _, service := range change.AddServices {
+		if err := d.addService(service); err != nil {
+			return err
+		}
+	}
+	for _, row := range change.AddBackends {
+		if err := d.addBackend(row); err != nil {
+			return err
+		}
+	}
+	for _, update := range change.Cells {
+		if err := d.setCells(update); err != nil {
+			return err
+		}
+	}
+	for _, id := range change.RemoveBackends {
+		if err := d.removeBackend(id); err != nil {
+			return err
+		}
+	}
+	for _, id := range change.RemoveServices {
+		if err := d.removeService(id); err != nil {
+			return err
+		}
+	}
+	if change.Import != nil {
+		if err := d.importRevision(*change.Import); err != nil {
+			return err
+		}
+	}
+	d.table.Sort()
+	return d.table.Validate()
+}
+
+func (d *draft) backend(id table.BackendID) *table.Backend {
+	position := slices.IndexFunc(d.table.Backends, func(b table.Backend) bool { return b.ID == id })
+	if position < 0 {
+		return nil
+	}
+	return &d.table.Backends[position]
+}
+
+func (d *draft) service(id table.ServiceID) *table.Service {
+	position := slices.IndexFunc(d.table.Services, func(s table.Service) bool { return s.ID == id })
+	if position < 0 {
+		return nil
+	}
+	return &d.table.Services[position]
+}
+
+func (d *draft) addService(service table.Service) error {
+	if slices.Contains(d.retired, service.ID) {
+		return table.CellError{Row: serviceName(service.Name, service.ID), Column: "id", Rule: "was used by a removed service"}
+	}
+	d.table.Services = append(d.table.Services, service)
+	return nil
+}
+
+// addBackend adds a row, or creates a removed row again under a higher
+// incarnation.
+func (d *draft) addBackend(row table.Backend) error {
+	existing := d.backend(row.ID)
+	if existing == nil {
+		d.table.Backends = append(d.table.Backends, row)
+		return nil
+	}
+	name := rowName(row.Name, row.ID)
+	if !existing.Removed {
+		return table.CellError{Row: name, Column: "id", Rule: "must be unique"}
+	}
+	if existing.Service != row.Service {
+		return table.CellError{Row: name, Column: "service", Rule: "the identifier belongs to another service"}
+	}
+	if row.Incarnation <= existing.Incarnation {
+		return table.CellError{Row: name, Column: "incarnation", Rule: "must be higher than that of the removed row"}
+	}
+	*existing = row
+	return nil
+}
+
+func (d *draft) setCells(update CellUpdate) error {
+	row := d.backend(update.Backend)
+	if row == nil || row.Removed {
+		return missingRow(update.Backend)
+	}
+	if update.Weight != nil {
+		row.Weight = *update.Weight
+	}
+	if update.ConnectionLimit != nil {
+		row.ConnectionLimit = *update.ConnectionLimit
+	}
+	if update.Drain != nil {
+		row.Drain = *update.Drain
+	}
+	return nil
+}
+
+func missingRow(id table.BackendID) error {
+	return table.CellError{Row: rowName("", id), Column: "id", Rule: "names no row of the table"}
+}
+
+func (d *draft) removeBackend(id table.BackendID) error {
+	row := d.backend(id)
+	if row == nil || row.Removed {
+		return missingRow(id)
+	}
+	row.Removed = true
+	return nil
+}
+
+// removeService removes a service. Validate refuses the draft if a row of the
+// service is left.
+func (d *draft) removeService(id table.ServiceID) error {
+	if d.service(id) == nil {
+		return table.CellError{Row: serviceName("", id), Column: "id", Rule: "names no service of the table"}
+	}
+	d.table.Services = slices.DeleteFunc(d.table.Services, func(s table.Service) bool { return s.ID == id })
+	position, _ := slices.BinarySearch(d.retired, id)
+	d.retired = slices.Insert(d.retired, position, id)
+	return nil
+}
--- /dev/null
+++ b/internal/changelog/importing.go
@@ -0,0 +1,105 @@
+package changelog
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+// importRevision applies the cells in which a revision of the platform differs
+// from the revision imported before. Cells that the platform left alone keep
+// what operators have set.
+func (d *draft) importRevision(revision Import) error {
+	if revision.Revision <= d.imported.Revision {
+		return tableError("revision", fmt.Sprintf(
+			"revision %d is not newer than %d", revision.Revision, d.imported.Revision))
+	}
+	platform := table.Table{Services: slices.Clone(revision.Services), Backends: slices.Clone(revision.Backends)}
+	platform.Sort()
+	if err := platform.Validate(); err != nil {
+		return err
+	}
+	d.importServices(platform.Services)
+	d.importBackends(platform.Backends)
+	d.dropServices(platform.Services)
+	d.imported = Import{Revision: revision.Revision, Services: platform.Services, Backends: platform.Backends}
+	return nil
+}
+
+func (d *draft) importServices(services []table.Service) {
+	base := indexServices(d.imported.Services)
+	for _, service := range services {
+		old, existed := base[service.ID]
+		current := d.service(service.ID)
+		switch {
+		case current != nil:
+			importServiceCells(current, old, service)
+		case !existed && !slices.Contains(d.retired, service.ID):
+			d.table.Services = append(d.table.Services, service)
+		}
+	}
+}
+
+func importServiceCells(current *table.Service, old, imported table.Service) {
+	importCell(&current.Name, old.Name, imported.Name)
+	importCell(&current.Address, old.Address, imported.Address)
+	importCell(&current.Protocol, old.Protocol, imported.Protocol)
+	importCell(&current.Owner, old.Owner, imported.Owner)
+}
+
+// importBackends imports rows. A row that the platform has removed and created
+// again is taken whole, and so is a new one; a row that an operator has
+// removed stays removed until the platform gives it a higher incarnation.
+func (d *draft) importBackends(rows []table.Backend) {
+	base := indexBackends(d.imported.Backends)
+	for _, row := range rows {
+		old, existed := base[row.ID]
+		delete(base, row.ID)
+		current := d.backend(row.ID)
+		switch {
+		case current == nil && !existed:
+			d.table.Backends = append(d.table.Backends, row)
+		case current == nil:
+		case row.Incarnation != old.Incarnation && row.Incarnation > current.Incarnation:
+			*current = row
+		case !current.Removed:
+			importBackendCells(current, old, row)
+		}
+	}
+	for id := range base {
+		if current := d.backend(id); current != nil {
+			current.Removed = true
+		}
+	}
+}
+
+func importBackendCells(current *table.Backend, old, imported table.Backend) {
+	importCell(&current.Name, old.Name, imported.Name)
+	importCell(&current.Service, old.Service, imported.Service)
+	importCell(&current.Agent, old.Agent, imported.Agent)
+	importCell(&current.Weight, old.Weight, imported.Weight)
+	importCell(&current.ConnectionLimit, old.ConnectionLimit, imported.ConnectionLimit)
+	importCell(&current.Drain, old.Drain, imported.Drain)
+	importCell(&current.Removed, old.Removed, imported.Removed)
+}
+
+// importCell sets a cell if the platform altered it.
+func importCell[T comparable](cell *T, old, imported T) {
+	if imported != old {
+		*cell = imported
+	}
+}
+
+// dropServices removes the services that the platform no longer has. Validate
+// refuses the draft if a row of such a service is left.
+func (d *draft) dropServices(services []table.Service) {
+	kept := indexServices(services)
+	for _, service := range d.imported.Services {
+		if _, exists := kept[service.ID]; exists || d.service(service.ID) == nil {
+			continue
+		}
+		// The service exists, so that removal cannot fail.
+		_ = d.removeService(service.ID)
+	}
+}
