--- a/internal/admission/arrive.go
+++ b/internal/admission/arrive.go
@@ -17,7 +17,7 @@
 		}
 	}
 	if undecided, exists := m.pending[key]; exists {
-		if m.arriveUndecided(undecided, packet) {
+		if m.arriveUndecided(now, key, undecided, packet) {
 			return m.effects
 		}
 		m.abandon(key)
@@ -84,13 +84,18 @@
 
 // arriveUndecided handles a further packet of a flow that is being decided. It
 // returns false if the packet opens another flow with the same key.
-func (m *Machine) arriveUndecided(undecided *pending, packet Packet) bool {
+func (m *Machine) arriveUndecided(now time.Duration, key FlowKey, undecided *pending, packet Packet) bool {
 	if packet.Summary.Opening && packet.sequence() != undecided.sequence {
 		return false
 	}
 	if packet.opensFlow() && undecided.purpose == PurposeLocate {
 		return false
 	}
+	if undecided.retransmission && packet.opensFlow() && packet.Routing.Hops == 0 {
+		undecided.held = append(undecided.held[:0], packet)
+		m.concludeOpen(now, key, undecided)
+		return true
+	}
 	if packet.Summary.Opening {
 		m.drop(DropDuplicate, packet)
 		return true
@@ -129,7 +134,7 @@
 // After an interrupted lease the packet may be old, and the primary's decision
 // may have been replaced; the caller's retransmission brings a fresh one.
 func (m *Machine) arriveHandedOver(now time.Duration, key FlowKey, packet Packet) {
-	if m.settling(now) {
+	if m.resumed(now) {
 		m.drop(DropNoLease, packet)
 		return
 	}
--- a/internal/admission/locate.go
+++ b/internal/admission/locate.go
@@ -45,7 +45,7 @@
 		return
 	}
 	deadline := now + m.config.LocateTimeout
-	for _, holder := range m.history.holders(undecided.hash, 0, m.config.Row) {
+	for _, holder := range m.history.holders(undecided.hash, m.config.Row) {
 		m.addAsk(now, undecided, holder, true, deadline)
 	}
 	if primary, exists := m.history.current.primary(undecided.hash); exists {
--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -21,6 +21,9 @@
 	LocateTimeout time.Duration
 	// VersionTimeout bounds the wait for a newer table.
 	VersionTimeout time.Duration
+	// RetransmissionTimeout is how long callers repeat the first packet of a
+	// flow that is not answered.
+	RetransmissionTimeout time.Duration
 	// ClosedRetention is how long an ended flow is remembered.
 	ClosedRetention time.Duration
 	// RemoteRetention is how long the owner of another row's flow is
@@ -45,18 +48,19 @@
 // DefaultConfig returns the parameters used by the agent for a row.
 func DefaultConfig(row table.BackendID) Config {
 	return Config{
-		Row:             row,
-		LeaseDuration:   2 * time.Second,
-		LoadTimeout:     20 * time.Millisecond,
-		ResendInterval:  8 * time.Millisecond,
-		LocateTimeout:   200 * time.Millisecond,
-		VersionTimeout:  500 * time.Millisecond,
-		ClosedRetention: time.Minute,
-		RemoteRetention: 10 * time.Minute,
-		HandoverMargin:  1,
-		FlowLimit:       100_000,
-		PendingLimit:    4096,
-		LocateBudget:    256,
+		Row:                   row,
+		LeaseDuration:         2 * time.Second,
+		LoadTimeout:           20 * time.Millisecond,
+		ResendInterval:        8 * time.Millisecond,
+		LocateTimeout:         200 * time.Millisecond,
+		VersionTimeout:        500 * time.Millisecond,
+		RetransmissionTimeout: 20 * time.Second,
+		ClosedRetention:       time.Minute,
+		RemoteRetention:       10 * time.Minute,
+		HandoverMargin:        1,
+		FlowLimit:             100_000,
+		PendingLimit:          4096,
+		LocateBudget:          256,
 	}
 }
 
@@ -125,6 +129,7 @@
 		return m.effects
 	}
 	m.history.install(now, view)
+	m.reviewAsks(now)
 	m.resumePendingVersions(now)
 	return m.effects
 }
@@ -144,9 +149,9 @@
 
 func (m *Machine) holdsLease(now time.Duration) bool { return now < m.leaseUntil }
 
-// settling reports whether the lease was interrupted so recently that other
-// rows may have opened flows of this row's slots meanwhile.
-func (m *Machine) settling(now time.Duration) bool {
+// resumed reports whether the lease was interrupted so recently that packets
+// handed over before may still arrive.
+func (m *Machine) resumed(now time.Duration) bool {
 	return now < m.leaseResumed+m.config.LeaseDuration
 }
 
--- a/internal/admission/open.go
+++ b/internal/admission/open.go
@@ -32,18 +32,23 @@
 	m.sendQueries(now, key, undecided)
 }
 
-// askEarlierHolders adds the rows that were primary of the flow's slot so
-// recently that they may still hold a lease.
+// askEarlierHolders adds, for some time after a change of the view or an
+// interruption of the lease, every row of the service: any of them may have been
+// primary of the flow's slot, in a view that this row may not even have seen.
+// While one of them may still hold a lease it is waited for until that must have
+// ended; later it cannot open the flow any more, but may have opened it for a
+// caller whose retransmissions are still under way.
 func (m *Machine) askEarlierHolders(now time.Duration, undecided *pending) {
-	since := now - m.config.LeaseDuration
-	for _, holder := range m.history.holders(undecided.hash, since, m.config.Row) {
-		m.addAsk(now, undecided, holder, true, now+m.config.LeaseDuration)
-	}
-	if !m.settling(now) {
+	since := max(m.leaseResumed, m.history.changed)
+	if now >= since+m.config.RetransmissionTimeout {
 		return
 	}
+	wait := m.config.LocateTimeout
+	if now < since+m.config.LeaseDuration {
+		wait = m.config.LeaseDuration
+	}
 	for _, row := range m.history.current.view.Rows {
-		m.addAsk(now, undecided, row.ID, true, m.leaseResumed+m.config.LeaseDuration)
+		m.addAsk(now, undecided, row.ID, true, now+wait)
 	}
 }
 
@@ -81,16 +86,36 @@
 	}
 }
 
+// reviewAsks shortens the wait for rows that are now believed not to be alive:
+// their lease has ended.
+func (m *Machine) reviewAsks(now time.Duration) {
+	view := &m.history.current.view
+	for _, undecided := range m.pending {
+		for index := range undecided.asks {
+			asked := &undecided.asks[index]
+			if view.alive(asked.row) || asked.down {
+				continue
+			}
+			asked.down = true
+			asked.deadline = min(asked.deadline, now+m.config.LoadTimeout)
+		}
+		if undecided.retransmission && !undecided.silent() {
+			undecided.retransmission = false
+		}
+	}
+}
+
 // addAsk adds a row unless it is this one or is asked already. A row that is
 // believed not to be alive is waited for only briefly.
 func (m *Machine) addAsk(now time.Duration, undecided *pending, row table.BackendID, required bool, deadline time.Duration) {
 	if row == m.config.Row || undecided.ask(row) != nil {
 		return
 	}
-	if !m.history.current.view.alive(row) {
+	down := !m.history.current.view.alive(row)
+	if down {
 		deadline = min(deadline, now+m.config.LoadTimeout)
 	}
-	undecided.asks = append(undecided.asks, ask{row: row, required: required, deadline: deadline})
+	undecided.asks = append(undecided.asks, ask{row: row, required: required, down: down, deadline: deadline})
 }
 
 // sendQueries sends the query of every unsettled ask.
@@ -252,6 +277,13 @@
 		}
 		return
 	}
+	if undecided.retransmission {
+		if now >= undecided.started+m.config.RetransmissionTimeout {
+			m.abandon(key)
+			m.drop(DropUnknownFlow, undecided.held[0])
+		}
+		return
+	}
 	for index := range undecided.asks {
 		asked := &undecided.asks[index]
 		if !asked.answered && now >= asked.deadline {
@@ -276,6 +308,10 @@
 		m.concludeLocate(now, key, undecided)
 		return true
 	}
+	if undecided.silent() {
+		undecided.retransmission = true
+		return true
+	}
 	m.concludeOpen(now, key, undecided)
 	return true
 }
--- a/internal/admission/pending.go
+++ b/internal/admission/pending.go
@@ -11,7 +11,9 @@
 	row table.BackendID
 	// required: the flow may not be opened before the row has answered or its
 	// lease must have ended. Others are only asked for their load.
-	required  bool
+	required bool
+	// down: the row was believed not to be alive when it was asked.
+	down      bool
 	deadline  time.Duration
 	answered  bool
 	expired   bool
@@ -32,6 +34,11 @@
 	held     []Packet
 	// askedAll is set once every row of the service has been asked.
 	askedAll bool
+	// retransmission is set once a required row has not answered in time. The
+	// row may have opened the flow before it fell silent, so the packet held
+	// may be a duplicate of a flow that its caller has established; a further
+	// one shows that the caller is still waiting.
+	retransmission bool
 	// behind is set while the row waits for the table version of the packet.
 	behind table.Version
 }
@@ -45,6 +52,18 @@
 	return nil
 }
 
+// silent reports whether a required row that was believed to be alive did not
+// answer.
+func (p *pending) silent() bool {
+	for index := range p.asks {
+		asked := &p.asks[index]
+		if asked.required && !asked.down && !asked.answered {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *pending) settled() bool {
 	for index := range p.asks {
 		if !p.asks[index].settled() {
--- a/internal/admission/view.go
+++ b/internal/admission/view.go
@@ -36,11 +36,10 @@
 	return table.Backend{}, false
 }
 
-// heldView is a view with its slot assignment and the time it was replaced.
+// heldView is a view with its slot assignment.
 type heldView struct {
-	view     View
-	slots    []int16
-	replaced time.Duration
+	view  View
+	slots []int16
 }
 
 func newHeldView(view View) *heldView {
@@ -86,6 +85,8 @@
 type history struct {
 	current *heldView
 	past    []*heldView
+	// changed is when the current view was installed.
+	changed time.Duration
 }
 
 const maximumPastViews = 16
@@ -97,23 +98,20 @@
 		return
 	}
 	if h.current != nil {
-		h.current.replaced = now
 		h.past = append(h.past, h.current)
 	}
 	if len(h.past) > maximumPastViews {
 		h.past = slices.Delete(h.past, 0, len(h.past)-maximumPastViews)
 	}
 	h.current = newHeldView(view)
+	h.changed = now
 }
 
-// holders returns the rows other than self that were primary for the hash in a
-// view replaced at or after since, newest first.
-func (h *history) holders(flowHash uint64, since time.Duration, self table.BackendID) []table.BackendID {
+// holders returns the rows other than self that were primary for the hash in
+// an earlier view, newest first.
+func (h *history) holders(flowHash uint64, self table.BackendID) []table.BackendID {
 	var holders []table.BackendID
 	for index := len(h.past) - 1; index >= 0; index-- {
-		if h.past[index].replaced < since {
-			break
-		}
 		holder, exists := h.past[index].primary(flowHash)
 		if exists && holder != self && !slices.Contains(holders, holder) {
 			holders = append(holders, holder)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -210,6 +210,9 @@
 	// handoffTime is how long a stopping agent goes on passing packets along
 	// after its last flow, until balancers no longer send to it.
 	handoffTime = 1500 * time.Millisecond
+	// stopLingerTimeout bounds, at a planned stop, the wait for callers to
+	// acknowledge the last bytes of ended flows.
+	stopLingerTimeout = 3 * time.Second
 )
 
 // stop lets open flows finish.
@@ -223,21 +226,34 @@
 	open := a.openFlows()
 	a.mutex.Unlock()
 	a.config.Logger.Info("stopping", "open_flows", open)
+	a.awaitFlows()
+	a.mutex.Lock()
+	remaining := a.openFlows()
+	a.mutex.Unlock()
+	a.config.Logger.Info("stopped", "cut_flows", remaining)
+}
+
+// awaitFlows waits until all flows have ended and balancers have had the time to
+// send elsewhere, within the stop timeout.
+func (a *Agent) awaitFlows() {
 	deadline := time.Now().Add(a.config.StopTimeout)
-	earliest := time.Now().Add(handoffTime)
+	quiet := time.Now().Add(handoffTime)
 	for time.Now().Before(deadline) {
 		a.mutex.Lock()
-		remaining := a.activeFlows()
+		open := a.undecidedOrOpen()
+		lingering := a.lingeringFlows()
 		a.mutex.Unlock()
-		if remaining == 0 && time.Now().After(earliest) {
-			break
+		if open > 0 {
+			quiet = time.Now().Add(handoffTime)
+		}
+		if time.Now().After(quiet) && lingering == 0 {
+			return
+		}
+		if time.Now().After(quiet.Add(stopLingerTimeout)) {
+			return
 		}
 		time.Sleep(stopPollInterval)
 	}
-	a.mutex.Lock()
-	remaining := a.openFlows()
-	a.mutex.Unlock()
-	a.config.Logger.Info("stopped", "cut_flows", remaining)
 }
 
 // openFlows returns the flows open at all rows. The mutex must be held.
@@ -249,14 +265,24 @@
 	return open
 }
 
-// activeFlows returns the flows that still need this process: open, ending or
-// undecided. The mutex must be held.
-func (a *Agent) activeFlows() int {
-	active := 0
+// undecidedOrOpen returns the flows that new packets may still belong to. The
+// mutex must be held.
+func (a *Agent) undecidedOrOpen() int {
+	count := int(a.openFlows())
+	for _, served := range a.rows {
+		count += served.machine.Pending()
+	}
+	return count
+}
+
+// lingeringFlows returns the ended flows whose last bytes the caller has not
+// acknowledged yet. The mutex must be held.
+func (a *Agent) lingeringFlows() int {
+	count := 0
 	for _, served := range a.rows {
-		active += served.active + served.machine.Pending()
+		count += served.active
 	}
-	return active
+	return count - int(a.openFlows())
 }
 
 func (a *Agent) tick() error {
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -9,7 +9,7 @@
 
 const (
 	// minimumInterval is the heartbeat interval of agents in a small fleet.
-	minimumInterval = 250 * time.Millisecond
+	minimumInterval = 150 * time.Millisecond
 	// maximumInterval bounds the heartbeat interval.
 	maximumInterval = time.Second
 	// leaseIntervals is the lease duration in heartbeat intervals.
