--- a/internal/admission/locate.go
+++ b/internal/admission/locate.go
@@ -105,7 +105,7 @@
 		Sequence:  query.Sequence,
 		Purpose:   query.Purpose,
 		Open:      m.open,
-		Available: m.available(),
+		Available: m.available() && !m.resumed(now),
 	}
 	reply.Answer, reply.Owner = m.knowledge(now, from, query)
 	if reply.Answer == AnswerUnknown && query.Purpose == PurposeOpen {
--- a/internal/admission/machine_test.go
+++ b/internal/admission/machine_test.go
@@ -176,6 +176,21 @@
 		Expect(c.resets).To(BeZero())
 	})
 
+	It("is handed no flow while it would drop one", func() {
+		c, view := settledCluster(testRows(2), quiet)
+		paused := c.rowIDs()[0]
+		c.pause(paused)
+		c.run(c.now + time.Minute)
+		c.resume(paused)
+		c.run(c.now + 2*TickInterval())
+		for port := range uint16(60) {
+			c.caller(view, 1000+port, 5, true)
+		}
+		c.run(c.now + 100*time.Millisecond)
+		Expect(c.drops[DropNoLease]).To(BeZero())
+		Expect(total(openRows(c))).To(Equal(uint32(60)))
+	})
+
 	It("opens nothing after its lease has ended", func() {
 		rows := testRows(2)
 		c, view := settledCluster(rows, quiet)
