--- /dev/null
+++ b/internal/tenant/token.go
@@ -0,0 +1,53 @@
+// This file implements tokens and their hashes.
+
+package tenant
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	tokenPrefix = "vanetiller_"
+	tokenBytes  = 32
+	hashPrefix  = "sha256:"
+)
+
+// Token is the secret text that a caller presents. It has 256 random bits, so
+// that a plain hash of it cannot be searched for the token.
+type Token string
+
+// Hash is the SHA-256 of a token.
+type Hash [sha256.Size]byte
+
+// NewToken returns a random token.
+func NewToken() Token {
+	var secret [tokenBytes]byte
+	// The reader of crypto/rand never fails.
+	_, _ = rand.Read(secret[:])
+	return Token(tokenPrefix + base64.RawURLEncoding.EncodeToString(secret[:]))
+}
+
+// Hash returns the hash that the tokens file holds.
+func (t Token) Hash() Hash { return sha256.Sum256([]byte(t)) }
+
+// String returns the form of the tokens file, such as "sha256:0f3a...".
+func (h Hash) String() string { return hashPrefix + hex.EncodeToString(h[:]) }
+
+// ParseHash reads the form of String.
+func ParseHash(text string) (Hash, error) {
+	var parsed Hash
+	digits, found := strings.CutPrefix(text, hashPrefix)
+	if !found || len(digits) != hex.EncodedLen(len(parsed)) {
+		return Hash{}, errors.Errorf("must be %q and %d hexadecimal digits", hashPrefix, hex.EncodedLen(len(parsed)))
+	}
+	if _, err := hex.Decode(parsed[:], []byte(digits)); err != nil {
+		return Hash{}, errors.Errorf("must be %q and %d hexadecimal digits", hashPrefix, hex.EncodedLen(len(parsed)))
+	}
+	return parsed, nil
+}
