--- a/internal/admission/arrive.go
+++ b/internal/admission/arrive.go
@@ -41,7 +41,7 @@
 		// flow.
 		m.emit(Effect{Kind: Deliver, Packet: packet})
 	case stateRemote:
-		if reused {
+		if reused || !m.history.current.view.alive(known.owner) {
 			return false
 		}
 		known.expires = now + m.config.RemoteRetention
@@ -91,7 +91,7 @@
 	if packet.opensFlow() && undecided.purpose == PurposeLocate {
 		return false
 	}
-	if undecided.retransmission && packet.opensFlow() && packet.Routing.Hops == 0 {
+	if undecided.retransmission && packet.opensFlow() && m.fresh(now, undecided, packet) {
 		undecided.held = append(undecided.held[:0], packet)
 		m.concludeOpen(now, key, undecided)
 		return true
@@ -108,6 +108,13 @@
 	return true
 }
 
+// fresh reports whether a further opening packet shows that the caller still
+// waits. One that was passed along may have waited in the socket of a paused
+// row, but no longer than that row's lease.
+func (m *Machine) fresh(now time.Duration, undecided *pending, packet Packet) bool {
+	return packet.Routing.Hops == 0 || now >= undecided.started+m.config.LeaseDuration
+}
+
 // arriveNew handles the first packet of a flow that this row does not know.
 func (m *Machine) arriveNew(now time.Duration, key FlowKey, packet Packet) {
 	if m.config.Stateless {
--- a/internal/admission/locate.go
+++ b/internal/admission/locate.go
@@ -139,7 +139,7 @@
 	case stateOpen, stateLingering:
 		return AnswerOwned, m.config.Row
 	case stateRemote:
-		if known.owner == from {
+		if known.owner == from || !m.history.current.view.alive(known.owner) {
 			return AnswerUnknown, 0
 		}
 		if !same {
@@ -148,7 +148,7 @@
 		return AnswerOwned, known.owner
 	case stateFenced:
 		if same && query.Purpose == PurposeOpen && known.owner != from && now < known.expires {
-			return AnswerOwned, known.owner
+			return AnswerReferred, known.owner
 		}
 	case stateClosed:
 		if same {
--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -130,6 +130,7 @@
 	}
 	m.history.install(now, view)
 	m.reviewAsks(now)
+	m.yieldToNewPrimaries()
 	m.resumePendingVersions(now)
 	return m.effects
 }
--- a/internal/admission/message.go
+++ b/internal/admission/message.go
@@ -30,8 +30,8 @@
 	AnswerUnknown Answer = iota
 	// AnswerOwned: the flow belongs to the row in Owner.
 	AnswerOwned
-	// AnswerReferred: the row in Owner had an earlier flow with the same key
-	// and must be asked too.
+	// AnswerReferred: the row in Owner had an earlier flow with the same key,
+	// or was about to open this one, and must be asked too.
 	AnswerReferred
 	// AnswerClosed: the flow has ended.
 	AnswerClosed
--- a/internal/admission/open.go
+++ b/internal/admission/open.go
@@ -56,7 +56,7 @@
 // belonged: the caller may be reusing a port whose flow is still open there.
 func (m *Machine) askEarlierOwner(now time.Duration, key FlowKey, undecided *pending) {
 	known, exists := m.flows[key]
-	if exists && known.state == stateRemote {
+	if exists && known.state == stateRemote && m.history.current.view.alive(known.owner) {
 		m.addAsk(now, undecided, known.owner, true, now+m.config.LeaseDuration)
 	}
 }
@@ -105,6 +105,23 @@
 	}
 }
 
+// yieldToNewPrimaries passes the undecided flows whose slot has moved on to its
+// new primary, which will ask this row.
+func (m *Machine) yieldToNewPrimaries() {
+	for _, key := range m.pendingKeys() {
+		undecided := m.pending[key]
+		if undecided.purpose != PurposeOpen || undecided.behind != 0 {
+			continue
+		}
+		primary, exists := m.history.current.primary(undecided.hash)
+		if !exists || primary == m.config.Row {
+			continue
+		}
+		m.abandon(key)
+		m.forward(primary, false, undecided.held[0])
+	}
+}
+
 // addAsk adds a row unless it is this one or is asked already. A row that is
 // believed not to be alive is waited for only briefly.
 func (m *Machine) addAsk(now time.Duration, undecided *pending, row table.BackendID, required bool, deadline time.Duration) {
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -27,6 +27,12 @@
 	heard    bool
 	down     []table.BackendID
 	leaving  []table.BackendID
+	unknown  []table.BackendID
+}
+
+// hears reports whether the daemon has a recent heartbeat of the row's agent.
+func (d *daemonRecord) hears(row table.BackendID) bool {
+	return !slices.Contains(d.down, row) && !slices.Contains(d.unknown, row)
 }
 
 // Outgoing is a heartbeat to be sent to a daemon.
@@ -40,9 +46,10 @@
 	// Table is the agent's part of the newest table received, nil before the
 	// first grant.
 	Table *table.Table
-	// Down and Leaving list the rows that every daemon heard from recently
-	// reports so.
-	Down    []table.BackendID
+	// Down lists the rows that a daemon heard from recently reports so, while
+	// no other hears their agent.
+	Down []table.BackendID
+	// Leaving lists the rows that any daemon heard from recently reports so.
 	Leaving []table.BackendID
 	// LeaseUntil is when the lease ends.
 	LeaseUntil time.Duration
@@ -130,6 +137,7 @@
 	daemon.lease = time.Duration(grant.LeaseMillis) * time.Millisecond
 	daemon.down = grant.Down
 	daemon.leaving = grant.Leaving
+	daemon.unknown = grant.Unknown
 	c.lease = max(c.lease, sent+daemon.lease)
 	if grant.Table != nil && (c.held == nil || grant.Version > c.held.Version) {
 		c.held = grant.Table
@@ -160,28 +168,22 @@
 // State returns what the agent holds now.
 func (c *Client) State(now time.Duration) State {
 	state := State{Table: c.held, LeaseUntil: c.lease}
-	first := true
+	var recent []*daemonRecord
 	for _, daemon := range c.daemons {
-		if !daemon.heard || now >= daemon.granted+daemon.lease {
-			continue
-		}
-		if first {
-			state.Down = slices.Clone(daemon.down)
-			state.Leaving = slices.Clone(daemon.leaving)
-			first = false
-			continue
+		if daemon.heard && now < daemon.granted+daemon.lease {
+			recent = append(recent, daemon)
 		}
-		state.Down = intersect(state.Down, daemon.down)
+	}
+	for _, daemon := range recent {
+		state.Down = union(state.Down, daemon.down)
 		state.Leaving = union(state.Leaving, daemon.leaving)
 	}
+	state.Down = slices.DeleteFunc(state.Down, func(row table.BackendID) bool {
+		return slices.ContainsFunc(recent, func(daemon *daemonRecord) bool { return daemon.hears(row) })
+	})
 	return state
 }
 
-// intersect returns the rows in both lists.
-func intersect(a, b []table.BackendID) []table.BackendID {
-	return slices.DeleteFunc(a, func(row table.BackendID) bool { return !slices.Contains(b, row) })
-}
-
 // union returns the rows in either list, sorted.
 func union(a, b []table.BackendID) []table.BackendID {
 	for _, row := range b {
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,178 @@
+package control
+
+import (
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+const (
+	firstAgent  table.Endpoint = "127.0.0.1:6081"
+	secondAgent table.Endpoint = "127.0.0.1:6082"
+)
+
+func testTable() *table.Table {
+	return &table.Table{
+		Version:  3,
+		Services: []table.Service{{ID: 1, Name: "audio", Address: "198.51.100.1:80", Protocol: table.ProtocolTCP}},
+		Backends: []table.Backend{
+			{ID: 1, Service: 1, Name: "audio-1", Agent: firstAgent, Weight: 1},
+			{ID: 2, Service: 1, Name: "audio-2", Agent: secondAgent, Weight: 1},
+		},
+	}
+}
+
+// tickTo calls Tick at the usual interval until the given time.
+func tickTo(registry *Registry, from, until time.Duration) {
+	for now := from; now <= until; now += serverTickInterval {
+		registry.Tick(now)
+	}
+}
+
+// heard lets the agent send a heartbeat.
+func heard(registry *Registry, now time.Duration, agent table.Endpoint) (Grant, bool) {
+	return registry.Receive(now, Heartbeat{Agent: agent, Start: 1, Sequence: 1, Version: 3})
+}
+
+var _ = Describe("a registry", func() {
+	var registry *Registry
+
+	BeforeEach(func() {
+		registry = NewRegistry()
+		registry.Tick(0)
+		registry.Publish(0, testTable())
+	})
+
+	It("gives the agent's part of the table only when the agent lacks it", func() {
+		grant, granted := registry.Receive(0, Heartbeat{Agent: firstAgent, Sequence: 9})
+		Expect(granted).To(BeTrue())
+		Expect(grant.Sequence).To(Equal(uint64(9)))
+		Expect(grant.Table.Backends).To(HaveLen(2))
+		grant, _ = heard(registry, 0, firstAgent)
+		Expect(grant.Table).To(BeNil())
+	})
+
+	It("abstains about agents it has not had the time to hear", func() {
+		grant, _ := heard(registry, 0, firstAgent)
+		Expect(grant.Unknown).To(Equal([]table.BackendID{2}))
+		Expect(grant.Down).To(BeEmpty())
+		tickTo(registry, 0, ListenTime)
+		grant, _ = heard(registry, ListenTime, firstAgent)
+		Expect(grant.Unknown).To(BeEmpty())
+		Expect(grant.Down).To(Equal([]table.BackendID{2}))
+	})
+
+	It("takes an agent for down only after its lease has ended", func() {
+		tickTo(registry, 0, ListenTime)
+		grant, _ := heard(registry, ListenTime, secondAgent)
+		lease := time.Duration(grant.LeaseMillis) * time.Millisecond
+		heard(registry, ListenTime+lease, firstAgent)
+		Expect(registry.Unavailable(ListenTime + lease)).To(BeEmpty())
+		Expect(registry.Unavailable(ListenTime + lease + livenessMargin)).To(Equal([]table.BackendID{2}))
+	})
+
+	It("reports a leaving agent and takes it back after a restart", func() {
+		tickTo(registry, 0, ListenTime)
+		heard(registry, ListenTime, firstAgent)
+		registry.Receive(ListenTime, Heartbeat{Agent: secondAgent, Start: 1, Leaving: true})
+		Expect(registry.Unavailable(ListenTime)).To(Equal([]table.BackendID{2}))
+		registry.Receive(ListenTime, Heartbeat{Agent: secondAgent, Start: 2})
+		Expect(registry.Unavailable(ListenTime)).To(BeEmpty())
+	})
+
+	It("grants nothing after a pause until its table is confirmed, and keeps what it knew", func() {
+		tickTo(registry, 0, ListenTime)
+		heard(registry, ListenTime, firstAgent)
+		Expect(registry.Unavailable(ListenTime)).To(Equal([]table.BackendID{2}))
+		resumed := ListenTime + time.Minute
+		registry.Tick(resumed)
+		_, granted := heard(registry, resumed, firstAgent)
+		Expect(granted).To(BeFalse())
+		Expect(registry.Unavailable(resumed)).To(Equal([]table.BackendID{2}))
+		registry.Confirm()
+		_, granted = heard(registry, resumed, firstAgent)
+		Expect(granted).To(BeTrue())
+	})
+
+	It("grants again after a while if nobody can confirm its table", func() {
+		registry.Tick(time.Minute)
+		_, granted := heard(registry, time.Minute, firstAgent)
+		Expect(granted).To(BeFalse())
+		tickTo(registry, time.Minute, time.Minute+pauseGrace+serverTickInterval)
+		_, granted = heard(registry, time.Minute+pauseGrace+serverTickInterval, firstAgent)
+		Expect(granted).To(BeTrue())
+	})
+
+	It("slows heartbeats as agents grow in number, within bounds", func() {
+		Expect(registry.interval()).To(Equal(minimumInterval))
+		for port := range uint16(200) {
+			agent := table.Endpoint(netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port+1).String())
+			heard(registry, 0, agent)
+		}
+		Expect(registry.interval()).To(Equal(maximumInterval))
+	})
+})
+
+var _ = Describe("a client", func() {
+	daemons := []netip.AddrPort{
+		netip.MustParseAddrPort("127.0.0.1:7000"),
+		netip.MustParseAddrPort("127.0.0.1:7001"),
+	}
+	var client *Client
+
+	// answer lets a daemon answer the heartbeat it was sent at the given time.
+	answer := func(now time.Duration, daemon int, grant Grant) bool {
+		for _, outgoing := range client.Tick(now) {
+			if outgoing.Daemon == daemons[daemon] {
+				grant.Sequence = outgoing.Heartbeat.Sequence
+			}
+		}
+		grant.LeaseMillis = 1000
+		grant.IntervalMillis = 250
+		return client.Receive(now+100*time.Millisecond, daemons[daemon], grant)
+	}
+
+	BeforeEach(func() { client = NewClient(firstAgent, 1, daemons) })
+
+	It("counts the lease from when the heartbeat was sent", func() {
+		Expect(answer(0, 0, Grant{})).To(BeTrue())
+		Expect(client.State(time.Second / 2).LeaseUntil).To(Equal(time.Second))
+	})
+
+	It("ignores a grant that answers no heartbeat, and a repeated one", func() {
+		Expect(client.Receive(0, daemons[0], Grant{Sequence: 77, LeaseMillis: 1000})).To(BeFalse())
+		Expect(answer(0, 0, Grant{})).To(BeTrue())
+		Expect(client.Receive(0, daemons[0], Grant{Sequence: 1, LeaseMillis: 1000})).To(BeFalse())
+	})
+
+	It("never goes back to an older table", func() {
+		newer, older := testTable(), testTable()
+		older.Version = 2
+		answer(0, 0, Grant{Table: newer, Version: 3})
+		answer(time.Second, 1, Grant{Table: older, Version: 2})
+		Expect(client.State(time.Second).Table).To(BeIdenticalTo(newer))
+	})
+
+	DescribeTable("believes that a row is down",
+		func(first, second Grant, expected bool) {
+			answer(0, 0, first)
+			answer(300*time.Millisecond, 1, second)
+			down := client.State(500 * time.Millisecond).Down
+			if expected {
+				Expect(down).To(ConsistOf(table.BackendID(2)))
+				return
+			}
+			Expect(down).To(BeEmpty())
+		},
+		Entry("not if both daemons hear it", Grant{}, Grant{}, false),
+		Entry("not if one hears it", Grant{Down: []table.BackendID{2}}, Grant{}, false),
+		Entry("if both report it", Grant{Down: []table.BackendID{2}}, Grant{Down: []table.BackendID{2}}, true),
+		Entry("if one reports it and the other does not know",
+			Grant{Down: []table.BackendID{2}}, Grant{Unknown: []table.BackendID{2}}, true),
+		Entry("not if none knows", Grant{Unknown: []table.BackendID{2}}, Grant{Unknown: []table.BackendID{2}}, false),
+	)
+})
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -39,6 +39,9 @@
 	Down []table.BackendID `msg:"x"`
 	// Leaving lists rows of these services whose agent is stopping.
 	Leaving []table.BackendID `msg:"g"`
+	// Unknown lists rows of these services of whose agent the daemon has not
+	// heard since it started or was resumed a moment ago.
+	Unknown []table.BackendID `msg:"u"`
 }
 
 // Datagram is the only type sent over the control socket.
--- a/internal/control/message_gen.go
+++ b/internal/control/message_gen.go
@@ -320,6 +320,25 @@
 					return
 				}
 			}
+		case "u":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+			if cap(z.Unknown) >= int(zb0004) {
+				z.Unknown = (z.Unknown)[:zb0004]
+			} else {
+				z.Unknown = make([]table.BackendID, zb0004)
+			}
+			for za0003 := range z.Unknown {
+				err = z.Unknown[za0003].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Unknown", za0003)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -333,9 +352,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Grant) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
+	// map header, size 8
 	// write "s"
-	err = en.Append(0x87, 0xa1, 0x73)
+	err = en.Append(0x88, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -425,15 +444,32 @@
 			return
 		}
 	}
+	// write "u"
+	err = en.Append(0xa1, 0x75)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Unknown)))
+	if err != nil {
+		err = msgp.WrapError(err, "Unknown")
+		return
+	}
+	for za0003 := range z.Unknown {
+		err = z.Unknown[za0003].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Unknown", za0003)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Grant) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "s"
-	o = append(o, 0x87, 0xa1, 0x73)
+	o = append(o, 0x88, 0xa1, 0x73)
 	o = msgp.AppendUint64(o, z.Sequence)
 	// string "v"
 	o = append(o, 0xa1, 0x76)
@@ -479,6 +515,16 @@
 			return
 		}
 	}
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Unknown)))
+	for za0003 := range z.Unknown {
+		o, err = z.Unknown[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Unknown", za0003)
+			return
+		}
+	}
 	return
 }
 
@@ -579,6 +625,25 @@
 					return
 				}
 			}
+		case "u":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+			if cap(z.Unknown) >= int(zb0004) {
+				z.Unknown = (z.Unknown)[:zb0004]
+			} else {
+				z.Unknown = make([]table.BackendID, zb0004)
+			}
+			for za0003 := range z.Unknown {
+				bts, err = z.Unknown[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Unknown", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -607,6 +672,10 @@
 	for za0002 := range z.Leaving {
 		s += z.Leaving[za0002].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Unknown {
+		s += z.Unknown[za0003].Msgsize()
+	}
 	return
 }
 
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -30,9 +30,11 @@
 	// pauseGrace bounds how long a resumed daemon grants no lease while it
 	// cannot confirm its table.
 	pauseGrace = 3 * time.Second
-	// newAgentGrace is how long an agent that was never heard of counts as
-	// alive.
-	newAgentGrace = 3 * time.Second
+	// ListenTime is how long a daemon that starts or was resumed listens for
+	// heartbeats before it takes an agent it has not heard from for down.
+	ListenTime = maximumInterval + livenessMargin
+	// forgetAgentAfter is when the record of an agent without rows is removed.
+	forgetAgentAfter = time.Minute
 )
 
 type agentRecord struct {
@@ -47,21 +49,20 @@
 type Registry struct {
 	configuration *table.Table
 	agents        map[table.Endpoint]*agentRecord
-	// rowsSince is when each agent address first appeared in the table.
-	rowsSince  map[table.Endpoint]time.Duration
-	lastTick   time.Duration
-	suspended  bool
-	resumed    time.Duration
+	// unavailable is what Unavailable returned last.
+	unavailable []table.BackendID
+	lastTick    time.Duration
+	suspended   bool
+	// listening is when the registry began to hear heartbeats: its start, or
+	// its resumption after a pause.
+	listening  time.Duration
 	everTicked bool
 }
 
 // NewRegistry returns a registry without a table; it grants no leases before
 // Publish.
 func NewRegistry() *Registry {
-	return &Registry{
-		agents:    make(map[table.Endpoint]*agentRecord),
-		rowsSince: make(map[table.Endpoint]time.Duration),
-	}
+	return &Registry{agents: make(map[table.Endpoint]*agentRecord)}
 }
 
 // Publish installs a table. It must not be older than the one before.
@@ -70,13 +71,9 @@
 	listed := make(map[table.Endpoint]bool, len(configuration.Backends))
 	for _, row := range configuration.Backends {
 		listed[row.Agent] = true
-		if _, exists := r.rowsSince[row.Agent]; !exists {
-			r.rowsSince[row.Agent] = now
-		}
 	}
-	for agent := range r.rowsSince {
-		if !listed[agent] {
-			delete(r.rowsSince, agent)
+	for agent, record := range r.agents {
+		if !listed[agent] && now >= record.heard+forgetAgentAfter {
 			delete(r.agents, agent)
 		}
 	}
@@ -91,22 +88,22 @@
 func (r *Registry) Tick(now time.Duration) {
 	if r.everTicked && now-r.lastTick > pauseThreshold {
 		r.suspended = true
-		r.resumed = now
-		r.extendAfterPause(now)
+		r.listening = now
+	}
+	if !r.everTicked {
+		r.listening = now
 	}
 	r.everTicked = true
 	r.lastTick = now
-	if r.suspended && now-r.resumed > pauseGrace {
+	if r.suspended && now-r.listening > pauseGrace {
 		r.suspended = false
 	}
 }
 
-// extendAfterPause keeps agents that could not be heard during the daemon's own
-// pause from counting as down.
-func (r *Registry) extendAfterPause(now time.Duration) {
-	for _, record := range r.agents {
-		record.heard = now
-	}
+// Listened reports whether the daemon has listened for heartbeats long enough to
+// know which agents are down.
+func (r *Registry) Listened(now time.Duration) bool {
+	return r.everTicked && now >= r.listening+ListenTime
 }
 
 // Receive handles a heartbeat. It returns false if no lease can be granted.
@@ -135,7 +132,7 @@
 	if heartbeat.Version != r.configuration.Version {
 		grant.Table = r.configuration.Slice(services)
 	}
-	grant.Down, grant.Leaving = r.unavailable(now, services)
+	r.addConditions(now, services, &grant)
 	return grant, true
 }
 
@@ -156,19 +153,20 @@
 	return services
 }
 
-func (r *Registry) unavailable(now time.Duration, services []table.ServiceID) (down, leaving []table.BackendID) {
+func (r *Registry) addConditions(now time.Duration, services []table.ServiceID, grant *Grant) {
 	for _, row := range r.configuration.Backends {
 		if !slices.Contains(services, row.Service) {
 			continue
 		}
 		switch r.condition(now, row.Agent) {
 		case conditionDown:
-			down = append(down, row.ID)
+			grant.Down = append(grant.Down, row.ID)
 		case conditionLeaving:
-			leaving = append(leaving, row.ID)
+			grant.Leaving = append(grant.Leaving, row.ID)
+		case conditionUnknown:
+			grant.Unknown = append(grant.Unknown, row.ID)
 		}
 	}
-	return down, leaving
 }
 
 type condition uint8
@@ -177,15 +175,22 @@
 	conditionAlive condition = iota
 	conditionDown
 	conditionLeaving
+	conditionUnknown
 )
 
+// condition returns what is known of an agent. A daemon that could not hear
+// anything for a while does not take silence for death.
 func (r *Registry) condition(now time.Duration, agent table.Endpoint) condition {
 	record, heard := r.agents[agent]
+	listened := r.Listened(now)
 	if !heard {
-		if now < r.rowsSince[agent]+newAgentGrace {
-			return conditionAlive
+		if listened {
+			return conditionDown
 		}
-		return conditionDown
+		return conditionUnknown
+	}
+	if record.heard < r.listening && !listened {
+		return conditionUnknown
 	}
 	if now >= record.heard+record.lease+livenessMargin {
 		return conditionDown
@@ -197,16 +202,23 @@
 }
 
 // Unavailable returns, in table order, the rows that must not be given new
-// flows because their agent is down or leaving.
+// flows because their agent is down or leaving. A row of which nothing is known
+// keeps the condition it had before.
 func (r *Registry) Unavailable(now time.Duration) []table.BackendID {
 	if r.configuration == nil {
 		return nil
 	}
 	var rows []table.BackendID
 	for _, row := range r.configuration.Backends {
-		if r.condition(now, row.Agent) != conditionAlive {
+		switch r.condition(now, row.Agent) {
+		case conditionDown, conditionLeaving:
 			rows = append(rows, row.ID)
+		case conditionUnknown:
+			if slices.Contains(r.unavailable, row.ID) {
+				rows = append(rows, row.ID)
+			}
 		}
 	}
+	r.unavailable = rows
 	return rows
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -39,6 +39,7 @@
 	configuration *table.Table
 	reported      []table.BackendID
 	changed       bool
+	listened      bool
 }
 
 // NewServer binds the control socket. It fails if the address is in use.
@@ -106,11 +107,17 @@
 	}
 }
 
-// report tells about changed availability. The mutex must be held.
+// report tells about changed availability. A daemon that has just started first
+// listens, so that it does not send flows to agents that are down. The mutex
+// must be held.
 func (s *Server) report() {
 	if s.configuration == nil {
 		return
 	}
+	s.listened = s.listened || s.registry.Listened(s.now())
+	if !s.listened {
+		return
+	}
 	unavailable := s.registry.Unavailable(s.now())
 	if !s.changed && slices.Equal(unavailable, s.reported) {
 		return
