Run a hollow fleet in virtual time

Cause: no run showed what 1,100 daemons and 12,000 agents cost, and the test machine cannot hold them as processes.

--- a/bench/simnet/meter.go
+++ b/bench/simnet/meter.go
@@ -8,8 +8,8 @@
 const HeaderSize = 28
 
 const (
-	// windowSeconds is the length of the window whose worst case is kept.
-	windowSeconds = 10
+	// WindowSeconds is the length, in seconds, of the window whose worst case is kept.
+	WindowSeconds = 10
 	second        = time.Second
 )
 
@@ -32,7 +32,7 @@
 type meter struct {
 	usage   Usage
 	second  int64
-	seconds [windowSeconds]uint64
+	seconds [WindowSeconds]uint64
 	window  uint64
 }
 
@@ -50,22 +50,22 @@
 
 func (m *meter) add(now time.Duration, bytes uint64) {
 	m.advance(int64(now / second))
-	m.seconds[m.second%windowSeconds] += bytes
+	m.seconds[m.second%WindowSeconds] += bytes
 	m.window += bytes
 	m.usage.WorstWindowBytes = max(m.usage.WorstWindowBytes, m.window)
 }
 
 // advance empties the seconds that have left the window.
 func (m *meter) advance(current int64) {
-	if current-m.second >= windowSeconds {
-		m.seconds = [windowSeconds]uint64{}
+	if current-m.second >= WindowSeconds {
+		m.seconds = [WindowSeconds]uint64{}
 		m.window = 0
 		m.second = current
 		return
 	}
 	for m.second < current {
 		m.second++
-		expired := &m.seconds[m.second%windowSeconds]
+		expired := &m.seconds[m.second%WindowSeconds]
 		m.window -= *expired
 		*expired = 0
 	}
--- a/cmd/vanetiller-bench/main.go
+++ b/cmd/vanetiller-bench/main.go
@@ -23,6 +23,7 @@
   vanetiller-bench demo [flags]             the whole path in less than a minute
   vanetiller-bench run [flags] EXPERIMENT   one experiment; flags may follow the name
   vanetiller-bench list                     the experiments and shapes
+  vanetiller-bench hollow [flags]           a large fleet in virtual time
 
 Run a command with -help for its flags. Progress goes to stderr. The exit status
 is 0 when every promise was kept, 1 when one was broken or the run failed, and 2
@@ -47,6 +48,8 @@
 		return run(ctx, arguments[1:])
 	case "list":
 		return list()
+	case "hollow":
+		return hollowCommand(ctx, arguments[1:])
 	case "help", "-help", "--help", "-h":
 		fmt.Fprint(os.Stdout, usage)
 		return exitKept
