Add the administration API over a log of changes

Operators could only read the platform's table. The API makes changes with an identifier, a reason and a base version or a compare-and-set of rows, and says accepted, refused by row, column and rule, conflict, not accepted or unknown. Teams see and change their own rows only, also in refusals and the history; requests are bounded in rate and size.

--- /dev/null
+++ b/internal/adminapi/endpoints.go
@@ -0,0 +1,77 @@
+// This file implements the operations as endpoints, with the role that each
+// takes.
+
+package adminapi
+
+import (
+	"context"
+
+	"github.com/go-kit/kit/endpoint"
+
+	"github.com/vanetiller/vanetiller/internal/tenant"
+)
+
+type principalKey struct{}
+
+func withPrincipal(ctx context.Context, principal tenant.Principal) context.Context {
+	return context.WithValue(ctx, principalKey{}, principal)
+}
+
+// principalOf returns the principal that authentication has put into the
+// context of every request.
+func principalOf(ctx context.Context) tenant.Principal {
+	principal, authenticated := ctx.Value(principalKey{}).(tenant.Principal)
+	if !authenticated {
+		panic("adminapi: request without authentication")
+	}
+	return principal
+}
+
+// require lets only principals with the rights of a role pass.
+func require(role tenant.Role) endpoint.Middleware {
+	return func(next endpoint.Endpoint) endpoint.Endpoint {
+		return func(ctx context.Context, request any) (any, error) {
+			if !principalOf(ctx).Role.Includes(role) {
+				return nil, Failure{Code: CodeForbidden, Message: "this takes the role " + string(role)}
+			}
+			return next(ctx, request)
+		}
+	}
+}
+
+func (s *service) tableEndpoint(ctx context.Context, request any) (any, error) {
+	return s.table(principalOf(ctx), request.(tableRequest))
+}
+
+func (s *service) changeEndpoint(ctx context.Context, request any) (any, error) {
+	return s.change(ctx, principalOf(ctx), request.(ChangeRequest))
+}
+
+func (s *service) drainEndpoint(ctx context.Context, request any) (any, error) {
+	return s.drain(ctx, principalOf(ctx), request.(drainRequest))
+}
+
+func (s *service) importSnapshotEndpoint(ctx context.Context, request any) (any, error) {
+	return s.importSnapshot(ctx, principalOf(ctx), request.(SnapshotRequest))
+}
+
+func (s *service) exportSnapshotEndpoint(ctx context.Context, _ any) (any, error) {
+	answer, err := s.table(principalOf(ctx), tableRequest{})
+	return answer.Table, err
+}
+
+func (s *service) outcomeEndpoint(ctx context.Context, request any) (any, error) {
+	return rememberedOutcome{s.outcome(principalOf(ctx), request.(outcomeRequest).id)}, nil
+}
+
+func (s *service) historyEndpoint(ctx context.Context, request any) (any, error) {
+	return s.history(principalOf(ctx), request.(historyRequest)), nil
+}
+
+func (s *service) reachEndpoint(_ context.Context, request any) (any, error) {
+	return s.store.Reached(request.(reachRequest).version), nil
+}
+
+func (s *service) membersEndpoint(context.Context, any) (any, error) {
+	return MembersAnswer{s.store.Members()}, nil
+}
--- /dev/null
+++ b/internal/adminapi/logstore.go
@@ -0,0 +1,259 @@
+// This file implements the Store on top of a log of changes.
+
+package adminapi
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/internal/changelog"
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+// Decision is what became of a proposal for the log.
+type Decision struct {
+	Status ProposalStatus
+	// Reason says why the proposal was not committed.
+	Reason string
+	// RetryAfter is, if not zero, when a repeat makes sense.
+	RetryAfter time.Duration
+}
+
+// ProposalStatus tells whether a proposal is in the log.
+type ProposalStatus uint8
+
+// The statuses of a proposal.
+const (
+	// ProposalCommitted: the log holds the proposal; LogStore.Apply has been
+	// called with it or will be.
+	ProposalCommitted ProposalStatus = iota
+	// ProposalRefused: the proposal is not in the log and never will be.
+	ProposalRefused
+	// ProposalUndecided: the proposal may or may not be committed.
+	ProposalUndecided
+)
+
+// Proposer adds changes to a log.
+type Proposer interface {
+	// Propose returns when the proposal is decided or ctx ends. Whoever
+	// implements it calls LogStore.Apply with every committed payload, in the
+	// order of the log.
+	Propose(ctx context.Context, id changelog.ChangeID, payload []byte) Decision
+}
+
+// Fleet knows the processes that forward by the table.
+type Fleet interface {
+	Members() []Member
+}
+
+// LogStoreConfig holds the settings of a LogStore.
+type LogStoreConfig struct {
+	Limits   changelog.Limits
+	Proposer Proposer
+	Fleet    Fleet
+	// Changed is called, one at a time and in the order of versions, with
+	// each table that comes from a change.
+	Changed func(*table.Table)
+}
+
+// LogStore holds the table that the committed changes of a log lead to.
+type LogStore struct {
+	config LogStoreConfig
+
+	mutex   sync.Mutex
+	state   *changelog.State
+	waiting map[changelog.ChangeID][]chan changelog.Outcome
+}
+
+// NewLogStore returns a store with an empty table.
+func NewLogStore(config LogStoreConfig) *LogStore {
+	if config.Changed == nil {
+		config.Changed = func(*table.Table) {}
+	}
+	return &LogStore{
+		config:  config,
+		state:   changelog.NewState(config.Limits),
+		waiting: make(map[changelog.ChangeID][]chan changelog.Outcome),
+	}
+}
+
+// Apply applies a committed payload. It fails for a payload that is no change,
+// which leaves the table as it is.
+func (s *LogStore) Apply(payload []byte) error {
+	var change changelog.Change
+	if rest, err := change.UnmarshalMsg(payload); err != nil || len(rest) > 0 {
+		return errors.Errorf("committed payload of %d bytes is not a change", len(payload))
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	before := s.state.Version()
+	outcome := s.state.Apply(&change)
+	for _, waiting := range s.waiting[change.ID] {
+		waiting <- outcome
+	}
+	delete(s.waiting, change.ID)
+	if s.state.Version() != before {
+		s.config.Changed(s.state.Table())
+	}
+	return nil
+}
+
+// Snapshot returns the encoded state, as a log needs it to drop its entries.
+func (s *LogStore) Snapshot() ([]byte, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.state.Encode()
+}
+
+// Install replaces the state by one that Snapshot has returned. It fails for
+// other text and for a state older than the one held.
+func (s *LogStore) Install(encoded []byte) error {
+	installed, err := changelog.Decode(s.config.Limits, encoded)
+	if err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if installed.Version() < s.state.Version() {
+		return errors.Errorf("snapshot of version %d is older than %d", installed.Version(), s.state.Version())
+	}
+	changed := installed.Version() != s.state.Version()
+	s.state = installed
+	s.answerWaiting()
+	if changed {
+		s.config.Changed(s.state.Table())
+	}
+	return nil
+}
+
+// answerWaiting answers for the changes that came with a snapshot. The mutex
+// must be held.
+func (s *LogStore) answerWaiting() {
+	for id, channels := range s.waiting {
+		outcome, known := s.state.Outcome(id)
+		if !known {
+			continue
+		}
+		for _, waiting := range channels {
+			waiting <- outcome
+		}
+		delete(s.waiting, id)
+	}
+}
+
+// Submit implements Store.
+func (s *LogStore) Submit(ctx context.Context, change *changelog.Change) Submission {
+	if outcome, known := s.Outcome(change.ID); known {
+		return Submission{Decided: true, Outcome: outcome}
+	}
+	payload, err := change.MarshalMsg(nil)
+	if err != nil {
+		return Submission{Reason: "the change cannot be encoded: " + err.Error()}
+	}
+	applied := s.wait(change.ID)
+	defer s.stopWaiting(change.ID, applied)
+	decision := s.config.Proposer.Propose(ctx, change.ID, payload)
+	switch decision.Status {
+	case ProposalRefused:
+		return Submission{Reason: decision.Reason, RetryAfter: decision.RetryAfter}
+	case ProposalUndecided:
+		return Submission{MayApply: true, Reason: decision.Reason, RetryAfter: decision.RetryAfter}
+	}
+	select {
+	case outcome := <-applied:
+		return Submission{Decided: true, Outcome: outcome}
+	case <-ctx.Done():
+		return Submission{MayApply: true, Reason: "the change is committed and not applied here yet"}
+	}
+}
+
+func (s *LogStore) wait(id changelog.ChangeID) chan changelog.Outcome {
+	applied := make(chan changelog.Outcome, 1)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.waiting[id] = append(s.waiting[id], applied)
+	return applied
+}
+
+func (s *LogStore) stopWaiting(id changelog.ChangeID, applied chan changelog.Outcome) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	left := slices.DeleteFunc(s.waiting[id], func(other chan changelog.Outcome) bool { return other == applied })
+	if len(left) == 0 {
+		delete(s.waiting, id)
+		return
+	}
+	s.waiting[id] = left
+}
+
+// Preview implements Store. It works on a copy of the state.
+func (s *LogStore) Preview(change *changelog.Change) (Preview, error) {
+	encoded, err := s.Snapshot()
+	if err != nil {
+		return Preview{}, err
+	}
+	trial, err := changelog.Decode(s.config.Limits, encoded)
+	if err != nil {
+		return Preview{}, err
+	}
+	before := trial.Version()
+	preview := Preview{Outcome: trial.Apply(change)}
+	if trial.Version() == before {
+		return preview, nil
+	}
+	history := trial.History()
+	preview.Cells = history[len(history)-1].Cells
+	return preview, nil
+}
+
+// Outcome implements Store.
+func (s *LogStore) Outcome(id changelog.ChangeID) (changelog.Outcome, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.state.Outcome(id)
+}
+
+// Table implements Store.
+func (s *LogStore) Table() State {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	current := State{Table: s.state.Table()}
+	for _, row := range current.Table.Backends {
+		current.RowVersions = append(current.RowVersions, RowVersion{row.ID, s.state.RowVersion(row.ID)})
+	}
+	return current
+}
+
+// History implements Store.
+func (s *LogStore) History() []changelog.Record {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.state.History()
+}
+
+// Members implements Store.
+func (s *LogStore) Members() []Member { return s.config.Fleet.Members() }
+
+// Reached implements Store.
+func (s *LogStore) Reached(version table.Version) ReachAnswer {
+	answer := ReachAnswer{Version: version, NotReached: []string{}}
+	answer.Accepted = version != 0 && version <= s.version()
+	for _, member := range s.Members() {
+		if member.Version >= version {
+			answer.Reached++
+			continue
+		}
+		answer.NotReached = append(answer.NotReached, member.Name)
+	}
+	return answer
+}
+
+func (s *LogStore) version() table.Version {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.state.Version()
+}
--- /dev/null
+++ b/internal/adminapi/plan_test.go
@@ -0,0 +1,70 @@
+package adminapi_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/adminapi"
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+func exampleTable() *table.Table {
+	parts := example()
+	return &table.Table{Version: 1, Services: parts.AddServices, Backends: parts.AddBackends}
+}
+
+var _ = Describe("Plan", func() {
+	It("has no parts between equal tables", func() {
+		parts, err := adminapi.Plan(exampleTable(), exampleTable(), adminapi.RemoveMissing)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(parts.Empty()).To(BeTrue())
+	})
+
+	It("sets the cells that differ and no others", func() {
+		wanted := exampleTable()
+		wanted.Backends[0].Weight = 0
+		wanted.Backends[1].Drain = true
+		weight, drain := uint32(0), true
+		Expect(adminapi.Plan(exampleTable(), wanted, adminapi.KeepMissing)).To(Equal(adminapi.Parts{
+			SetCells: []adminapi.CellUpdate{{Backend: 10, Weight: &weight}, {Backend: 11, Drain: &drain}},
+		}))
+	})
+
+	It("removes what is missing only if asked to", func() {
+		wanted := exampleTable()
+		wanted.Services = wanted.Services[:1]
+		wanted.Backends = wanted.Backends[:2]
+		Expect(adminapi.Plan(exampleTable(), wanted, adminapi.KeepMissing)).To(Equal(adminapi.Parts{}))
+		Expect(adminapi.Plan(exampleTable(), wanted, adminapi.RemoveMissing)).To(Equal(adminapi.Parts{
+			RemoveBackends: []table.BackendID{20}, RemoveServices: []table.ServiceID{2},
+		}))
+	})
+
+	It("adds a removed row under a higher incarnation", func() {
+		current := exampleTable()
+		current.Backends[0].Removed = true
+		current.Backends[0].Incarnation = 7
+		parts, err := adminapi.Plan(current, exampleTable(), adminapi.KeepMissing)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(parts.AddBackends).To(HaveLen(1))
+		Expect(parts.AddBackends[0].Incarnation).To(Equal(table.Incarnation(8)))
+	})
+
+	DescribeTable("names the cell that no change can alter",
+		func(alter func(*table.Table), row, column string) {
+			wanted := exampleTable()
+			alter(wanted)
+			_, err := adminapi.Plan(exampleTable(), wanted, adminapi.KeepMissing)
+			Expect(err).To(And(
+				BeAssignableToTypeOf(table.CellError{}),
+				HaveField("Row", row), HaveField("Column", column), HaveField("Rule", ContainSubstring("cannot be altered"))))
+		},
+		Entry("address", func(t *table.Table) { t.Services[0].Address = "198.51.100.7:80" }, `service "lookup" (1)`, "address"),
+		Entry("agent", func(t *table.Table) { t.Backends[0].Agent = "192.0.2.7:6081" }, `back end "lookup-1" (10)`, "agent"),
+		Entry("name", func(t *table.Table) { t.Backends[0].Name = "other" }, `back end "other" (10)`, "name"),
+		Entry("incarnation beside a weight", func(t *table.Table) {
+			t.Backends[0].Weight = 1
+			t.Backends[0].Incarnation = 9
+		}, `back end "lookup-1" (10)`, "incarnation"),
+	)
+})
--- /dev/null
+++ b/internal/adminapi/service.go
@@ -0,0 +1,185 @@
+// This file implements the operations of the API.
+
+package adminapi
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/internal/changelog"
+	"github.com/vanetiller/vanetiller/internal/table"
+	"github.com/vanetiller/vanetiller/internal/tenant"
+)
+
+// service holds the operations. Each is given the principal that asks.
+type service struct {
+	store         Store
+	now           func() time.Time
+	submitTimeout time.Duration
+}
+
+// table returns what the principal sees of the table, or of one service.
+func (s *service) table(principal tenant.Principal, request tableRequest) (TableAnswer, error) {
+	state := s.store.Table()
+	view := principal.View(state.Table)
+	if request.service != "" {
+		id, found := serviceNamed(view, request.service)
+		if !found {
+			return TableAnswer{}, Failure{Code: CodeNotFound, Message: "no service " + request.service}
+		}
+		view = view.Slice([]table.ServiceID{id})
+	}
+	return tableAnswer(view, state.RowVersions), nil
+}
+
+func serviceNamed(searched *table.Table, name string) (table.ServiceID, bool) {
+	for _, service := range searched.Services {
+		if service.Name == name {
+			return service.ID, true
+		}
+	}
+	return 0, false
+}
+
+func tableAnswer(view *table.Table, versions []RowVersion) TableAnswer {
+	seen := make(map[table.BackendID]bool, len(view.Backends))
+	for _, row := range view.Backends {
+		seen[row.ID] = true
+	}
+	shown := view.Clone()
+	// Lists without content are [] rather than null in JSON.
+	if shown.Services == nil {
+		shown.Services = []table.Service{}
+	}
+	if shown.Backends == nil {
+		shown.Backends = []table.Backend{}
+	}
+	answer := TableAnswer{Table: shown, RowVersions: []RowVersion{}}
+	for _, row := range versions {
+		if seen[row.Backend] {
+			answer.RowVersions = append(answer.RowVersions, row)
+		}
+	}
+	return answer
+}
+
+// change makes a change or, for a dry run, tells what would become of it.
+func (s *service) change(ctx context.Context, principal tenant.Principal, request ChangeRequest) (ChangeAnswer, error) {
+	if err := request.Header.validate(); err != nil {
+		return ChangeAnswer{}, err
+	}
+	if err := request.Parts.validate(); err != nil {
+		return ChangeAnswer{}, err
+	}
+	current := s.store.Table().Table
+	seen := newVisibility(principal, current)
+	seen.added = request.AddServices
+	change := request.change(author{principal, s.now()})
+	// A repeat gets its first answer, even if its rows are gone by now.
+	if outcome, known := s.store.Outcome(change.ID); known {
+		return answerTo(request.ID, outcome, seen), nil
+	}
+	var broken table.CellError
+	if errors.As(seen.authorize(change), &broken) {
+		refusal := Refusal(broken)
+		return ChangeAnswer{
+			ID: request.ID, Outcome: Refused, Version: current.Version, Refusal: &refusal, DryRun: request.DryRun,
+		}, nil
+	}
+	if request.DryRun {
+		return s.preview(request.ID, change, seen)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.submitTimeout)
+	defer cancel()
+	return answerSubmission(request.ID, s.store.Submit(ctx, change), seen), nil
+}
+
+func (s *service) preview(id string, change *changelog.Change, seen visibility) (ChangeAnswer, error) {
+	preview, err := s.store.Preview(change)
+	if err != nil {
+		return ChangeAnswer{}, err
+	}
+	answer := answerTo(id, preview.Outcome, seen)
+	answer.DryRun = true
+	answer.Cells = cellChanges(preview.Cells)
+	return answer, nil
+}
+
+// drain sets the drain flag of one row.
+func (s *service) drain(ctx context.Context, principal tenant.Principal, request drainRequest) (ChangeAnswer, error) {
+	if request.body.Drain == nil {
+		return ChangeAnswer{}, invalid("drain is required")
+	}
+	return s.change(ctx, principal, ChangeRequest{
+		Header: request.body.Header,
+		Parts:  Parts{SetCells: []CellUpdate{{Backend: request.backend, Drain: request.body.Drain}}},
+	})
+}
+
+// importSnapshot makes the change that leads to the table of a snapshot.
+func (s *service) importSnapshot(ctx context.Context, principal tenant.Principal, request SnapshotRequest) (ChangeAnswer, error) {
+	if err := request.Header.validate(); err != nil {
+		return ChangeAnswer{}, err
+	}
+	if request.Table == nil {
+		return ChangeAnswer{}, invalid("table is required")
+	}
+	current := s.store.Table().Table
+	seen := newVisibility(principal, current)
+	if outcome, known := s.store.Outcome(scopedID(principal.Team, request.ID)); known {
+		return answerTo(request.ID, outcome, seen), nil
+	}
+	if *request.BaseVersion != current.Version {
+		rule := fmt.Sprintf("expected %d, is %d", *request.BaseVersion, current.Version)
+		return ChangeAnswer{
+			ID: request.ID, Outcome: Conflict, Version: current.Version, DryRun: request.DryRun,
+			Refusal: &Refusal{Row: "table", Column: versionColumn, Rule: rule},
+		}, nil
+	}
+	parts, err := planSnapshot(current, request.Table)
+	var broken table.CellError
+	if errors.As(err, &broken) {
+		return ChangeAnswer{
+			ID: request.ID, Outcome: Refused, Version: current.Version, Refusal: seen.refusal(broken), DryRun: request.DryRun,
+		}, nil
+	}
+	return s.change(ctx, principal, ChangeRequest{
+		Header:          request.Header,
+		ExpectedVersion: current.Version,
+		Parts:           parts,
+	})
+}
+
+func planSnapshot(current, wanted *table.Table) (Parts, error) {
+	if err := wanted.Validate(); err != nil {
+		return Parts{}, err
+	}
+	return Plan(current, wanted, RemoveMissing)
+}
+
+// outcome returns what became of a change of the principal's team.
+func (s *service) outcome(principal tenant.Principal, id string) ChangeAnswer {
+	outcome, known := s.store.Outcome(scopedID(principal.Team, id))
+	if !known {
+		return ChangeAnswer{ID: id, Outcome: Unknown, Message: "no outcome of this change is remembered here"}
+	}
+	return answerTo(id, outcome, newVisibility(principal, s.store.Table().Table))
+}
+
+// history returns the latest records after a version, oldest first.
+func (s *service) history(principal tenant.Principal, request historyRequest) HistoryAnswer {
+	var records []changelog.Record
+	for _, record := range s.store.History() {
+		if record.Version > request.after {
+			records = append(records, record)
+		}
+	}
+	converted := historyRecords(records, newVisibility(principal, s.store.Table().Table))
+	if excess := len(converted) - request.limit; excess > 0 {
+		converted = converted[excess:]
+	}
+	return HistoryAnswer{Records: converted}
+}
