Search groups by compact keys and spread the bare relay

With 256 agents nearly every datagram opens a group, and the search read one cache line a group; keys now lie together. The bare relay began every batch at its first destination, so it never used more than 64 of 256 and always one at a low rate; it now goes on where it stopped.

--- a/bench/relay/bare.go
+++ b/bench/relay/bare.go
@@ -49,8 +49,8 @@
 	addresses := udpAddresses(r.destinations)
 	for i := range sending {
 		sending[i].Buffers = make([][]byte, 1)
-		sending[i].Addr = addresses[i%len(addresses)]
 	}
+	next := 0
 	for {
 		count, err := packets.ReadBatch(received, 0)
 		if errors.Is(err, net.ErrClosed) {
@@ -61,6 +61,8 @@
 		}
 		for i := range count {
 			sending[i].Buffers[0] = received[i].Buffers[0][:received[i].N]
+			sending[i].Addr = addresses[next]
+			next = (next + 1) % len(addresses)
 		}
 		sent, err := sendAll(packets, sending[:count])
 		r.sent.Add(float64(sent))
--- a/bench/relay/relay_bench_test.go
+++ b/bench/relay/relay_bench_test.go
@@ -2,35 +2,50 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/vanetiller/vanetiller/bench/relay"
 )
 
 // BenchmarkCompare reports the balancer beside the bare relay. Run it with
-// -benchtime 1x: one iteration is a whole comparison.
+// -benchtime 1x: one iteration is a whole comparison of about half a minute.
 func BenchmarkCompare(b *testing.B) {
-	for _, sockets := range []int{1, 2, 4} {
+	conditions := []struct{ sockets, agents, payload int }{
+		{sockets: 1, agents: 4, payload: 1000},
+		{sockets: 1, agents: 32, payload: 1000},
+		{sockets: 1, agents: 256, payload: 1000},
+		{sockets: 1, agents: 4, payload: 100},
+		{sockets: 2, agents: 4, payload: 1000},
+		{sockets: 4, agents: 4, payload: 1000},
+	}
+	for _, condition := range conditions {
 		options := relay.DefaultOptions()
-		options.Sockets = sockets
-		options.Senders = 2 * sockets
-		b.Run("sockets="+string(rune('0'+sockets)), func(b *testing.B) {
-			for b.Loop() {
-				report, err := relay.Compare(context.Background(), options)
-				if err != nil {
-					b.Fatal(err)
-				}
-				b.ReportMetric(report.Bare.PacketsPerSecond, "bare-packets/s")
-				b.ReportMetric(report.Balancer.PacketsPerSecond, "balancer-packets/s")
-				b.ReportMetric(report.RelativeRate(), "relative-rate")
-				b.ReportMetric(report.Balancer.Received, "balancer-received")
-				b.ReportMetric(report.Bare.Received, "bare-received")
-				b.ReportMetric(float64(report.Bare.DelayP50.Microseconds()), "bare-p50-us")
-				b.ReportMetric(float64(report.Bare.DelayP99.Microseconds()), "bare-p99-us")
-				b.ReportMetric(float64(report.Balancer.DelayP50.Microseconds()), "balancer-p50-us")
-				b.ReportMetric(float64(report.Balancer.DelayP99.Microseconds()), "balancer-p99-us")
-				b.Log(report.Bare.Rounds, report.Balancer.Rounds)
-			}
-		})
+		options.Sockets = condition.sockets
+		options.Senders = 2 * condition.sockets
+		options.Sinks = condition.agents
+		options.Payload = condition.payload
+		name := fmt.Sprintf("sockets=%d/agents=%d/payload=%d", condition.sockets, condition.agents, condition.payload)
+		b.Run(name, func(b *testing.B) { benchmarkCompare(b, options) })
+	}
+}
+
+func benchmarkCompare(b *testing.B, options relay.Options) {
+	for b.Loop() {
+		report, err := relay.Compare(context.Background(), options)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(report.RelativeRate(), "relative-rate")
+		reportSide(b, "bare", report.Bare)
+		reportSide(b, "balancer", report.Balancer)
 	}
 }
+
+func reportSide(b *testing.B, name string, side relay.Side) {
+	b.ReportMetric(side.PacketsPerSecond, name+"-packets/s")
+	b.ReportMetric(side.Received, name+"-received")
+	b.ReportMetric(float64(side.DelayP50.Microseconds()), name+"-p50-us")
+	b.ReportMetric(float64(side.DelayP99.Microseconds()), name+"-p99-us")
+	b.Logf("%s: rounds of %.0f packets/s, %d delays", name, side.Rounds, side.DelaySamples)
+}
--- a/internal/balancer/udpfront/group.go
+++ b/internal/balancer/udpfront/group.go
@@ -31,7 +31,6 @@
 // group is one message to the kernel: datagrams for one destination, all of
 // one size but the last, which may be shorter.
 type group struct {
-	key      destinationKey
 	address  net.UDPAddr
 	control  []byte // encoded UDP_SEGMENT option
 	buffers  [][]byte
@@ -60,6 +59,7 @@
 // grouper collects the datagrams of a batch into as few messages as the
 // kernel allows. Datagrams for one destination keep their order.
 type grouper struct {
+	keys     []destinationKey // of groups, kept together for a fast search
 	groups   []group
 	messages []ipv4.Message
 	count    int
@@ -68,6 +68,7 @@
 
 func newGrouper(capacity int) *grouper {
 	created := &grouper{
+		keys:     make([]destinationKey, capacity),
 		groups:   make([]group, capacity),
 		messages: make([]ipv4.Message, capacity),
 		segments: maximumSegments,
@@ -113,7 +114,7 @@
 
 func (g *grouper) newest(key destinationKey) *group {
 	for i := g.count - 1; i >= 0; i-- {
-		if g.groups[i].key == key {
+		if g.keys[i] == key {
 			return &g.groups[i]
 		}
 	}
@@ -122,8 +123,8 @@
 
 func (g *grouper) open(key destinationKey, first Datagram) *group {
 	opened := &g.groups[g.count]
+	g.keys[g.count] = key
 	g.count++
-	opened.key = key
 	destination := first.Destination.Addr().As4()
 	copy(opened.address.IP, destination[:])
 	opened.address.Port = int(first.Destination.Port())
