Serve the administration API from a balancer

A balancer could only follow the platform's table. With an [api] table in its settings it serves the API over TLS, imports the platform's revisions as changes and puts each accepted table in force through the control server, so that an older revision undoes nothing and a newer one alters only its own cells. Without [api] nothing changes.

--- a/internal/daemon/balancer.go
+++ b/internal/daemon/balancer.go
@@ -30,6 +30,9 @@
 	configuration *platform.Poller[platform.Configuration]
 	machines      *platform.Poller[platform.Machines]
 	metrics       balancerGauges
+	// administration is nil without the administration API. The platform's
+	// tables are then put in force as they are.
+	administration *administration
 }
 
 // balancerGauges show which table is in force.
@@ -70,6 +73,10 @@
 		Listen:      shared.settings.Control.Listen,
 		Unavailable: b.apply,
 	})
+	if err != nil || shared.settings.API == nil {
+		return err
+	}
+	b.administration, err = newAdministration(shared, b.control.Publish)
 	return err
 }
 
@@ -102,10 +109,15 @@
 }
 
 // deliver hands a configuration to the control server, which ignores a table
-// older than the one it holds and calls apply.
+// older than the one it holds and calls apply. With the administration API,
+// the control server gets the tables that the changes lead to.
 func (b *balancerRole) deliver(configuration platform.Configuration) {
 	b.logger.Info("table received",
 		"revision", uint64(configuration.Revision), "version", uint64(configuration.Table.Version))
+	if b.administration != nil {
+		b.administration.importRevision(context.Background(), configuration)
+		return
+	}
 	b.control.Publish(configuration.Table)
 }
 
@@ -119,6 +131,9 @@
 	b.front.Publish(lookup.Build(configuration, alive))
 	b.metrics.tableVersion.Set(float64(configuration.Version))
 	b.metrics.unavailableRows.Set(float64(len(unavailable)))
+	if b.administration != nil {
+		b.administration.member.SetInForce(configuration.Version)
+	}
 	b.health.SetReady(conditionTable)
 }
 
@@ -138,6 +153,9 @@
 	addActor(&group, b.control.Run)
 	addActor(&group, b.configuration.Run)
 	addActor(&group, b.machines.Run)
+	if b.administration != nil {
+		addActor(&group, b.administration.Run)
+	}
 	addActor(&group, func(ended context.Context) error {
 		b.awaitStop(ctx, ended)
 		return nil
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -81,6 +81,16 @@
 // Observability returns the address of the listener for health and metrics.
 func (d *Daemon) Observability() netip.AddrPort { return d.observability.Address() }
 
+// Administration returns the address of the administration API, the zero value
+// if there is none.
+func (d *Daemon) Administration() netip.AddrPort {
+	served, isBalancer := d.role.(*balancerRole)
+	if !isBalancer || served.administration == nil {
+		return netip.AddrPort{}
+	}
+	return served.administration.Address()
+}
+
 // Status returns the health of the daemon, also after it has stopped.
 func (d *Daemon) Status() observability.Status { return d.health.Status() }
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -70,6 +70,23 @@
 	}
 }
 
+func balancerSettings(platform *source) settings.Settings {
+	checked := common()
+	checked.Platform = settings.Platform{
+		ConfigurationURL: platform.URL + "/configuration",
+		MachinesURL:      platform.URL + "/machines",
+		PollInterval:     10 * time.Millisecond,
+	}
+	checked.Control = settings.Control{Listen: anyPort}
+	checked.Balancer = &settings.Balancer{Listen: anyPort, Sockets: 1}
+	return checked
+}
+
+func newDaemon(checked settings.Settings) error {
+	_, err := daemon.New(&checked, gbytes.NewBuffer())
+	return err
+}
+
 type running struct {
 	daemon *daemon.Daemon
 	log    *gbytes.Buffer
@@ -123,15 +140,7 @@
 var _ = Describe("Daemon", func() {
 	It("runs a balancer that puts accepted tables in force and keeps them", func() {
 		platform := newSource()
-		checked := common()
-		checked.Platform = settings.Platform{
-			ConfigurationURL: platform.URL + "/configuration",
-			MachinesURL:      platform.URL + "/machines",
-			PollInterval:     10 * time.Millisecond,
-		}
-		checked.Control = settings.Control{Listen: anyPort}
-		checked.Balancer = &settings.Balancer{Listen: anyPort, Sockets: 1}
-		balancer := start(checked)
+		balancer := start(balancerSettings(platform))
 		metrics := func() string { return balancer.get("/metrics") }
 
 		By("not being ready without a table")
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/go-kit/kit/metrics"
 
+	"github.com/vanetiller/vanetiller/internal/adminapi"
 	"github.com/vanetiller/vanetiller/internal/agent"
 	"github.com/vanetiller/vanetiller/internal/balancer"
 	"github.com/vanetiller/vanetiller/internal/platform"
@@ -29,6 +30,11 @@
 	}
 }
 
+func newAPIRequests(shared parts) metrics.Counter {
+	return shared.metrics.Counter("api_requests_total",
+		"Answers of the administration API, by operation and HTTP status.", adminapi.OperationLabel, adminapi.StatusLabel)
+}
+
 const serviceLabel = "service"
 
 // pollerMetrics are shared by the pollers of both services of the platform.
--- a/internal/settings/checker.go
+++ b/internal/settings/checker.go
@@ -37,9 +37,9 @@
 }
 
 var (
-	listenAddress  = addressRule{unspecified: true}
-	metricsAddress = addressRule{unspecified: true, anyPort: true}
-	remoteAddress  = addressRule{}
+	listenAddress = addressRule{unspecified: true}
+	httpAddress   = addressRule{unspecified: true, anyPort: true}
+	remoteAddress = addressRule{}
 )
 
 func (c *checker) broken(key, rule string, arguments ...any) {
@@ -88,6 +88,18 @@
 	return text
 }
 
+// path takes the name of a file, which is not opened here.
+func (c *checker) path(key string, value any) string {
+	text, ok := c.text(key, value)
+	if !ok {
+		return ""
+	}
+	if text == "" {
+		c.broken(key, "must be the name of a file")
+	}
+	return text
+}
+
 func (c *checker) level(key string, value any) log.Level {
 	text, ok := c.text(key, value)
 	if !ok {
--- a/internal/settings/convert.go
+++ b/internal/settings/convert.go
@@ -36,7 +36,7 @@
 		Name:          c.name("name", raw.Name),
 		Zone:          c.name("zone", raw.Zone),
 		Log:           Log{Level: c.level("log.level", withDefault(raw.Log.Level, DefaultLogLevel))},
-		Observability: Observability{Listen: c.address("observability.listen", raw.Observability.Listen, metricsAddress)},
+		Observability: Observability{Listen: c.address("observability.listen", raw.Observability.Listen, httpAddress)},
 	}
 	c.checkRole(raw)
 	if raw.Platform != nil {
@@ -48,6 +48,9 @@
 	if raw.Balancer != nil {
 		checked.Balancer = c.balancer(raw.Balancer)
 	}
+	if raw.API != nil {
+		checked.API = c.api(raw.API)
+	}
 	if raw.Agent != nil {
 		checked.Agent = c.agent(raw.Agent)
 	}
@@ -61,6 +64,9 @@
 	if raw.Balancer != nil && raw.Agent != nil {
 		c.broken("agent", "must not stand beside a balancer table")
 	}
+	if raw.API != nil && raw.Balancer == nil {
+		c.broken("api", "must stand beside a balancer table")
+	}
 	if raw.Balancer != nil && raw.Platform == nil {
 		c.broken("platform", "is required for a balancer")
 	}
@@ -87,6 +93,19 @@
 	}
 }
 
+func (c *checker) api(raw *apiDocument) *API {
+	checked := &API{
+		Listen:      c.address("api.listen", raw.Listen, httpAddress),
+		Certificate: c.path("api.certificate", raw.Certificate),
+		Key:         c.path("api.key", raw.Key),
+		Tokens:      c.path("api.tokens", raw.Tokens),
+	}
+	if raw.ClientAuthority != nil {
+		checked.ClientAuthority = c.path("api.client_authority", raw.ClientAuthority)
+	}
+	return checked
+}
+
 func (c *checker) agent(raw *agentDocument) *Agent {
 	return &Agent{
 		// Other processes send to this address, so it must name the machine.
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -18,6 +18,7 @@
 	Platform      *platformDocument     `toml:"platform"`
 	Control       *controlDocument      `toml:"control"`
 	Balancer      *balancerDocument     `toml:"balancer"`
+	API           *apiDocument          `toml:"api"`
 	Agent         *agentDocument        `toml:"agent"`
 }
 
@@ -45,6 +46,14 @@
 	Baseline any `toml:"baseline"`
 }
 
+type apiDocument struct {
+	Listen          any `toml:"listen"`
+	Certificate     any `toml:"certificate"`
+	Key             any `toml:"key"`
+	ClientAuthority any `toml:"client_authority"`
+	Tokens          any `toml:"tokens"`
+}
+
 type agentDocument struct {
 	Listen      any               `toml:"listen"`
 	Fabric      any               `toml:"fabric"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,7 +28,10 @@
 	// Control is required for the balancer role and otherwise may be zero.
 	Control  Control
 	Balancer *Balancer
-	Agent    *Agent
+	// API is nil for a balancer without the administration API, and for
+	// agents.
+	API   *API
+	Agent *Agent
 }
 
 // Log holds the settings of the process's log.
@@ -78,6 +81,20 @@
 	Baseline Baseline
 }
 
+// API holds the settings of the administration API.
+type API struct {
+	// Listen is the TCP address; port 0 lets the system choose one.
+	Listen netip.AddrPort
+	// Certificate and Key are files in PEM form.
+	Certificate string
+	Key         string
+	// ClientAuthority is a file in PEM form with the authorities that sign
+	// the certificates of callers. Empty means that callers need none.
+	ClientAuthority string
+	// Tokens is the file with the tokens and teams.
+	Tokens string
+}
+
 // Agent holds the settings of the agent role.
 type Agent struct {
 	// Listen is the UDP address for encapsulated packets. It equals the
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -51,6 +51,14 @@
 address = "127.0.0.1:8082"
 `
 
+const apiTable = `[api]
+listen = "127.0.0.1:0"
+certificate = "c.pem"
+key = "k.pem"
+client_authority = "a.pem"
+tokens = "t.toml"
+`
+
 func endpoint(text string) netip.AddrPort { return netip.MustParseAddrPort(text) }
 
 var _ = Describe("Parse", func() {
@@ -92,6 +100,17 @@
 		}))
 	})
 
+	It("returns the typed values of the administration API", func() {
+		parsed, err := settings.Parse("b.toml", []byte(balancerFile+apiTable))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*parsed.API).To(Equal(settings.API{
+			Listen: endpoint("127.0.0.1:0"), Certificate: "c.pem", Key: "k.pem", ClientAuthority: "a.pem", Tokens: "t.toml",
+		}))
+		without, err := settings.Parse("b.toml", []byte(balancerFile+strings.Replace(apiTable, "client_authority = \"a.pem\"\n", "", 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(without.API.ClientAuthority).To(BeEmpty())
+	})
+
 	DescribeTable("reports one broken rule with its line and key",
 		func(file, old, replacement, expected string) {
 			Expect(strings.Count(file, old)).To(Equal(1), "the text to replace")
@@ -144,6 +163,14 @@
 			`f.toml:16: balancer.baseline: must be empty or "hash"`),
 		Entry("balancer without control", balancerFile, "[control]\nlisten = \"127.0.0.1:7000\"\n", "",
 			"f.toml: control: is required for a balancer"),
+		Entry("API without a certificate", balancerFile+apiTable, `certificate = "c.pem"`, ``,
+			"f.toml:17: api.certificate: is required"),
+		Entry("API with an empty key", balancerFile+apiTable, `"k.pem"`, `""`,
+			"f.toml:20: api.key: must be the name of a file"),
+		Entry("API without tokens", balancerFile+apiTable, `tokens = "t.toml"`, ``,
+			"f.toml:17: api.tokens: is required"),
+		Entry("API of an agent", agentFile, `[agent]`, apiTable+`[agent]`,
+			"f.toml:5: api: must stand beside a balancer table"),
 		Entry("both roles", balancerFile, "[control]", agentFile[strings.Index(agentFile, "[agent]"):]+"[control]",
 			"f.toml:11: agent: must not stand beside a balancer table"),
 		Entry("agent on the unspecified address", agentFile, `"127.0.0.1:6181"`, `"0.0.0.0:6181"`,
