Close gaps in the tests of the balancer's path

Sixteen single faults were put into a scratch copy one at a time; five went unnoticed by the tests: a lookup entry taken over by another service, a group larger than the kernel takes, sockets on different ports, and two kinds of state kept from an earlier packet. Tests for each now exist and the five faults, tried again the same way, all fail a test. The fuzz target also decodes every input after another packet.

--- a/internal/balancer/decider_test.go
+++ b/internal/balancer/decider_test.go
@@ -1,6 +1,8 @@
 package balancer_test
 
 import (
+	"net/netip"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -77,6 +79,19 @@
 		}))
 	})
 
+	It("decides the same in two balancers that have the same table", func() {
+		other := lookup.Build(configuration.Clone(), lookup.AllAlive)
+		one, two := balancer.NewDecider(), balancer.NewDecider()
+		rows := map[netip.AddrPort]int{}
+		for port := uint16(1024); port < 3024; port++ {
+			datagram := plain(segment(port, servicePort, 0))
+			decision := one.Decide(built, datagram, nil)
+			Expect(two.Decide(other, datagram, nil)).To(Equal(decision))
+			rows[decision.Destination]++
+		}
+		Expect(rows).To(HaveLen(len(agents)))
+	})
+
 	It("gives every reason a label of its own", func() {
 		labels := map[string]bool{}
 		for _, reason := range balancer.Reasons() {
--- a/internal/balancer/udpfront/group_test.go
+++ b/internal/balancer/udpfront/group_test.go
@@ -123,3 +123,20 @@
 		t.Fatalf("%d messages after grouping was stopped, want %d", got, BatchSize)
 	}
 }
+
+// TestGrouperFillsMessages checks that groups are cut where the kernel would
+// refuse them, and no earlier.
+func TestGrouperFillsMessages(t *testing.T) {
+	const size = 9000
+	const perMessage = maximumMessage / size
+	used := newGrouper(BatchSize)
+	for range BatchSize {
+		used.add(Datagram{Destination: netip.MustParseAddrPort("192.0.2.1:6081"), Payload: make([]byte, size)})
+	}
+	for i, message := range used.finish() {
+		want := min(perMessage, BatchSize-i*perMessage)
+		if got := len(message.Buffers); got != want {
+			t.Fatalf("message %d has %d datagrams, want %d", i, got, want)
+		}
+	}
+}
--- a/internal/balancer/udpfront/pump_test.go
+++ b/internal/balancer/udpfront/pump_test.go
@@ -101,3 +101,16 @@
 		Expect(handler.failed).To(Equal(len(sizes)))
 	})
 })
+
+var _ = Describe("Listen", func() {
+	It("opens sockets that share a free port", func() {
+		front, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), 3)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(front.Close)
+		Expect(front.Connections()).To(HaveLen(3))
+		Expect(front.Address().Port()).NotTo(BeZero())
+		for _, connection := range front.Connections() {
+			Expect(connection.LocalAddr().(*net.UDPAddr).AddrPort()).To(Equal(front.Address()))
+		}
+	})
+})
--- a/internal/lookup/rebuild_test.go
+++ b/internal/lookup/rebuild_test.go
@@ -99,6 +99,25 @@
 	})
 }
 
+// TestRebuildOfAnAddressWithAnotherService gives the address and the rows of
+// one service to another, whose slots are hashed differently.
+func TestRebuildOfAnAddressWithAnotherService(t *testing.T) {
+	owned := func(service table.ServiceID) *table.Table {
+		return &table.Table{
+			Services: []table.Service{{ID: service, Address: "198.51.100.1:80", Protocol: table.ProtocolTCP}},
+			Backends: []table.Backend{
+				{ID: 1, Service: service, Agent: "192.0.2.1:1", Weight: 1},
+				{ID: 2, Service: service, Agent: "192.0.2.2:1", Weight: 1},
+			},
+		}
+	}
+	got := Rebuild(Build(owned(1), AllAlive), owned(2), AllAlive)
+	want := Build(owned(2), AllAlive)
+	if !reflect.DeepEqual(got, want) {
+		t.Fatalf("got %+v, want %+v", got, want)
+	}
+}
+
 func editTable(t *rapid.T, configuration *table.Table) {
 	configuration.Version++
 	switch rapid.SampledFrom([]string{"add", "edit", "swap addresses", "remove"}).Draw(t, "edit") {
--- a/internal/packet/packet_fuzz_test.go
+++ b/internal/packet/packet_fuzz_test.go
@@ -27,6 +27,7 @@
 
 func seeds(t testing.TB) [][]byte {
 	tcp := &layers.TCP{SrcPort: 5000, DstPort: 443, SYN: true, Seq: 7}
+	fin := &layers.TCP{SrcPort: 5000, DstPort: 443, FIN: true, ACK: true}
 	tcpWithOptions := &layers.TCP{SrcPort: 5000, DstPort: 443, ACK: true, Options: []layers.TCPOption{
 		{OptionType: layers.TCPOptionKindMSS, OptionLength: 4, OptionData: []byte{5, 180}},
 		{OptionType: layers.TCPOptionKindNop, OptionLength: 1},
@@ -38,36 +39,55 @@
 		{},
 		serialize(t, header(layers.IPProtocolTCP), tcp, gopacket.Payload("hello")),
 		serialize(t, header(layers.IPProtocolTCP), tcpWithOptions),
+		serialize(t, header(layers.IPProtocolTCP), fin),
 		serialize(t, header(layers.IPProtocolTCP, ipOption), tcp),
 		serialize(t, header(layers.IPProtocolUDP), udp, gopacket.Payload("hello")),
 		serialize(t, header(layers.IPProtocolICMPv4), &layers.ICMPv4{}),
 	}
 }
 
-// FuzzDecode checks that no input makes the decoder panic, and what it says
-// about packets that it accepts.
+// FuzzDecode checks that no input makes the decoder panic, what it says about
+// packets that it accepts, and that earlier packets do not matter.
 func FuzzDecode(f *testing.F) {
 	for _, seed := range seeds(f) {
 		f.Add(seed)
 	}
-	decoder := packet.NewDecoder()
+	opening := seeds(f)[1]
 	f.Fuzz(func(t *testing.T, data []byte) {
-		summary, outcome := decoder.Decode(data)
-		if outcome != packet.Decoded {
-			if summary != (packet.Summary{}) {
-				t.Fatalf("%s with a summary: %+v", outcome, summary)
-			}
-			return
-		}
-		if !summary.Flow.Source.Addr().Is4() || !summary.Flow.Destination.Addr().Is4() {
-			t.Fatalf("flow is not IPv4: %+v", summary.Flow)
+		summary, outcome := packet.NewDecoder().Decode(data)
+		if outcome == packet.Decoded {
+			checkSummary(t, summary, len(data))
+		} else if summary != (packet.Summary{}) {
+			t.Fatalf("%s with a summary: %+v", outcome, summary)
 		}
-		if summary.PayloadLength < 0 || summary.PayloadLength >= len(data) {
-			t.Fatalf("payload of %d bytes in a packet of %d", summary.PayloadLength, len(data))
-		}
-		again, _ := packet.NewDecoder().Decode(data)
-		if again != summary {
-			t.Fatalf("a fresh decoder says %+v, a used one %+v", again, summary)
+		for _, earlier := range [][]byte{opening, opening[:30]} {
+			checkAfter(t, earlier, data, summary, outcome)
 		}
 	})
 }
+
+func checkSummary(t *testing.T, summary packet.Summary, size int) {
+	t.Helper()
+	if !summary.Flow.Source.Addr().Is4() || !summary.Flow.Destination.Addr().Is4() {
+		t.Fatalf("flow is not IPv4: %+v", summary.Flow)
+	}
+	if summary.PayloadLength < 0 || summary.PayloadLength >= size {
+		t.Fatalf("payload of %d bytes in a packet of %d", summary.PayloadLength, size)
+	}
+}
+
+// checkAfter decodes data with a decoder and a summary that an earlier packet
+// has used.
+func checkAfter(t *testing.T, earlier, data []byte, want packet.Summary, wantOutcome packet.Outcome) {
+	t.Helper()
+	decoder := packet.NewDecoder()
+	var summary packet.Summary
+	decoder.DecodeInto(earlier, &summary)
+	outcome := decoder.DecodeInto(data, &summary)
+	if outcome != wantOutcome {
+		t.Fatalf("%s after another packet, %s otherwise", outcome, wantOutcome)
+	}
+	if outcome == packet.Decoded && summary != want {
+		t.Fatalf("%+v after another packet, %+v otherwise", summary, want)
+	}
+}
