Let vanetillerctl change the table through the API

The command only read files and the configuration service. It now shows, sets, compares, imports and exports the table of a server, drains rows, tells the history and the members, waits until a version is in force, and makes tokens. The client takes an answer that is not one of the API for an unknown outcome, since something in between may have passed the change on; the first version took it for a failure.

--- a/cmd/vanetillerctl/command.go
+++ b/cmd/vanetillerctl/command.go
@@ -1,4 +1,5 @@
-// This file implements the choice of a command from the arguments.
+// This file implements the choice of a command from the arguments, and the
+// exit statuses.
 
 package main
 
@@ -10,84 +11,168 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/vanetiller/vanetiller/internal/adminapi"
 	"github.com/vanetiller/vanetiller/internal/daemon/version"
 )
 
 // Exit statuses.
 const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
+	exitDone        = 0
+	exitFailed      = 1
+	exitUsage       = 2
+	exitRefused     = 3
+	exitConflict    = 4
+	exitNotAccepted = 5
+	exitUnknown     = 6
 )
 
-const usage = `vanetillerctl checks and shows configuration tables.
+// invocation is one run of a command.
+type invocation struct {
+	options   options
+	arguments []string
+	output    io.Writer
+}
+
+// usageError is the error of a command that was given wrong arguments.
+type usageError struct{ message string }
 
-Usage:
-  vanetillerctl table validate FILE      check a table in JSON; print the row,
-                                         column and rule of the first fault
-  vanetillerctl table show FILE|URL      print a table in columns; a URL is that
-                                         of the configuration service, whose
-                                         revision is printed too
+// Error implements error.
+func (u usageError) Error() string { return u.message }
 
-Flags:
-  -version    print the version and exit (default: run a command)
-  -help       print this text and exit
+func wrongUsage(message string, arguments ...any) error {
+	return usageError{fmt.Sprintf(message, arguments...)}
+}
 
-A request to a URL takes at most one second.
+// outcomeError is the error of a change that was not accepted.
+type outcomeError struct {
+	outcome adminapi.ChangeOutcome
+	message string
+}
 
-Exit status: 0 if done; 1 if the table is not valid or cannot be read; 2 for
-wrong usage.
-`
+// Error implements error.
+func (o outcomeError) Error() string { return o.message }
 
-// tableCommand is one of the commands on tables. It writes its result and
-// returns why it could not.
-type tableCommand func(ctx context.Context, source string, output io.Writer) error
+// command writes its result and returns why it could not.
+type command func(ctx context.Context, called invocation) error
 
 // run executes the arguments after the program name and returns the exit
 // status.
 func run(ctx context.Context, arguments []string, stdout, stderr io.Writer) int {
-	flags := flag.NewFlagSet("vanetillerctl", flag.ContinueOnError)
-	flags.SetOutput(stderr)
-	flags.Usage = func() {}
-	printVersion := flags.Bool("version", false, "")
-	err := flags.Parse(arguments)
+	var values options
+	flags := newFlagSet(&values, stderr)
+	words, err := parse(flags, arguments)
 	switch {
 	case errors.Is(err, flag.ErrHelp):
-		fmt.Fprint(stdout, usage)
+		fmt.Fprint(stdout, usage())
 		return exitDone
 	case err != nil:
 		return exitUsage
-	case *printVersion:
+	case values.version:
 		fmt.Fprintln(stdout, "vanetillerctl", version.String())
 		return exitDone
 	}
-	command, source, err := choose(flags.Args())
-	if err != nil {
+	err = perform(ctx, words, values, stdout)
+	if err == nil {
+		return exitDone
+	}
+	status := exitStatus(err)
+	if status == exitUsage {
 		fmt.Fprintf(stderr, "vanetillerctl: %s; -help lists the commands\n", err)
+		return status
+	}
+	fmt.Fprintln(stderr, "vanetillerctl:", err)
+	return status
+}
+
+func perform(ctx context.Context, words []string, values options, output io.Writer) error {
+	if err := values.check(); err != nil {
+		return wrongUsage("%s", err)
+	}
+	chosen, rest, err := choose(words)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, values.timeout)
+	defer cancel()
+	return chosen(ctx, invocation{values, rest, output})
+}
+
+func exitStatus(err error) int {
+	var usage usageError
+	if errors.As(err, &usage) {
 		return exitUsage
 	}
-	if err := command(ctx, source, stdout); err != nil {
-		fmt.Fprintln(stderr, "vanetillerctl:", err)
+	var failure adminapi.Failure
+	if errors.As(err, &failure) && failure.Code == adminapi.CodeRateExceeded {
+		return exitNotAccepted
+	}
+	var outcome outcomeError
+	if !errors.As(err, &outcome) {
 		return exitFailed
 	}
-	return exitDone
+	switch outcome.outcome {
+	case adminapi.Refused:
+		return exitRefused
+	case adminapi.Conflict:
+		return exitConflict
+	case adminapi.NotAccepted:
+		return exitNotAccepted
+	}
+	return exitUnknown
 }
 
-func choose(words []string) (tableCommand, string, error) {
+func choose(words []string) (command, []string, error) {
 	if len(words) == 0 {
-		return nil, "", errors.New("no command given")
+		return nil, nil, wrongUsage("no command given")
 	}
-	if words[0] != "table" {
-		return nil, "", errors.Errorf("unknown command %q", words[0])
+	rest := words[1:]
+	switch words[0] {
+	case "table":
+		return chooseOfTable(rest)
+	case "drain":
+		return drain, rest, nil
+	case "undrain":
+		return undrain, rest, nil
+	case "change":
+		return showChange, rest, nil
+	case "members":
+		return members, rest, nil
+	case "token":
+		return createToken, rest, nil
 	}
-	if len(words) != 3 {
-		return nil, "", errors.New("table takes a command and one FILE or URL")
+	return nil, nil, wrongUsage("unknown command %q", words[0])
+}
+
+func chooseOfTable(words []string) (command, []string, error) {
+	if len(words) == 0 {
+		return nil, nil, wrongUsage("table takes a command")
 	}
-	switch words[1] {
+	rest := words[1:]
+	switch words[0] {
 	case "validate":
-		return validate, words[2], nil
+		return validate, rest, nil
 	case "show":
-		return show, words[2], nil
+		return show, rest, nil
+	case "diff":
+		return diff, rest, nil
+	case "set":
+		return set, rest, nil
+	case "import":
+		return importFile, rest, nil
+	case "export":
+		return export, rest, nil
+	case "history":
+		return history, rest, nil
+	case "wait":
+		return wait, rest, nil
+	}
+	return nil, nil, wrongUsage("unknown command %q of table", words[0])
+}
+
+// takes checks the number of arguments.
+func (i invocation) takes(least, most int, what string) error {
+	if len(i.arguments) < least || len(i.arguments) > most {
+		return wrongUsage("the command takes %s", what)
 	}
-	return nil, "", errors.Errorf("unknown command %q of table", words[1])
+	return nil
 }
--- a/cmd/vanetillerctl/command_test.go
+++ b/cmd/vanetillerctl/command_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"flag"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -121,7 +123,15 @@
 	)
 
 	It("prints help and version", func() {
-		Expect(execute("-help")).To(Equal(outcome{exitDone, usage, ""}))
+		Expect(execute("-help")).To(Equal(outcome{exitDone, usage(), ""}))
 		Expect(execute("-version").Stdout).To(HavePrefix("vanetillerctl "))
 	})
+
+	It("explains every flag with its default", func() {
+		help := execute("-help").Stdout
+		flags := newFlagSet(&options{}, io.Discard)
+		flags.VisitAll(func(explained *flag.Flag) {
+			Expect(help).To(MatchRegexp(`(?m)^  -%s( [A-Z]+)?\n    \t.*default`, explained.Name))
+		})
+	})
 })
--- a/cmd/vanetillerctl/main.go
+++ b/cmd/vanetillerctl/main.go
@@ -1,4 +1,5 @@
-// Command vanetillerctl checks and shows configuration tables.
+// Command vanetillerctl shows and changes the configuration table through the
+// administration API, and checks tables in files.
 package main
 
 import (
--- a/cmd/vanetillerctl/table.go
+++ b/cmd/vanetillerctl/table.go
@@ -1,15 +1,16 @@
-// This file implements the commands on tables.
+// This file implements the commands that print and compare tables.
 
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/pkg/errors"
 
@@ -17,30 +18,99 @@
 	"github.com/vanetiller/vanetiller/internal/table"
 )
 
-func validate(_ context.Context, path string, output io.Writer) error {
+func validate(_ context.Context, called invocation) error {
+	if err := called.takes(1, 1, "one FILE"); err != nil {
+		return err
+	}
+	path := called.arguments[0]
 	parsed, err := readFile(path)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(output, "%s: valid: version %d, %d services, %d rows\n",
+	fmt.Fprintf(called.output, "%s: valid: version %d, %d services, %d rows\n",
 		path, parsed.Version, len(parsed.Services), len(parsed.Backends))
 	return nil
 }
 
-func show(ctx context.Context, source string, output io.Writer) error {
+func show(ctx context.Context, called invocation) error {
+	what := "one FILE or URL, or none with -server"
+	if err := called.takes(0, 1, what); err != nil {
+		return err
+	}
+	if len(called.arguments) == 0 {
+		if called.options.server == "" {
+			return wrongUsage("the command takes %s", what)
+		}
+		current, err := called.currentTable(ctx)
+		if err != nil {
+			return err
+		}
+		return called.printTable(current)
+	}
+	source := called.arguments[0]
 	if !isURL(source) {
 		parsed, err := readFile(source)
 		if err != nil {
 			return err
 		}
-		return render(output, parsed)
+		return called.printTable(parsed)
 	}
 	configuration, err := request(ctx, source)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(output, "revision %d\n", configuration.Revision)
-	return render(output, configuration.Table)
+	if called.options.format(formatTable) == formatTable {
+		fmt.Fprintf(called.output, "revision %d\n", configuration.Revision)
+	}
+	return called.printTable(configuration.Table)
+}
+
+// currentTable returns the server's table, or the service of the flags.
+func (i invocation) currentTable(ctx context.Context) (*table.Table, error) {
+	client, err := i.options.connect()
+	if err != nil {
+		return nil, err
+	}
+	answer, err := client.Table(ctx, i.options.service)
+	return answer.Table, err
+}
+
+func export(ctx context.Context, called invocation) error {
+	if err := called.takes(0, 0, "no argument"); err != nil {
+		return err
+	}
+	current, err := called.currentTable(ctx)
+	if err != nil {
+		return err
+	}
+	called.options.output = string(called.options.format(formatCSV))
+	return called.printTable(current)
+}
+
+func diff(ctx context.Context, called invocation) error {
+	if err := called.takes(1, 2, "one or two FILEs"); err != nil {
+		return err
+	}
+	var before *table.Table
+	var err error
+	if len(called.arguments) == 1 {
+		before, err = called.currentTable(ctx)
+	} else {
+		before, err = readTable(called.arguments[0], nil)
+	}
+	if err != nil {
+		return err
+	}
+	after, err := readTable(called.arguments[len(called.arguments)-1], before)
+	if err != nil {
+		return err
+	}
+	cells := table.Diff(before, after)
+	columns := grid{header: []string{"kind", "row", "column", "before", "after"}}
+	for _, cell := range cells {
+		columns.rows = append(columns.rows, []string{string(cell.Kind), cell.Row, cell.Column, cell.Before, cell.After})
+	}
+	return called.print(cells, columns)
 }
 
 func isURL(source string) bool {
@@ -62,6 +132,30 @@
 	return parsed, nil
 }
 
+// isCSV decides by the name of a file.
+func isCSV(path string) bool { return strings.EqualFold(filepath.Ext(path), ".csv") }
+
+// readTable reads a file in either form. A CSV file has no services; those of
+// the table that it goes with are taken.
+func readTable(path string, services *table.Table) (*table.Table, error) {
+	if !isCSV(path) {
+		return readFile(path)
+	}
+	if services == nil {
+		return nil, wrongUsage("the first of two files must be JSON, since %s has no services", path)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	rows, err := table.ReadCSV(bytes.NewReader(data), services.Services)
+	if err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+	read := &table.Table{Version: services.Version, Services: services.Services, Backends: rows}
+	return read, errors.Wrap(read.Validate(), path)
+}
+
 func request(ctx context.Context, source string) (platform.Configuration, error) {
 	client, err := platform.NewClient(platform.ClientConfig{ConfigurationURL: source})
 	if err != nil {
@@ -70,33 +164,48 @@
 	return client.Configuration(ctx)
 }
 
-const columnGap = 2
+func (i invocation) printTable(shown *table.Table) error {
+	switch i.options.format(formatTable) {
+	case formatCSV:
+		return table.WriteCSV(i.output, shown)
+	case formatJSON:
+		encoded, err := shown.Encode()
+		if err != nil {
+			return err
+		}
+		_, err = i.output.Write(append(encoded, '\n'))
+		return errors.Wrap(err, "output")
+	}
+	return render(i.output, shown)
+}
 
 // render prints one line for each row, under the columns that operators edit.
 func render(output io.Writer, shown *table.Table) error {
 	fmt.Fprintf(output, "version %d\n", shown.Version)
-	columns := tabwriter.NewWriter(output, 0, 0, columnGap, ' ', 0)
-	fmt.Fprintln(columns, "SERVICE\tADDRESS\tOWNER\tBACK END\tAGENT\tWEIGHT\tLIMIT\tDRAIN")
+	columns := grid{header: []string{"service", "address", "owner", "back end", "agent", "weight", "limit", "drain"}}
 	for _, service := range shown.Services {
-		renderService(columns, shown, service)
+		columns.rows = append(columns.rows, serviceLines(shown, service)...)
 	}
-	return errors.Wrap(columns.Flush(), "output")
+	return columns.printAligned(output)
 }
 
-func renderService(columns io.Writer, shown *table.Table, service table.Service) {
-	prefix := fmt.Sprintf("%s\t%s/%s\t%s", service.Name, service.Address, service.Protocol, service.Owner)
-	empty := true
+func serviceLines(shown *table.Table, service table.Service) [][]string {
+	prefix := []string{service.Name, fmt.Sprintf("%s/%s", service.Address, service.Protocol), service.Owner}
+	var lines [][]string
 	for _, row := range shown.BackendsOf(service.ID) {
 		if row.Removed {
 			continue
 		}
-		empty = false
-		fmt.Fprintf(columns, "%s\t%s\t%s\t%d\t%s\t%s\n",
-			prefix, row.Name, row.Agent, row.Weight, limitText(row.ConnectionLimit), drainText(row.Drain))
+		cells := []string{
+			row.Name, string(row.Agent), strconv.FormatUint(uint64(row.Weight), 10),
+			limitText(row.ConnectionLimit), drainText(row.Drain),
+		}
+		lines = append(lines, append(prefix[:len(prefix):len(prefix)], cells...))
 	}
-	if empty {
-		fmt.Fprintf(columns, "%s\t-\t-\t-\t-\t-\n", prefix)
+	if len(lines) == 0 {
+		lines = append(lines, append(prefix, "-", "-", "-", "-", "-"))
 	}
+	return lines
 }
 
 func limitText(limit uint32) string {
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -82,7 +82,8 @@
 	return get[ChangeAnswer](ctx, c, nil, "v1", "changes", id)
 }
 
-// Change makes a change. If the answer is lost, the outcome is Unknown.
+// Change makes a change. If the answer is lost or not one of the API, the
+// outcome is Unknown.
 func (c *Client) Change(ctx context.Context, request ChangeRequest) (ChangeAnswer, error) {
 	return c.submit(ctx, request.ID, request, "v1", "changes")
 }
@@ -100,13 +101,15 @@
 func (c *Client) submit(ctx context.Context, id string, body any, path ...string) (ChangeAnswer, error) {
 	answer, err := call[ChangeAnswer](ctx, c, http.MethodPost, body, nil, path...)
 	var lost lostAnswer
+	var unusable unusableAnswer
 	switch {
-	case !errors.As(err, &lost):
-		return answer, err
-	case lost.beforeSending():
-		return ChangeAnswer{ID: id, Outcome: NotAccepted, Message: lost.Error()}, nil
+	case errors.As(err, &lost) && lost.beforeSending():
+		return ChangeAnswer{ID: id, Outcome: NotAccepted, Message: err.Error()}, nil
+	case errors.As(err, &lost) || errors.As(err, &unusable):
+		// Something in between may have passed the change on.
+		return ChangeAnswer{ID: id, Outcome: Unknown, Message: err.Error()}, nil
 	}
-	return ChangeAnswer{ID: id, Outcome: Unknown, Message: lost.Error()}, nil
+	return answer, err
 }
 
 func get[Answer any](ctx context.Context, client *Client, query url.Values, path ...string) (Answer, error) {
--- a/internal/tenant/directory.go
+++ b/internal/tenant/directory.go
@@ -74,7 +74,7 @@
 
 type document struct {
 	Teams  []teamEntry  `toml:"team"`
-	Tokens []tokenEntry `toml:"token"`
+	Tokens []TokenEntry `toml:"token"`
 }
 
 type teamEntry struct {
@@ -84,12 +84,33 @@
 	RequestSize       *int64   `toml:"request_size"`
 }
 
-type tokenEntry struct {
-	Name    string    `toml:"name"`
-	Hash    string    `toml:"hash"`
-	Role    Role      `toml:"role"`
-	Team    Team      `toml:"team"`
-	Expires time.Time `toml:"expires"`
+// TokenEntry is one [[token]] of a tokens file.
+type TokenEntry struct {
+	// Name is written into the history of changes.
+	Name string `toml:"name"`
+	// Hash is that of the token in text form.
+	Hash string `toml:"hash"`
+	Role Role   `toml:"role"`
+	// Team is empty for administrators only.
+	Team Team `toml:"team,omitempty"`
+	// Expires is the end of the token's validity; zero means none.
+	Expires time.Time `toml:"expires,omitzero"`
+}
+
+// Encode returns the entry as it stands in a tokens file. It fails with an
+// Error if the entry breaks a rule; that the team exists is not checked.
+func (e TokenEntry) Encode() (string, error) {
+	trial := &Directory{
+		holders: make(map[Hash]holder),
+		limits:  map[Team]Limits{"": DefaultLimits(), e.Team: DefaultLimits()},
+	}
+	if err := trial.addToken(e, make(map[string]bool)); err != nil {
+		return "", err
+	}
+	encoded, err := toml.Marshal(struct {
+		Tokens []TokenEntry `toml:"token"`
+	}{[]TokenEntry{e}})
+	return string(encoded), errors.Wrap(err, "tokens")
 }
 
 // ParseDirectory checks the content of a tokens file; file is the name used in
@@ -181,7 +202,7 @@
 	return nil
 }
 
-func (d *Directory) addToken(entry tokenEntry, names map[string]bool) error {
+func (d *Directory) addToken(entry TokenEntry, names map[string]bool) error {
 	broken := func(key, rule string, arguments ...any) error {
 		return Error{Entry: fmt.Sprintf("token %q", entry.Name), Key: key, Rule: fmt.Sprintf(rule, arguments...)}
 	}
--- a/internal/tlsfiles/check.go
+++ b/internal/tlsfiles/check.go
@@ -84,3 +84,14 @@
 	}
 	return nil
 }
+
+// LoadAuthority reads a file with the certificates of authorities, for a
+// caller that has no certificate of its own. It returns an Error for the first
+// problem.
+func LoadAuthority(path string, now time.Time) (*x509.CertPool, error) {
+	read, err := readFiles(Files{Authority: path})
+	if err != nil {
+		return nil, err
+	}
+	return parseAuthority(path, read.authority, now)
+}
