--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -51,6 +51,7 @@
 	if ctx.Err() != nil {
 		return Report{}, errors.Wrap(ctx.Err(), "run")
 	}
+	cluster.saveMetrics(ctx)
 	cluster.Stop()
 	results := load.finished()
 	if err := cluster.writeTrace(results); err != nil {
--- a/bench/experiment/schedule.go
+++ b/bench/experiment/schedule.go
@@ -12,11 +12,13 @@
 
 // Lengths of outages and the least number of members that stay.
 const (
-	balancerOutage    = 4 * time.Second
-	balancerPause     = 3 * time.Second
-	drainTime         = 6 * time.Second
-	agentOutage       = 5 * time.Second
-	agentStopTime     = 14 * time.Second
+	balancerOutage = 4 * time.Second
+	balancerPause  = 3 * time.Second
+	drainTime      = 6 * time.Second
+	agentOutage    = 5 * time.Second
+	agentStopTime  = 14 * time.Second
+	// recoveryMargin is how long a member is left alone after its recovery.
+	recoveryMargin    = 2 * time.Second
 	minimumBalancers  = 2
 	minimumEndpoints  = 2
 	weightChoices     = 3
@@ -146,10 +148,11 @@
 		return false
 	}
 	target.state = memberBusy
-	target.until = at + outage
+	recovered := at + outage
+	target.until = recovered + recoveryMargin
 	p.events = append(p.events,
 		Event{At: at, Kind: kind, Target: target.name},
-		Event{At: target.until, Kind: recovery, Target: target.name})
+		Event{At: recovered, Kind: recovery, Target: target.name})
 	return true
 }
 
--- /dev/null
+++ b/bench/fleet/metrics.go
@@ -0,0 +1,39 @@
+// This file implements saving the metrics of a daemon beside its log.
+
+package fleet
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	metricsExtension = ".metrics"
+	metricsFileMode  = 0o600
+)
+
+// SaveMetrics writes the present metrics of a daemon to a file beside its log.
+// It fails when the daemon does not answer.
+func (f *Fleet) SaveMetrics(ctx context.Context, process *Process, observability netip.AddrPort) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+observability.String()+"/metrics", http.NoBody)
+	if err != nil {
+		return errors.Wrap(err, "metrics")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrapf(err, "metrics of %s", process.Name())
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return errors.Wrapf(err, "metrics of %s", process.Name())
+	}
+	path := filepath.Join(f.directory, process.Name()+metricsExtension)
+	return errors.Wrap(os.WriteFile(path, content, metricsFileMode), "metrics")
+}
