--- a/internal/adminapi/api_test.go
+++ b/internal/adminapi/api_test.go
@@ -126,6 +126,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.Records).To(HaveLen(2))
 		Expect(answer.Records[0].ID).To(Equal("gateway/c2"))
+		Expect(api.client(adminToken).History(ctx, 0, 10)).To(HaveField("Records", ContainElement(HaveField("ID", "setup"))))
 		Expect(answer.Records[1].Version).To(Equal(table.Version(4)))
 	})
 
--- a/internal/adminapi/convert.go
+++ b/internal/adminapi/convert.go
@@ -29,9 +29,11 @@
 }
 
 // shownID returns an identifier of the log as its team has chosen it, and
-// that of another team with the team in front.
+// that of another team with the team in front. Those of administrators have
+// none.
 func shownID(team tenant.Team, id changelog.ChangeID) string {
-	return strings.TrimPrefix(string(id), string(team)+idSeparator)
+	own := strings.TrimPrefix(string(id), string(team)+idSeparator)
+	return strings.TrimPrefix(own, idSeparator)
 }
 
 // validate checks what can be checked without the table.
--- a/internal/adminapi/logstore.go
+++ b/internal/adminapi/logstore.go
@@ -67,8 +67,15 @@
 	mutex   sync.Mutex
 	state   *changelog.State
 	waiting map[changelog.ChangeID][]chan changelog.Outcome
+	// undecided are the latest changes that were answered as undecided,
+	// oldest first. A refusal of a repeat says nothing about the first
+	// proposal.
+	undecided []changelog.ChangeID
 }
 
+// maxUndecided bounds the remembered undecided changes.
+const maxUndecided = 1000
+
 // NewLogStore returns a store with an empty table.
 func NewLogStore(config LogStoreConfig) *LogStore {
 	if config.Changed == nil {
@@ -157,20 +164,43 @@
 	applied := s.wait(change.ID)
 	defer s.stopWaiting(change.ID, applied)
 	decision := s.config.Proposer.Propose(ctx, change.ID, payload)
-	switch decision.Status {
-	case ProposalRefused:
-		return Submission{Reason: decision.Reason, RetryAfter: decision.RetryAfter}
-	case ProposalUndecided:
-		return Submission{MayApply: true, Reason: decision.Reason, RetryAfter: decision.RetryAfter}
+	if decision.Status == ProposalCommitted {
+		return s.awaitOutcome(ctx, change.ID, applied)
+	}
+	if decision.Status == ProposalUndecided {
+		s.noteUndecided(change.ID)
 	}
+	return Submission{MayApply: s.isUndecided(change.ID), Reason: decision.Reason, RetryAfter: decision.RetryAfter}
+}
+
+func (s *LogStore) awaitOutcome(ctx context.Context, id changelog.ChangeID, applied <-chan changelog.Outcome) Submission {
 	select {
 	case outcome := <-applied:
 		return Submission{Decided: true, Outcome: outcome}
 	case <-ctx.Done():
+		s.noteUndecided(id)
 		return Submission{MayApply: true, Reason: "the change is committed and not applied here yet"}
 	}
 }
 
+func (s *LogStore) noteUndecided(id changelog.ChangeID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if slices.Contains(s.undecided, id) {
+		return
+	}
+	s.undecided = append(s.undecided, id)
+	if excess := len(s.undecided) - maxUndecided; excess > 0 {
+		s.undecided = slices.Delete(s.undecided, 0, excess)
+	}
+}
+
+func (s *LogStore) isUndecided(id changelog.ChangeID) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Contains(s.undecided, id)
+}
+
 func (s *LogStore) wait(id changelog.ChangeID) chan changelog.Outcome {
 	applied := make(chan changelog.Outcome, 1)
 	s.mutex.Lock()
--- a/internal/adminapi/logstore_test.go
+++ b/internal/adminapi/logstore_test.go
@@ -90,6 +90,18 @@
 		Expect(log.payloads).To(HaveLen(1))
 	})
 
+	It("does not take the refusal of a repeat for that of the first proposal", func() {
+		log.decision.Status = adminapi.ProposalUndecided
+		Expect(store.Submit(ctx, setup()).MayApply).To(BeTrue())
+		log.decision.Status = adminapi.ProposalRefused
+		Expect(store.Submit(ctx, setup()).MayApply).To(BeTrue())
+		other := setup()
+		other.ID = "other"
+		Expect(store.Submit(ctx, other).MayApply).To(BeFalse())
+		Expect(store.Apply(log.payloads[0])).To(Succeed())
+		Expect(store.Submit(ctx, setup()).Outcome.Accepted).To(BeTrue())
+	})
+
 	It("applies a change that was committed twice once", func() {
 		log.decision.Status = adminapi.ProposalUndecided
 		store.Submit(ctx, setup())
--- a/internal/adminapi/plan.go
+++ b/internal/adminapi/plan.go
@@ -24,8 +24,8 @@
 
 // Plan returns the parts of a change that leads from the current table to the
 // wanted one. A row that is wanted again after its removal gets a new
-// incarnation. Plan fails with a table.CellError for cells that no change can
-// alter.
+// incarnation, and one that has got it since keeps it. Plan fails with a
+// table.CellError for cells that no change can alter.
 func Plan(current, wanted *table.Table, missing Missing) (Parts, error) {
 	var parts Parts
 	if err := parts.planServices(current, wanted); err != nil {
@@ -91,6 +91,7 @@
 		ConnectionLimit: changedCell(existing.ConnectionLimit, row.ConnectionLimit),
 		Drain:           changedCell(existing.Drain, row.Drain),
 	}
+	row.Incarnation = max(row.Incarnation, existing.Incarnation)
 	existing.Weight = row.Weight
 	existing.ConnectionLimit = row.ConnectionLimit
 	existing.Drain = row.Drain
--- a/internal/adminapi/plan_test.go
+++ b/internal/adminapi/plan_test.go
@@ -50,6 +50,14 @@
 		Expect(parts.AddBackends[0].Incarnation).To(Equal(table.Incarnation(8)))
 	})
 
+	It("leaves a row that was added again under its incarnation", func() {
+		current := exampleTable()
+		current.Backends[0].Incarnation = 7
+		wanted := exampleTable()
+		wanted.Backends[0].Weight = 9
+		Expect(adminapi.Plan(current, wanted, adminapi.RemoveMissing)).To(Equal(setWeight(10, 9)))
+	})
+
 	DescribeTable("names the cell that no change can alter",
 		func(alter func(*table.Table), row, column string) {
 			wanted := exampleTable()
