--- a/bench/hollow/daemon.go
+++ b/bench/hollow/daemon.go
@@ -38,6 +38,8 @@
 	version  table.Version
 	held     *table.Table
 	built    *lookup.Table
+	// listened is set once the process may serve, as in the product's server.
+	listened bool
 	// reported are the rows left out of built.
 	reported []table.BackendID
 }
@@ -49,6 +51,7 @@
 	d.version = 0
 	d.held = nil
 	d.built = nil
+	d.listened = false
 	d.reported = nil
 	d.fleet.network.Schedule(d.id, d.fleet.randomTime(registryInterval), timerRegistry)
 	d.fleet.network.Schedule(d.id, d.fleet.randomTime(livenessInterval), timerLiveness)
@@ -77,7 +80,9 @@
 	d.held = published
 	d.registry.Confirm()
 	d.registry.Publish(now, published)
-	d.rebuild(now)
+	if d.hasListened(now) {
+		d.rebuild(now)
+	}
 }
 
 // Wake implements simnet.Handler.
@@ -100,6 +105,7 @@
 		return
 	}
 	if d.fleet.options.Liveness == LivenessAgreed {
+		grant.Unknown = nil
 		grant.Down = d.fleet.unavailableOf(d.fleet.agents[int(from)-len(d.fleet.daemons)].service)
 	}
 	answer := &control.Datagram{Grant: &grant}
@@ -115,20 +121,25 @@
 }
 
 func (d *daemon) checkLiveness(now time.Duration) {
-	if d.held == nil {
+	if d.held == nil || !d.hasListened(now) {
 		return
 	}
 	unavailable := d.unavailable(now)
 	if d.fleet.measuring {
 		d.fleet.countFalselyDown(unavailable)
 	}
-	if !slices.Equal(unavailable, d.reported) {
+	if d.built == nil || !slices.Equal(unavailable, d.reported) {
 		d.rebuild(now)
 	}
 }
 
+func (d *daemon) hasListened(now time.Duration) bool {
+	d.listened = d.listened || d.registry.Listened(now)
+	return d.listened
+}
+
 func (d *daemon) rebuild(now time.Duration) {
-	d.reported = d.unavailable(now)
+	d.reported = slices.Clone(d.unavailable(now))
 	d.built = d.fleet.build(d.built, d.held, d.reported)
 }
 
--- a/bench/hollow/options.go
+++ b/bench/hollow/options.go
@@ -9,6 +9,7 @@
 package hollow
 
 import (
+	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -72,6 +73,8 @@
 	Loss float64 `json:"loss"`
 	// Faults adds the schedule of faults.
 	Faults bool `json:"faults"`
+	// Progress receives a log line now and then; nil means none.
+	Progress io.Writer `json:"-"`
 }
 
 // SmallOptions returns a fleet that runs in about a second.
--- a/bench/hollow/run.go
+++ b/bench/hollow/run.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"io"
 	"runtime"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 )
 
@@ -20,6 +22,7 @@
 		return Report{}, Cost{}, err
 	}
 	began := time.Now()
+	logger := newLogger(options.Progress)
 	var cost Cost
 	started := newFleet(options)
 	started.schedule()
@@ -30,12 +33,30 @@
 		}
 		started.network.Run(min(at+progressInterval, end))
 		cost.Heap = max(cost.Heap, heapInUse())
+		started.logProgress(logger, time.Since(began))
 	}
 	report := started.report()
 	cost.Wall = time.Since(began)
 	return report, cost, nil
 }
 
+func newLogger(progress io.Writer) *log.Logger {
+	if progress == nil {
+		progress = io.Discard
+	}
+	return log.NewWithOptions(progress, log.Options{Formatter: log.JSONFormatter})
+}
+
+// logInterval is the virtual time between log lines.
+const logInterval = 10 * time.Second
+
+func (f *fleet) logProgress(logger *log.Logger, wall time.Duration) {
+	if now := f.network.Now(); now%logInterval == 0 {
+		logger.Info("running", "virtual", now.String(), "wall", wall.Round(time.Second).String(),
+			"open_flows", len(f.traffic.flows.open), "events", f.network.Counters().Events)
+	}
+}
+
 func heapInUse() uint64 {
 	var statistics runtime.MemStats
 	runtime.ReadMemStats(&statistics)
