Add the membership state machine

Daemons need to know each other without a central list. Add a deterministic machine: SWIM probing within the zone, random pings between zones, refutation, digests by zone with full synchronization, catching up after start and pause, and planned leave. A virtual network runs fleets of it in tests. A test of a dead zone had found that members it had forgotten came back from others; they are now declared failed first.

--- /dev/null
+++ b/internal/membership/faults_test.go
@@ -0,0 +1,282 @@
+package membership_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/membership"
+	"github.com/vanetiller/vanetiller/internal/membership/virtualnet"
+)
+
+const (
+	// detectionLimit is the time in which a failure must be known everywhere.
+	detectionLimit = 30 * time.Second
+	// mergeLimit is the time in which views must agree after a partition.
+	mergeLimit = 90 * time.Second
+	hour       = time.Hour
+)
+
+var _ = ginkgo.Describe("a fleet with faults", func() {
+	var cluster *fleet
+
+	agree := func(limit time.Duration) {
+		ginkgo.GinkgoHelper()
+		_, wrong := cluster.runUntilAgreed(limit)
+		gomega.Expect(wrong).To(gomega.BeEmpty())
+	}
+	total := func(kind membership.EffectKind) int { return countEffects(cluster, kind) }
+	forgetEffects := func() {
+		for _, observed := range cluster.running() {
+			clear(observed.effects)
+		}
+	}
+	inZone := func(zone membership.Zone) func(membership.Zone) bool {
+		return func(candidate membership.Zone) bool { return candidate == zone }
+	}
+
+	ginkgo.BeforeEach(func() {
+		cluster = newFleet(7, layout{members: 32, zones: 4, zonesInRegion: 2}, virtualnet.Config{
+			Loss: 0.03, Duplication: 0.03, Jitter: 2 * time.Millisecond,
+		})
+		cluster.startAll(5*time.Second, 0)
+		agree(2 * time.Minute)
+		forgetEffects()
+	})
+
+	ginkgo.It("detects a failed member everywhere", func() {
+		victim := cluster.processes[cluster.addresses[5]]
+		cluster.kill(victim.address)
+		agree(detectionLimit)
+		for _, observer := range cluster.running() {
+			gomega.Expect(observer.failures).To(gomega.HaveKey(victim.identity))
+		}
+	})
+
+	ginkgo.It("learns of a planned stop without a suspicion", func() {
+		cluster.network.SetLoss(0)
+		cluster.leave(cluster.addresses[9])
+		taken, wrong := cluster.runUntilAgreed(detectionLimit)
+		gomega.Expect(wrong).To(gomega.BeEmpty())
+		gomega.Expect(taken).To(gomega.BeNumerically("<", cluster.suspicionTimeout()))
+		gomega.Expect(total(membership.EffectLeft)).To(gomega.Equal(len(cluster.running())))
+		gomega.Expect(total(membership.EffectFailed)).To(gomega.BeZero())
+	})
+
+	ginkgo.It("takes a restarted process for a new member", func() {
+		before := cluster.processes[cluster.addresses[4]].identity
+		cluster.kill(before.Address)
+		after := cluster.start(before.Address).identity
+		agree(detectionLimit)
+		gomega.Expect(after.Incarnation).To(gomega.BeNumerically(">", before.Incarnation))
+		for _, observer := range cluster.running() {
+			if observer.address != before.Address {
+				gomega.Expect(observer.failures).To(gomega.HaveKey(before))
+			}
+		}
+	})
+
+	ginkgo.It("lets a process whose clock was set back join", func() {
+		address := cluster.addresses[4]
+		cluster.kill(address)
+		cluster.starts = -1000
+		restarted := cluster.start(address)
+		agree(detectionLimit)
+		gomega.Expect(restarted.machine.Self().Incarnation).To(gomega.BeNumerically(">", restarted.identity.Incarnation))
+	})
+
+	ginkgo.It("does not lose a member to a short pause", func() {
+		address := cluster.addresses[10]
+		cluster.network.Pause(virtualnet.NodeID(address))
+		cluster.network.Run(2 * time.Second)
+		cluster.network.Resume(virtualnet.NodeID(address))
+		cluster.network.Run(detectionLimit)
+		agree(detectionLimit)
+		gomega.Expect(total(membership.EffectFailed)).To(gomega.BeZero())
+	})
+
+	ginkgo.It("takes back a member after a long pause, and that one accuses nobody", func() {
+		sleeper := cluster.processes[cluster.addresses[10]]
+		cluster.network.Pause(virtualnet.NodeID(sleeper.address))
+		cluster.network.Run(detectionLimit)
+		gomega.Expect(total(membership.EffectFailed)).To(gomega.Equal(len(cluster.running()) - 1))
+		forgetEffects()
+		cluster.network.Resume(virtualnet.NodeID(sleeper.address))
+		agree(detectionLimit)
+		gomega.Expect(sleeper.effects[membership.EffectSuspected]).To(gomega.BeZero())
+		gomega.Expect(sleeper.effects[membership.EffectFailed]).To(gomega.BeZero())
+	})
+
+	ginkgo.It("declares nobody failed while regions are cut off, and merges after an hour", func() {
+		cluster.cutZones(func(zone membership.Zone) bool { return zone < 2 })
+		cluster.network.Run(hour)
+		gomega.Expect(total(membership.EffectFailed)).To(gomega.BeZero())
+		for _, observer := range cluster.running() {
+			for _, other := range cluster.running() {
+				known, exists := observer.machine.Member(other.address)
+				gomega.Expect(exists).To(gomega.BeTrue())
+				sameSide := (observer.identity.Zone < 2) == (other.identity.Zone < 2)
+				gomega.Expect(known.Reachable).To(gomega.Equal(sameSide))
+			}
+		}
+		cluster.kill(cluster.addresses[0])
+		cluster.start(cluster.addresses[7])
+		cluster.network.Run(detectionLimit)
+		cluster.network.SetCut(nil)
+		agree(mergeLimit)
+	})
+
+	ginkgo.It("tells a zone that missed a failure as a whole", func() {
+		cluster.cutZones(inZone(1))
+		cluster.kill(cluster.addresses[3])
+		cluster.network.Run(5 * time.Minute)
+		cluster.network.SetCut(nil)
+		agree(mergeLimit)
+	})
+
+	ginkgo.It("merges a zone that was cut in two for an hour", func() {
+		side := func(id virtualnet.NodeID) bool { return membership.Address(id) < cluster.addresses[16] }
+		cluster.network.SetCut(func(from, to virtualnet.NodeID) bool { return side(from) != side(to) })
+		cluster.network.Run(hour)
+		gomega.Expect(total(membership.EffectFailed)).To(gomega.BeNumerically(">", 0))
+		cluster.network.SetCut(nil)
+		agree(mergeLimit)
+	})
+
+	ginkgo.It("keeps members that only their own zone cannot reach", func() {
+		side := func(id virtualnet.NodeID) bool { return membership.Address(id) < cluster.addresses[16] }
+		cluster.network.SetCut(func(from, to virtualnet.NodeID) bool {
+			same := cluster.zoneAt(membership.Address(from)) == cluster.zoneAt(membership.Address(to))
+			return same && side(from) != side(to)
+		})
+		cluster.network.Run(5 * time.Minute)
+		cluster.network.SetCut(nil)
+		agree(mergeLimit)
+	})
+
+	ginkgo.It("holds a zone that died for unreachable and forgets it later", func() {
+		for index, address := range cluster.addresses {
+			if cluster.layout.zoneOf(index) == 3 {
+				cluster.kill(address)
+			}
+		}
+		cluster.network.Run(5 * time.Minute)
+		gomega.Expect(total(membership.EffectFailed)).To(gomega.BeZero())
+		gomega.Expect(total(membership.EffectZoneUnreachable)).To(gomega.Equal(len(cluster.running())))
+		cluster.network.Run(2 * hour)
+		agree(detectionLimit)
+		cluster.network.Run(2*hour + detectionLimit)
+		for _, observer := range cluster.running() {
+			gomega.Expect(observer.machine.Members()).To(gomega.HaveLen(len(cluster.running())))
+		}
+	})
+
+	ginkgo.It("notices a zone that comes back", func() {
+		cluster.cutZones(inZone(2))
+		cluster.network.Run(time.Minute)
+		forgetEffects()
+		cluster.network.SetCut(nil)
+		agree(mergeLimit)
+		gomega.Expect(total(membership.EffectZoneReachable)).To(gomega.BeNumerically(">=", len(cluster.running())))
+	})
+
+	ginkgo.It("does not believe the list of machines", func() {
+		unknown := cluster.addresses[31] + 100*addressStep
+		for _, observer := range cluster.running() {
+			observer.machine.SetSeeds([]membership.Address{unknown})
+		}
+		cluster.network.Run(time.Minute)
+		agree(detectionLimit)
+		gomega.Expect(total(membership.EffectJoined)).To(gomega.BeZero())
+		gomega.Expect(total(membership.EffectFailed)).To(gomega.BeZero())
+	})
+})
+
+var _ = ginkgo.Describe("separate fleets", func() {
+	ginkgo.It("merge when one process learns of a seed on the other side", func() {
+		cluster := newFleet(3, layout{members: 12, zones: 3, zonesInRegion: 2}, virtualnet.Config{Loss: 0.02})
+		cluster.seeding = 12
+		cluster.network.SetCut(func(from, to virtualnet.NodeID) bool {
+			middle := virtualnet.NodeID(cluster.addresses[6])
+			return (from < middle) != (to < middle)
+		})
+		cluster.startAll(time.Second, 2*time.Minute)
+		for _, observer := range cluster.running() {
+			gomega.Expect(observer.machine.Live()).To(gomega.Equal(6))
+			observer.machine.SetSeeds(nil)
+		}
+		cluster.network.SetCut(nil)
+		cluster.processes[cluster.addresses[0]].machine.SetSeeds(cluster.addresses[11:])
+		_, wrong := cluster.runUntilAgreed(mergeLimit)
+		gomega.Expect(wrong).To(gomega.BeEmpty())
+	})
+})
+
+var _ = ginkgo.Describe("a machine", func() {
+	identity := func(number int) membership.Identity {
+		return membership.Identity{
+			Address: firstAddress + membership.Address(number)*addressStep, Incarnation: firstIncarnation,
+		}
+	}
+	create := func(limit int) *membership.Machine {
+		config := membership.DefaultConfig(identity(0), rand.New(rand.NewPCG(1, 1)))
+		config.MemberLimit = limit
+		machine, err := membership.New(config)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		return machine
+	}
+	alive := func(number int) membership.Update { return membership.Update{Member: identity(number)} }
+
+	ginkgo.It("remembers no more members than its limit", func() {
+		machine := create(10)
+		for number := 1; number < 100; number++ {
+			sender := alive(number)
+			machine.Receive(0, sender.Member.Address, membership.Message{Kind: membership.KindPing, Sender: sender})
+		}
+		gomega.Expect(machine.Members()).To(gomega.HaveLen(10))
+	})
+
+	ginkgo.DescribeTable("ignores a malformed message",
+		func(change func(*membership.Message)) {
+			machine := create(10)
+			message := membership.Message{Kind: membership.KindPing, Sender: alive(1)}
+			change(&message)
+			gomega.Expect(machine.Receive(0, alive(1).Member.Address, message)).To(gomega.BeEmpty())
+			gomega.Expect(machine.Members()).To(gomega.HaveLen(1))
+		},
+		ginkgo.Entry("of another sender", func(m *membership.Message) { m.Sender = alive(2) }),
+		ginkgo.Entry("of an unknown kind", func(m *membership.Message) { m.Kind = membership.KindLeave + 1 }),
+		ginkgo.Entry("with a zone out of range", func(m *membership.Message) { m.Sender.Member.Zone = membership.MaximumZones }),
+		ginkgo.Entry("with a digest out of range", func(m *membership.Message) { m.Digest.Zone = membership.MaximumZones }),
+		ginkgo.Entry("with an update of an unknown state", func(m *membership.Message) {
+			m.Updates = []membership.Update{{Member: identity(3), State: membership.StateLeft + 1}}
+		}),
+		ginkgo.Entry("with too many ages", func(m *membership.Message) { m.Ages = make([]byte, membership.MaximumZones+1) }),
+	)
+
+	ginkgo.It("refutes what is said of it, once for each statement", func() {
+		machine := create(10)
+		accusation := membership.Update{Member: identity(0), Refutation: 4, State: membership.StateFailed}
+		message := membership.Message{Kind: membership.KindPing, Sender: alive(1), Updates: []membership.Update{accusation}}
+		for range 2 {
+			effects := machine.Receive(0, alive(1).Member.Address, message)
+			gomega.Expect(effects[len(effects)-1].Message.Sender.Refutation).To(gomega.Equal(uint32(5)))
+		}
+	})
+
+	ginkgo.It("does nothing after it has left", func() {
+		machine := create(10)
+		machine.Receive(0, alive(1).Member.Address, membership.Message{Kind: membership.KindPing, Sender: alive(1)})
+		gomega.Expect(machine.Leave(0)).NotTo(gomega.BeEmpty())
+		gomega.Expect(machine.Tick(time.Second)).To(gomega.BeEmpty())
+		gomega.Expect(machine.Leave(0)).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("refuses settings that cannot work", func() {
+		config := membership.DefaultConfig(identity(0), nil)
+		_, err := membership.New(config)
+		gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("randomness")))
+	})
+})
--- /dev/null
+++ b/internal/membership/gossip.go
@@ -0,0 +1,122 @@
+// This file implements the queue of updates that wait for being passed along.
+
+package membership
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// retransmissionFactor times the decimal logarithm of the members is how
+	// often a member passes an update along (Das et al. 2002, section 4.1).
+	retransmissionFactor = 5
+	// gossipLifetime is how long an update is passed along. In a storm of
+	// changes the digests find what did not get its turn.
+	gossipLifetime = 30 * time.Second
+	// gossipSlack is how many obsolete entries may stay queued.
+	gossipSlack = 64
+)
+
+// queuedUpdate is an update and how often it was sent.
+type queuedUpdate struct {
+	update  Update
+	sent    int
+	expires time.Duration
+}
+
+// gossip holds one current update for each address. Those sent least often go
+// first, among them the newest, so that a backlog does not hold up news.
+type gossip struct {
+	// bySent holds the queued updates by how often they were sent.
+	bySent [][]*queuedUpdate
+	queued int
+	// current is the newest entry of each address; others are obsolete.
+	current map[Address]*queuedUpdate
+}
+
+func newGossip() *gossip {
+	return &gossip{current: make(map[Address]*queuedUpdate)}
+}
+
+// add queues an update in place of an older one of the same address.
+func (g *gossip) add(now time.Duration, update Update) {
+	added := &queuedUpdate{update: update, expires: now + gossipLifetime}
+	g.current[update.Member.Address] = added
+	g.push(added)
+	if g.queued > 2*len(g.current)+gossipSlack {
+		g.compact()
+	}
+}
+
+func (g *gossip) push(added *queuedUpdate) {
+	for len(g.bySent) <= added.sent {
+		g.bySent = append(g.bySent, nil)
+	}
+	g.bySent[added.sent] = append(g.bySent[added.sent], added)
+	g.queued++
+}
+
+func (g *gossip) compact() {
+	g.queued = 0
+	for sent := range g.bySent {
+		g.bySent[sent] = slices.DeleteFunc(g.bySent[sent], g.obsolete)
+		g.queued += len(g.bySent[sent])
+	}
+}
+
+func (g *gossip) obsolete(queued *queuedUpdate) bool {
+	return g.current[queued.update.Member.Address] != queued
+}
+
+// take appends at most count updates to send and counts them as sent.
+func (g *gossip) take(now time.Duration, updates []Update, count int, members int) []Update {
+	limit := retransmissions(members)
+	var again []*queuedUpdate
+	for taken := 0; taken < count; {
+		next, exists := g.pop()
+		if !exists {
+			break
+		}
+		if g.obsolete(next) {
+			continue
+		}
+		if now >= next.expires {
+			delete(g.current, next.update.Member.Address)
+			continue
+		}
+		updates = append(updates, next.update)
+		taken++
+		next.sent++
+		if next.sent < limit {
+			again = append(again, next)
+		} else {
+			delete(g.current, next.update.Member.Address)
+		}
+	}
+	for _, next := range again {
+		g.push(next)
+	}
+	return updates
+}
+
+// pop removes the entry that is to be sent next.
+func (g *gossip) pop() (*queuedUpdate, bool) {
+	for sent, entries := range g.bySent {
+		last := len(entries) - 1
+		if last < 0 {
+			continue
+		}
+		next := entries[last]
+		g.bySent[sent] = entries[:last]
+		g.queued--
+		return next, true
+	}
+	return nil, false
+}
+
+// retransmissions returns how often each member passes an update along.
+func retransmissions(members int) int {
+	return retransmissionFactor * max(1, int(math.Ceil(math.Log10(float64(members+1)))))
+}
--- /dev/null
+++ b/internal/membership/measure_bench_test.go
@@ -0,0 +1,134 @@
+// This file measures fleets of the sizes of the capacity target in virtual
+// time: go test -run '^$' -bench Fleet -benchtime 1x ./internal/membership
+
+package membership_test
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/membership"
+	"github.com/vanetiller/vanetiller/internal/membership/virtualnet"
+)
+
+const (
+	measureSeed  = 1
+	measuredTime = 2 * time.Minute
+	startSpread  = 30 * time.Second
+	settleLimit  = 10 * time.Minute
+	victims      = 9
+)
+
+// targetLayout is the fleet of the capacity target with a number of members.
+func targetLayout(members int) layout {
+	return layout{members: members, zones: 11, zonesInRegion: 2}
+}
+
+func BenchmarkFleet(b *testing.B) {
+	for _, members := range []int{275, 550, 1100} {
+		for _, loss := range []float64{0.01, 0.05} {
+			b.Run(fmt.Sprintf("members=%d/loss=%v", members, loss), func(b *testing.B) {
+				for b.Loop() {
+					measureFleet(b, members, loss)
+				}
+			})
+		}
+	}
+}
+
+func measureFleet(b *testing.B, members int, loss float64) {
+	heapBefore := heapInUse()
+	measured := newFleet(measureSeed, targetLayout(members), virtualnet.Config{Loss: loss, Jitter: time.Millisecond})
+	measured.startAll(startSpread, 0)
+	settled := mustAgree(b, measured)
+	b.ReportMetric(settled.Seconds(), "cold-start-s")
+
+	began := measured.network.Now()
+	messages, clock := measured.messages, time.Now()
+	measured.network.Run(measuredTime)
+	perMessage := time.Since(clock) / time.Duration(measured.messages-messages)
+	mean, worst := trafficOf(measured, began, measured.network.Now())
+	b.ReportMetric(mean, "bytes/s-mean")
+	b.ReportMetric(worst, "bytes/s-worst-10s")
+	b.ReportMetric(float64(perMessage.Nanoseconds()), "ns/message")
+	b.ReportMetric(float64(countEffects(measured, membership.EffectFailed)), "false-failures")
+	b.ReportMetric(float64(heapInUse()-heapBefore)/float64(members*members), "heap-B/known-member")
+
+	detection := measureDetection(b, measured)
+	b.ReportMetric(detection[len(detection)/2].Seconds(), "detected-everywhere-s-median")
+	b.ReportMetric(detection[len(detection)-1].Seconds(), "detected-everywhere-s-max")
+	measureRestart(b, measured)
+	b.ReportMetric(float64(measured.largest), "largest-datagram-B")
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+func mustAgree(b *testing.B, measured *fleet) time.Duration {
+	taken, wrong := measured.runUntilAgreed(settleLimit)
+	if wrong != "" {
+		b.Fatalf("no agreement: %s", wrong)
+	}
+	return taken
+}
+
+func countEffects(measured *fleet, kind membership.EffectKind) int {
+	count := 0
+	for _, observed := range measured.running() {
+		count += observed.effects[kind]
+	}
+	return count
+}
+
+func trafficOf(measured *fleet, began, ended time.Duration) (mean, worst float64) {
+	running := measured.running()
+	for _, observed := range running {
+		traffic := measured.network.Traffic(virtualnet.NodeID(observed.address))
+		mean += traffic.Mean(began, ended) / float64(len(running))
+		worst = max(worst, traffic.Worst(began, ended))
+	}
+	return mean, worst
+}
+
+// measureDetection kills members one after another and returns in ascending
+// order the times until all others knew it.
+func measureDetection(b *testing.B, measured *fleet) []time.Duration {
+	var times []time.Duration
+	for number := range victims {
+		victim := measured.processes[measured.addresses[number*17+3]]
+		measured.kill(victim.address)
+		began := measured.network.Now()
+		mustAgree(b, measured)
+		times = append(times, lastFailure(measured, victim.identity)-began)
+	}
+	slices.Sort(times)
+	return times
+}
+
+func lastFailure(measured *fleet, victim membership.Identity) time.Duration {
+	var last time.Duration
+	for _, observer := range measured.running() {
+		last = max(last, observer.failures[victim])
+	}
+	return last
+}
+
+// measureRestart restarts one member and measures the time until all views are
+// right again and its traffic meanwhile.
+func measureRestart(b *testing.B, measured *fleet) {
+	address := measured.addresses[len(measured.addresses)-1]
+	began := measured.network.Now()
+	measured.kill(address)
+	measured.start(address)
+	taken := mustAgree(b, measured)
+	worst := measured.network.Traffic(virtualnet.NodeID(address)).Worst(began, began+30*time.Second)
+	b.ReportMetric(taken.Seconds(), "restart-known-everywhere-s")
+	b.ReportMetric(worst, "bytes/s-worst-10s-of-joiner")
+}
--- /dev/null
+++ b/internal/membership/virtualnet/traffic.go
@@ -0,0 +1,51 @@
+// This file implements the account of a node's traffic.
+
+package virtualnet
+
+import "time"
+
+// worstWindow is the length in seconds of the window of Traffic.Worst.
+const worstWindow = 10
+
+// Traffic counts the bytes that a node sent and received, headers included,
+// for each second of virtual time.
+type Traffic struct{ seconds []int }
+
+func (t *Traffic) add(now time.Duration, bytes int) {
+	second := int(now / time.Second)
+	for len(t.seconds) <= second {
+		t.seconds = append(t.seconds, 0)
+	}
+	t.seconds[second] += bytes
+}
+
+// Mean returns the bytes a second over the whole seconds from begin to end.
+func (t *Traffic) Mean(begin, end time.Duration) float64 {
+	total := 0
+	first, last := int(begin/time.Second), int(end/time.Second)
+	for second := first; second < last; second++ {
+		total += t.at(second)
+	}
+	return float64(total) / float64(max(last-first, 1))
+}
+
+// Worst returns the bytes a second in the worst ten seconds from begin to end.
+func (t *Traffic) Worst(begin, end time.Duration) float64 {
+	worst, window := 0, 0
+	first, last := int(begin/time.Second), int(end/time.Second)
+	for second := first; second < last; second++ {
+		window += t.at(second)
+		if second >= first+worstWindow {
+			window -= t.at(second - worstWindow)
+		}
+		worst = max(worst, window)
+	}
+	return float64(worst) / worstWindow
+}
+
+func (t *Traffic) at(second int) int {
+	if second < 0 || second >= len(t.seconds) {
+		return 0
+	}
+	return t.seconds[second]
+}
