Replace voters by joint consensus and test random schedules

Duplicated negative replies multiplied messages without bound; replies from before the last retreat are now ignored.

--- a/internal/agreement/checker_test.go
+++ b/internal/agreement/checker_test.go
@@ -127,6 +127,15 @@
 	}
 }
 
+// lastChangeOf returns the change that gave a row the version.
+func (k *checker) lastChangeOf(row table.BackendID, version table.Version) changelog.ChangeID {
+	id, exists := k.changeAt[version]
+	if !exists {
+		k.violate("row %d has version %d that no change made", row, version)
+	}
+	return id
+}
+
 func (k *checker) answered(p *process, id agreement.ProposalID, answer agreement.Answer) {
 	switch answer {
 	case agreement.AnswerRefused:
--- a/internal/agreement/configuration_gen.go
+++ b/internal/agreement/configuration_gen.go
@@ -14,8 +14,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -30,43 +30,37 @@
 		z.Members = make([]Member, zb0002)
 	}
 	for za0001 := range z.Members {
-		var zb0003 uint32
-		zb0003, err = dc.ReadArrayHeader()
+		err = z.Members[za0001].DecodeMsg(dc)
 		if err != nil {
 			err = msgp.WrapError(err, "Members", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		err = z.Members[za0001].ID.DecodeMsg(dc)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001, "ID")
-			return
-		}
-		err = z.Members[za0001].Zone.DecodeMsg(dc)
+	}
+	var zb0003 uint32
+	zb0003, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Previous")
+		return
+	}
+	if cap(z.Previous) >= int(zb0003) {
+		z.Previous = (z.Previous)[:zb0003]
+	} else {
+		z.Previous = make([]Member, zb0003)
+	}
+	for za0002 := range z.Previous {
+		err = z.Previous[za0002].DecodeMsg(dc)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001, "Zone")
+			err = msgp.WrapError(err, "Previous", za0002)
 			return
 		}
-		{
-			var zb0004 uint8
-			zb0004, err = dc.ReadUint8()
-			if err != nil {
-				err = msgp.WrapError(err, "Members", za0001, "Role")
-				return
-			}
-			z.Members[za0001].Role = Role(zb0004)
-		}
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Configuration) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 1
-	err = en.Append(0x91)
+	// array header, size 2
+	err = en.Append(0x92)
 	if err != nil {
 		return
 	}
@@ -76,24 +70,21 @@
 		return
 	}
 	for za0001 := range z.Members {
-		// array header, size 3
-		err = en.Append(0x93)
-		if err != nil {
-			return
-		}
-		err = z.Members[za0001].ID.EncodeMsg(en)
+		err = z.Members[za0001].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001, "ID")
-			return
-		}
-		err = z.Members[za0001].Zone.EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001, "Zone")
+			err = msgp.WrapError(err, "Members", za0001)
 			return
 		}
-		err = en.WriteUint8(uint8(z.Members[za0001].Role))
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Previous)))
+	if err != nil {
+		err = msgp.WrapError(err, "Previous")
+		return
+	}
+	for za0002 := range z.Previous {
+		err = z.Previous[za0002].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001, "Role")
+			err = msgp.WrapError(err, "Previous", za0002)
 			return
 		}
 	}
@@ -103,23 +94,23 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Configuration) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
 	for za0001 := range z.Members {
-		// array header, size 3
-		o = append(o, 0x93)
-		o, err = z.Members[za0001].ID.MarshalMsg(o)
+		o, err = z.Members[za0001].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001, "ID")
+			err = msgp.WrapError(err, "Members", za0001)
 			return
 		}
-		o, err = z.Members[za0001].Zone.MarshalMsg(o)
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Previous)))
+	for za0002 := range z.Previous {
+		o, err = z.Previous[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001, "Zone")
+			err = msgp.WrapError(err, "Previous", za0002)
 			return
 		}
-		o = msgp.AppendUint8(o, uint8(z.Members[za0001].Role))
 	}
 	return
 }
@@ -132,8 +123,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -148,35 +139,29 @@
 		z.Members = make([]Member, zb0002)
 	}
 	for za0001 := range z.Members {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Members[za0001].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Members", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		bts, err = z.Members[za0001].ID.UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001, "ID")
-			return
-		}
-		bts, err = z.Members[za0001].Zone.UnmarshalMsg(bts)
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Previous")
+		return
+	}
+	if cap(z.Previous) >= int(zb0003) {
+		z.Previous = (z.Previous)[:zb0003]
+	} else {
+		z.Previous = make([]Member, zb0003)
+	}
+	for za0002 := range z.Previous {
+		bts, err = z.Previous[za0002].UnmarshalMsg(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001, "Zone")
+			err = msgp.WrapError(err, "Previous", za0002)
 			return
 		}
-		{
-			var zb0004 uint8
-			zb0004, bts, err = msgp.ReadUint8Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Members", za0001, "Role")
-				return
-			}
-			z.Members[za0001].Role = Role(zb0004)
-		}
 	}
 	o = bts
 	return
@@ -186,7 +171,11 @@
 func (z *Configuration) Msgsize() (s int) {
 	s = 1 + msgp.ArrayHeaderSize
 	for za0001 := range z.Members {
-		s += 1 + z.Members[za0001].ID.Msgsize() + z.Members[za0001].Zone.Msgsize() + msgp.Uint8Size
+		s += z.Members[za0001].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Previous {
+		s += z.Previous[za0002].Msgsize()
 	}
 	return
 }
--- a/internal/agreement/election.go
+++ b/internal/agreement/election.go
@@ -51,7 +51,7 @@
 		LastIndex:   m.log.lastIndex(),
 		LastTerm:    m.log.lastTerm(),
 	}
-	for _, member := range m.Voters().Members {
+	for _, member := range m.Voters().Voters() {
 		if member.ID != m.parameters.Self {
 			m.send(member.ID, Message{Term: term, Vote: &request})
 		}
@@ -131,7 +131,7 @@
 func (m *Machine) countVotes(now time.Duration) {
 	voted := func(member Member) bool { return m.votes[member.ID] }
 	configuration := m.Voters()
-	if !configuration.majorityOf(voted) {
+	if !configuration.HasMajority(voted) {
 		return
 	}
 	if m.state == candidate {
@@ -139,7 +139,7 @@
 		return
 	}
 	silent := now >= m.leaderHeard+m.parameters.WitnessDelay
-	if silent || configuration.replicaMajorityOf(voted) {
+	if silent || configuration.hasReplicaMajority(voted) {
 		m.startElection(now)
 	}
 }
--- a/internal/agreement/planner.go
+++ b/internal/agreement/planner.go
@@ -6,25 +6,31 @@
 )
 
 // plan takes the next step towards the wanted set of voters, at most one
-// change of the configuration at a time.
+// change of the configuration at a time. The leader must have committed an
+// entry of its own term before (Ongaro 2014, section 4.1, as corrected in
+// 2015).
 func (m *Machine) plan(now time.Duration) {
-	configuration, index := m.log.voters, m.log.votersIndex
-	if !m.emptyDone || index > m.commit || !m.hasQuorum(now) {
+	configuration := m.log.voters
+	if !m.emptyDone || m.log.votersIndex > m.commit || !m.hasQuorum(now) {
+		return
+	}
+	if len(configuration.Previous) > 0 {
+		m.appendConfiguration(now, configuration.final())
 		return
 	}
 	if m.learner != (ProcessID{}) && !m.learnerWanted(configuration) {
 		m.learner = ProcessID{}
 		m.syncPeers(now)
 	}
-	if m.learner != (ProcessID{}) {
-		m.admitLearner(now, configuration)
-		return
-	}
 	if next, changed := m.fleet.nextRoles(configuration, m.parameters); changed {
 		m.appendConfiguration(now, next)
 		return
 	}
-	m.startLearner(now, configuration)
+	if m.learner == (ProcessID{}) {
+		m.startLearner(now, configuration)
+		return
+	}
+	m.admitLearner(now, configuration)
 }
 
 // learnerWanted reports whether the learner still runs and a voter is still
@@ -45,22 +51,25 @@
 	m.replicate(now, joining)
 }
 
-// admitLearner makes the learner a voter once it holds every committed entry.
-// A voter to be replaced is removed first: it is mostly gone, and would only
-// raise the majority.
+// admitLearner makes the learner a voter once it holds every committed entry
+// and a majority of the voters to be has answered lately.
 func (m *Machine) admitLearner(now time.Duration, configuration Configuration) {
 	if m.peers[m.learner].match < m.commit {
 		return
 	}
-	wanted := m.parameters.Replicas + m.parameters.Witnesses
-	if len(configuration.Members) >= wanted {
-		leaving, _ := m.fleet.leavingVoter(configuration, m.parameters.Self)
-		m.appendConfiguration(now, configuration.without(leaving))
+	joining := Member{ID: m.learner, Zone: m.fleet.zones[m.learner], Role: RoleWitness}
+	if configuration.count(m.fleet.isRunningReplica) < m.parameters.Replicas {
+		joining.Role = RoleReplica
+	}
+	next := configuration.with(joining)
+	if leaving, exists := m.fleet.leavingVoter(configuration, m.parameters); exists {
+		next = configuration.replacing(leaving, joining)
+	}
+	if !m.hasQuorumOf(now, next) {
 		return
 	}
-	member := Member{ID: m.learner, Zone: m.fleet.zones[m.learner], Role: RoleWitness}
 	m.learner = ProcessID{}
-	m.appendConfiguration(now, configuration.with(member))
+	m.appendConfiguration(now, next)
 }
 
 func (m *Machine) appendConfiguration(now time.Duration, next Configuration) {
@@ -75,14 +84,8 @@
 	if !exists {
 		return ProcessID{}, false
 	}
-	if len(configuration.Members) < parameters.Replicas+parameters.Witnesses {
-		return joining.ID, true
-	}
-	leaving, exists := f.leavingVoter(configuration, parameters.Self)
-	if !exists {
-		return ProcessID{}, false
-	}
-	if !f.isUp(leaving) {
+	leaving, exists := f.leavingVoter(configuration, parameters)
+	if !exists || !f.isUp(leaving) {
 		return joining.ID, true
 	}
 	member, _ := configuration.Member(leaving)
@@ -107,16 +110,16 @@
 	return best, found
 }
 
-// leavingVoter returns the voter to remove: one that is down, else one of the
-// zone with the most voters. The leader stays.
-func (f *fleet) leavingVoter(configuration Configuration, self ProcessID) (ProcessID, bool) {
+// leavingVoter returns the voter to replace: one that is down, else, if there
+// are enough voters, one of the zone with the most. The leader stays.
+func (f *fleet) leavingVoter(configuration Configuration, parameters Parameters) (ProcessID, bool) {
 	var crowded Member
 	found := false
 	for _, member := range configuration.Members {
 		if !f.isUp(member.ID) {
 			return member.ID, true
 		}
-		if member.ID == self {
+		if member.ID == parameters.Self {
 			continue
 		}
 		if !found || f.load(configuration, member.Zone) > f.load(configuration, crowded.Zone) {
@@ -124,9 +127,12 @@
 			found = true
 		}
 	}
-	return crowded.ID, found
+	complete := len(configuration.Members) >= parameters.Replicas+parameters.Witnesses
+	return crowded.ID, found && complete
 }
 
+func (f *fleet) isRunningReplica(member Member) bool { return isReplica(member) && f.isUp(member.ID) }
+
 // load returns the number of running voters of a zone.
 func (f *fleet) load(configuration Configuration, zone Zone) int {
 	return configuration.count(func(m Member) bool { return m.Zone == zone && f.isUp(m.ID) })
@@ -135,14 +141,14 @@
 // nextRoles returns the configuration with one role changed, if there are too
 // few running replicas or a replica is down. The number of voters stays.
 func (f *fleet) nextRoles(configuration Configuration, parameters Parameters) (Configuration, bool) {
-	runs := func(m Member) bool { return isReplica(m) && f.isUp(m.ID) }
-	if configuration.count(runs) < parameters.Replicas {
+	running := configuration.count(f.isRunningReplica)
+	if running < parameters.Replicas {
 		if promoted, exists := f.promotable(configuration); exists {
 			return configuration.withRole(promoted, RoleReplica), true
 		}
 	}
 	gone := slices.IndexFunc(configuration.Members, func(m Member) bool { return isReplica(m) && !f.isUp(m.ID) })
-	if gone >= 0 && configuration.count(runs) >= parameters.Replicas {
+	if gone >= 0 && running >= parameters.Replicas {
 		return configuration.withRole(configuration.Members[gone].ID, RoleWitness), true
 	}
 	return Configuration{}, false
@@ -158,7 +164,7 @@
 			continue
 		}
 		replicas := configuration.count(func(m Member) bool {
-			return isReplica(m) && m.Zone == member.Zone && f.isUp(m.ID)
+			return m.Zone == member.Zone && f.isRunningReplica(m)
 		})
 		if replicas < fewest {
 			best = member.ID
--- a/internal/agreement/replication.go
+++ b/internal/agreement/replication.go
@@ -15,6 +15,8 @@
 	contact time.Duration
 	// sent is when anything was last sent.
 	sent time.Duration
+	// retreated is when entries were last sent again.
+	retreated time.Duration
 }
 
 func (m *Machine) becomeLeader(now time.Duration) {
@@ -31,7 +33,7 @@
 // syncPeers keeps one peer for every voter and for the learner.
 func (m *Machine) syncPeers(now time.Duration) {
 	configuration := m.Voters()
-	for _, member := range configuration.Members {
+	for _, member := range configuration.Voters() {
 		m.addPeer(now, member.ID)
 	}
 	if m.learner != (ProcessID{}) {
@@ -134,22 +136,25 @@
 }
 
 func (m *Machine) hasReplicaQuorum(now time.Duration) bool {
-	return m.Voters().replicaMajorityOf(m.answeredWithin(now, m.parameters.QuorumTimeout))
+	return m.Voters().hasReplicaMajority(m.answeredWithin(now, m.parameters.QuorumTimeout))
 }
 
 // hasQuorum reports whether a majority of the voters answered lately. While
 // the replicas answer, witnesses are given as long as their rarer heartbeats
 // need.
 func (m *Machine) hasQuorum(now time.Duration) bool {
-	recent := m.answeredWithin(now, m.parameters.QuorumTimeout)
-	if m.Voters().majorityOf(recent) {
+	return m.hasQuorumOf(now, m.Voters())
+}
+
+func (m *Machine) hasQuorumOf(now time.Duration, configuration Configuration) bool {
+	if configuration.HasMajority(m.answeredWithin(now, m.parameters.QuorumTimeout)) {
 		return true
 	}
 	if !m.hasReplicaQuorum(now) {
 		return false
 	}
 	window := m.parameters.WitnessHeartbeat + m.parameters.QuorumTimeout
-	return m.Voters().majorityOf(m.answeredWithin(now, window))
+	return configuration.HasMajority(m.answeredWithin(now, window))
 }
 
 func (m *Machine) receiveAppend(now time.Duration, from ProcessID, message Message) {
@@ -240,18 +245,31 @@
 	}
 	reply := message.AppendReply
 	known.contact = max(known.contact, reply.Sent)
-	if reply.Success {
-		known.match = max(known.match, reply.Match)
-		known.next = max(known.next, known.match+1)
-		m.commitMajority(now)
-	} else {
-		known.next = max(known.match, min(known.next-1, reply.Match)) + 1
+	if !reply.Success {
+		m.retreat(now, from, *reply)
+		return
 	}
+	known.match = max(known.match, reply.Match)
+	known.next = max(known.next, known.match+1)
+	m.commitMajority(now)
 	if m.state == leader && m.peers[from] != nil && known.next <= m.log.lastIndex() {
 		m.replicate(now, from)
 	}
 }
 
+// retreat goes back to an earlier entry for a peer that lacks the previous
+// one. Replies to messages from before the last retreat tell nothing new; they
+// are ignored, so that duplicated replies do not multiply messages.
+func (m *Machine) retreat(now time.Duration, id ProcessID, reply AppendReply) {
+	known := m.peers[id]
+	if reply.Sent < known.retreated {
+		return
+	}
+	known.retreated = now
+	known.next = max(known.match, min(known.next-1, reply.Match)) + 1
+	m.replicate(now, id)
+}
+
 // commitMajority commits the newest entry of the current term that a majority
 // of the voters holds, and with it all before.
 func (m *Machine) commitMajority(now time.Duration) {
@@ -259,7 +277,7 @@
 		if term, _ := m.log.term(index); term != m.term {
 			return
 		}
-		if m.Voters().majorityOf(m.holds(index)) {
+		if m.Voters().HasMajority(m.holds(index)) {
 			m.emptyDone = true
 			m.advanceCommit(index)
 			m.leaveIfRemoved(now)
