--- /dev/null
+++ b/internal/changelog/state_test.go
@@ -0,0 +1,164 @@
+package changelog_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/changelog"
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+func serviceOf(id table.ServiceID) table.Service {
+	return table.Service{
+		ID: id, Name: fmt.Sprintf("service-%d", id), Protocol: table.ProtocolTCP,
+		Address: table.Endpoint(fmt.Sprintf("198.51.100.1:%d", 1000+id)),
+	}
+}
+
+func rowOf(id table.BackendID, service table.ServiceID) table.Backend {
+	return table.Backend{
+		ID: id, Service: service, Name: fmt.Sprintf("row-%d", id), Incarnation: 1,
+		Agent: "192.0.2.1:6081", Weight: 10, ConnectionLimit: 100,
+	}
+}
+
+func pointer[T any](value T) *T { return &value }
+
+func weightOf(id table.BackendID, weight uint32) []changelog.CellUpdate {
+	return []changelog.CellUpdate{{Backend: id, Weight: &weight}}
+}
+
+var _ = Describe("State", func() {
+	var (
+		state *changelog.State
+		count int
+	)
+
+	// apply gives the change an identifier, if it has none, and the current
+	// version.
+	apply := func(change changelog.Change) changelog.Outcome {
+		count++
+		if change.ID == "" {
+			change.ID = changelog.ChangeID(fmt.Sprintf("change-%d", count))
+		}
+		change.Base = state.Version()
+		change.Who, change.Why = "operator", "test"
+		return state.Apply(&change)
+	}
+
+	row := func(id table.BackendID) table.Backend {
+		found, _ := state.Table().Backend(id)
+		return found
+	}
+
+	BeforeEach(func() {
+		state = changelog.NewState(changelog.DefaultLimits())
+		Expect(apply(changelog.Change{
+			AddServices: []table.Service{serviceOf(1)},
+			AddBackends: []table.Backend{rowOf(1, 1), rowOf(2, 1)},
+		}).Accepted).To(BeTrue())
+	})
+
+	It("counts accepted changes as the table's version", func() {
+		Expect(state.Version()).To(Equal(table.Version(1)))
+		Expect(apply(changelog.Change{Cells: weightOf(1, 20)}).Version).To(Equal(table.Version(2)))
+		Expect(apply(changelog.Change{Cells: weightOf(9, 20)}).Accepted).To(BeFalse())
+		Expect(state.Version()).To(Equal(table.Version(2)))
+	})
+
+	It("sets the given cells only", func() {
+		apply(changelog.Change{Cells: []changelog.CellUpdate{{Backend: 1, ConnectionLimit: pointer(uint32(7)), Drain: pointer(true)}}})
+		Expect(row(1)).To(And(HaveField("Weight", uint32(10)), HaveField("ConnectionLimit", uint32(7)), HaveField("Drain", true)))
+		Expect(row(2)).To(Equal(rowOf(2, 1)))
+	})
+
+	DescribeTable("refuses a change that breaks a rule, naming row and column, and takes nothing of it",
+		func(change changelog.Change, row, column string) {
+			apply(changelog.Change{RemoveBackends: []table.BackendID{2}})
+			before, err := state.Table().Encode()
+			Expect(err).NotTo(HaveOccurred())
+			change.Cells = append(weightOf(1, 77), change.Cells...)
+			outcome := apply(change)
+			Expect(outcome.Accepted).To(BeFalse())
+			Expect(outcome.Refusal.CellError()).To(And(
+				HaveField("Row", ContainSubstring(row)), HaveField("Column", column), HaveField("Rule", Not(BeEmpty()))))
+			Expect(state.Table().Encode()).To(Equal(before))
+		},
+		Entry("weight too large", changelog.Change{Cells: weightOf(1, table.MaxWeight+1)}, "row-1", "weight"),
+		Entry("unknown row", changelog.Change{Cells: weightOf(9, 1)}, "(9)", "id"),
+		Entry("removed row", changelog.Change{Cells: weightOf(2, 1)}, "(2)", "id"),
+		Entry("row of no service", changelog.Change{AddBackends: []table.Backend{rowOf(3, 8)}}, "row-3", "service"),
+		Entry("row twice", changelog.Change{AddBackends: []table.Backend{rowOf(1, 1)}}, "row-1", "id"),
+		Entry("removed row under its old incarnation", changelog.Change{AddBackends: []table.Backend{rowOf(2, 1)}}, "row-2", "incarnation"),
+		Entry("row of another service", changelog.Change{AddBackends: []table.Backend{rowOf(2, 5)}}, "row-2", "service"),
+		Entry("service with rows", changelog.Change{RemoveServices: []table.ServiceID{1}}, "row-1", "service"),
+		Entry("unknown service", changelog.Change{RemoveServices: []table.ServiceID{5}}, "(5)", "id"),
+		Entry("table version", changelog.Change{ExpectedVersion: 1}, "table", "version"),
+		Entry("row version", changelog.Change{ExpectedRows: []changelog.RowExpectation{{Backend: 2, Version: 1}}}, "row-2", "version"),
+	)
+
+	It("does not use a removed service's identifier again", func() {
+		Expect(apply(changelog.Change{
+			RemoveBackends: []table.BackendID{1, 2}, RemoveServices: []table.ServiceID{1},
+		}).Accepted).To(BeTrue())
+		outcome := apply(changelog.Change{AddServices: []table.Service{serviceOf(1)}})
+		Expect(outcome.Refusal).To(HaveField("Column", "id"))
+	})
+
+	It("creates a removed row again under a higher incarnation", func() {
+		apply(changelog.Change{RemoveBackends: []table.BackendID{2}})
+		again := rowOf(2, 1)
+		again.Incarnation = 2
+		Expect(apply(changelog.Change{AddBackends: []table.Backend{again}}).Accepted).To(BeTrue())
+		Expect(row(2)).To(Equal(again))
+	})
+
+	It("compares a row's version and not that of other rows", func() {
+		seen := state.RowVersion(1)
+		apply(changelog.Change{Cells: weightOf(2, 20)})
+		expected := []changelog.RowExpectation{{Backend: 1, Version: seen}}
+		Expect(apply(changelog.Change{ExpectedRows: expected, Cells: weightOf(1, 30)}).Accepted).To(BeTrue())
+		Expect(apply(changelog.Change{ExpectedRows: expected, Cells: weightOf(1, 40)}).Accepted).To(BeFalse())
+		Expect(row(1).Weight).To(Equal(uint32(30)))
+	})
+
+	It("applies a repeated change once and answers as before", func() {
+		first := apply(changelog.Change{ID: "repeated", Cells: weightOf(1, 20)})
+		apply(changelog.Change{Cells: weightOf(1, 30)})
+		Expect(apply(changelog.Change{ID: "repeated", Cells: weightOf(1, 20)})).To(Equal(first))
+		Expect(row(1).Weight).To(Equal(uint32(30)))
+	})
+
+	It("refuses a repeat whose outcome is forgotten", func() {
+		state = changelog.NewState(changelog.Limits{Outcomes: 3, History: 3})
+		apply(changelog.Change{AddServices: []table.Service{serviceOf(1)}, AddBackends: []table.Backend{rowOf(1, 1)}})
+		repeated := changelog.Change{ID: "repeated", Base: state.Version(), Cells: weightOf(1, 20)}
+		Expect(state.Apply(&repeated).Accepted).To(BeTrue())
+		for weight := range uint32(5) {
+			apply(changelog.Change{Cells: weightOf(1, 30+weight)})
+		}
+		_, known := state.Outcome("repeated")
+		Expect(known).To(BeFalse())
+		Expect(state.Apply(&repeated).Refusal).To(HaveField("Column", "version"))
+		Expect(row(1).Weight).To(Equal(uint32(34)))
+		Expect(state.History()).To(HaveLen(3))
+	})
+
+	It("records who changed which cell, when and why", func() {
+		apply(changelog.Change{ID: "noted", When: 5, Cells: weightOf(1, 20)})
+		history := state.History()
+		Expect(history[len(history)-1]).To(Equal(changelog.Record{
+			Version: 2, ID: "noted", Who: "operator", When: 5, Why: "test",
+			Cells: []changelog.CellChange{{Row: `back end "row-1" (1)`, Column: "weight", Old: "10", New: "20"}},
+		}))
+	})
+
+	It("does not alter a table that it has returned", func() {
+		published := state.Table()
+		before := published.Clone()
+		apply(changelog.Change{Cells: weightOf(1, 20), RemoveBackends: []table.BackendID{2}})
+		Expect(published).To(Equal(before))
+	})
+})
