Observe on the network which agent accepts a connection

A flow whose agent was killed between handshake and request was counted as broken without a reason, as no back end had seen it, and two agents answering one handshake went unseen unless both back ends read a request. The fabric now reports each SYN-ACK with the agent it came from; kills are attributed and double openings counted by it. Add the experiment stalls: paused agents and balancers, the platform down or stale.

--- a/bench/caller/client.go
+++ b/bench/caller/client.go
@@ -52,7 +52,7 @@
 		return result
 	}
 	defer raw.Close()
-	result.Caller = raw.LocalAddr().String()
+	result.Caller = addressOf(raw.LocalAddr())
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	defer stop()
 	connection := &progressConn{Conn: raw, timeout: c.ProgressTimeout}
@@ -67,6 +67,15 @@
 	return result
 }
 
+// addressOf returns the zero AddrPort for anything but a TCP address.
+func addressOf(address net.Addr) netip.AddrPort {
+	tcp, isTCP := address.(*net.TCPAddr)
+	if !isTCP {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(tcp.AddrPort().Addr().Unmap(), tcp.AddrPort().Port())
+}
+
 func (c *Client) dial(ctx context.Context, service netip.AddrPort) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.ConnectTimeout)
 	defer cancel()
--- a/bench/caller/flow.go
+++ b/bench/caller/flow.go
@@ -93,7 +93,7 @@
 	// Detail is the text of the error behind the cause.
 	Detail string
 	// Caller is the address of the caller, if the flow was established.
-	Caller string
+	Caller netip.AddrPort
 	// Backend is the back end that answered, if any did.
 	Backend string
 	// Request is the last request that was sent.
--- a/bench/experiment/apply.go
+++ b/bench/experiment/apply.go
@@ -65,6 +65,16 @@
 		return c.killAgent(c.endpointNamed(event.Target))
 	case EventAgentStart:
 		return c.restartAgent(c.endpointNamed(event.Target))
+	case EventAgentPause:
+		return c.endpointNamed(event.Target).process.Pause()
+	case EventAgentResume:
+		return c.endpointNamed(event.Target).process.Resume()
+	case EventPlatformDown:
+		c.platform.SetFaults(platform.Faults{Skew: c.options.Experiment.Skew, Down: true})
+	case EventPlatformStale:
+		c.platform.SetFaults(platform.Faults{Skew: c.options.Experiment.Skew, Stale: true})
+	case EventPlatformRecover:
+		c.platform.SetFaults(platform.Faults{Skew: c.options.Experiment.Skew})
 	}
 	return nil
 }
--- a/bench/experiment/cluster.go
+++ b/bench/experiment/cluster.go
@@ -47,6 +47,7 @@
 	ledger   *backend.Ledger
 	stack    *caller.Stack
 	client   *caller.Client
+	openings *openings
 	running  *errgroup.Group
 	started  time.Time
 
@@ -87,7 +88,7 @@
 	}
 	cluster.running, ctx = errgroup.WithContext(ctx)
 	steps := []func(context.Context) error{
-		cluster.build, cluster.startNetwork, cluster.startMembers, cluster.startDaemons,
+		cluster.build, cluster.startMembers, cluster.startNetwork, cluster.startDaemons,
 	}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
@@ -109,6 +110,11 @@
 }
 
 func (c *Cluster) startNetwork(ctx context.Context) error {
+	backendOf := make(map[netip.AddrPort]string, len(c.endpoints))
+	for _, member := range c.endpoints {
+		backendOf[member.agent] = member.row.Name
+	}
+	c.openings = newOpenings(backendOf)
 	var err error
 	c.platform, err = platform.New(fleet.AnyPort())
 	if err != nil {
@@ -119,6 +125,7 @@
 		Requests: c.options.Experiment.Network,
 		Answers:  c.options.Experiment.Network,
 		Seed:     c.options.Seed,
+		Observe:  func(opening fabric.Opening) { c.openings.observe(time.Now(), opening) },
 	})
 	if err != nil {
 		return err
--- a/bench/experiment/event.go
+++ b/bench/experiment/event.go
@@ -26,6 +26,9 @@
 	EventEndpointReweight EventKind = "endpoint_reweight"
 	EventAgentStop        EventKind = "agent_stop"
 	EventAgentKill        EventKind = "agent_kill"
+	EventAgentPause       EventKind = "agent_pause"
+	EventPlatformDown     EventKind = "platform_down"
+	EventPlatformStale    EventKind = "platform_stale"
 
 	// recoveries
 
@@ -33,15 +36,20 @@
 	EventBalancerStart   EventKind = "balancer_start"
 	EventEndpointUndrain EventKind = "endpoint_undrain"
 	EventAgentStart      EventKind = "agent_start"
+	EventAgentResume     EventKind = "agent_resume"
+	EventPlatformRecover EventKind = "platform_recover"
 )
 
+// PlatformTarget is the target of events of the platform.
+const PlatformTarget = "platform"
+
 // Event is one entry of a schedule.
 type Event struct {
 	// At is the time since the start of the event phase.
 	At time.Duration
 	// Kind is what happens.
 	Kind EventKind
-	// Target is the name of the balancer or back end.
+	// Target is the name of the balancer or back end, or PlatformTarget.
 	Target string
 	// Weight is the new weight of EventEndpointReweight.
 	Weight uint32
@@ -76,6 +84,10 @@
 		EventBalancerAdd, EventBalancerRemove,
 		EventEndpointAdd, EventEndpointDrain, EventEndpointReweight, EventAgentStop,
 	}
+	stallKinds = []EventKind{
+		EventAgentPause, EventBalancerPause, EventPlatformDown, EventPlatformStale,
+		EventEndpointDrain, EventEndpointReweight,
+	}
 	tableKinds = []EventKind{EventEndpointAdd, EventEndpointDrain, EventEndpointReweight}
 	allKinds   = []EventKind{
 		EventBalancerAdd, EventBalancerRemove, EventBalancerKill, EventBalancerPause,
@@ -93,6 +105,7 @@
 		{Name: "balancers", Description: "balancers join, leave, die and pause", Kinds: balancerKinds, AtOnce: 1, Spacing: defaultSpacing},
 		{Name: "planned", Description: "planned changes of balancers and back ends", Kinds: plannedKinds, AtOnce: 1, Spacing: defaultSpacing},
 		{Name: "revisions", Description: "table changes that reach balancers seconds apart", Kinds: tableKinds, AtOnce: 1, Spacing: defaultSpacing, Skew: revisionSkew},
+		{Name: "stalls", Description: "paused agents and balancers, the platform down or stale, and table changes", Kinds: stallKinds, AtOnce: 2, Spacing: defaultSpacing, Skew: revisionSkew},
 		{Name: "churn", Description: "every kind of event, two at once, revisions seconds apart", Kinds: allKinds, AtOnce: 2, Spacing: defaultSpacing, Skew: revisionSkew},
 		{Name: "lossy", Description: "churn with loss, duplication and reordering", Kinds: allKinds, AtOnce: 2, Spacing: defaultSpacing, Skew: revisionSkew, Network: lossy},
 	}
--- a/bench/experiment/export_test.go
+++ b/bench/experiment/export_test.go
@@ -1,10 +1,12 @@
 package experiment
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/vanetiller/vanetiller/bench/backend"
 	"github.com/vanetiller/vanetiller/bench/caller"
+	"github.com/vanetiller/vanetiller/bench/fabric"
 )
 
 // MinimumOpenFlows gives tests minimumOpenFlows.
@@ -16,9 +18,25 @@
 	At      time.Time
 }
 
+// Acceptance is the acceptance of a connection by the agent of a back end.
+type Acceptance struct {
+	Backend      string
+	Caller       netip.AddrPort
+	Acknowledged uint32
+	At           time.Time
+}
+
 // NewReport gives tests newReport.
-func NewReport(ledger *backend.Ledger, results []caller.Result, kills []Kill) Report {
-	seen := evidence{ledger: ledger, results: results}
+func NewReport(ledger *backend.Ledger, acceptances []Acceptance, results []caller.Result, kills []Kill) Report {
+	backendOf := make(map[netip.AddrPort]string)
+	seen := evidence{ledger: ledger, results: results, openings: newOpenings(backendOf)}
+	for _, exported := range acceptances {
+		agent := netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(len(backendOf)+1))
+		backendOf[agent] = exported.Backend
+		seen.openings.observe(exported.At, fabric.Opening{
+			Agent: agent, Caller: exported.Caller, Acknowledged: exported.Acknowledged,
+		})
+	}
 	for _, exported := range kills {
 		seen.kills = append(seen.kills, kill{backend: exported.Backend, at: exported.At})
 	}
--- a/bench/experiment/report.go
+++ b/bench/experiment/report.go
@@ -140,8 +140,10 @@
 	options Options
 	results []caller.Result
 	ledger  *backend.Ledger
-	kills   []kill
-	faults  []string
+	// openings are the acceptances of connections by agents.
+	openings *openings
+	kills    []kill
+	faults   []string
 }
 
 // newReport sums up the evidence.
@@ -154,7 +156,7 @@
 		Seed:         seen.options.Seed,
 		Flows:        len(seen.results),
 		Misdelivered: totals.Misdelivered,
-		DoubleOpened: totals.DoubleOpened,
+		DoubleOpened: max(totals.DoubleOpened, seen.openings.doubleOpened(seen.kills)),
 		DoubleRuns:   totals.DoubleRuns,
 		Causes:       countCauses(seen.results),
 		Faults:       seen.faults,
@@ -186,10 +188,11 @@
 	}
 }
 
-// killedDuring reports whether the agent of a back end that has seen the flow
-// was killed while the flow was open.
+// killedDuring reports whether the agent that accepted the flow, or that of a
+// back end that has seen a request of it, was killed while the flow was open.
 func (e evidence) killedDuring(result caller.Result) bool {
 	seen := e.ledger.BackendsOf(result.Plan.ID)
+	seen = append(seen, e.openings.acceptors(result.Caller, result.Started, result.Ended)...)
 	return slices.ContainsFunc(e.kills, func(k kill) bool {
 		return slices.Contains(seen, k.backend) && k.at.After(result.Started) && k.at.Before(result.Ended)
 	})
--- a/bench/experiment/report_test.go
+++ b/bench/experiment/report_test.go
@@ -60,7 +60,7 @@
 		func(outcome caller.Outcome, kills []experiment.Kill, expected experiment.Report) {
 			ledger := backend.NewLedger()
 			submitTo(ledger, testBackend, "audio")
-			report := experiment.NewReport(ledger, []caller.Result{ended(outcome)}, kills)
+			report := experiment.NewReport(ledger, nil, []caller.Result{ended(outcome)}, kills)
 			expected.Flows = 1
 			expected.Causes = report.Causes
 			expected.OpenP50, expected.OpenP99 = report.OpenP50, report.OpenP99
@@ -76,11 +76,51 @@
 		Entry("broken before a later kill", caller.OutcomeBroken, killed(testBackend, time.Minute), experiment.Report{BrokenFlows: 1}),
 	)
 
+	callerAddress := netip.MustParseAddrPort("203.0.113.10:4000")
+	accepted := func(name string, acknowledged uint32, after time.Duration) experiment.Acceptance {
+		return experiment.Acceptance{
+			Backend: name, Caller: callerAddress, Acknowledged: acknowledged, At: start.Add(after),
+		}
+	}
+
+	DescribeTable("blames a kill for a flow whose request reached no back end only if its agent was killed",
+		func(acceptances []experiment.Acceptance, kills []experiment.Kill, byKill int) {
+			result := ended(caller.OutcomeBroken)
+			result.Caller = callerAddress
+			report := experiment.NewReport(backend.NewLedger(), acceptances, []caller.Result{result}, kills)
+			Expect(report.BrokenByEndpointKill).To(Equal(byKill))
+			Expect(report.BrokenFlows).To(Equal(1 - byKill))
+		},
+		Entry("its agent", []experiment.Acceptance{accepted("audio-1", 1, time.Second)}, killed("audio-1", 2*time.Second), 1),
+		Entry("another agent", []experiment.Acceptance{accepted("audio-1", 1, time.Second)}, killed("audio-2", 2*time.Second), 0),
+		Entry("an earlier connection with the same port",
+			[]experiment.Acceptance{accepted("audio-1", 1, -time.Second), accepted("audio-2", 2, time.Second)},
+			killed("audio-1", 2*time.Second), 0),
+	)
+
+	DescribeTable("counts connections that two agents accepted",
+		func(acceptances []experiment.Acceptance, kills []experiment.Kill, expected int) {
+			report := experiment.NewReport(backend.NewLedger(), acceptances, nil, kills)
+			Expect(report.DoubleOpened).To(Equal(expected))
+		},
+		Entry("none", nil, nil, 0),
+		Entry("one agent, repeated",
+			[]experiment.Acceptance{accepted("audio-1", 1, 0), accepted("audio-1", 1, time.Second)}, nil, 0),
+		Entry("two agents", []experiment.Acceptance{accepted("audio-1", 1, 0), accepted("audio-2", 1, time.Second)}, nil, 1),
+		Entry("two connections", []experiment.Acceptance{accepted("audio-1", 1, 0), accepted("audio-2", 2, time.Second)}, nil, 0),
+		Entry("the first agent killed in between",
+			[]experiment.Acceptance{accepted("audio-1", 1, 0), accepted("audio-2", 1, 2*time.Second)},
+			killed("audio-1", time.Second), 0),
+		Entry("the first agent killed only later",
+			[]experiment.Acceptance{accepted("audio-1", 1, 0), accepted("audio-2", 1, 2*time.Second)},
+			killed("audio-1", 3*time.Second), 1),
+	)
+
 	DescribeTable("counts faults of the ledger",
 		func(prepare func(*backend.Ledger), expected backend.Totals) {
 			ledger := backend.NewLedger()
 			prepare(ledger)
-			report := experiment.NewReport(ledger, nil, nil)
+			report := experiment.NewReport(ledger, nil, nil, nil)
 			Expect(backend.Totals{
 				DoubleOpened: report.DoubleOpened, DoubleRuns: report.DoubleRuns, Misdelivered: report.Misdelivered,
 			}).To(Equal(expected))
--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -75,7 +75,7 @@
 func (c *Cluster) report(results []caller.Result) Report {
 	c.mutex.Lock()
 	seen := evidence{
-		options: c.options, results: results, ledger: c.ledger,
+		options: c.options, results: results, ledger: c.ledger, openings: c.openings,
 		kills: slices.Clone(c.kills), faults: slices.Clone(c.faults),
 	}
 	c.mutex.Unlock()
--- a/bench/experiment/schedule.go
+++ b/bench/experiment/schedule.go
@@ -13,6 +13,8 @@
 // Lengths of outages and the least number of members that stay.
 const (
 	balancerOutage = 4 * time.Second
+	agentPause     = 3 * time.Second
+	platformOutage = 8 * time.Second
 	balancerPause  = 3 * time.Second
 	drainTime      = 6 * time.Second
 	agentOutage    = 5 * time.Second
@@ -48,6 +50,7 @@
 	random    *rand.Rand
 	balancers []*member
 	endpoints []*member
+	platform  *member
 	events    []Event
 }
 
@@ -69,7 +72,10 @@
 }
 
 func newPlanner(shape Shape, seed uint64) *planner {
-	plan := &planner{random: rand.New(rand.NewPCG(seed, scheduleStreamKey))}
+	plan := &planner{
+		random:   rand.New(rand.NewPCG(seed, scheduleStreamKey)),
+		platform: newMember(PlatformTarget, 0, true),
+	}
 	for i, name := range shape.balancerNames() {
 		plan.balancers = append(plan.balancers, newMember(name, 0, i < shape.Balancers))
 	}
@@ -95,7 +101,7 @@
 }
 
 func (p *planner) recover(now time.Duration) {
-	for _, member := range slices.Concat(p.balancers, p.endpoints) {
+	for _, member := range slices.Concat(p.balancers, p.endpoints, []*member{p.platform}) {
 		if member.state == memberBusy && member.until <= now {
 			member.state = memberLive
 		}
@@ -127,6 +133,10 @@
 		return p.disturb(at, kind, p.endpointToDisturb(), EventAgentStart, agentStopTime)
 	case EventAgentKill:
 		return p.disturb(at, kind, p.endpointToDisturb(), EventAgentStart, agentOutage)
+	case EventAgentPause:
+		return p.disturb(at, kind, p.endpointToDisturb(), EventAgentResume, agentPause)
+	case EventPlatformDown, EventPlatformStale:
+		return p.disturb(at, kind, p.platformToDisturb(), EventPlatformRecover, platformOutage)
 	case EventEndpointReweight:
 		return p.reweight(at)
 	}
@@ -183,6 +193,13 @@
 	})
 }
 
+func (p *planner) platformToDisturb() *member {
+	if p.platform.state != memberLive {
+		return nil
+	}
+	return p.platform
+}
+
 func (p *planner) pick(members []*member, eligible func(*member) bool) *member {
 	var candidates []*member
 	for _, member := range members {
--- a/bench/experiment/schedule_test.go
+++ b/bench/experiment/schedule_test.go
@@ -48,6 +48,7 @@
 		Entry("churn in Casablanca", "casablanca", "churn"),
 		Entry("churn in Kolkata", "kolkata", "churn"),
 		Entry("balancers in Casablanca", "casablanca", "balancers"),
+		Entry("stalls in Casablanca", "casablanca", "stalls"),
 		Entry("planned changes in Kolkata", "kolkata", "planned"),
 	)
 
@@ -75,9 +76,11 @@
 		case experiment.EventBalancerStart, experiment.EventBalancerResume:
 			balancers++
 			expectChange(disturbed, event.Target, false)
-		case experiment.EventAgentStop, experiment.EventAgentKill, experiment.EventEndpointDrain:
+		case experiment.EventAgentStop, experiment.EventAgentKill, experiment.EventAgentPause,
+			experiment.EventEndpointDrain, experiment.EventPlatformDown, experiment.EventPlatformStale:
 			expectChange(disturbed, event.Target, true)
-		case experiment.EventAgentStart, experiment.EventEndpointUndrain:
+		case experiment.EventAgentStart, experiment.EventAgentResume,
+			experiment.EventEndpointUndrain, experiment.EventPlatformRecover:
 			expectChange(disturbed, event.Target, false)
 		}
 		Expect(balancers).To(BeNumerically(">=", 2))
--- a/bench/experiment/trace.go
+++ b/bench/experiment/trace.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"time"
@@ -23,7 +24,9 @@
 	Cause   caller.Cause   `json:"cause,omitempty"`
 	Detail  string         `json:"detail,omitempty"`
 	// Caller is the address of the caller, if the flow was established.
-	Caller string `json:"caller,omitempty"`
+	Caller netip.AddrPort `json:"caller"`
+	// Accepted names the back ends whose agents accepted the connection.
+	Accepted []string `json:"accepted"`
 	// Backends have seen a request of the flow.
 	Backends []string `json:"backends"`
 	// Started and Ended are seconds since the start of the run, as in the
@@ -71,6 +74,7 @@
 		Cause:    result.Cause,
 		Detail:   result.Detail,
 		Caller:   result.Caller,
+		Accepted: c.openings.acceptors(result.Caller, result.Started, result.Ended),
 		Backends: c.ledger.BackendsOf(result.Plan.ID),
 		Started:  result.Started.Sub(c.started).Seconds(),
 		Ended:    result.Ended.Sub(c.started).Seconds(),
--- a/bench/fabric/fabric.go
+++ b/bench/fabric/fabric.go
@@ -31,6 +31,9 @@
 	// Seed determines which balancer each packet goes to and which packets
 	// are disturbed.
 	Seed uint64
+	// Observe, if set, is told of every acceptance of a TCP connection,
+	// before the answer is disturbed. It must not block.
+	Observe func(Opening)
 }
 
 // Receiver takes an answer packet. It must not keep the slice.
@@ -60,6 +63,7 @@
 type Fabric struct {
 	socket   *net.UDPConn
 	counters counters
+	observe  func(Opening)
 
 	mutex     sync.Mutex
 	balancers []netip.AddrPort
@@ -89,6 +93,7 @@
 	}
 	return &Fabric{
 		socket:    socket,
+		observe:   settings.Observe,
 		random:    rand.New(rand.NewPCG(settings.Seed, 0)),
 		requests:  NewImpairer(settings.Requests, settings.Seed),
 		answers:   NewImpairer(settings.Answers, settings.Seed+answerSeedOffset),
@@ -193,7 +198,7 @@
 	decoder := encap.NewDecoder()
 	buffer := make([]byte, packet.MaxSize+encap.Overhead)
 	for {
-		size, _, err := f.socket.ReadFromUDPAddrPort(buffer)
+		size, agent, err := f.socket.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -203,11 +208,11 @@
 		if err != nil {
 			continue
 		}
-		f.answer(decoder, buffer[:size])
+		f.answer(decoder, agent, buffer[:size])
 	}
 }
 
-func (f *Fabric) answer(decoder *encap.Decoder, data []byte) {
+func (f *Fabric) answer(decoder *encap.Decoder, agent netip.AddrPort, data []byte) {
 	f.counters.answers.Add(1)
 	datagram, outcome := decoder.Decode(data)
 	if outcome != encap.Decoded || datagram.Control {
@@ -219,6 +224,9 @@
 		f.counters.malformed.Add(1)
 		return
 	}
+	if opening, accepted := openingOf(agent, datagram.Packet); accepted && f.observe != nil {
+		f.observe(opening)
+	}
 	f.receiversMutex.RLock()
 	receiver, attached := f.receivers[destination]
 	f.receiversMutex.RUnlock()
--- a/bench/fabric/fabric_test.go
+++ b/bench/fabric/fabric_test.go
@@ -144,6 +144,35 @@
 		Expect(counters.Sprayed).To(Equal(1000 - counters.Lost + counters.Duplicated))
 	})
 
+	DescribeTable("observes the acceptance of connections",
+		func(protocol, flags byte, expected int) {
+			observed := make(chan fabric.Opening, 1)
+			created := startFabric(fabric.Settings{Observe: func(opening fabric.Opening) { observed <- opening }})
+			agent := listen()
+			packet := append(ipv4Packet(caller), make([]byte, 20)...)
+			packet[9] = protocol
+			copy(packet[20:], []byte{0, 80, 0x0f, 0xa0})
+			copy(packet[28:], []byte{0, 0, 1, 2})
+			packet[33] = flags
+			_, err := agent.WriteToUDPAddrPort(encap.NewEncoder().AppendPlain(nil, packet), created.Address())
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(created.Counters, "30s").Should(HaveField("UnknownCaller", uint64(1)))
+			Expect(observed).To(HaveLen(expected))
+			if expected == 1 {
+				Expect(<-observed).To(Equal(fabric.Opening{
+					Agent:        addressOf(agent),
+					Caller:       netip.AddrPortFrom(caller, 4000),
+					Service:      netip.MustParseAddrPort("198.51.100.1:80"),
+					Acknowledged: 0x102,
+				}))
+			}
+		},
+		Entry("SYN and ACK", byte(6), byte(0x12), 1),
+		Entry("ACK", byte(6), byte(0x10), 0),
+		Entry("RST and ACK", byte(6), byte(0x14), 0),
+		Entry("UDP", byte(17), byte(0x12), 0),
+	)
+
 	It("delivers answers to the caller they are for and counts the others", func() {
 		created := startFabric(fabric.Settings{})
 		var received atomic.Value
--- /dev/null
+++ b/bench/fabric/opening.go
@@ -0,0 +1,57 @@
+// This file recognises the packets with which agents accept TCP connections.
+
+package fabric
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+// Opening is the acceptance of a TCP connection by an agent.
+type Opening struct {
+	// Agent is the UDP address that the answer came from.
+	Agent netip.AddrPort
+	// Caller and Service are the ends of the connection.
+	Caller  netip.AddrPort
+	Service netip.AddrPort
+	// Acknowledged tells apart successive connections between the same ends.
+	Acknowledged uint32
+}
+
+const (
+	ipv4ProtocolOffset       = 9
+	ipv4SourceOffset         = 12
+	ipv4HeaderLengthMask     = 0x0f
+	ipv4HeaderLengthUnit     = 4
+	tcpMinimumHeader         = 20
+	tcpDestinationPortOffset = 2
+	tcpAcknowledgedOffset    = 8
+	tcpFlagsOffset           = 13
+	tcpFlagSYN               = 0x02
+	tcpFlagRST               = 0x04
+	tcpFlagACK               = 0x10
+)
+
+// openingOf reads an answer whose IPv4 header has been checked. It returns
+// false for anything but a segment with SYN and ACK.
+func openingOf(agent netip.AddrPort, packet []byte) (Opening, bool) {
+	header := int(packet[0]&ipv4HeaderLengthMask) * ipv4HeaderLengthUnit
+	if table.Protocol(packet[ipv4ProtocolOffset]) != table.ProtocolTCP || len(packet) < header+tcpMinimumHeader {
+		return Opening{}, false
+	}
+	segment := packet[header:]
+	const examined = tcpFlagSYN | tcpFlagACK | tcpFlagRST
+	if segment[tcpFlagsOffset]&examined != tcpFlagSYN|tcpFlagACK {
+		return Opening{}, false
+	}
+	source := netip.AddrFrom4([4]byte(packet[ipv4SourceOffset:ipv4DestinationOffset]))
+	destination := netip.AddrFrom4([4]byte(packet[ipv4DestinationOffset:ipv4HeaderSize]))
+	return Opening{
+		Agent:        agent,
+		Caller:       netip.AddrPortFrom(destination, binary.BigEndian.Uint16(segment[tcpDestinationPortOffset:])),
+		Service:      netip.AddrPortFrom(source, binary.BigEndian.Uint16(segment)),
+		Acknowledged: binary.BigEndian.Uint32(segment[tcpAcknowledgedOffset:]),
+	}, true
+}
