--- a/cmd/vanetiller-bench/main.go
+++ b/cmd/vanetiller-bench/main.go
@@ -24,6 +24,7 @@
   vanetiller-bench run [flags] EXPERIMENT   one experiment; flags may follow the name
   vanetiller-bench list                     the experiments and shapes
   vanetiller-bench hollow [flags]           a large fleet in virtual time
+  vanetiller-bench members [flags]          the membership of a large fleet in virtual time
   vanetiller-bench slopes [flags]           costs against what drives them
 
 Run a command with -help for its flags. Progress goes to stderr. The exit status
@@ -51,6 +52,8 @@
 		return list()
 	case "hollow":
 		return hollowCommand(ctx, arguments[1:])
+	case "members":
+		return membersCommand(ctx, arguments[1:])
 	case "slopes":
 		return slopesCommand(ctx, arguments[1:])
 	case "help", "-help", "--help", "-h":
