--- a/internal/dissemination/config.go
+++ b/internal/dissemination/config.go
@@ -50,10 +50,11 @@
 	// to StatusTries in all.
 	StatusTimeout time.Duration
 	StatusTries   int
-	// ReportTimeout is the time after which another member of a zone is asked
-	// for a report, up to ReportTries in all.
+	// ReportTimeout is the time after which other members of a zone are asked
+	// for a report, up to ReportTries times, ReportFanout at a time.
 	ReportTimeout time.Duration
 	ReportTries   int
+	ReportFanout  int
 }
 
 // DefaultConfig returns the settings for a fleet of up to 1,100 members.
@@ -69,8 +70,9 @@
 		HistoryBytes:  256 << 10,
 		StatusTimeout: 400 * time.Millisecond,
 		StatusTries:   4,
-		ReportTimeout: 2500 * time.Millisecond,
+		ReportTimeout: 2200 * time.Millisecond,
 		ReportTries:   3,
+		ReportFanout:  2,
 	}
 }
 
@@ -87,8 +89,8 @@
 		return errors.New("dissemination: pull and fetch times must be positive")
 	case c.StatusTimeout <= 0 || c.ReportTimeout <= 0:
 		return errors.New("dissemination: survey times must be positive")
-	case c.StatusTries < 1 || c.ReportTries < 1:
-		return errors.New("dissemination: survey tries must be positive")
+	case c.StatusTries < 1 || c.ReportTries < 1 || c.ReportFanout < 1:
+		return errors.New("dissemination: survey tries and fanout must be positive")
 	}
 	return nil
 }
--- a/internal/dissemination/fleet_test.go
+++ b/internal/dissemination/fleet_test.go
@@ -23,7 +23,6 @@
 	addressStep      = membership.Address(1 << 16)
 	firstIncarnation = membership.Incarnation(1_790_000_000_000)
 	fetchTime        = 200 * time.Millisecond
-	peersInterval    = time.Second
 )
 
 // datagram carries one of the two protocols.
@@ -53,8 +52,8 @@
 	reached  map[table.Version]time.Duration
 	surveys  []dissemination.Survey
 	fetches  int
-	// nextPeers is when the peers are next taken from the membership.
-	nextPeers time.Duration
+	// stalePeers is set when the membership has changed.
+	stalePeers bool
 }
 
 // fleet is a set of daemons on one network.
@@ -209,8 +208,8 @@
 func (d *daemon) Tick(now time.Duration) {
 	d.members.SetAttachment(d.machine.Attachment())
 	d.applyMembership(now, d.members.Tick(now))
-	if now >= d.nextPeers {
-		d.nextPeers = now + peersInterval
+	if d.stalePeers {
+		d.stalePeers = false
 		d.machine.SetPeers(d.peers())
 	}
 	d.apply(d.machine.Tick(now))
@@ -245,6 +244,8 @@
 			d.send(effect.To, len(encoded), datagram{membership: &message})
 		case membership.EffectAttachment:
 			d.machine.Heard(now, effect.Member.Address, effect.Attachment)
+		default:
+			d.stalePeers = true
 		}
 	}
 }
--- a/internal/dissemination/survey.go
+++ b/internal/dissemination/survey.go
@@ -29,11 +29,13 @@
 type zoneInquiry struct {
 	result   ZoneSurvey
 	done     bool
+	tries    int
 	asked    []membership.Address
 	deadline time.Duration
 }
 
-// Survey begins to find out which members have a version in force. The result
+// Survey begins to find out which members have a version in force. A member
+// that is declared failed meanwhile is none and is not counted. The result
 // comes as an EffectSurveyed after at most ReportTries times ReportTimeout. It
 // returns ErrTooManySurveys if too many are under way.
 func (m *Machine) Survey(now time.Duration, version table.Version) ([]Effect, error) {
@@ -62,23 +64,27 @@
 	m.surveys = slices.DeleteFunc(m.surveys, m.finishSurvey)
 }
 
-// advanceInquiry asks another member of a zone if the last one was silent. The
-// own zone is the matter of a task of this process.
+// advanceInquiry asks further members of a zone if the last ones were silent.
+// Two at a time make up for lost datagrams; the first answer counts. The own
+// zone is the matter of a task of this process.
 func (m *Machine) advanceInquiry(now time.Duration, running *survey, inquiry *zoneInquiry) {
 	zone := inquiry.result.Zone
 	if inquiry.done || now < inquiry.deadline || zone == m.config.Self.Zone {
 		return
 	}
-	found := m.peers.choose(m.config.Random, 1, func(peer Peer) bool {
+	found := m.peers.choose(m.config.Random, m.config.ReportFanout, func(peer Peer) bool {
 		return peer.Identity.Zone == zone && !slices.Contains(inquiry.asked, peer.Identity.Address)
 	})
-	if len(inquiry.asked) >= m.config.ReportTries || len(found) == 0 {
+	if inquiry.tries >= m.config.ReportTries || len(found) == 0 {
 		m.concludeUnanswered(inquiry)
 		return
 	}
-	inquiry.asked = append(inquiry.asked, found[0])
+	inquiry.tries++
+	inquiry.asked = append(inquiry.asked, found...)
 	inquiry.deadline = now + m.config.ReportTimeout
-	m.send(found[0], Message{Kind: KindZoneRequest, Sequence: running.sequence, Version: running.version})
+	for _, address := range found {
+		m.send(address, Message{Kind: KindZoneRequest, Sequence: running.sequence, Version: running.version})
+	}
 }
 
 // concludeUnanswered names all members of a zone that did not answer.
