--- a/bench/hollow/members/fleet.go
+++ b/bench/hollow/members/fleet.go
@@ -1,4 +1,4 @@
-// This file implements the fleet and its hollow daemons.
+// This file implements the fleet.
 
 package members
 
@@ -16,7 +16,6 @@
 	addressStep      = membership.Address(1 << 16)
 	firstIncarnation = membership.Incarnation(1_790_000_000_000)
 	seedAddresses    = 3
-	timerTick        = uint32(0)
 )
 
 // Delays of the simulated network, as in package hollow.
@@ -31,26 +30,18 @@
 type fleet struct {
 	options Options
 	random  *rand.Rand
-	network *simnet.Network[membership.Message]
+	network *simnet.Network[datagram]
 	daemons []*daemon
 	starts  uint64
 	encoded []byte
 	// falseFailures counts reports of the failure of a process that ran.
 	falseFailures int
 	largest       int
-}
-
-// daemon is a hollow daemon.
-type daemon struct {
-	fleet    *fleet
-	id       simnet.NodeID
-	address  membership.Address
-	region   membership.Region
-	zone     membership.Zone
-	identity membership.Identity
-	machine  *membership.Machine
-	// failed is when this process last learned of the watched failure.
-	failed time.Duration
+	// fetches counts tables and deltas fetched over a connection.
+	fetches int
+	changes []*change
+	// cut is set while the first region is cut from the others.
+	cut bool
 }
 
 func newFleet(options Options) *fleet {
@@ -67,7 +58,7 @@
 	created := &fleet{
 		options: options,
 		random:  rand.New(rand.NewPCG(options.Seed, 2)),
-		network: simnet.New[membership.Message](layout, options.Seed),
+		network: simnet.New[datagram](layout, options.Seed),
 	}
 	for index := range options.Daemons {
 		zone := index % options.Zones
@@ -86,26 +77,6 @@
 
 func regionName(index int) string { return fmt.Sprintf("region-%d", index) }
 
-// start runs a new process, with amnesia, on a node.
-func (d *daemon) start() {
-	d.fleet.starts++
-	d.fleet.network.Restart(d.id, d)
-	d.identity = membership.Identity{
-		Address: d.address, Region: d.region, Zone: d.zone,
-		Incarnation: firstIncarnation + membership.Incarnation(d.fleet.starts),
-	}
-	random := rand.New(rand.NewPCG(d.fleet.options.Seed, d.fleet.starts))
-	machine, err := membership.New(membership.DefaultConfig(d.identity, random))
-	if err != nil {
-		panic("members: the default settings are refused: " + err.Error())
-	}
-	machine.SetSeeds(d.fleet.seeds())
-	d.machine = machine
-	d.failed = 0
-	phase := time.Duration(d.fleet.random.Int64N(int64(membership.TickInterval)))
-	d.fleet.network.Schedule(d.id, phase, timerTick)
-}
-
 func (f *fleet) seeds() []membership.Address {
 	seeds := make([]membership.Address, 0, seedAddresses)
 	for range seedAddresses {
@@ -130,49 +101,6 @@
 	return f.daemons[(address-firstAddress)/addressStep]
 }
 
-// Wake implements simnet.Handler.
-func (d *daemon) Wake(now time.Duration, _ uint32) {
-	d.execute(now, d.machine.Tick(now))
-	d.fleet.network.Schedule(d.id, membership.TickInterval, timerTick)
-}
-
-// Receive implements simnet.Handler.
-func (d *daemon) Receive(now time.Duration, from simnet.NodeID, message membership.Message) {
-	d.execute(now, d.machine.Receive(now, d.fleet.daemons[from].address, message))
-}
-
-func (d *daemon) execute(now time.Duration, effects []membership.Effect) {
-	for index := range effects {
-		effect := &effects[index]
-		switch effect.Kind {
-		case membership.EffectSend:
-			d.send(effect)
-		case membership.EffectFailed:
-			d.learn(now, effect.Member)
-		}
-	}
-}
-
-// learn notes that another process has failed, and whether that is true.
-func (d *daemon) learn(now time.Duration, failed membership.Identity) {
-	d.failed = now
-	accused := d.fleet.at(failed.Address)
-	if d.fleet.runs(accused) && accused.identity == failed {
-		d.fleet.falseFailures++
-	}
-}
-
-func (d *daemon) send(effect *membership.Effect) {
-	encoded, err := effect.Message.MarshalMsg(d.fleet.encoded[:0])
-	if err != nil {
-		panic("members: cannot encode a message: " + err.Error())
-	}
-	d.fleet.encoded = encoded
-	d.fleet.largest = max(d.fleet.largest, len(encoded))
-	to := d.fleet.at(effect.To).id
-	d.fleet.network.Send(d.id, to, simnet.Control, len(encoded), effect.Message)
-}
-
 // agreed reports whether every running process takes exactly the running ones
 // for live.
 func (f *fleet) agreed() bool {
--- a/bench/hollow/members/members_test.go
+++ b/bench/hollow/members/members_test.go
@@ -52,6 +52,10 @@
 		Expect(report.ZoneBack).To(BeNumerically(">", 0))
 		Expect(report.Healed).To(BeNumerically(">", 0))
 		Expect(report.FalseFailures).To(BeZero())
+		Expect(report.Changes).To(BeNumerically(">=", 2))
+		Expect(report.Unfinished).To(BeZero())
+		Expect(report.InForceMedian).To(BeNumerically(">", 0))
+		Expect(report.CaughtUp).To(BeNumerically(">=", 0))
 	})
 
 	DescribeTable("refuses impossible options", func(change func(*members.Options)) {
--- a/bench/hollow/members/options.go
+++ b/bench/hollow/members/options.go
@@ -1,7 +1,8 @@
 // Package members implements a fleet of hollow daemons that run the product's
-// membership machines on a simulated network in virtual time, and measures their
-// traffic, how soon failures are known, and whether views are right after a zone
-// was lost and after regions were cut from each other.
+// membership and dissemination machines on a simulated network in virtual time.
+// It measures their traffic, how soon failures are known, how soon changes of the
+// table are in force, and whether views are right after a zone was lost and after
+// regions were cut from each other.
 package members
 
 import (
@@ -30,6 +31,8 @@
 	Usual          time.Duration `json:"usual_ns"`
 	RestartsPerDay int           `json:"restarts_per_day"`
 	FailuresPerDay int           `json:"failures_per_day"`
+	// ChangesPerDay are changes of the table, in the usual day and in the cut.
+	ChangesPerDay int `json:"changes_per_day"`
 	// Kills is the number of daemons killed one after another to measure how
 	// soon it is known.
 	Kills int `json:"kills"`
@@ -49,6 +52,7 @@
 		Usual:          30 * time.Minute,
 		RestartsPerDay: 1800,
 		FailuresPerDay: 22,
+		ChangesPerDay:  1500,
 		Kills:          5,
 		Cut:            time.Hour,
 	}
@@ -64,7 +68,7 @@
 		return errors.Errorf("members: daemons must be from twice the zones to %d", maximumDaemons)
 	case o.Settling <= 0 || o.Usual < time.Second || o.Cut < 0 || o.Kills < 0:
 		return errors.New("members: times must be positive, Usual at least a second")
-	case o.RestartsPerDay < 0 || o.FailuresPerDay < 0:
+	case o.RestartsPerDay < 0 || o.FailuresPerDay < 0 || o.ChangesPerDay < 0:
 		return errors.New("members: no rate may be negative")
 	case o.Loss < 0 || o.Loss >= 1:
 		return errors.New("members: Loss must be from 0 to below 1")
--- a/bench/hollow/members/run.go
+++ b/bench/hollow/members/run.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -29,13 +30,26 @@
 	MeanBytes     float64 `json:"mean_bytes_per_second"`
 	LargestMean   float64 `json:"largest_mean_bytes_per_second"`
 	LargestWindow float64 `json:"largest_window_bytes_per_second"`
+	// Changes counts those of the usual day; InForceMedian and InForceLargest
+	// are until they were in force on every running process, and Unfinished
+	// counts those that never were.
+	Changes        int     `json:"changes"`
+	InForceMedian  float64 `json:"in_force_median_s"`
+	InForceLargest float64 `json:"in_force_largest_s"`
+	Unfinished     int     `json:"unfinished_changes"`
+	// Fetches counts tables and deltas fetched over connections, whose bytes
+	// are not counted.
+	Fetches int `json:"fetches"`
 	// Kills is, for each daemon killed, until all others knew it.
 	Kills []float64 `json:"kills_s"`
 	// ZoneBack is until all views are right after a lost zone came back.
 	ZoneBack float64 `json:"zone_back_s"`
-	// Healed is until all views are right after the cut of a region ended, and
-	// CutLargestWindow the worst 10 seconds of any daemon in the cut and after.
+	// Healed is until all views are right after the cut of a region ended,
+	// CaughtUp until the changes made meanwhile are in force on every running
+	// process, and CutLargestWindow the worst 10 seconds of any daemon in the
+	// cut and after.
 	Healed           float64 `json:"healed_s"`
+	CaughtUp         float64 `json:"caught_up_s"`
 	CutLargestWindow float64 `json:"cut_largest_window_bytes_per_second"`
 	// FalseFailures counts reports of a failure of a process that ran.
 	FalseFailures int `json:"false_failures"`
@@ -84,6 +98,7 @@
 		phase.run()
 		course.logger.Info("done", "phase", phase.name, "virtual", course.fleet.network.Now().String())
 	}
+	course.reportChanges()
 	course.report.FalseFailures = course.fleet.falseFailures
 	course.report.LargestMessage = course.fleet.largest
 	course.report.Network = course.fleet.network.Counters()
@@ -100,9 +115,12 @@
 func (c *course) wait(length time.Duration) { c.fleet.network.Run(c.fleet.network.Now() + length) }
 
 // settle returns the seconds until all views are right.
-func (c *course) settle() float64 {
+func (c *course) settle() float64 { return c.until(c.fleet.agreed) }
+
+// until returns the seconds until a condition holds.
+func (c *course) until(holds func() bool) float64 {
 	began := c.fleet.network.Now()
-	for !c.fleet.agreed() {
+	for !holds() {
 		if c.fleet.network.Now()-began >= c.fleet.options.Settling {
 			return notReached
 		}
@@ -118,6 +136,7 @@
 	}
 	c.wait(startSpread)
 	c.report.Start = c.settle()
+	c.fleet.network.At(c.fleet.network.Now(), c.fleet.watchForce)
 }
 
 // usualDay measures traffic while processes restart and machines fail.
@@ -126,6 +145,7 @@
 	began := c.fleet.network.Now()
 	c.scheduleEach(c.fleet.options.RestartsPerDay, c.restartOne)
 	c.scheduleEach(c.fleet.options.FailuresPerDay, func() { c.random().stop() })
+	c.scheduleEach(c.fleet.options.ChangesPerDay, c.fleet.publish)
 	c.wait(c.fleet.options.Usual)
 	seconds := (c.fleet.network.Now() - began).Seconds()
 	for _, metered := range c.fleet.daemons {
@@ -148,11 +168,15 @@
 
 // scheduleEach plans an action at even intervals within the usual day.
 func (c *course) scheduleEach(perDay int, action func()) {
+	c.scheduleWithin(c.fleet.options.Usual, perDay, action)
+}
+
+func (c *course) scheduleWithin(length time.Duration, perDay int, action func()) {
 	if perDay == 0 {
 		return
 	}
 	interval := day / time.Duration(perDay)
-	end := c.fleet.network.Now() + c.fleet.options.Usual
+	end := c.fleet.network.Now() + length
 	for at := c.fleet.network.Now() + interval; at < end; at += interval {
 		c.fleet.network.At(at, action)
 	}
@@ -227,15 +251,41 @@
 		return
 	}
 	c.fleet.network.StartMeters()
-	for region := 1; region < c.fleet.options.Regions; region++ {
-		c.fleet.network.Cut(regionName(0), regionName(region))
-	}
+	c.setCut(true)
+	c.scheduleWithin(c.fleet.options.Cut, c.fleet.options.ChangesPerDay, c.fleet.publish)
 	c.wait(c.fleet.options.Cut)
+	c.setCut(false)
+	healed := c.fleet.network.Now()
+	c.report.CaughtUp = c.until(func() bool { return c.fleet.lowest() == c.fleet.newest() })
+	c.report.Healed = c.settle()
+	if c.report.Healed != notReached {
+		c.report.Healed = (c.fleet.network.Now() - healed).Seconds()
+	}
+	c.report.CutLargestWindow = c.largestWindow()
+}
+
+// setCut separates the first region from the others, or ends that.
+func (c *course) setCut(cut bool) {
+	c.fleet.cut = cut
 	for region := 1; region < c.fleet.options.Regions; region++ {
+		if cut {
+			c.fleet.network.Cut(regionName(0), regionName(region))
+			continue
+		}
 		c.fleet.network.Heal(regionName(0), regionName(region))
 	}
-	c.report.Healed = c.settle()
-	c.report.CutLargestWindow = c.largestWindow()
+}
+
+func (c *course) reportChanges() {
+	times, unfinished := c.fleet.force()
+	slices.Sort(times)
+	c.report.Changes = len(times) + unfinished
+	c.report.Unfinished = unfinished
+	c.report.Fetches = c.fleet.fetches
+	if len(times) > 0 {
+		c.report.InForceMedian = times[len(times)/2]
+		c.report.InForceLargest = times[len(times)-1]
+	}
 }
 
 // Encode returns the JSON form of the report.
@@ -256,14 +306,16 @@
 	row("cold start until all views are right", "%s", seconds(r.Start))
 	row("traffic on a usual day, mean, busiest daemon, worst 10 s", "%.0f, %.0f, %.0f bytes/s (%s; %d restarts and %d failures a day)",
 		r.MeanBytes, r.LargestMean, r.LargestWindow, r.Options.Usual, r.Options.RestartsPerDay, r.Options.FailuresPerDay)
+	row("changes in force on every running daemon", "%d of %d; median %.1f s, longest %.1f s; %d fetches over connections",
+		r.Changes-r.Unfinished, r.Changes, r.InForceMedian, r.InForceLargest, r.Fetches)
 	killed := make([]string, 0, len(r.Kills))
 	for _, took := range r.Kills {
 		killed = append(killed, seconds(took))
 	}
 	row("a killed daemon known to all", "%s", strings.Join(killed, ", "))
 	row("views right after a lost zone came back", "%s", seconds(r.ZoneBack))
-	row("views right after a region was cut off for "+r.Options.Cut.String(), "%s; worst 10 s of traffic %.0f bytes/s",
-		seconds(r.Healed), r.CutLargestWindow)
+	row("views right after a region was cut off for "+r.Options.Cut.String(), "%s; the changes made meanwhile in force everywhere after %s; worst 10 s of traffic %.0f bytes/s",
+		seconds(r.Healed), seconds(r.CaughtUp), r.CutLargestWindow)
 	row("failures reported of processes that ran", "%d", r.FalseFailures)
 	row("largest message", "%d bytes", r.LargestMessage)
 	return text.String()
--- a/bench/slopes/capacity.go
+++ b/bench/slopes/capacity.go
@@ -69,6 +69,7 @@
 	lines = append(lines, daemonLines(calculate)...)
 	lines = append(lines, configurationLines(calculate)...)
 	lines = append(lines, agentLines(calculate)...)
+	lines = append(lines, replicaLines(calculate)...)
 	return lines, calculate.err
 }
 
@@ -178,6 +179,22 @@
 	}
 }
 
+func replicaLines(c *calculator) []Line {
+	const role = "table replica"
+	const historyLimit = 2000
+	return []Line{
+		{role, "state", "_replica state_ at 12,000 + _replica history_ at 2,000",
+			c.at("replica state", targetAgents) + c.at("replica history", historyLimit), unitBytes, goalMemory},
+		{role, "snapshot", "_snapshot_ at 12,000", c.at("snapshot", targetAgents), unitBytes, 0},
+		{role, "processor for changes", "1,500 a day × _change applied_ at 12,000",
+			changesPerSecond * c.at("change applied", targetAgents) * percentPerNanosecond, unitCore, goalProcessor * 100},
+		{role, "one change to one other replica, mean", "1,500 a day × _change_ at 1", changesPerSecond * c.at("change", 1), unitBytesSecond, goalBytes},
+		{role, "one import of the platform's revision to one other replica, over 10 s", "_import_ at 12,000 / 10 s",
+			c.at("import", targetAgents) / 10, unitBytesSecond, goalBytes},
+		{role, "one import applied", "_import applied_ at 12,000", c.at("import applied", targetAgents) * milliPerNanosecond, unitMilli, 0},
+	}
+}
+
 // CapacityMarkdown returns the lines as a table.
 func CapacityMarkdown(lines []Line) string {
 	var text strings.Builder
--- a/bench/slopes/run.go
+++ b/bench/slopes/run.go
@@ -75,7 +75,8 @@
 }
 
 func experiments() []experiment {
-	return slices.Concat(memoryExperiments(), ceilingExperiments(), processorExperiments(), trafficExperiments(), movementExperiments())
+	return slices.Concat(memoryExperiments(), ceilingExperiments(), processorExperiments(),
+		trafficExperiments(), movementExperiments(), replicaExperiments())
 }
 
 func isCeiling(name string) bool {
--- a/cmd/vanetiller-bench/hollow.go
+++ b/cmd/vanetiller-bench/hollow.go
@@ -40,11 +40,9 @@
 	if err != nil {
 		return failed(err)
 	}
-	encoded, err := report.Encode()
-	if err != nil {
+	if err := printEncoded(report.Encode); err != nil {
 		return failed(err)
 	}
-	fmt.Println(string(encoded))
 	const mebibyte = 1 << 20
 	took := fmt.Sprintf("took %.0f s and at most %d MiB of heap", cost.Wall.Seconds(), cost.Heap/mebibyte)
 	fmt.Fprintln(os.Stderr, took)
@@ -69,6 +67,15 @@
 	return exitKept
 }
 
+func printEncoded(encode func() ([]byte, error)) error {
+	encoded, err := encode()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Println(string(encoded))
+	return errors.Wrap(err, "report")
+}
+
 func failed(err error) int {
 	fmt.Fprintln(os.Stderr, "vanetiller-bench:", err)
 	return exitBroken
@@ -130,11 +137,9 @@
 	if err != nil {
 		return failed(err)
 	}
-	encoded, err := report.Encode()
-	if err != nil {
+	if err := printEncoded(report.Encode); err != nil {
 		return failed(err)
 	}
-	fmt.Println(string(encoded))
 	if output.page == "" {
 		return exitKept
 	}
--- a/cmd/vanetiller-bench/members.go
+++ b/cmd/vanetiller-bench/members.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"os"
 
 	"github.com/pkg/errors"
@@ -36,11 +35,9 @@
 	if err != nil {
 		return failed(err)
 	}
-	encoded, err := report.Encode()
-	if err != nil {
+	if err := printEncoded(report.Encode); err != nil {
 		return failed(err)
 	}
-	fmt.Println(string(encoded))
 	return output.write(slopes.Part{
 		Name: output.part,
 		Text: commandLine("members", arguments) + ".\n\n" + report.Markdown(),
