Run UDP services through the whole path

Only TCP flows were tried although agents also carry UDP. A flow that moves to another back end after its agent was killed is no double opening, so sightings now carry times and are compared with the kills.

--- /dev/null
+++ b/bench/caller/datagram.go
@@ -0,0 +1,99 @@
+// This file implements the flows of UDP services.
+
+package caller
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/bench/exchange"
+	"github.com/vanetiller/vanetiller/bench/timing"
+)
+
+const (
+	// repeatInterval is the time after which a request without an answer is
+	// sent again.
+	repeatInterval     = 250 * time.Millisecond
+	datagramBufferSize = 9000
+)
+
+// datagramFlow is one UDP socket of a caller.
+type datagramFlow struct {
+	plan       Plan
+	connection net.Conn
+	timeout    time.Duration
+	result     *Result
+}
+
+// runDatagrams sends requests one after the other on one socket. All answers
+// must come from one back end.
+func (c *Client) runDatagrams(ctx context.Context, plan Plan, result *Result) *failed {
+	connection, err := c.Dialer.DialUDP(plan.Service.Address)
+	if err != nil {
+		return &failed{OutcomeNotOpened, CauseConnectFailed, err}
+	}
+	defer connection.Close()
+	stop := context.AfterFunc(ctx, func() { connection.Close() })
+	defer stop()
+	result.Caller = addressOf(connection.LocalAddr())
+	flow := &datagramFlow{plan: plan, connection: connection, timeout: c.ProgressTimeout, result: result}
+	for number := range plan.Pieces {
+		if failure := flow.exchange(number); failure != nil {
+			return failure
+		}
+		if number+1 < plan.Pieces && !timing.Sleep(ctx, plan.Pause) {
+			return &failed{OutcomeBroken, CauseCancelled, ctx.Err()}
+		}
+	}
+	return nil
+}
+
+// exchange repeats one request until it is answered.
+func (f *datagramFlow) exchange(number int) *failed {
+	request := exchange.Datagram{
+		Flow:    f.plan.ID,
+		Request: fmt.Sprintf("%s-%d", f.plan.ID, number),
+		Service: f.plan.Service.Name,
+	}
+	f.result.Request = request.Request
+	encoded := request.Encode()
+	started := time.Now()
+	for time.Since(started) < f.timeout {
+		if _, err := f.connection.Write(encoded); err != nil {
+			return classifyTransfer(err)
+		}
+		answer, answered := f.awaitAnswer(request.Request)
+		if !answered {
+			continue
+		}
+		if answer.Service != f.plan.Service.Name {
+			return &failed{OutcomeBroken, CauseWrongService, errors.Errorf("answer of service %q", answer.Service)}
+		}
+		f.result.Answers = append(f.result.Answers, time.Since(started))
+		return f.result.checkBackend(answer.Backend)
+	}
+	return &failed{OutcomeBroken, CauseStalled, errors.Errorf("no answer to %s", request.Request)}
+}
+
+// awaitAnswer skips late answers to earlier requests.
+func (f *datagramFlow) awaitAnswer(request string) (exchange.Datagram, bool) {
+	deadline := time.Now().Add(repeatInterval)
+	if err := f.connection.SetReadDeadline(deadline); err != nil {
+		return exchange.Datagram{}, false
+	}
+	buffer := make([]byte, datagramBufferSize)
+	for {
+		size, err := f.connection.Read(buffer)
+		if err != nil {
+			return exchange.Datagram{}, false
+		}
+		answer, err := exchange.DecodeDatagram(buffer[:size])
+		if err == nil && answer.Request == request {
+			return answer, true
+		}
+	}
+}
--- /dev/null
+++ b/bench/caller/datagram_test.go
@@ -0,0 +1,122 @@
+package caller_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/bench/backend"
+	"github.com/vanetiller/vanetiller/bench/caller"
+	"github.com/vanetiller/vanetiller/bench/exchange"
+)
+
+// directDialer connects to a back end without a network in between.
+type directDialer struct{ target netip.AddrPort }
+
+func (d directDialer) DialTCP(context.Context, netip.AddrPort) (net.Conn, error) {
+	return net.Dial("tcp4", d.target.String())
+}
+
+func (d directDialer) DialUDP(netip.AddrPort) (net.Conn, error) {
+	return net.Dial("udp4", d.target.String())
+}
+
+func runDatagrams(target netip.AddrPort, timeout time.Duration) caller.Result {
+	client := &caller.Client{Dialer: directDialer{target}, ProgressTimeout: timeout}
+	return client.Run(context.Background(), plan(caller.KindDatagrams))
+}
+
+// answerDatagrams answers the request of each number, counted from 0, with
+// what answer returns; an empty back end means no answer.
+func answerDatagrams(answer func(number int, request exchange.Datagram) exchange.Datagram) netip.AddrPort {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(socket.Close)
+	go func() {
+		buffer := make([]byte, 2048)
+		for number := 0; ; number++ {
+			size, peer, err := socket.ReadFromUDPAddrPort(buffer)
+			if err != nil {
+				return
+			}
+			request, err := exchange.DecodeDatagram(buffer[:size])
+			if err != nil {
+				continue
+			}
+			if reply := answer(number, request); reply.Backend != "" {
+				_, _ = socket.WriteToUDPAddrPort(reply.Encode(), peer)
+			}
+		}
+	}()
+	return socket.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+func startDatagramBackend(settings backend.Settings) *backend.DatagramBackend {
+	settings.Listen = loopback
+	created, err := backend.NewDatagram(settings)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- created.Run(ctx) }()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(done, "30s").Should(Receive(BeNil()))
+	})
+	return created
+}
+
+var _ = Describe("Client with datagrams", func() {
+	whole := func(request exchange.Datagram, name string) exchange.Datagram {
+		return exchange.Datagram{Flow: request.Flow, Request: request.Request, Service: "audio", Backend: name}
+	}
+
+	It("completes on one back end", func() {
+		ledger := backend.NewLedger()
+		server := startDatagramBackend(backend.Settings{Service: "audio", Name: "audio-1", Ledger: ledger})
+		result := runDatagrams(server.Address(), 30*time.Second)
+		Expect(result.Outcome).To(Equal(caller.OutcomeCompleted), result.Detail)
+		Expect(result.Backend).To(Equal("audio-1"))
+		Expect(result.Answers).To(HaveLen(4))
+		Expect(ledger.BackendsOf("flow-1")).To(Equal([]string{"audio-1"}))
+		Expect(server.Counters().Accepted).To(BeEquivalentTo(1))
+	})
+
+	It("notices a request that reached another service", func() {
+		ledger := backend.NewLedger()
+		server := startDatagramBackend(backend.Settings{Service: "transcription", Name: "transcription-1", Ledger: ledger})
+		Expect(runDatagrams(server.Address(), 30*time.Second).Cause).To(Equal(caller.CauseWrongService))
+		Expect(ledger.Totals().Misdelivered).To(Equal(1))
+	})
+
+	It("repeats a request without an answer and skips a late one", func() {
+		target := answerDatagrams(func(number int, request exchange.Datagram) exchange.Datagram {
+			switch number {
+			case 0:
+				return exchange.Datagram{}
+			case 2:
+				request.Request = "flow-1-0"
+			}
+			return whole(request, "audio-1")
+		})
+		Expect(runDatagrams(target, 30*time.Second).Outcome).To(Equal(caller.OutcomeCompleted))
+	})
+
+	It("notices that the back end changes", func() {
+		target := answerDatagrams(func(number int, request exchange.Datagram) exchange.Datagram {
+			if request.Request == "flow-1-2" {
+				return whole(request, "audio-2")
+			}
+			return whole(request, "audio-1")
+		})
+		Expect(runDatagrams(target, 30*time.Second).Cause).To(Equal(caller.CauseBackendChanged))
+	})
+
+	It("gives up after the progress timeout", func() {
+		target := answerDatagrams(func(int, exchange.Datagram) exchange.Datagram { return exchange.Datagram{} })
+		Expect(runDatagrams(target, time.Millisecond).Cause).To(Equal(caller.CauseStalled))
+	})
+})
--- a/bench/caller/flow.go
+++ b/bench/caller/flow.go
@@ -28,6 +28,9 @@
 	KindPoll Kind = "poll"
 	// KindSubmit sends one submission that must run at most once.
 	KindSubmit Kind = "submit"
+	// KindDatagrams sends requests on one UDP socket, each until it is
+	// answered.
+	KindDatagrams Kind = "datagrams"
 )
 
 // Plan is one flow.
--- a/bench/experiment/cluster.go
+++ b/bench/experiment/cluster.go
@@ -176,7 +176,7 @@
 
 func (c *Cluster) startBackends(ctx context.Context, service ServiceShape, ports *addressPool) error {
 	for i, name := range service.endpointNames() {
-		created, err := backend.New(backend.Settings{
+		created, err := newServer(service, backend.Settings{
 			Service: service.Name, Name: name, Listen: fleet.AnyPort(),
 			Slots: service.Slots, WorkTime: submissionTime, Ledger: c.ledger,
 		})
--- a/bench/experiment/members.go
+++ b/bench/experiment/members.go
@@ -4,6 +4,7 @@
 package experiment
 
 import (
+	"context"
 	"net/netip"
 	"net/url"
 	"time"
@@ -26,6 +27,20 @@
 	listed        bool
 }
 
+// server is a back end of either transport.
+type server interface {
+	Address() netip.AddrPort
+	Counters() backend.Counters
+	Run(ctx context.Context) error
+}
+
+func newServer(service ServiceShape, settings backend.Settings) (server, error) {
+	if service.Protocol == table.ProtocolUDP {
+		return backend.NewDatagram(settings)
+	}
+	return backend.New(settings)
+}
+
 // endpointMember is one back end with the agent beside it.
 type endpointMember struct {
 	row           table.Backend
@@ -33,7 +48,7 @@
 	zone          string
 	agent         netip.AddrPort
 	observability netip.AddrPort
-	backend       *backend.Backend
+	backend       server
 	process       *fleet.Process
 	state         platform.State
 	listed        bool
@@ -117,7 +132,7 @@
 			ID:       service.ID,
 			Name:     service.Name,
 			Address:  table.Endpoint(service.Address.String()),
-			Protocol: table.ProtocolTCP,
+			Protocol: service.Protocol,
 			Owner:    service.Owner,
 		})
 	}
--- a/bench/experiment/report.go
+++ b/bench/experiment/report.go
@@ -156,7 +156,7 @@
 		Seed:         seen.options.Seed,
 		Flows:        len(seen.results),
 		Misdelivered: totals.Misdelivered,
-		DoubleOpened: max(totals.DoubleOpened, seen.openings.doubleOpened(seen.kills)),
+		DoubleOpened: max(countDouble(seen.ledger.Flows(), seen.kills), countDouble(seen.openings.all(), seen.kills)),
 		DoubleRuns:   totals.DoubleRuns,
 		Causes:       countCauses(seen.results),
 		Faults:       seen.faults,
--- a/bench/experiment/shape.go
+++ b/bench/experiment/shape.go
@@ -32,6 +32,9 @@
 	Name    string
 	Owner   string
 	Address netip.AddrPort
+	// Protocol is the transport; UDP services have only flows of
+	// caller.KindDatagrams.
+	Protocol table.Protocol
 	// Endpoints is the number of back ends at the start.
 	Endpoints int
 	// Spares is the number of back ends that the schedule may add.
@@ -79,9 +82,9 @@
 	return addresses
 }
 
-// Shapes lists the shapes of the two users.
+// Shapes lists the shapes of the two users and one of a UDP service.
 func Shapes() []Shape {
-	return []Shape{casablanca(), kolkata()}
+	return []Shape{casablanca(), kolkata(), datagrams()}
 }
 
 // ShapeNamed returns the shape of that name. It fails for an unknown name.
@@ -104,7 +107,7 @@
 		Services: []ServiceShape{
 			{
 				ID: 1, Name: "transcription", Owner: "transcription-team",
-				Address:   netip.MustParseAddrPort("198.51.100.1:80"),
+				Address: netip.MustParseAddrPort("198.51.100.1:80"), Protocol: table.ProtocolTCP,
 				Endpoints: 7, Spares: spareEndpoints, Slots: slotsCasablanca * serviceBurstSlots, Callers: 560,
 				Mix: []Flows{
 					{Kind: caller.KindUpload, Share: 5, Pieces: 20, PieceSize: 4 << 10, Pause: 400 * time.Millisecond},
@@ -114,7 +117,7 @@
 			},
 			{
 				ID: 2, Name: "audio", Owner: "audio-team",
-				Address:   netip.MustParseAddrPort("198.51.100.2:80"),
+				Address: netip.MustParseAddrPort("198.51.100.2:80"), Protocol: table.ProtocolTCP,
 				Endpoints: 3, Spares: spareEndpoints, Slots: slotsCasablanca * serviceBurstSlots, Callers: 240,
 				Mix: []Flows{
 					{Kind: caller.KindDownload, Share: 8, Pieces: 25, PieceSize: 4 << 10, Pause: 350 * time.Millisecond},
@@ -135,7 +138,7 @@
 		Services: []ServiceShape{
 			{
 				ID: 11, Name: "memory-lookup", Owner: "memory-team",
-				Address:   netip.MustParseAddrPort("198.51.100.11:80"),
+				Address: netip.MustParseAddrPort("198.51.100.11:80"), Protocol: table.ProtocolTCP,
 				Endpoints: 7, Spares: spareEndpoints, Slots: slotsKolkata * serviceBurstSlots, Callers: 560,
 				Mix: []Flows{
 					{Kind: caller.KindPoll, Share: 8, Pieces: 30, Pause: 250 * time.Millisecond},
@@ -144,7 +147,7 @@
 			},
 			{
 				ID: 12, Name: "glossary-export", Owner: "glossary-team",
-				Address:   netip.MustParseAddrPort("198.51.100.12:80"),
+				Address: netip.MustParseAddrPort("198.51.100.12:80"), Protocol: table.ProtocolTCP,
 				Endpoints: 4, Spares: spareEndpoints, Slots: slotsKolkata * serviceBurstSlots, Callers: 260,
 				Mix: []Flows{
 					{Kind: caller.KindDownload, Share: 9, Pieces: 30, PieceSize: 4 << 10, Pause: 300 * time.Millisecond},
@@ -155,6 +158,22 @@
 	}
 }
 
+func datagrams() Shape {
+	return Shape{
+		Name:           "datagrams",
+		Zones:          2,
+		Balancers:      3,
+		SpareBalancers: spareBalancers,
+		Callers:        callerRange(113),
+		Services: []ServiceShape{{
+			ID: 21, Name: "status", Owner: "status-team",
+			Address: netip.MustParseAddrPort("198.51.100.21:53"), Protocol: table.ProtocolUDP,
+			Endpoints: 5, Spares: spareEndpoints, Callers: 400,
+			Mix: []Flows{{Kind: caller.KindDatagrams, Share: 1, Pieces: 25, Pause: 300 * time.Millisecond}},
+		}},
+	}
+}
+
 // balancerNames returns the names of all balancers, spares last.
 func (s Shape) balancerNames() []string {
 	names := make([]string, s.Balancers+s.SpareBalancers)
--- a/cmd/vanetiller-bench/flags.go
+++ b/cmd/vanetiller-bench/flags.go
@@ -37,7 +37,7 @@
 func newFlagSet(command string, values *parameters, duration time.Duration) *flag.FlagSet {
 	flags := flag.NewFlagSet(command, flag.ContinueOnError)
 	flags.SetOutput(os.Stderr)
-	flags.StringVar(&values.shape, "shape", defaultShape, "`name` of the fleet and traffic: casablanca or kolkata")
+	flags.StringVar(&values.shape, "shape", defaultShape, "`name` of the fleet and traffic: casablanca, kolkata or datagrams")
 	flags.Uint64Var(&values.seed, "seed", defaultSeed, "`number` that determines events, spraying and disturbances")
 	flags.DurationVar(&values.duration, "duration", duration, "length of the event `time`, such as 30s or 2m")
 	flags.StringVar(&values.baseline, "baseline", baselineNone, "`method` to run instead of the product's: none (the product) or hash (a stateless hash)")
