Form the log anew after a majority of voters is lost

A majority of the voters lost at once left the log stuck for ever. A process whose log is newest now goes on as the only voter, once every listed machine has voted for it and the voters unaccounted for are no majority; a later process of the same machine proves that a voter has ended. A candidate that wakes late ignores old votes.

--- a/internal/agreement/cluster_test.go
+++ b/internal/agreement/cluster_test.go
@@ -34,6 +34,9 @@
 	// forgetful plants a fault: a restarted process keeps its identity, so
 	// that votes and acknowledgements which it has forgotten still count.
 	forgetful bool
+	// disseminated gives every process the platform's list and, each second,
+	// the committed state of the leader if it can be reached.
+	disseminated bool
 }
 
 // cluster runs processes in virtual time and checks the invariants.
@@ -110,6 +113,9 @@
 		c.call(p, func(m *agreement.Machine) []agreement.Effect { return m.Tick(c.now) })
 	})
 	c.repeat(p, checkInterval, func() { c.checkMembers(p) })
+	if c.disseminated {
+		c.repeat(p, checkInterval, func() { c.disseminate(p) })
+	}
 	return p
 }
 
@@ -150,6 +156,22 @@
 	}
 }
 
+// disseminate stands in for the distribution of the table to all daemons.
+func (c *cluster) disseminate(p *process) {
+	machines := make([]uint32, c.machines)
+	for i := range machines {
+		machines[i] = uint32(i + 1)
+	}
+	c.call(p, func(m *agreement.Machine) []agreement.Effect { return m.Listed(machines) })
+	from := c.leader()
+	if from == nil || c.isolated(from.zone, p.zone) || from.machine.CommitIndex() <= p.machine.CommitIndex() {
+		return
+	}
+	snapshot := from.machine.Position()
+	snapshot.State, _ = from.state.Encode()
+	c.call(p, func(m *agreement.Machine) []agreement.Effect { return m.Observe(snapshot) })
+}
+
 func (c *cluster) call(p *process, input func(*agreement.Machine) []agreement.Effect) {
 	defer func() {
 		if broken := recover(); broken != nil {
--- a/internal/agreement/election.go
+++ b/internal/agreement/election.go
@@ -27,6 +27,7 @@
 // electionTimedOut begins a preliminary vote, if this process is a voter.
 func (m *Machine) electionTimedOut(now time.Duration) {
 	m.electionTime = now + m.parameters.ElectionRound + m.jitter(m.parameters.ElectionRound)
+	m.reforming = false
 	if !m.Voters().Contains(m.parameters.Self) {
 		return
 	}
@@ -45,13 +46,19 @@
 }
 
 func (m *Machine) requestVotes(now time.Duration, term Term, preliminary bool) {
+	m.askedTerm = term
 	m.votes = map[ProcessID]bool{m.parameters.Self: true}
 	request := VoteRequest{
 		Preliminary: preliminary,
+		Reform:      m.reforming,
 		LastIndex:   m.log.lastIndex(),
 		LastTerm:    m.log.lastTerm(),
 	}
-	for _, member := range m.Voters().Voters() {
+	electors := m.Voters().Voters()
+	if m.reforming {
+		electors = m.fleet.running()
+	}
+	for _, member := range electors {
 		if member.ID != m.parameters.Self {
 			m.send(member.ID, Message{Term: term, Vote: &request})
 		}
@@ -83,7 +90,7 @@
 // not know of leaves it out.
 func (m *Machine) hasRemoved(id ProcessID, request VoteRequest) bool {
 	committed, _ := m.log.configurationAt(m.commit)
-	return m.commit > request.LastIndex && len(committed.Members) > 0 && !committed.Contains(id)
+	return !request.Reform && m.commit > request.LastIndex && len(committed.Members) > 0 && !committed.Contains(id)
 }
 
 func (m *Machine) receiveVote(now time.Duration, from ProcessID, message Message) {
@@ -94,6 +101,7 @@
 		m.state = follower
 		m.votedFor = from
 		m.resetElectionTime(now)
+		m.resetReformTime(now)
 	}
 	m.send(from, Message{Term: m.term, VoteReply: &VoteReply{Granted: granted}})
 }
@@ -104,12 +112,10 @@
 		m.standBack(now)
 		return
 	}
-	expected := m.term
-	if reply.Preliminary {
-		expected++
-	}
-	wanted := (m.state == precandidate && reply.Preliminary) || (m.state == candidate && !reply.Preliminary)
-	if !wanted || !reply.Granted || message.Term != expected {
+	// Replies that a process finds when it wakes late are too old to lead on.
+	inTime := now < m.electionTime
+	wanted := inTime && ((m.state == precandidate && reply.Preliminary) || (m.state == candidate && !reply.Preliminary))
+	if !wanted || !reply.Granted || message.Term != m.askedTerm {
 		return
 	}
 	m.votes[from] = true
@@ -129,6 +135,10 @@
 // needs a majority of the replicas too while the leader has not been silent
 // for long: the witnesses hear it too rarely to tell.
 func (m *Machine) countVotes(now time.Duration) {
+	if m.reforming {
+		m.countReformVotes(now)
+		return
+	}
 	voted := func(member Member) bool { return m.votes[member.ID] }
 	configuration := m.Voters()
 	if !configuration.HasMajority(voted) {
--- a/internal/agreement/machine.go
+++ b/internal/agreement/machine.go
@@ -34,8 +34,15 @@
 	leaderHeard  time.Duration
 	electionTime time.Duration
 
-	// As a candidate.
-	votes map[ProcessID]bool
+	// As a candidate: the term asked about and who has granted the vote.
+	askedTerm Term
+	votes     map[ProcessID]bool
+
+	// For a re-formation.
+	listed         []uint32
+	reforming      bool
+	reformTime     time.Duration
+	reformAttempts int
 
 	// As a leader.
 	peers     map[ProcessID]*peer
@@ -59,6 +66,7 @@
 	}
 	machine.fleet.up(parameters.Self, parameters.Zone)
 	machine.resetElectionTime(now)
+	machine.resetReformTime(now)
 	return machine
 }
 
@@ -82,9 +90,12 @@
 // Tick handles timeouts. The returned effects are valid until the next call.
 func (m *Machine) Tick(now time.Duration) []Effect {
 	m.begin()
-	if m.state == leader {
+	switch {
+	case m.state == leader:
 		m.tickLeader(now)
-	} else if now >= m.electionTime {
+	case m.reformDue(now):
+		m.startReform(now)
+	case now >= m.electionTime:
 		m.electionTimedOut(now)
 	}
 	return m.effects
--- a/internal/agreement/machine_test.go
+++ b/internal/agreement/machine_test.go
@@ -99,6 +99,35 @@
 		Expect(c.leader().state.Version()).To(Equal(table.Version(2)))
 	})
 
+	It("goes on from what any daemon holds after a majority of the voters is replaced at once", func() {
+		of := defaultShape
+		of.disseminated = true
+		c = newCluster(of)
+		Expect(c.waitFormed(time.Minute)).To(BeTrue())
+		Expect(c.accept(addRow(1), time.Second)).To(BeTrue())
+		c.advance(2 * time.Second)
+		for _, member := range c.leader().machine.Voters().Members {
+			c.restart(int(member.ID.Machine - 1))
+		}
+		Expect(c.accept(addRow(2), 10*time.Minute)).To(BeTrue())
+		Expect(c.leader().state.Version()).To(Equal(table.Version(2)))
+	})
+
+	It("does not form the log anew while a machine of the list is cut off", func() {
+		of := defaultShape
+		of.disseminated = true
+		c = newCluster(of)
+		Expect(c.waitFormed(time.Minute)).To(BeTrue())
+		voters := c.leader().machine.Voters().Members
+		for _, member := range voters[:6] {
+			c.restart(int(member.ID.Machine - 1))
+		}
+		c.isolated = func(from, to agreement.Zone) bool { return (from == "a") != (to == "a") }
+		Expect(c.accept(addRow(1), 10*time.Minute)).To(BeFalse())
+		c.isolated = func(_, _ agreement.Zone) bool { return false }
+		Expect(c.accept(addRow(1), 10*time.Minute)).To(BeTrue())
+	})
+
 	It("refuses at once on the smaller side and takes changes on the larger", func() {
 		old := c.leader()
 		c.isolated = func(from, to agreement.Zone) bool { return (from == old.zone) != (to == old.zone) }
--- a/internal/agreement/message.go
+++ b/internal/agreement/message.go
@@ -45,8 +45,10 @@
 // whether the vote would be granted.
 type VoteRequest struct {
 	Preliminary bool
-	LastIndex   Index
-	LastTerm    Term
+	// Reform asks every process, not only voters.
+	Reform    bool
+	LastIndex Index
+	LastTerm  Term
 }
 
 // VoteReply answers a VoteRequest.
--- a/internal/agreement/message_gen.go
+++ b/internal/agreement/message_gen.go
@@ -602,31 +602,11 @@
 		if z.Vote == nil {
 			z.Vote = new(VoteRequest)
 		}
-		var zb0002 uint32
-		zb0002, err = dc.ReadArrayHeader()
+		err = z.Vote.DecodeMsg(dc)
 		if err != nil {
 			err = msgp.WrapError(err, "Vote")
 			return
 		}
-		if zb0002 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0002}
-			return
-		}
-		z.Vote.Preliminary, err = dc.ReadBool()
-		if err != nil {
-			err = msgp.WrapError(err, "Vote", "Preliminary")
-			return
-		}
-		err = z.Vote.LastIndex.DecodeMsg(dc)
-		if err != nil {
-			err = msgp.WrapError(err, "Vote", "LastIndex")
-			return
-		}
-		err = z.Vote.LastTerm.DecodeMsg(dc)
-		if err != nil {
-			err = msgp.WrapError(err, "Vote", "LastTerm")
-			return
-		}
 	}
 	if dc.IsNil() {
 		err = dc.ReadNil()
@@ -639,14 +619,14 @@
 		if z.VoteReply == nil {
 			z.VoteReply = new(VoteReply)
 		}
-		var zb0003 uint32
-		zb0003, err = dc.ReadArrayHeader()
+		var zb0002 uint32
+		zb0002, err = dc.ReadArrayHeader()
 		if err != nil {
 			err = msgp.WrapError(err, "VoteReply")
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+		if zb0002 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0002}
 			return
 		}
 		z.VoteReply.Preliminary, err = dc.ReadBool()
@@ -693,14 +673,14 @@
 		if z.AppendReply == nil {
 			z.AppendReply = new(AppendReply)
 		}
-		var zb0004 uint32
-		zb0004, err = dc.ReadArrayHeader()
+		var zb0003 uint32
+		zb0003, err = dc.ReadArrayHeader()
 		if err != nil {
 			err = msgp.WrapError(err, "AppendReply")
 			return
 		}
-		if zb0004 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
 			return
 		}
 		z.AppendReply.Success, err = dc.ReadBool()
@@ -730,14 +710,14 @@
 		if z.Snapshot == nil {
 			z.Snapshot = new(SnapshotRequest)
 		}
-		var zb0005 uint32
-		zb0005, err = dc.ReadArrayHeader()
+		var zb0004 uint32
+		zb0004, err = dc.ReadArrayHeader()
 		if err != nil {
 			err = msgp.WrapError(err, "Snapshot")
 			return
 		}
-		if zb0005 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0005}
+		if zb0004 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
 			return
 		}
 		err = z.Snapshot.Snapshot.DecodeMsg(dc)
@@ -772,24 +752,9 @@
 			return
 		}
 	} else {
-		// array header, size 3
-		err = en.Append(0x93)
-		if err != nil {
-			return
-		}
-		err = en.WriteBool(z.Vote.Preliminary)
-		if err != nil {
-			err = msgp.WrapError(err, "Vote", "Preliminary")
-			return
-		}
-		err = z.Vote.LastIndex.EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Vote", "LastIndex")
-			return
-		}
-		err = z.Vote.LastTerm.EncodeMsg(en)
+		err = z.Vote.EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Vote", "LastTerm")
+			err = msgp.WrapError(err, "Vote")
 			return
 		}
 	}
@@ -897,17 +862,9 @@
 	if z.Vote == nil {
 		o = msgp.AppendNil(o)
 	} else {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendBool(o, z.Vote.Preliminary)
-		o, err = z.Vote.LastIndex.MarshalMsg(o)
+		o, err = z.Vote.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Vote", "LastIndex")
-			return
-		}
-		o, err = z.Vote.LastTerm.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Vote", "LastTerm")
+			err = msgp.WrapError(err, "Vote")
 			return
 		}
 	}
@@ -984,31 +941,11 @@
 		if z.Vote == nil {
 			z.Vote = new(VoteRequest)
 		}
-		var zb0002 uint32
-		zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Vote.UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Vote")
 			return
 		}
-		if zb0002 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0002}
-			return
-		}
-		z.Vote.Preliminary, bts, err = msgp.ReadBoolBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Vote", "Preliminary")
-			return
-		}
-		bts, err = z.Vote.LastIndex.UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Vote", "LastIndex")
-			return
-		}
-		bts, err = z.Vote.LastTerm.UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Vote", "LastTerm")
-			return
-		}
 	}
 	if msgp.IsNil(bts) {
 		bts, err = msgp.ReadNilBytes(bts)
@@ -1020,14 +957,14 @@
 		if z.VoteReply == nil {
 			z.VoteReply = new(VoteReply)
 		}
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		var zb0002 uint32
+		zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "VoteReply")
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+		if zb0002 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0002}
 			return
 		}
 		z.VoteReply.Preliminary, bts, err = msgp.ReadBoolBytes(bts)
@@ -1072,14 +1009,14 @@
 		if z.AppendReply == nil {
 			z.AppendReply = new(AppendReply)
 		}
-		var zb0004 uint32
-		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "AppendReply")
 			return
 		}
-		if zb0004 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
 			return
 		}
 		z.AppendReply.Success, bts, err = msgp.ReadBoolBytes(bts)
@@ -1108,14 +1045,14 @@
 		if z.Snapshot == nil {
 			z.Snapshot = new(SnapshotRequest)
 		}
-		var zb0005 uint32
-		zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Snapshot")
 			return
 		}
-		if zb0005 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0005}
+		if zb0004 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
 			return
 		}
 		bts, err = z.Snapshot.Snapshot.UnmarshalMsg(bts)
@@ -1139,7 +1076,7 @@
 	if z.Vote == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + msgp.BoolSize + z.Vote.LastIndex.Msgsize() + z.Vote.LastTerm.Msgsize()
+		s += z.Vote.Msgsize()
 	}
 	if z.VoteReply == nil {
 		s += msgp.NilSize
@@ -1549,8 +1486,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Preliminary, err = dc.ReadBool()
@@ -1558,6 +1495,11 @@
 		err = msgp.WrapError(err, "Preliminary")
 		return
 	}
+	z.Reform, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Reform")
+		return
+	}
 	err = z.LastIndex.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "LastIndex")
@@ -1573,8 +1515,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *VoteRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -1583,6 +1525,11 @@
 		err = msgp.WrapError(err, "Preliminary")
 		return
 	}
+	err = en.WriteBool(z.Reform)
+	if err != nil {
+		err = msgp.WrapError(err, "Reform")
+		return
+	}
 	err = z.LastIndex.EncodeMsg(en)
 	if err != nil {
 		err = msgp.WrapError(err, "LastIndex")
@@ -1599,9 +1546,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *VoteRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendBool(o, z.Preliminary)
+	o = msgp.AppendBool(o, z.Reform)
 	o, err = z.LastIndex.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "LastIndex")
@@ -1623,8 +1571,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Preliminary, bts, err = msgp.ReadBoolBytes(bts)
@@ -1632,6 +1580,11 @@
 		err = msgp.WrapError(err, "Preliminary")
 		return
 	}
+	z.Reform, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Reform")
+		return
+	}
 	bts, err = z.LastIndex.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "LastIndex")
@@ -1648,6 +1601,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *VoteRequest) Msgsize() (s int) {
-	s = 1 + msgp.BoolSize + z.LastIndex.Msgsize() + z.LastTerm.Msgsize()
+	s = 1 + msgp.BoolSize + msgp.BoolSize + z.LastIndex.Msgsize() + z.LastTerm.Msgsize()
 	return
 }
--- a/internal/agreement/parameters.go
+++ b/internal/agreement/parameters.go
@@ -34,6 +34,11 @@
 	// WitnessDelay is how long witnesses wait for the leader before standing
 	// for election.
 	WitnessDelay time.Duration
+	// ReformDelay is how long most voters must have been gone before a
+	// re-formation is attempted, and the first delay between attempts.
+	ReformDelay time.Duration
+	// ReformRound bounds the wait for the votes of all machines.
+	ReformRound time.Duration
 	// QuorumTimeout is the time without answers from a majority after which
 	// a leader takes no proposals; after twice the time it stops leading.
 	QuorumTimeout time.Duration
@@ -69,6 +74,8 @@
 		ElectionRound:    700 * time.Millisecond,
 		VoteSilence:      700 * time.Millisecond,
 		WitnessDelay:     4 * time.Second,
+		ReformDelay:      30 * time.Second,
+		ReformRound:      2 * time.Second,
 		QuorumTimeout:    1200 * time.Millisecond,
 		ProposalTimeout:  5 * time.Second,
 		SnapshotEntries:  256,
--- a/internal/agreement/replication.go
+++ b/internal/agreement/replication.go
@@ -27,6 +27,12 @@
 	m.quorumAt = now
 	m.emptyDone = false
 	m.syncPeers(now)
+	if m.reforming {
+		m.reforming = false
+		self := Member{ID: m.parameters.Self, Zone: m.parameters.Zone, Role: RoleReplica}
+		m.appendConfiguration(now, Configuration{Members: []Member{self}})
+		return
+	}
 	m.appendEntry(now, Entry{Kind: EntryEmpty})
 }
 
@@ -180,6 +186,7 @@
 	m.setLeader(from)
 	m.leaderHeard = now
 	m.resetElectionTime(now)
+	m.resetReformTime(now)
 }
 
 // store adds the entries to the log. It returns the last index that agrees
@@ -227,17 +234,21 @@
 	m.followLeader(now, from)
 	snapshot := request.Snapshot
 	if snapshot.Index > m.commit {
-		m.log.install(snapshot)
-		m.commit = snapshot.Index
-		m.compacting = false
-		m.emit(Effect{Kind: SnapshotInstalled, Snapshot: snapshot})
-		m.emit(Effect{Kind: VotersChanged, Configuration: snapshot.Configuration.Clone()})
+		m.installSnapshot(snapshot)
 	}
 	reply.Success = true
 	reply.Match = snapshot.Index
 	m.send(from, Message{Term: m.term, AppendReply: &reply})
 }
 
+func (m *Machine) installSnapshot(snapshot Snapshot) {
+	m.log.install(snapshot)
+	m.commit = snapshot.Index
+	m.compacting = false
+	m.emit(Effect{Kind: SnapshotInstalled, Snapshot: snapshot})
+	m.emit(Effect{Kind: VotersChanged, Configuration: snapshot.Configuration.Clone()})
+}
+
 func (m *Machine) receiveAppendReply(now time.Duration, from ProcessID, message Message) {
 	known := m.peers[from]
 	if m.state != leader || message.Term != m.term || known == nil {
