--- a/internal/adminapi/logstore.go
+++ b/internal/adminapi/logstore.go
@@ -21,6 +21,9 @@
 	Reason string
 	// RetryAfter is, if not zero, when a repeat makes sense.
 	RetryAfter time.Duration
+	// Outcome is, for a committed proposal, what became of the change, if
+	// that is known before the log reaches this process.
+	Outcome *changelog.Outcome
 }
 
 // ProposalStatus tells whether a proposal is in the log.
@@ -164,6 +167,9 @@
 	applied := s.wait(change.ID)
 	defer s.stopWaiting(change.ID, applied)
 	decision := s.config.Proposer.Propose(ctx, change.ID, payload)
+	if decision.Status == ProposalCommitted && decision.Outcome != nil {
+		return Submission{Decided: true, Outcome: *decision.Outcome}
+	}
 	if decision.Status == ProposalCommitted {
 		return s.awaitOutcome(ctx, change.ID, applied)
 	}
