Carry membership over UDP

The membership machine needs a clock and a socket to run in a daemon. Add an endpoint that ticks it every 100 ms, decodes and encodes datagrams, delivers events in order outside its lock, says farewell when it stops, and counts datagrams, bytes and members by state.

--- /dev/null
+++ b/internal/membership/transport/endpoint.go
@@ -0,0 +1,258 @@
+// Package transport carries the messages of package membership over UDP. It
+// drives the state machine with the clock and the socket and decides nothing.
+package transport
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/vanetiller/vanetiller/internal/membership"
+)
+
+// metricsInterval is the time between two counts of the members.
+const metricsInterval = time.Second
+
+// receiveBuffer is larger than any message, so that longer datagrams are
+// noticed and not cut.
+const receiveBuffer = 2 * membership.MaximumDatagram
+
+// Config holds the settings of an Endpoint.
+type Config struct {
+	// Listen is the IPv4 address and UDP port under which other daemons reach
+	// this one. Port 0 takes a free port.
+	Listen netip.AddrPort
+	// Membership are the settings of the machine. The address of Self is set
+	// from Listen.
+	Membership membership.Config
+	// Events receives every effect but EffectSend, in order and never
+	// concurrently. It may call the endpoint.
+	Events  func(membership.Effect)
+	Logger  *log.Logger
+	Metrics Metrics
+}
+
+// Endpoint is a member on a UDP socket. It is safe for concurrent use.
+type Endpoint struct {
+	config  Config
+	socket  *net.UDPConn
+	started time.Time
+	// pending tells that events wait.
+	pending chan struct{}
+
+	mutex   sync.Mutex
+	machine *membership.Machine
+	events  []membership.Effect
+}
+
+// New binds the socket. It fails if the address is in use or not a single IPv4
+// address, or if the settings of the machine cannot be used.
+func New(config Config) (*Endpoint, error) {
+	if !config.Listen.Addr().Is4() || config.Listen.Addr().IsUnspecified() {
+		return nil, errors.Errorf("membership address %s: must be one IPv4 address", config.Listen)
+	}
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(config.Listen))
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", config.Listen)
+	}
+	bound := socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	config.Membership.Self.Address, _ = membership.AddressOf(bound)
+	config.Metrics.fill()
+	machine, err := membership.New(config.Membership)
+	if err != nil {
+		_ = socket.Close()
+		return nil, err
+	}
+	return &Endpoint{
+		config:  config,
+		socket:  socket,
+		started: time.Now(),
+		pending: make(chan struct{}, 1),
+		machine: machine,
+	}, nil
+}
+
+// Self returns the identity under which this process is known.
+func (e *Endpoint) Self() membership.Identity {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.machine.Self()
+}
+
+// SetSeeds replaces the addresses to try where no member is known.
+func (e *Endpoint) SetSeeds(seeds []membership.Address) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.machine.SetSeeds(seeds)
+}
+
+// SetAttachment sets what every message carries, at most
+// membership.MaximumAttachment bytes.
+func (e *Endpoint) SetAttachment(attachment []byte) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.machine.SetAttachment(attachment)
+}
+
+// Members returns the members that are remembered, in no stated order.
+func (e *Endpoint) Members() []membership.Member {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.machine.Members()
+}
+
+// Run takes part until ctx ends; it then tells the others, closes the socket
+// and returns nil. It must be called once.
+func (e *Endpoint) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return e.tick(ctx) })
+	group.Go(e.receive)
+	group.Go(func() error { return e.deliver(ctx) })
+	return group.Wait()
+}
+
+func (e *Endpoint) now() time.Duration { return time.Since(e.started) }
+
+func (e *Endpoint) tick(ctx context.Context) error {
+	ticker := time.NewTicker(membership.TickInterval)
+	defer ticker.Stop()
+	count := time.NewTicker(metricsInterval)
+	defer count.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			e.leave()
+			return e.socket.Close()
+		case <-ticker.C:
+			e.mutex.Lock()
+			e.execute(e.machine.Tick(e.now()))
+			e.mutex.Unlock()
+		case <-count.C:
+			e.config.Metrics.observe(e.Members())
+		}
+	}
+}
+
+func (e *Endpoint) leave() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.execute(e.machine.Leave(e.now()))
+}
+
+func (e *Endpoint) receive() error {
+	buffer := make([]byte, receiveBuffer)
+	for {
+		count, from, err := e.socket.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			e.config.Logger.Debug("membership datagram not received", "error", err)
+			continue
+		}
+		e.accept(from, buffer[:count])
+	}
+}
+
+// accept hands a datagram to the machine if it can be decoded.
+func (e *Endpoint) accept(from netip.AddrPort, datagram []byte) {
+	sender, isIPv4 := membership.AddressOf(from)
+	var message membership.Message
+	rest, err := message.UnmarshalMsg(datagram)
+	if !isIPv4 || err != nil || len(rest) > 0 || len(datagram) > membership.MaximumDatagram {
+		e.config.Metrics.Malformed.Add(1)
+		return
+	}
+	e.config.Metrics.count(directionReceived, len(datagram))
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.execute(e.machine.Receive(e.now(), sender, message))
+}
+
+// execute carries out effects. The mutex must be held.
+func (e *Endpoint) execute(effects []membership.Effect) {
+	for _, effect := range effects {
+		if effect.Kind == membership.EffectSend {
+			e.transmit(effect)
+			continue
+		}
+		e.events = append(e.events, effect)
+	}
+	if len(e.events) == 0 {
+		return
+	}
+	select {
+	case e.pending <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Endpoint) transmit(effect membership.Effect) {
+	encoded, err := effect.Message.MarshalMsg(nil)
+	if err != nil {
+		panic("membership: cannot encode a message: " + err.Error())
+	}
+	// A lost datagram is made up for by later ones.
+	if _, err := e.socket.WriteToUDPAddrPort(encoded, effect.To.AddrPort()); err != nil {
+		e.config.Logger.Debug("membership datagram not sent", "to", effect.To.String(), "error", err)
+		return
+	}
+	e.config.Metrics.count(directionSent, len(encoded))
+}
+
+// deliver passes events on without the mutex, so that their receiver may call
+// the endpoint.
+func (e *Endpoint) deliver(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-e.pending:
+		}
+		e.mutex.Lock()
+		events := slices.Clone(e.events)
+		e.events = e.events[:0]
+		e.mutex.Unlock()
+		for _, event := range events {
+			e.report(event)
+			e.config.Events(event)
+		}
+	}
+}
+
+// report logs changes of the membership.
+func (e *Endpoint) report(event membership.Effect) {
+	text, logged := description(event.Kind)
+	if !logged {
+		return
+	}
+	if event.Member.Address == 0 {
+		e.config.Logger.Info(text, "member_zone", event.Zone)
+		return
+	}
+	e.config.Logger.Info(text, "member", event.Member.Address.String(), "member_zone", event.Member.Zone)
+}
+
+// description returns the log message of an event that is worth one.
+func description(kind membership.EffectKind) (string, bool) {
+	switch kind {
+	case membership.EffectJoined:
+		return "member joined", true
+	case membership.EffectFailed:
+		return "member failed", true
+	case membership.EffectLeft:
+		return "member left", true
+	case membership.EffectZoneUnreachable:
+		return "zone unreachable", true
+	case membership.EffectZoneReachable:
+		return "zone reachable", true
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/membership/transport/metrics.go
@@ -0,0 +1,78 @@
+// This file defines the metrics of an Endpoint.
+
+package transport
+
+import (
+	"github.com/go-kit/kit/metrics"
+	"github.com/go-kit/kit/metrics/discard"
+
+	"github.com/vanetiller/vanetiller/internal/membership"
+)
+
+// Labels of the metrics. DirectionLabel is "sent" or "received"; StateLabel is
+// the text of a membership.State, or "unreachable" for a live member of a zone
+// that cannot be reached.
+const (
+	DirectionLabel = "direction"
+	StateLabel     = "state"
+)
+
+// headerBytes is the size of the IPv4 and UDP headers.
+const headerBytes = 28
+
+const (
+	directionSent     = "sent"
+	directionReceived = "received"
+	stateUnreachable  = "unreachable"
+)
+
+// Metrics are the metrics of an Endpoint. Nil ones are discarded.
+type Metrics struct {
+	// Datagrams and Bytes count by DirectionLabel; bytes include the IPv4 and
+	// UDP headers.
+	Datagrams metrics.Counter
+	Bytes     metrics.Counter
+	// Malformed counts datagrams that could not be read.
+	Malformed metrics.Counter
+	// Members is the number of members by StateLabel.
+	Members metrics.Gauge
+}
+
+// fill replaces the metrics that are nil.
+func (m *Metrics) fill() {
+	for _, counter := range []*metrics.Counter{&m.Datagrams, &m.Bytes, &m.Malformed} {
+		if *counter == nil {
+			*counter = discard.NewCounter()
+		}
+	}
+	if m.Members == nil {
+		m.Members = discard.NewGauge()
+	}
+}
+
+func (m *Metrics) count(direction string, bytes int) {
+	m.Datagrams.With(DirectionLabel, direction).Add(1)
+	m.Bytes.With(DirectionLabel, direction).Add(float64(bytes + headerBytes))
+}
+
+func (m *Metrics) observe(members []membership.Member) {
+	counts := map[string]int{
+		membership.StateAlive.String(): 0, membership.StateSuspect.String(): 0,
+		membership.StateFailed.String(): 0, membership.StateLeft.String(): 0,
+		stateUnreachable: 0,
+	}
+	for _, member := range members {
+		counts[stateText(member)]++
+	}
+	for state, count := range counts {
+		m.Members.With(StateLabel, state).Set(float64(count))
+	}
+}
+
+func stateText(member membership.Member) string {
+	live := member.State == membership.StateAlive || member.State == membership.StateSuspect
+	if live && !member.Reachable {
+		return stateUnreachable
+	}
+	return member.State.String()
+}
