Ask the platform only for what has changed

Every poll fetched and parsed the whole configuration, also when nothing had changed, which is nearly always. A request now carries the entity tag of the answer received last, and a 304 stands for that answer. A service without tags is read as before; a 304 that confirms nothing known is a failed request, and the next one is unconditional.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"net/url"
 	"time"
 
-	"github.com/go-kit/kit/endpoint"
-	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/pkg/errors"
 )
 
@@ -28,10 +24,12 @@
 }
 
 // Client reads from the services of the platform. It is safe for concurrent
-// use.
+// use. Its requests are conditional if the service gives entity tags: an answer
+// that has not changed costs a few hundred bytes, and is the same value as
+// before, which must not be changed.
 type Client struct {
-	configuration endpoint.Endpoint
-	machines      endpoint.Endpoint
+	configuration *resource[Configuration]
+	machines      *resource[Machines]
 	timeout       time.Duration
 	now           func() time.Time
 }
@@ -49,11 +47,11 @@
 	// The platform is reached directly by IP number, so proxy settings of the
 	// environment do not apply.
 	client := &http.Client{Timeout: timeout, Transport: &http.Transport{}}
-	configuration, err := newEndpoint(client, config.ConfigurationURL, decodeConfiguration)
+	configuration, err := newResource(client, config.ConfigurationURL, decodeConfiguration)
 	if err != nil {
 		return nil, err
 	}
-	machines, err := newEndpoint(client, config.MachinesURL, decodeMachines)
+	machines, err := newResource(client, config.MachinesURL, decodeMachines)
 	if err != nil {
 		return nil, err
 	}
@@ -77,38 +75,14 @@
 // answer that waited in the socket before its timer fires.
 var errLate = errors.New("answer came after the timeout")
 
-func fetch[Answer any](ctx context.Context, client *Client, request endpoint.Endpoint) (Answer, error) {
-	var none Answer
+// fetch refuses an answer that came late. The resource holds it nevertheless:
+// if it is still current at the next request, the service says so then.
+func fetch[Answer any](ctx context.Context, client *Client, source *resource[Answer]) (Answer, error) {
 	started := client.now()
-	response, err := request(ctx, nil)
-	if err != nil {
-		return none, asFetchError(err)
-	}
-	if client.now().Sub(started) > client.timeout {
+	answer, err := source.fetch(ctx)
+	if err == nil && client.now().Sub(started) > client.timeout {
+		var none Answer
 		return none, FetchError{"", Unreachable, errLate}
 	}
-	return response.(Answer), nil
-}
-
-func newEndpoint[Answer any](client *http.Client, target string, decode func(io.Reader) (Answer, error)) (endpoint.Endpoint, error) {
-	parsed, err := url.Parse(target)
-	if err != nil {
-		return nil, errors.Wrap(err, "platform")
-	}
-	decodeResponse := func(_ context.Context, response *http.Response) (any, error) {
-		if response.StatusCode != http.StatusOK {
-			return nil, FetchError{target, BadStatus, errors.Errorf("status %s", response.Status)}
-		}
-		answer, err := decode(response.Body)
-		if err == nil {
-			return answer, nil
-		}
-		if errors.As(err, &unreadable{}) {
-			return nil, FetchError{target, Unreachable, err}
-		}
-		return nil, FetchError{target, BadContent, err}
-	}
-	return kithttp.NewClient(http.MethodGet, parsed, encodeNothing, decodeResponse, kithttp.SetClient(client)).Endpoint(), nil
+	return answer, err
 }
-
-func encodeNothing(context.Context, *http.Request, any) error { return nil }
--- a/internal/platform/poller_test.go
+++ b/internal/platform/poller_test.go
@@ -34,24 +34,35 @@
 
 // play runs a poller over the replies in virtual time, without jitter.
 func play(replies []reply) run {
+	next := 0
+	return playFetch(context.Background(), func(context.Context) (platform.Machines, error) {
+		answer := replies[next]
+		next++
+		return platform.Machines{Revision: answer.revision}, answer.err
+	}, len(replies))
+}
+
+// playClient polls the configuration of a client a number of times.
+func playClient(ctx context.Context, client *platform.Client, polls int) run {
+	return playFetch(ctx, client.Configuration, polls)
+}
+
+func playFetch[Answer platform.Snapshot](ctx context.Context, fetch func(context.Context) (Answer, error), polls int) run {
 	var observed run
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	next := 0
-	poller := platform.NewPoller(platform.PollerConfig[platform.Machines]{
-		Fetch: func(context.Context) (platform.Machines, error) {
-			answer := replies[next]
-			next++
-			return platform.Machines{Revision: answer.revision}, answer.err
+	poller := platform.NewPoller(platform.PollerConfig[Answer]{
+		Fetch: fetch,
+		Deliver: func(answer Answer) {
+			observed.delivered = append(observed.delivered, answer.CurrentRevision())
 		},
-		Deliver:  func(answer platform.Machines) { observed.delivered = append(observed.delivered, answer.Revision) },
 		Confirm:  func() { observed.confirmed++ },
 		Interval: time.Second,
 		Logger:   log.New(io.Discard),
 		Random:   func() float64 { return 0 },
 		Wait: func(ctx context.Context, duration time.Duration) error {
 			observed.delays = append(observed.delays, duration)
-			if next == len(replies) {
+			if len(observed.delays) == polls {
 				cancel()
 			}
 			return ctx.Err()
