--- a/internal/agreement/election.go
+++ b/internal/agreement/election.go
@@ -48,6 +48,13 @@
 func (m *Machine) requestVotes(now time.Duration, term Term, preliminary bool) {
 	m.askedTerm = term
 	m.votes = map[ProcessID]bool{m.parameters.Self: true}
+	m.sendVoteRequests(now, preliminary)
+	m.countVotes(now)
+}
+
+// sendVoteRequests asks those who have not granted their vote yet.
+func (m *Machine) sendVoteRequests(now time.Duration, preliminary bool) {
+	m.resendTime = now + m.parameters.VoteResend
 	request := VoteRequest{
 		Preliminary: preliminary,
 		Reform:      m.reforming,
@@ -59,11 +66,10 @@
 		electors = m.fleet.running()
 	}
 	for _, member := range electors {
-		if member.ID != m.parameters.Self {
-			m.send(member.ID, Message{Term: term, Vote: &request})
+		if !m.votes[member.ID] {
+			m.send(member.ID, Message{Term: m.askedTerm, Vote: &request})
 		}
 	}
-	m.countVotes(now)
 }
 
 // receivePreliminaryVote answers without any change of state.
--- a/internal/agreement/machine.go
+++ b/internal/agreement/machine.go
@@ -35,8 +35,9 @@
 	electionTime time.Duration
 
 	// As a candidate: the term asked about and who has granted the vote.
-	askedTerm Term
-	votes     map[ProcessID]bool
+	askedTerm  Term
+	votes      map[ProcessID]bool
+	resendTime time.Duration
 
 	// For a re-formation.
 	listed         []uint32
@@ -97,6 +98,8 @@
 		m.startReform(now)
 	case now >= m.electionTime:
 		m.electionTimedOut(now)
+	case m.state != follower && now >= m.resendTime:
+		m.sendVoteRequests(now, m.state == precandidate)
 	}
 	return m.effects
 }
--- a/internal/agreement/parameters.go
+++ b/internal/agreement/parameters.go
@@ -28,14 +28,17 @@
 	ElectionStagger time.Duration
 	// ElectionRound bounds the wait for votes.
 	ElectionRound time.Duration
+	// VoteResend is when vote requests that were not granted are repeated.
+	VoteResend time.Duration
 	// VoteSilence is the time without a leader after which a voter would
 	// grant its vote to another.
 	VoteSilence time.Duration
 	// WitnessDelay is how long witnesses wait for the leader before standing
 	// for election.
 	WitnessDelay time.Duration
-	// ReformDelay is how long most voters must have been gone before a
-	// re-formation is attempted, and the first delay between attempts.
+	// ReformDelay is the least time without a leader, for a process that has
+	// heard one, before it attempts a re-formation, and the first delay
+	// between attempts.
 	ReformDelay time.Duration
 	// ReformRound bounds the wait for the votes of all machines.
 	ReformRound time.Duration
@@ -72,6 +75,7 @@
 		ElectionTimeout:  time.Second,
 		ElectionStagger:  250 * time.Millisecond,
 		ElectionRound:    700 * time.Millisecond,
+		VoteResend:       250 * time.Millisecond,
 		VoteSilence:      700 * time.Millisecond,
 		WitnessDelay:     4 * time.Second,
 		ReformDelay:      30 * time.Second,
--- /dev/null
+++ b/internal/changelog/changelog_bench_test.go
@@ -0,0 +1,78 @@
+package changelog_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/vanetiller/vanetiller/internal/changelog"
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+// largeState holds a table of rows, ten to a service.
+func largeState(b *testing.B, rows int) *changelog.State {
+	b.Helper()
+	change := &changelog.Change{ID: "rows"}
+	for number := range rows {
+		service := table.ServiceID(number/10 + 1)
+		if number%10 == 0 {
+			change.AddServices = append(change.AddServices, serviceOf(service))
+		}
+		change.AddBackends = append(change.AddBackends, rowOf(table.BackendID(number+1), service))
+	}
+	state := changelog.NewState(changelog.DefaultLimits())
+	if outcome := state.Apply(change); !outcome.Accepted {
+		b.Fatal(outcome.Refusal)
+	}
+	return state
+}
+
+// BenchmarkApply measures a change of one cell.
+func BenchmarkApply(b *testing.B) {
+	for _, rows := range []int{100, 4000} {
+		b.Run(fmt.Sprintf("rows=%d", rows), func(b *testing.B) {
+			state := largeState(b, rows)
+			b.ReportAllocs()
+			number := 0
+			for b.Loop() {
+				number++
+				weight := uint32(number % table.MaxWeight)
+				change := changelog.Change{
+					ID: changelog.ChangeID(fmt.Sprintf("change-%d", number)), Base: state.Version(),
+					Who: "operator", Why: "benchmark", Cells: weightOf(1, weight),
+				}
+				if outcome := state.Apply(&change); !outcome.Accepted {
+					b.Fatal(outcome.Refusal)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkSnapshot measures encoding and decoding of the state after more
+// changes than are remembered.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, rows := range []int{100, 4000} {
+		b.Run(fmt.Sprintf("rows=%d", rows), func(b *testing.B) {
+			state := largeState(b, rows)
+			for number := range changelog.DefaultLimits().Outcomes + 1 {
+				change := changelog.Change{
+					ID: changelog.ChangeID(fmt.Sprintf("change-%d", number)), Base: state.Version(),
+					Who: "operator", Why: "benchmark", Cells: weightOf(1, uint32(number)),
+				}
+				state.Apply(&change)
+			}
+			size := 0
+			for b.Loop() {
+				encoded, err := state.Encode()
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := changelog.Decode(changelog.DefaultLimits(), encoded); err != nil {
+					b.Fatal(err)
+				}
+				size = len(encoded)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
