Change the number of slots more rarely

Change: 256, 1,024 or 4,096 slots, with steps at 32 and 128 rows. Tried and reverted: bounding each row's slots near its share. Conclusion: rarer steps kept, bounding not worth its moves.

--- a/internal/lookup/slots.go
+++ b/internal/lookup/slots.go
@@ -19,18 +19,21 @@
 const NoCandidate = -1
 
 const (
-	slotsPerCandidate = 32
-	minimumSlots      = 64
-	maximumSlots      = 4096
+	minimumSlots = 256
+	maximumSlots = 4096
+	// slotGrowth is the factor between possible slot counts.
+	slotGrowth = 4
+	// minimumSlotsPerRow is when the next larger slot count is used.
+	minimumSlotsPerRow = 8
 )
 
 // SlotCount returns how many hash slots a service with that many rows has. It
-// is a power of two, so that adding a row rarely changes it.
+// is a power of two. A row that changes the count moves most of the slots, so
+// there are only three counts: up to 32 rows, up to 128 rows, and beyond.
 func SlotCount(rows int) int {
-	wanted := rows * slotsPerCandidate
 	count := minimumSlots
-	for count < wanted && count < maximumSlots {
-		count *= 2
+	for count < rows*minimumSlotsPerRow && count < maximumSlots {
+		count *= slotGrowth
 	}
 	return count
 }
