--- a/internal/changelog/changelog_bench_test.go
+++ b/internal/changelog/changelog_bench_test.go
@@ -28,7 +28,7 @@
 
 // BenchmarkApply measures a change of one cell.
 func BenchmarkApply(b *testing.B) {
-	for _, rows := range []int{100, 4000} {
+	for _, rows := range []int{100, 4000, 12_000} {
 		b.Run(fmt.Sprintf("rows=%d", rows), func(b *testing.B) {
 			state := largeState(b, rows)
 			b.ReportAllocs()
@@ -48,10 +48,34 @@
 	}
 }
 
+// BenchmarkImport measures a revision that alters one cell.
+func BenchmarkImport(b *testing.B) {
+	for _, rows := range []int{100, 4000, 12_000} {
+		b.Run(fmt.Sprintf("rows=%d", rows), func(b *testing.B) {
+			state := largeState(b, rows)
+			current := state.Table().Clone()
+			revision := changelog.Revision(0)
+			for b.Loop() {
+				revision++
+				current.Backends[0].Weight = uint32(revision % table.MaxWeight)
+				change := changelog.Change{
+					ID: changelog.ChangeID(fmt.Sprintf("revision-%d", revision)), Base: state.Version(),
+					Import: &changelog.Import{
+						Revision: revision, Services: current.Services, Backends: current.Backends,
+					},
+				}
+				if outcome := state.Apply(&change); !outcome.Accepted {
+					b.Fatal(outcome.Refusal)
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkSnapshot measures encoding and decoding of the state after more
 // changes than are remembered.
 func BenchmarkSnapshot(b *testing.B) {
-	for _, rows := range []int{100, 4000} {
+	for _, rows := range []int{100, 4000, 12_000} {
 		b.Run(fmt.Sprintf("rows=%d", rows), func(b *testing.B) {
 			state := largeState(b, rows)
 			for number := range changelog.DefaultLimits().Outcomes + 1 {
--- a/internal/changelog/draft.go
+++ b/internal/changelog/draft.go
@@ -12,6 +12,8 @@
 	table    *table.Table
 	retired  []table.ServiceID
 	imported Import
+	// positions holds where each row stands; it is built on first use.
+	positions map[table.BackendID]int
 }
 
 func (s *State) newDraft() *draft {
@@ -58,13 +60,25 @@
 }
 
 func (d *draft) backend(id table.BackendID) *table.Backend {
-	position := slices.IndexFunc(d.table.Backends, func(b table.Backend) bool { return b.ID == id })
-	if position < 0 {
+	if d.positions == nil {
+		d.positions = make(map[table.BackendID]int, len(d.table.Backends))
+		for position, row := range d.table.Backends {
+			d.positions[row.ID] = position
+		}
+	}
+	position, exists := d.positions[id]
+	if !exists {
 		return nil
 	}
 	return &d.table.Backends[position]
 }
 
+// appendBackend adds a row whose identifier is not in the table.
+func (d *draft) appendBackend(row table.Backend) {
+	d.positions[row.ID] = len(d.table.Backends)
+	d.table.Backends = append(d.table.Backends, row)
+}
+
 func (d *draft) service(id table.ServiceID) *table.Service {
 	position := slices.IndexFunc(d.table.Services, func(s table.Service) bool { return s.ID == id })
 	if position < 0 {
@@ -86,7 +100,7 @@
 func (d *draft) addBackend(row table.Backend) error {
 	existing := d.backend(row.ID)
 	if existing == nil {
-		d.table.Backends = append(d.table.Backends, row)
+		d.appendBackend(row)
 		return nil
 	}
 	name := rowName(row.Name, row.ID)
--- a/internal/changelog/importing.go
+++ b/internal/changelog/importing.go
@@ -59,7 +59,7 @@
 		current := d.backend(row.ID)
 		switch {
 		case current == nil && !existed:
-			d.table.Backends = append(d.table.Backends, row)
+			d.appendBackend(row)
 		case current == nil:
 		case row.Incarnation != old.Incarnation && row.Incarnation > current.Incarnation:
 			*current = row
