Catch up from informed members within a share of bytes

After a whole zone came back the views of 1,100 members took 170 s to become right, since starting processes asked each other, and settled differences had to wait for 30 s. Ask members that say they know what others know, keep fetching quickly while differences remain, fetch a zone that keeps changing after 10 s, and bound the bytes a second spent on answers.

--- a/internal/membership/faults_test.go
+++ b/internal/membership/faults_test.go
@@ -266,6 +266,38 @@
 		}
 	})
 
+	ginkgo.It("answers no more requests for full states than its share of bytes allows", func() {
+		machine := create(200)
+		for number := 1; number <= 100; number++ {
+			sender := alive(number)
+			machine.Receive(0, sender.Member.Address, membership.Message{Kind: membership.KindPing, Sender: sender})
+		}
+		answered := func(now time.Duration) int {
+			request := membership.Message{Kind: membership.KindSyncRequest, Sender: alive(1)}
+			bytes := 0
+			for range 100 {
+				for _, effect := range machine.Receive(now, request.Sender.Member.Address, request) {
+					bytes += len(effect.Message.Updates) * 24
+				}
+			}
+			return bytes
+		}
+		gomega.Expect(answered(0)).To(gomega.BeNumerically("~", 8000, 3000))
+		gomega.Expect(answered(0)).To(gomega.BeZero())
+		gomega.Expect(answered(10 * time.Second)).To(gomega.BeNumerically("~", 8000, 3000))
+	})
+
+	ginkgo.It("catches up only from a member that knows what others know", func() {
+		machine := create(10)
+		response := membership.Message{Kind: membership.KindSyncResponse, Sender: alive(1), CatchingUp: true}
+		machine.Receive(0, alive(1).Member.Address, response)
+		gomega.Expect(machine.CatchingUp()).To(gomega.BeTrue())
+		response.CatchingUp = false
+		machine.Tick(0)
+		machine.Receive(0, alive(1).Member.Address, response)
+		gomega.Expect(machine.CatchingUp()).To(gomega.BeFalse())
+	})
+
 	ginkgo.It("does nothing after it has left", func() {
 		machine := create(10)
 		machine.Receive(0, alive(1).Member.Address, membership.Message{Kind: membership.KindPing, Sender: alive(1)})
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -61,6 +61,7 @@
 		roster: newRoster(),
 		gossip: newGossip(),
 	}
+	created.sync.credit = answerBurst
 	created.roster.put(0, created.self)
 	created.gossip.add(0, created.self, audienceAll)
 	return created, nil
@@ -120,8 +121,9 @@
 	m.observeTime(now)
 	m.merge(now, message.Sender, true)
 	m.hear(now, message)
+	m.noteInformed(from, message)
 	// What a process that catches up learns from a full state is no news.
-	spread := message.Kind != KindSyncResponse || now >= m.sync.quickUntil
+	spread := message.Kind != KindSyncResponse || !m.syncsQuickly(now)
 	for _, update := range message.Updates {
 		m.merge(now, update, spread)
 	}
@@ -179,7 +181,7 @@
 		if told, exists := m.roster.randomMember(m.random, m.self.Member.Zone, m.isLivePeer); exists {
 			m.send(now, told.update.Member.Address, Message{Kind: KindLeave})
 		}
-		if told, exists := m.nextRemote(); exists {
+		if told, exists := m.nextRemote(m.isLivePeer); exists {
 			m.send(now, told.update.Member.Address, Message{Kind: KindLeave})
 		}
 	}
@@ -191,7 +193,7 @@
 func (m *Machine) send(now time.Duration, to Address, message Message) {
 	message.Sender = m.self
 	message.Attachment = m.attachment
-	message.CatchingUp = now < m.sync.quickUntil
+	message.CatchingUp = m.syncsQuickly(now)
 	if message.Kind != KindSyncResponse {
 		message.Updates = m.updatesFor(now, to)
 	}
--- a/internal/membership/measure_bench_test.go
+++ b/internal/membership/measure_bench_test.go
@@ -61,6 +61,7 @@
 	b.ReportMetric(detection[len(detection)/2].Seconds(), "detected-everywhere-s-median")
 	b.ReportMetric(detection[len(detection)-1].Seconds(), "detected-everywhere-s-max")
 	measureRestart(b, measured)
+	measureZoneReturn(b, measured)
 	b.ReportMetric(float64(measured.largest), "largest-datagram-B")
 }
 
@@ -132,3 +133,28 @@
 	b.ReportMetric(taken.Seconds(), "restart-known-everywhere-s")
 	b.ReportMetric(worst, "bytes/s-worst-10s-of-joiner")
 }
+
+// measureZoneReturn ends all processes of a zone, starts them again a minute
+// later within five seconds, and measures the time until all views are right.
+func measureZoneReturn(b *testing.B, measured *fleet) {
+	const lost = membership.Zone(7)
+	var returning []membership.Address
+	for _, address := range measured.addresses {
+		if measured.zoneAt(address) == lost {
+			returning = append(returning, address)
+			measured.kill(address)
+		}
+	}
+	measured.network.Run(time.Minute)
+	began := measured.network.Now()
+	for _, address := range returning {
+		measured.network.After(time.Duration(measured.random.Int64N(int64(5*time.Second))), func() {
+			measured.start(address)
+		})
+	}
+	measured.network.Run(5 * time.Second)
+	mustAgree(b, measured)
+	_, worst := trafficOf(measured, began, measured.network.Now())
+	b.ReportMetric((measured.network.Now() - began).Seconds(), "zone-return-s")
+	b.ReportMetric(worst, "zone-return-bytes/s-worst-10s")
+}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -152,7 +152,7 @@
 func (m *Machine) probeIndirectly(now time.Duration) {
 	m.probe.indirect = true
 	var asked []Address
-	if helper, exists := m.nextRemote(); exists && helper.update.Member.Address != m.probe.target.Address {
+	if helper, exists := m.nextRemote(m.isLivePeer); exists && helper.update.Member.Address != m.probe.target.Address {
 		asked = append(asked, helper.update.Member.Address)
 	}
 	suits := func(candidate *member) bool {
--- a/internal/membership/reachability.go
+++ b/internal/membership/reachability.go
@@ -28,19 +28,19 @@
 		return
 	}
 	m.remote.next = now + m.config.RemoteInterval
-	if target, exists := m.nextRemote(); exists {
+	if target, exists := m.nextRemote(m.isLivePeer); exists {
 		m.send(now, target.update.Member.Address, Message{Kind: KindPing, Sequence: m.nextSequence()})
 	}
 }
 
-// nextRemote returns a random live member of the other zones in turn.
-func (m *Machine) nextRemote() (*member, bool) {
+// nextRemote returns a random member that suits, of the other zones in turn.
+func (m *Machine) nextRemote(suits func(*member) bool) (*member, bool) {
 	for range MaximumZones {
 		m.remote.turn = (m.remote.turn + 1) % MaximumZones
 		if m.remote.turn == m.self.Member.Zone {
 			continue
 		}
-		if found, exists := m.roster.randomMember(m.random, m.remote.turn, m.isLivePeer); exists {
+		if found, exists := m.roster.randomMember(m.random, m.remote.turn, suits); exists {
 			return found, true
 		}
 	}
--- a/internal/membership/recovery.go
+++ b/internal/membership/recovery.go
@@ -17,6 +17,8 @@
 	// quickSyncTime is how long after catching up differences are fetched
 	// without delay.
 	quickSyncTime = 20 * time.Second
+	// quickSyncExtension is how much longer that may take.
+	quickSyncExtension = time.Minute
 	// quickSyncInterval is the time between two requests meanwhile; it keeps
 	// a starting process within its bytes a second.
 	quickSyncInterval = 1500 * time.Millisecond
@@ -79,17 +81,23 @@
 	}
 }
 
-// recoverySource returns a random member of the own zone, or of another one,
-// or a seed.
+// recoverySource returns a random member that knows what others know, in the
+// own zone or else elsewhere, or a seed, or any member.
 func (m *Machine) recoverySource() (Address, bool) {
-	if known, exists := m.roster.randomMember(m.random, m.self.Member.Zone, m.isLivePeer); exists {
+	if known, exists := m.roster.randomMember(m.random, m.self.Member.Zone, m.isInformedPeer); exists {
 		return known.update.Member.Address, true
 	}
-	if known, exists := m.nextRemote(); exists {
+	if known, exists := m.nextRemote(m.isInformedPeer); exists {
 		return known.update.Member.Address, true
 	}
 	if len(m.seeds) > 0 {
 		return m.seeds[m.random.IntN(len(m.seeds))], true
 	}
+	if known, exists := m.roster.randomMember(m.random, m.self.Member.Zone, m.isLivePeer); exists {
+		return known.update.Member.Address, true
+	}
+	if known, exists := m.nextRemote(m.isLivePeer); exists {
+		return known.update.Member.Address, true
+	}
 	return 0, false
 }
--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -17,6 +17,9 @@
 	position int
 	// since is when the state began.
 	since time.Duration
+	// informed is set if the last message from the member itself said that it
+	// knows what others know.
+	informed bool
 	// verifications counts the pings that asked a suspect whether it lives.
 	verifications int
 }
@@ -70,6 +73,7 @@
 	known.update = update
 	known.since = now
 	known.verifications = 0
+	known.informed = false
 	zone.changed = now
 	r.count(zone, known)
 	return known
--- a/internal/membership/synchronize.go
+++ b/internal/membership/synchronize.go
@@ -10,7 +10,17 @@
 const settleTime = 5 * time.Second
 
 // longDifference is how long a zone may differ while it keeps changing.
-const longDifference = 30 * time.Second
+const longDifference = 10 * time.Second
+
+const (
+	// answerRate is how many bytes a second a member spends on answering sync
+	// requests, and answerBurst how many at once; other requests are dropped
+	// and repeated elsewhere.
+	answerRate  = 2000
+	answerBurst = 8000
+	// estimatedUpdateSize is the usual encoding of an update in bytes.
+	estimatedUpdateSize = 24
+)
 
 // difference is a zone that another member knows differently.
 type difference struct {
@@ -29,6 +39,9 @@
 	// turn is the zone from which to look for a difference.
 	turn          Zone
 	nextReconnect time.Duration
+	// credit is how many bytes may be spent on answers, as of creditTime.
+	credit     int
+	creditTime time.Duration
 }
 
 // nextDigest returns the digests of the zones in turn.
@@ -94,26 +107,56 @@
 	}
 }
 
-// syncSource spreads the requests of a process that catches up over its zone,
-// so that they do not all burden the seed.
-func (m *Machine) syncSource(now time.Duration, peer Address) Address {
+// syncsQuickly reports whether the process still learns what others know: for
+// some time after its start or a pause, and longer while differences remain.
+func (m *Machine) syncsQuickly(now time.Duration) bool {
 	if now < m.sync.quickUntil {
-		if source, exists := m.recoverySource(); exists {
-			return source
+		return true
+	}
+	return now < m.sync.quickUntil+quickSyncExtension && m.differs()
+}
+
+func (m *Machine) differs() bool {
+	for zone := range m.sync.differences {
+		if m.sync.differences[zone].known {
+			return true
 		}
 	}
+	return false
+}
+
+// noteInformed records whether the sender of a message can be asked.
+func (m *Machine) noteInformed(from Address, message Message) {
+	if known, exists := m.roster.byAddress[from]; exists {
+		known.informed = !message.CatchingUp
+	}
+}
+
+func (m *Machine) isInformedPeer(candidate *member) bool {
+	return m.isLivePeer(candidate) && candidate.informed
+}
+
+// syncSource spreads the requests of a process that catches up over the members
+// of its zone that do not, so that they do not all burden the seed.
+func (m *Machine) syncSource(now time.Duration, peer Address) Address {
+	if !m.syncsQuickly(now) {
+		return peer
+	}
+	if known, exists := m.roster.randomMember(m.random, m.self.Member.Zone, m.isInformedPeer); exists {
+		return known.update.Member.Address
+	}
 	return peer
 }
 
 func (m *Machine) syncInterval(now time.Duration) time.Duration {
-	if now < m.sync.quickUntil {
+	if m.syncsQuickly(now) {
 		return quickSyncInterval
 	}
 	return m.config.SyncInterval
 }
 
 func (m *Machine) settled(now time.Duration, zone Zone, noted *difference) bool {
-	if now < m.sync.quickUntil {
+	if m.syncsQuickly(now) {
 		return now >= noted.since+recoveryRetry
 	}
 	if now >= noted.since+longDifference {
@@ -136,6 +179,9 @@
 	if request.Digest == m.roster.digestOf(request.Digest.Zone) {
 		members = nil
 	}
+	if !m.spendAnswer(now, len(members)*estimatedUpdateSize) {
+		return
+	}
 	for first := true; first || len(members) > 0; first = false {
 		part := members[:min(len(members), syncUpdates)]
 		members = members[len(part):]
@@ -154,9 +200,25 @@
 	}
 }
 
-// receiveSync ends catching up; the updates have been merged already.
+// spendAnswer takes the bytes of an answer from the credit. It returns false if
+// earlier answers have used it up.
+func (m *Machine) spendAnswer(now time.Duration, bytes int) bool {
+	earned := int((now - m.sync.creditTime) * answerRate / time.Second)
+	if earned > 0 {
+		m.sync.credit = min(m.sync.credit+earned, answerBurst)
+		m.sync.creditTime = now
+	}
+	if m.sync.credit <= 0 {
+		return false
+	}
+	m.sync.credit -= bytes
+	return true
+}
+
+// receiveSync ends the wait for the own zone's state, if the sender knows it;
+// the updates have been merged already.
 func (m *Machine) receiveSync(_ time.Duration, message Message) {
-	if message.Digest.Zone == m.self.Member.Zone {
+	if message.Digest.Zone == m.self.Member.Zone && !message.CatchingUp {
 		m.recovery.active = false
 	}
 }
