Index rows in the registry and look at them only when something changed

Cause: each heartbeat passed over all rows, and so did the report ten times a second: 1% of a core at 12,000 rows. Change: rows are indexed by service and services by agent when a table is published; availability is computed again only after a change of a condition or when the next lease runs out.

--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -49,8 +49,11 @@
 type Registry struct {
 	configuration *table.Table
 	agents        map[table.Endpoint]*agentRecord
-	// unavailable is what Unavailable returned last.
+	rows          rowIndex
+	// unavailable is what Unavailable returned last. It holds until recheck
+	// unless it is invalidated.
 	unavailable []table.BackendID
+	recheck     time.Duration
 	lastTick    time.Duration
 	suspended   bool
 	// listening is when the registry began to hear heartbeats: its start, or
@@ -68,12 +71,10 @@
 // Publish installs a table. It must not be older than the one before.
 func (r *Registry) Publish(now time.Duration, configuration *table.Table) {
 	r.configuration = configuration
-	listed := make(map[table.Endpoint]bool, len(configuration.Backends))
-	for _, row := range configuration.Backends {
-		listed[row.Agent] = true
-	}
+	r.rows = newRowIndex(configuration)
+	r.invalidate()
 	for agent, record := range r.agents {
-		if !listed[agent] && now >= record.heard+forgetAgentAfter {
+		if !r.rows.lists(agent) && now >= record.heard+forgetAgentAfter {
 			delete(r.agents, agent)
 		}
 	}
@@ -89,6 +90,7 @@
 	if r.everTicked && now-r.lastTick > pauseThreshold {
 		r.suspended = true
 		r.listening = now
+		r.invalidate()
 	}
 	if !r.everTicked {
 		r.listening = now
@@ -113,12 +115,16 @@
 	}
 	interval := r.interval()
 	lease := leaseIntervals * interval
+	before := r.condition(now, heartbeat.Agent)
 	r.agents[heartbeat.Agent] = &agentRecord{
 		heard:   now,
 		lease:   lease,
 		start:   heartbeat.Start,
 		leaving: heartbeat.Leaving,
 	}
+	if r.condition(now, heartbeat.Agent) != before {
+		r.invalidate()
+	}
 	if r.suspended {
 		return Grant{}, false
 	}
@@ -128,7 +134,7 @@
 		LeaseMillis:    uint32(lease / time.Millisecond),
 		IntervalMillis: uint32(interval / time.Millisecond),
 	}
-	services := r.servicesOf(heartbeat.Agent)
+	services := r.rows.services[heartbeat.Agent]
 	if heartbeat.Version != r.configuration.Version {
 		grant.Table = r.configuration.Slice(services)
 	}
@@ -143,28 +149,17 @@
 	return min(max(needed, minimumInterval), maximumInterval)
 }
 
-func (r *Registry) servicesOf(agent table.Endpoint) []table.ServiceID {
-	var services []table.ServiceID
-	for _, row := range r.configuration.Backends {
-		if row.Agent == agent && !slices.Contains(services, row.Service) {
-			services = append(services, row.Service)
-		}
-	}
-	return services
-}
-
 func (r *Registry) addConditions(now time.Duration, services []table.ServiceID, grant *Grant) {
-	for _, row := range r.configuration.Backends {
-		if !slices.Contains(services, row.Service) {
-			continue
-		}
-		switch r.condition(now, row.Agent) {
-		case conditionDown:
-			grant.Down = append(grant.Down, row.ID)
-		case conditionLeaving:
-			grant.Leaving = append(grant.Leaving, row.ID)
-		case conditionUnknown:
-			grant.Unknown = append(grant.Unknown, row.ID)
+	for _, service := range services {
+		for _, row := range r.rows.byService[service] {
+			switch r.condition(now, row.agent) {
+			case conditionDown:
+				grant.Down = append(grant.Down, row.id)
+			case conditionLeaving:
+				grant.Leaving = append(grant.Leaving, row.id)
+			case conditionUnknown:
+				grant.Unknown = append(grant.Unknown, row.id)
+			}
 		}
 	}
 }
@@ -203,22 +198,41 @@
 
 // Unavailable returns, in table order, the rows that must not be given new
 // flows because their agent is down or leaving. A row of which nothing is known
-// keeps the condition it had before.
+// keeps the condition it had before. The result must not be changed.
 func (r *Registry) Unavailable(now time.Duration) []table.BackendID {
-	if r.configuration == nil {
-		return nil
+	if r.configuration == nil || now < r.recheck {
+		return r.unavailable
 	}
 	var rows []table.BackendID
-	for _, row := range r.configuration.Backends {
-		switch r.condition(now, row.Agent) {
+	for _, row := range r.rows.all {
+		switch r.condition(now, row.agent) {
 		case conditionDown, conditionLeaving:
-			rows = append(rows, row.ID)
+			rows = append(rows, row.id)
 		case conditionUnknown:
-			if slices.Contains(r.unavailable, row.ID) {
-				rows = append(rows, row.ID)
+			if _, found := slices.BinarySearch(r.unavailable, row.id); found {
+				rows = append(rows, row.id)
 			}
 		}
 	}
 	r.unavailable = rows
+	r.recheck = r.nextExpiry(now)
 	return rows
 }
+
+// invalidate makes Unavailable look at all rows again.
+func (r *Registry) invalidate() { r.recheck = 0 }
+
+// nextExpiry returns when a condition can change without a heartbeat.
+func (r *Registry) nextExpiry(now time.Duration) time.Duration {
+	next := now + MaximumLease
+	if !r.Listened(now) {
+		next = min(next, r.listening+ListenTime)
+	}
+	for _, record := range r.agents {
+		expiry := record.heard + record.lease + livenessMargin
+		if expiry > now {
+			next = min(next, expiry)
+		}
+	}
+	return next
+}
