Join membership, dissemination and agreement to one address

Cause: the state machines for membership, dissemination and the replicated table had no socket in common, so a daemon knew no other one and changes of the table ended with the process. Change: package cluster drives them over one UDP and TCP address; settings get a [cluster] table with address, seeds, zones and number of voters. Conclusion: the daemon can be joined to it next; the first seed founds the log, which needs all daemons to use the same port.

--- /dev/null
+++ b/internal/cluster/fleet_test.go
@@ -0,0 +1,174 @@
+package cluster_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/changelog"
+	"github.com/vanetiller/vanetiller/internal/cluster"
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+const (
+	// patience bounds what real sockets and elections need; nothing is judged
+	// by speed.
+	patience = 2 * time.Minute
+	// port is the port of all nodes, each of which has its own address.
+	port = 17100
+)
+
+var zoneNames = []string{"casablanca-1", "casablanca-2", "kolkata-1"}
+
+// fleets counts the fleets of this process, so that each has its own network
+// of loopback addresses. Tests that run at the same time differ by process.
+var fleets atomic.Uint32
+
+// fleet is a set of nodes over real sockets, in the zones in turn.
+type fleet struct {
+	network [3]byte
+	seeds   []netip.AddrPort
+	voters  int
+}
+
+func newFleet(seeds, voters int) *fleet {
+	process := uint32(os.Getpid())
+	created := &fleet{voters: voters}
+	created.network = [3]byte{127, byte(64 + (process/128)%128), byte(process%128 + 128*(fleets.Add(1)%2))}
+	for number := range seeds {
+		created.seeds = append(created.seeds, created.address(number))
+	}
+	return created
+}
+
+func (f *fleet) address(number int) netip.AddrPort {
+	octets := [4]byte{f.network[0], f.network[1], f.network[2], byte(number + 1)}
+	return netip.AddrPortFrom(netip.AddrFrom4(octets), port)
+}
+
+// node is a node that runs and puts every table in force.
+type node struct {
+	*cluster.Node
+	name    string
+	inForce atomic.Uint64
+	cancel  context.CancelFunc
+	ended   chan error
+}
+
+func (f *fleet) config(number int, changed func(*table.Table)) cluster.Config {
+	return cluster.Config{
+		Listen:  f.address(number),
+		Name:    fmt.Sprint("balancer-", number),
+		Zone:    zoneNames[number%len(zoneNames)],
+		Zones:   zoneNames,
+		Seeds:   f.seeds,
+		Voters:  f.voters,
+		Limits:  changelog.DefaultLimits(),
+		Changed: changed,
+		Seed:    uint64(number),
+		Logger:  log.New(io.Discard),
+	}
+}
+
+func (f *fleet) start(number int) *node {
+	started := &node{name: fmt.Sprint("balancer-", number), ended: make(chan error, 1)}
+	created, err := cluster.New(f.config(number, started.putInForce))
+	Expect(err).NotTo(HaveOccurred())
+	started.Node = created
+	ctx, cancel := context.WithCancel(context.Background())
+	started.cancel = cancel
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		started.ended <- created.Run(ctx)
+	}()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(done, patience).Should(BeClosed())
+	})
+	return started
+}
+
+func (f *fleet) startAll(count int) []*node {
+	nodes := make([]*node, count)
+	for number := range nodes {
+		nodes[number] = f.start(number)
+	}
+	return nodes
+}
+
+func (n *node) putInForce(changed *table.Table) {
+	n.inForce.Store(uint64(changed.Version))
+	n.InForce(changed.Version)
+}
+
+func (n *node) stop() {
+	n.cancel()
+	Eventually(n.ended, patience).Should(Receive(BeNil()))
+}
+
+// addition is a change that adds a service; no two may have the same number.
+func (n *node) addition(number int) *changelog.Change {
+	return &changelog.Change{
+		ID:   changelog.ChangeID(fmt.Sprint("change-", number)),
+		Base: n.Store().Table().Table.Version,
+		Who:  "anna", Why: "test",
+		AddServices: []table.Service{{
+			ID: table.ServiceID(number), Name: fmt.Sprint("service-", number), Protocol: table.ProtocolTCP,
+			Address: table.Endpoint(fmt.Sprintf("198.51.100.%d:80", number)), Owner: "gateway",
+		}},
+	}
+}
+
+// submit repeats a change until it is decided.
+func (n *node) submit(change *changelog.Change) changelog.Outcome {
+	var outcome changelog.Outcome
+	Eventually(func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		submitted := n.Store().Submit(ctx, change)
+		outcome = submitted.Outcome
+		return submitted.Decided
+	}, patience).Should(BeTrue())
+	return outcome
+}
+
+func (n *node) version() table.Version { return table.Version(n.inForce.Load()) }
+
+func expectInForce(nodes []*node, version table.Version) {
+	GinkgoHelper()
+	for _, running := range nodes {
+		Eventually(running.version, patience).Should(Equal(version), running.name)
+	}
+}
+
+func leaderOf(nodes []*node) *node {
+	var found *node
+	Eventually(func() *node {
+		for _, candidate := range nodes {
+			if candidate.Leads() {
+				found = candidate
+			}
+		}
+		return found
+	}, patience).ShouldNot(BeNil())
+	return found
+}
+
+func without(nodes []*node, removed *node) []*node {
+	var kept []*node
+	for _, candidate := range nodes {
+		if candidate != removed {
+			kept = append(kept, candidate)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/cluster/identity.go
@@ -0,0 +1,84 @@
+// This file converts between the identities of packages membership and
+// agreement, and between names and numbers of zones.
+
+package cluster
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/internal/agreement"
+	"github.com/vanetiller/vanetiller/internal/membership"
+)
+
+// portBits is the number of bits of the port in a membership.Address.
+const portBits = 16
+
+// processOf returns the identity of a member in the log: its machine is its
+// IPv4 address, its start the incarnation.
+func processOf(member membership.Identity) agreement.ProcessID {
+	return agreement.ProcessID{
+		Machine: uint32(member.Address >> portBits),
+		Start:   uint64(member.Incarnation),
+	}
+}
+
+// addressOf returns where a process of the log is reached. All daemons of a
+// fleet use the same port.
+func addressOf(process agreement.ProcessID, port uint16) membership.Address {
+	return membership.Address(process.Machine)<<portBits | membership.Address(port)
+}
+
+// portOf returns the port of an address.
+func portOf(address membership.Address) uint16 { return uint16(address) }
+
+// zones numbers the zones of the fleet, and their regions, by the order in
+// which the settings name them.
+type zones struct {
+	names   []string
+	regions []string
+}
+
+func newZones(names []string) (zones, error) {
+	if len(names) == 0 || len(names) > membership.MaximumZones {
+		return zones{}, errors.Errorf("cluster: %d zones, must be 1 to %d", len(names), membership.MaximumZones)
+	}
+	created := zones{names: slices.Clone(names)}
+	for _, name := range names {
+		if region := regionOf(name); !slices.Contains(created.regions, region) {
+			created.regions = append(created.regions, region)
+		}
+	}
+	return created, nil
+}
+
+// regionOf returns the region of a zone, which is what its name has before the
+// last hyphen: the zone casablanca-1 is in the region casablanca.
+func regionOf(zone string) string {
+	if end := strings.LastIndexByte(zone, '-'); end > 0 {
+		return zone[:end]
+	}
+	return zone
+}
+
+// number returns the zone and region of a name. It returns false for a name
+// that the settings do not list.
+func (z zones) number(name string) (membership.Zone, membership.Region, bool) {
+	position := slices.Index(z.names, name)
+	if position < 0 {
+		return 0, 0, false
+	}
+	region := slices.Index(z.regions, regionOf(name))
+	return membership.Zone(position), membership.Region(region), true
+}
+
+// name returns the name of a zone, empty for one that the settings do not
+// list.
+func (z zones) name(zone membership.Zone) string {
+	if int(zone) >= len(z.names) {
+		return ""
+	}
+	return z.names[zone]
+}
--- /dev/null
+++ b/internal/cluster/metrics.go
@@ -0,0 +1,105 @@
+// This file defines the metrics of a Node.
+
+package cluster
+
+import (
+	"github.com/go-kit/kit/metrics"
+	"github.com/go-kit/kit/metrics/discard"
+
+	"github.com/vanetiller/vanetiller/internal/membership"
+)
+
+// Labels of the metrics. DirectionLabel is "sent" or "received". StateLabel is
+// the text of a membership.State, or "unreachable" for a live member of a zone
+// that cannot be reached.
+const (
+	DirectionLabel = "direction"
+	StateLabel     = "state"
+)
+
+const (
+	directionSent     = "sent"
+	directionReceived = "received"
+	stateUnreachable  = "unreachable"
+)
+
+// headerBytes is the size of the IPv4 and UDP headers.
+const headerBytes = 28
+
+// Metrics are the metrics of a Node. Nil ones are discarded.
+type Metrics struct {
+	// Bytes counts datagrams with their headers, and the contents of
+	// connections, by DirectionLabel.
+	Bytes metrics.Counter
+	// Malformed counts messages that could not be read.
+	Malformed metrics.Counter
+	// Members is the number of members by StateLabel.
+	Members metrics.Gauge
+	// Voters is the number of voters known to this process, zero on one that
+	// does not vote.
+	Voters metrics.Gauge
+	// Leads is 1 while this process leads the log, otherwise 0.
+	Leads metrics.Gauge
+	// HeldVersion is the newest version of the table that this process holds.
+	HeldVersion metrics.Gauge
+}
+
+// fill replaces the metrics that are nil.
+func (m *Metrics) fill() {
+	for _, counter := range []*metrics.Counter{&m.Bytes, &m.Malformed} {
+		if *counter == nil {
+			*counter = discard.NewCounter()
+		}
+	}
+	for _, gauge := range []*metrics.Gauge{&m.Members, &m.Voters, &m.Leads, &m.HeldVersion} {
+		if *gauge == nil {
+			*gauge = discard.NewGauge()
+		}
+	}
+}
+
+func (m *Metrics) countDatagram(direction string, bytes int) {
+	m.Bytes.With(DirectionLabel, direction).Add(float64(bytes + headerBytes))
+}
+
+func (m *Metrics) countStream(direction string, bytes int) {
+	m.Bytes.With(DirectionLabel, direction).Add(float64(bytes))
+}
+
+func (m *Metrics) observeMembers(members []membership.Member) {
+	counts := map[string]int{
+		membership.StateAlive.String(): 0, membership.StateSuspect.String(): 0,
+		membership.StateFailed.String(): 0, membership.StateLeft.String(): 0,
+		stateUnreachable: 0,
+	}
+	for _, member := range members {
+		counts[stateText(member)]++
+	}
+	for state, count := range counts {
+		m.Members.With(StateLabel, state).Set(float64(count))
+	}
+}
+
+func (m *Metrics) observeLog(view logView) {
+	voters, leads := 0.0, 0.0
+	if view.votes {
+		voters = float64(view.voters)
+	}
+	if view.leads {
+		leads = 1
+	}
+	m.Voters.Set(voters)
+	m.Leads.Set(leads)
+}
+
+func stateText(member membership.Member) string {
+	if isLive(member) && !member.Reachable {
+		return stateUnreachable
+	}
+	return member.State.String()
+}
+
+// isLive reports whether a member runs as far as is known.
+func isLive(member membership.Member) bool {
+	return member.State == membership.StateAlive || member.State == membership.StateSuspect
+}
--- /dev/null
+++ b/internal/cluster/suite_test.go
@@ -0,0 +1,13 @@
+package cluster_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestCluster(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "cluster")
+}
--- a/internal/settings/checker.go
+++ b/internal/settings/checker.go
@@ -160,6 +160,27 @@
 	return parsed
 }
 
+func (c *checker) names(key string, value any, most int) []string {
+	if value == nil {
+		c.broken(key, "is required")
+		return nil
+	}
+	items, isArray := value.([]any)
+	if !isArray || len(items) == 0 || len(items) > most {
+		c.broken(key, "must be an array of 1 to %d names", most)
+		return nil
+	}
+	var names []string
+	for _, item := range items {
+		name := c.name(key, item)
+		if name != "" && slices.Contains(names, name) {
+			c.broken(key, "names %s twice", name)
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
 func (c *checker) duration(key string, value any, least, most time.Duration) time.Duration {
 	text, ok := c.text(key, value)
 	if !ok {
--- a/internal/settings/convert.go
+++ b/internal/settings/convert.go
@@ -51,6 +51,9 @@
 	if raw.API != nil {
 		checked.API = c.api(raw.API)
 	}
+	if raw.Cluster != nil {
+		checked.Cluster = c.cluster(raw.Cluster, checked.Zone)
+	}
 	if raw.Agent != nil {
 		checked.Agent = c.agent(raw.Agent)
 	}
@@ -67,6 +70,9 @@
 	if raw.API != nil && raw.Balancer == nil {
 		c.broken("api", "must stand beside a balancer table")
 	}
+	if raw.Cluster != nil && raw.Balancer == nil {
+		c.broken("cluster", "must stand beside a balancer table")
+	}
 	if raw.Balancer != nil && raw.Platform == nil {
 		c.broken("platform", "is required for a balancer")
 	}
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -19,6 +19,7 @@
 	Control       *controlDocument      `toml:"control"`
 	Balancer      *balancerDocument     `toml:"balancer"`
 	API           *apiDocument          `toml:"api"`
+	Cluster       *clusterDocument      `toml:"cluster"`
 	Agent         *agentDocument        `toml:"agent"`
 }
 
@@ -54,6 +55,13 @@
 	Tokens          any `toml:"tokens"`
 }
 
+type clusterDocument struct {
+	Listen any `toml:"listen"`
+	Seeds  any `toml:"seeds"`
+	Zones  any `toml:"zones"`
+	Voters any `toml:"voters"`
+}
+
 type agentDocument struct {
 	Listen      any               `toml:"listen"`
 	Fabric      any               `toml:"fabric"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,8 +30,10 @@
 	Balancer *Balancer
 	// API is nil for a balancer without the administration API, and for
 	// agents.
-	API   *API
-	Agent *Agent
+	API *API
+	// Cluster is nil for a balancer on its own, and for agents.
+	Cluster *Cluster
+	Agent   *Agent
 }
 
 // Log holds the settings of the process's log.
@@ -95,6 +97,20 @@
 	Tokens string
 }
 
+// Cluster holds the settings of what balancers tell each other.
+type Cluster struct {
+	// Listen is the UDP and TCP address under which other balancers reach
+	// this one. All of a fleet use the same port.
+	Listen netip.AddrPort
+	// Seeds are the balancers to ask at the start, the same everywhere. The
+	// first of them founds the log of table changes.
+	Seeds []netip.AddrPort
+	// Zones are the names of all zones, in the same order everywhere.
+	Zones []string
+	// Voters is how many balancers shall agree on changes of the table.
+	Voters int
+}
+
 // Agent holds the settings of the agent role.
 type Agent struct {
 	// Listen is the UDP address for encapsulated packets. It equals the
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -59,6 +59,13 @@
 tokens = "t.toml"
 `
 
+const clusterTable = `[cluster]
+listen = "192.0.2.1:7100"
+seeds = ["192.0.2.1:7100", "192.0.2.2:7100"]
+zones = ["casablanca-1", "casablanca-2"]
+voters = 5
+`
+
 func endpoint(text string) netip.AddrPort { return netip.MustParseAddrPort(text) }
 
 var _ = Describe("Parse", func() {
@@ -111,6 +118,19 @@
 		Expect(without.API.ClientAuthority).To(BeEmpty())
 	})
 
+	It("returns the typed values and defaults of a cluster", func() {
+		parsed, err := settings.Parse("b.toml", []byte(balancerFile+clusterTable))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*parsed.Cluster).To(Equal(settings.Cluster{
+			Listen: endpoint("192.0.2.1:7100"), Voters: 5,
+			Seeds: []netip.AddrPort{endpoint("192.0.2.1:7100"), endpoint("192.0.2.2:7100")},
+			Zones: []string{"casablanca-1", "casablanca-2"},
+		}))
+		without, err := settings.Parse("b.toml", []byte(balancerFile+strings.Replace(clusterTable, "voters = 5\n", "", 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(without.Cluster.Voters).To(Equal(settings.DefaultVoters))
+	})
+
 	DescribeTable("reports one broken rule with its line and key",
 		func(file, old, replacement, expected string) {
 			Expect(strings.Count(file, old)).To(Equal(1), "the text to replace")
@@ -171,6 +191,24 @@
 			"f.toml:17: api.tokens: is required"),
 		Entry("API of an agent", agentFile, `[agent]`, apiTable+`[agent]`,
 			"f.toml:5: api: must stand beside a balancer table"),
+		Entry("cluster of an agent", agentFile, `[agent]`, strings.Replace(clusterTable, "casablanca-1", "kolkata-2", 1)+`[agent]`,
+			"f.toml:5: cluster: must stand beside a balancer table"),
+		Entry("cluster on the unspecified address", balancerFile+clusterTable, `listen = "192.0.2.1:7100"`, `listen = "0.0.0.0:7100"`,
+			"f.toml:18: cluster.listen: must not be the unspecified address 0.0.0.0"),
+		Entry("cluster without seeds", balancerFile+clusterTable, `seeds = ["192.0.2.1:7100", "192.0.2.2:7100"]`, ``,
+			"f.toml:17: cluster.seeds: is required"),
+		Entry("seed with another port", balancerFile+clusterTable, `"192.0.2.2:7100"`, `"192.0.2.2:7101"`,
+			"f.toml:19: cluster.seeds: must have the port of cluster.listen, 7100; 192.0.2.2:7101 has not"),
+		Entry("cluster without zones", balancerFile+clusterTable, `zones = ["casablanca-1", "casablanca-2"]`, ``,
+			"f.toml:17: cluster.zones: is required"),
+		Entry("no zone", balancerFile+clusterTable, `["casablanca-1", "casablanca-2"]`, `[]`,
+			"f.toml:20: cluster.zones: must be an array of 1 to 32 names"),
+		Entry("zone given twice", balancerFile+clusterTable, `"casablanca-2"`, `"casablanca-1"`,
+			"f.toml:20: cluster.zones: names casablanca-1 twice"),
+		Entry("cluster without the own zone", balancerFile+clusterTable, `["casablanca-1", "casablanca-2"]`, `["casablanca-2"]`,
+			"f.toml:20: cluster.zones: must name the zone of this process, casablanca-1"),
+		Entry("too few voters", balancerFile+clusterTable, `voters = 5`, `voters = 2`,
+			"f.toml:21: cluster.voters: must be from 3 to 63"),
 		Entry("both roles", balancerFile, "[control]", agentFile[strings.Index(agentFile, "[agent]"):]+"[control]",
 			"f.toml:11: agent: must not stand beside a balancer table"),
 		Entry("agent on the unspecified address", agentFile, `"127.0.0.1:6181"`, `"0.0.0.0:6181"`,
