Refuse a flow only when every row that may have room has answered

Change: if a row believed alive has not answered, the opening packet is dropped and counted as no_answer; the caller's retransmission is decided afresh.

--- a/internal/admission/effect.go
+++ b/internal/admission/effect.go
@@ -56,6 +56,9 @@
 	DropNoPrimary
 	// DropQueryLimit: too many unknown flows were asked about.
 	DropQueryLimit
+	// DropNoAnswer: this row cannot take the flow, and a row that may did not
+	// answer in time.
+	DropNoAnswer
 	dropReasonCount
 )
 
@@ -72,7 +75,7 @@
 func (r DropReason) String() string {
 	names := [...]string{
 		"none", "no_lease", "duplicate", "closed", "hop_limit", "pending_limit",
-		"flow_limit", "unknown_flow", "no_primary", "query_limit",
+		"flow_limit", "unknown_flow", "no_primary", "query_limit", "no_answer",
 	}
 	if int(r) < len(names) {
 		return names[r]
--- a/internal/admission/machine_test.go
+++ b/internal/admission/machine_test.go
@@ -130,6 +130,32 @@
 		Expect(c.resets).To(Equal(20))
 	})
 
+	It("refuses a flow only when every row that may have room has answered", func() {
+		rows := testRows(2)
+		rows[0].ConnectionLimit, rows[1].ConnectionLimit = 1, 1
+		c, view := settledCluster(rows, quiet)
+		c.run(c.now + time.Minute)
+		primary := c.primaryOf(view, 1000)
+		c.machines[primary].Leave()
+		for _, id := range c.rowIDs() {
+			if id != primary {
+				c.pause(id)
+			}
+		}
+		c.caller(view, 1000, 5, true)
+		c.run(c.now + time.Second)
+		Expect(c.resets).To(BeZero())
+		Expect(c.drops[DropNoAnswer]).To(Equal(1))
+		for _, id := range c.rowIDs() {
+			if id != primary {
+				c.resume(id)
+			}
+		}
+		c.caller(view, 1000, 5, true)
+		c.run(c.now + time.Second)
+		Expect(total(openRows(c))).To(Equal(uint32(1)))
+	})
+
 	It("resets a flow only when every row has denied it", func() {
 		c, view := settledCluster(testRows(3), quiet)
 		c.caller(view, 1000, 5, false)
--- a/internal/admission/open.go
+++ b/internal/admission/open.go
@@ -174,6 +174,10 @@
 		m.pending[key] = undecided
 		m.sendQueries(now, key, undecided)
 		m.concludeIfSettled(now, key, undecided)
+	case undecided.awaitsAnswer():
+		// A row that did not answer may have room. The caller's retransmission
+		// brings the flow back.
+		m.drop(DropNoAnswer, first)
 	default:
 		m.refuseNew(now, key, first)
 	}
--- a/internal/admission/pending.go
+++ b/internal/admission/pending.go
@@ -76,6 +76,17 @@
 	return true
 }
 
+// awaitsAnswer reports whether a row that was believed to be alive left an ask
+// without an answer.
+func (p *pending) awaitsAnswer() bool {
+	for index := range p.asks {
+		if !p.asks[index].answered && !p.asks[index].down {
+			return true
+		}
+	}
+	return false
+}
+
 // answeredByAll reports whether no ask ended without an answer.
 func (p *pending) answeredByAll() bool {
 	for index := range p.asks {
