Send an agent its part of the table only when that part changed

Change: the registry keeps at which version each service, and each agent's set of services, changed; a grant then carries the version alone, and the agent keeps its part under it. By arithmetic at most the 8 agents of a changed service are sent slices instead of 12,000.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -139,10 +139,21 @@
 	daemon.leaving = grant.Leaving
 	daemon.unknown = grant.Unknown
 	c.lease = max(c.lease, sent+daemon.lease)
-	if grant.Table != nil && (c.held == nil || grant.Version > c.held.Version) {
+	c.hold(grant)
+	return true
+}
+
+// hold takes over a newer table. A newer version without a table says that the
+// agent's part has not changed.
+func (c *Client) hold(grant Grant) {
+	switch {
+	case grant.Table != nil && (c.held == nil || grant.Version > c.held.Version):
 		c.held = grant.Table
+	case grant.Table == nil && c.held != nil && grant.Version > c.held.Version:
+		unchanged := *c.held
+		unchanged.Version = grant.Version
+		c.held = &unchanged
 	}
-	return true
 }
 
 func (c *Client) daemon(address netip.AddrPort) *daemonRecord {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -13,6 +13,7 @@
 const (
 	firstAgent  table.Endpoint = "127.0.0.1:6081"
 	secondAgent table.Endpoint = "127.0.0.1:6082"
+	thirdAgent  table.Endpoint = "127.0.0.1:6083"
 )
 
 func testTable() *table.Table {
@@ -56,6 +57,31 @@
 		Expect(grant.Table).To(BeNil())
 	})
 
+	DescribeTable("sends the agent's part again",
+		func(change func(next *table.Table), agent table.Endpoint, expected bool) {
+			next := testTable()
+			next.Services = append(next.Services, table.Service{ID: 2, Name: "lookup", Address: "198.51.100.2:80"})
+			next.Backends = append(next.Backends, table.Backend{ID: 3, Service: 2, Name: "lookup-1", Agent: thirdAgent})
+			registry.Publish(0, next)
+			later := next.Clone()
+			later.Version++
+			change(later)
+			registry.Publish(0, later)
+			grant, _ := registry.Receive(0, Heartbeat{Agent: agent, Version: next.Version})
+			Expect(grant.Version).To(Equal(later.Version))
+			Expect(grant.Table != nil).To(Equal(expected))
+		},
+		Entry("not if nothing changed", func(*table.Table) {}, firstAgent, false),
+		Entry("not if another service changed", func(t *table.Table) { t.Backends[2].Weight = 9 }, firstAgent, false),
+		Entry("if a row of its service changed", func(t *table.Table) { t.Backends[1].Weight = 9 }, firstAgent, true),
+		Entry("if its service changed", func(t *table.Table) { t.Services[0].Owner = "b" }, firstAgent, true),
+		Entry("if its row is gone", func(t *table.Table) { t.Backends = t.Backends[:2] }, thirdAgent, true),
+		Entry("if its service is gone", func(t *table.Table) {
+			t.Services, t.Backends = t.Services[:1], t.Backends[:2]
+		}, thirdAgent, true),
+		Entry("if a row moves to it", func(t *table.Table) { t.Backends[2].Agent = firstAgent }, firstAgent, true),
+	)
+
 	It("abstains about agents it has not had the time to hear", func() {
 		grant, _ := heard(registry, 0, firstAgent)
 		Expect(grant.Unknown).To(Equal([]table.BackendID{2}))
@@ -169,6 +195,14 @@
 		Expect(client.State(time.Second).Table).To(BeIdenticalTo(newer))
 	})
 
+	It("keeps its part of the table under a newer version", func() {
+		answer(0, 0, Grant{Table: testTable(), Version: 3})
+		answer(time.Second, 1, Grant{Version: 4})
+		held := client.State(time.Second).Table
+		Expect(held.Version).To(Equal(table.Version(4)))
+		Expect(held.Backends).To(Equal(testTable().Backends))
+	})
+
 	DescribeTable("believes that a row is down",
 		func(first, second Grant, expected bool) {
 			answer(0, 0, first)
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -37,8 +37,8 @@
 	LeaseMillis uint32 `msg:"d"`
 	// IntervalMillis is when the agent shall send its next heartbeat.
 	IntervalMillis uint32 `msg:"n"`
-	// Table is the part of the table with the agent's services, absent if the
-	// agent holds the same version.
+	// Table is the part of the table with the agent's services, absent if it
+	// is the same as at the version that the agent holds.
 	Table *table.Table `msg:"t"`
 	// Down lists rows of these services whose lease has ended.
 	Down []table.BackendID `msg:"x"`
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -50,6 +50,7 @@
 	configuration *table.Table
 	agents        map[table.Endpoint]*agentRecord
 	rows          rowIndex
+	changes       changeIndex
 	// unavailable is what Unavailable returned last. It holds until recheck
 	// unless it is invalidated.
 	unavailable []table.BackendID
@@ -70,6 +71,7 @@
 
 // Publish installs a table. It must not be older than the one before.
 func (r *Registry) Publish(now time.Duration, configuration *table.Table) {
+	r.changes.record(r.configuration, configuration)
 	r.configuration = configuration
 	r.rows = newRowIndex(configuration)
 	r.invalidate()
@@ -135,7 +137,7 @@
 		IntervalMillis: uint32(interval / time.Millisecond),
 	}
 	services := r.rows.services[heartbeat.Agent]
-	if heartbeat.Version != r.configuration.Version {
+	if r.changes.since(heartbeat.Version, heartbeat.Agent, services) {
 		grant.Table = r.configuration.Slice(services)
 	}
 	r.addConditions(now, services, &grant)
