Test that a leaving row gets no new flow, whatever balancers hold

Cause: the promise that a back end which is leaving receives no new work had no test of its own. Change: cases for drain, weight 0, removal and a planned stop, with balancers that still use the older view, and one for a drain that is undone.

--- a/internal/admission/machine_test.go
+++ b/internal/admission/machine_test.go
@@ -217,6 +217,54 @@
 		Expect(total(openRows(c))).To(Equal(uint32(60)))
 	})
 
+	DescribeTable("opens no new flow on a row that leaves, whatever balancers still hold",
+		func(leave func(c *cluster, view View) View) {
+			c, view := settledCluster(testRows(4), quiet)
+			for port := range uint16(40) {
+				c.caller(view, 1000+port, 5, true)
+			}
+			c.run(c.now + time.Second)
+			before := openRows(c)
+			c.install(leave(c, view), 0)
+			c.run(c.now + quickDelay)
+			for port := range uint16(200) {
+				c.caller(view, 2000+port, 5, true)
+			}
+			c.run(c.now + time.Second)
+			Expect(openRows(c)[0]).To(Equal(before[0]))
+			Expect(total(openRows(c))).To(Equal(uint32(240)))
+			Expect(c.resets).To(BeZero())
+		},
+		Entry("by drain", func(c *cluster, view View) View {
+			return withRows(view, func(rows []table.Backend) { rows[0].Drain = true })
+		}),
+		Entry("by weight 0", func(c *cluster, view View) View {
+			return withRows(view, func(rows []table.Backend) { rows[0].Weight = 0 })
+		}),
+		Entry("by removal", func(c *cluster, view View) View {
+			return withRows(view, func(rows []table.Backend) { rows[0].Removed = true })
+		}),
+		Entry("by a planned stop that only its own agent knows of", func(c *cluster, view View) View {
+			c.machines[1].Leave()
+			return view
+		}),
+	)
+
+	It("takes new flows again when its drain is undone", func() {
+		c, view := settledCluster(testRows(2), quiet)
+		drained := withRows(view, func(rows []table.Backend) { rows[0].Drain = true })
+		c.install(drained, 0)
+		c.run(c.now + time.Second)
+		undone := withRows(drained, func(rows []table.Backend) { rows[0].Drain = false })
+		c.install(undone, 0)
+		c.run(c.now + time.Second)
+		for port := range uint16(100) {
+			c.caller(drained, 1000+port, 5, true)
+			c.run(c.now + 5*time.Millisecond)
+		}
+		Expect(openRows(c)[0]).To(BeNumerically(">=", 45))
+	})
+
 	It("opens a UDP flow again whose owner was restarted", func() {
 		c, view := settledCluster(testRows(3), quiet)
 		c.protocol = table.ProtocolUDP
