Let balancers of a cluster share one table

Cause: the table of a daemon came from the platform or from changes that only this process held. Change: with [cluster], a change given to any balancer's API is agreed among the voters, disseminated, and put in force by each; only the leader polls the platform and imports its revisions; members are shown in metrics and the API. Without [cluster] nothing changes. Tests: the importing part of administration_test.go is as before; startAdministered takes adjustments. Conclusion: the table survives its leader; liveness of agents still has to be shared.

--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -42,7 +42,7 @@
 		Eventually(func() bool { return nodes[2].Store().Reached(5).Complete() }, patience).Should(BeTrue())
 		Expect(nodes[2].Store().Reached(5).Reached).To(Equal(5))
 		Expect(nodes[2].Store().Reached(6).NotReached).To(HaveLen(5))
-		nodes[2].SetNames([]cluster.Name{{Address: nodes[0].Address().Addr(), Name: "first"}})
+		nodes[2].SetMachines([]cluster.Name{{Address: nodes[0].Address().Addr(), Name: "first"}})
 		members := nodes[2].Store().Members()
 		Expect(members).To(HaveLen(5))
 		for _, member := range members {
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -22,7 +22,7 @@
 // memberLive is the state in which the API shows a member that runs.
 const memberLive = "live"
 
-// Name is the name of a machine, by its address.
+// Name is the name of a machine of the platform's list, by its address.
 type Name struct {
 	Address netip.Addr
 	Name    string
@@ -42,14 +42,29 @@
 	return l[position].Name
 }
 
-// SetNames replaces the names under which members are shown, such as those of
-// the platform's list of machines. A member without one is shown by address.
-func (n *Node) SetNames(names []Name) {
-	sorted := slices.Clone(names)
+// SetMachines takes in the platform's list of machines. They are shown by
+// their names, and asked like seeds where no member is known; the list decides
+// nothing else. A member without a name is shown by address.
+func (n *Node) SetMachines(listed []Name) {
+	sorted := slices.Clone(listed)
 	slices.SortFunc(sorted, func(a, b Name) int { return a.Address.Compare(b.Address) })
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.names = sorted
+	n.members.SetSeeds(n.seedsWith(listed))
+}
+
+// seedsWith returns the seeds of the settings and those machines that are
+// none.
+func (n *Node) seedsWith(listed []Name) []membership.Address {
+	seeds := slices.Clone(n.founding.seeds)
+	for _, machine := range listed {
+		address, isIPv4 := membership.AddressOf(netip.AddrPortFrom(machine.Address, n.config.Listen.Port()))
+		if isIPv4 && !slices.Contains(seeds, address) {
+			seeds = append(seeds, address)
+		}
+	}
+	return seeds
 }
 
 // statusList holds the last status heard of each daemon.
--- a/internal/daemon/administration.go
+++ b/internal/daemon/administration.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/netip"
 	"time"
 
@@ -13,9 +12,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanetiller/vanetiller/internal/adminapi"
-	"github.com/vanetiller/vanetiller/internal/changelog"
-	"github.com/vanetiller/vanetiller/internal/platform"
-	"github.com/vanetiller/vanetiller/internal/table"
 	"github.com/vanetiller/vanetiller/internal/tenant"
 	"github.com/vanetiller/vanetiller/internal/tlsfiles"
 )
@@ -24,29 +20,21 @@
 // again.
 const reloadInterval = 2 * time.Second
 
-// platformAuthor is the author of imported revisions in the history.
-const platformAuthor = "platform"
-
 // reloader is a file that can be read again.
 type reloader interface {
 	// Reload reports whether other content came into force.
 	Reload(now time.Time) (changed bool, err error)
 }
 
-// administration serves the administration API and holds the table that the
-// changes of operators and of the platform lead to. Its log has this process
-// alone, and ends with it.
+// administration serves the administration API.
 type administration struct {
 	logger  *log.Logger
-	store   *adminapi.LogStore
-	member  *adminapi.SingleMember
 	server  *adminapi.Server
 	reloads []*reload
 }
 
-// newAdministration opens the files and the listener of the API. Publish
-// receives each new table.
-func newAdministration(shared parts, publish func(*table.Table)) (*administration, error) {
+// newAdministration opens the files and the listener of the API for a store.
+func newAdministration(shared parts, store adminapi.Store) (*administration, error) {
 	configured := shared.settings.API
 	tokens, err := tenant.OpenFile(configured.Tokens)
 	if err != nil {
@@ -60,8 +48,6 @@
 	if err != nil {
 		return nil, err
 	}
-	member := adminapi.NewSingleMember(shared.settings.Name, shared.settings.Zone)
-	store := adminapi.NewSingleReplicaStore(changelog.DefaultLimits(), member, publish)
 	server, err := adminapi.NewServer(adminapi.ServerConfig{
 		Listen: configured.Listen,
 		TLS:    certificates.Server(),
@@ -76,8 +62,6 @@
 	}
 	return &administration{
 		logger: shared.logger,
-		store:  store,
-		member: member,
 		server: server,
 		reloads: []*reload{
 			{what: "tokens", file: tokens},
@@ -86,40 +70,12 @@
 	}, nil
 }
 
-// importRevision makes the platform's revision a change of the table. Cells
-// that the platform has not altered since the revision before keep what
-// operators have set.
-func (a *administration) importRevision(ctx context.Context, configuration platform.Configuration) {
-	revision := uint64(configuration.Revision)
-	submitted := a.store.Submit(ctx, &changelog.Change{
-		ID:   changelog.ChangeID(fmt.Sprintf("platform-revision-%d", revision)),
-		Base: a.store.Table().Table.Version,
-		Who:  platformAuthor,
-		When: time.Now().UnixNano(),
-		Why:  fmt.Sprintf("revision %d of the configuration service", revision),
-		Import: &changelog.Import{
-			Revision: changelog.Revision(revision),
-			Services: configuration.Table.Services,
-			Backends: configuration.Table.Backends,
-		},
-	})
-	switch {
-	case !submitted.Decided:
-		a.logger.Warn("platform revision not imported", "revision", revision, "reason", submitted.Reason)
-	case submitted.Outcome.Accepted:
-		a.logger.Info("platform revision imported", "revision", revision, "version", uint64(submitted.Outcome.Version))
-	default:
-		a.logger.Warn("platform revision refused", "revision", revision, "reason", submitted.Outcome.Refusal.CellError())
-	}
-}
-
 // Address returns the address of the API.
 func (a *administration) Address() netip.AddrPort { return a.server.Address() }
 
 // Run serves the API until ctx ends and then returns nil.
 func (a *administration) Run(ctx context.Context) error {
 	a.logger.Info("administration API started", "address", a.Address())
-	a.logger.Warn("table changes are held by this process alone and end with it")
 	var group run.Group
 	addActor(&group, a.server.Run)
 	addActor(&group, a.reloadFiles)
--- a/internal/daemon/administration_test.go
+++ b/internal/daemon/administration_test.go
@@ -39,7 +39,9 @@
 
 func writeFile(path, text string) { Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed()) }
 
-func startAdministered(platform *source) administered {
+// startAdministered starts a balancer with the API, after the given changes of
+// its settings.
+func startAdministered(platform *source, adjustments ...func(*settings.Settings)) administered {
 	// The certificate of the test server is valid for 127.0.0.1, and its
 	// client trusts it.
 	issuer := httptest.NewTLSServer(http.NotFoundHandler())
@@ -57,6 +59,9 @@
 	writeFile(configured.Tokens, tokensFile(firstToken))
 	checked := balancerSettings(platform)
 	checked.API = &configured
+	for _, adjust := range adjustments {
+		adjust(&checked)
+	}
 	return administered{start(checked), issuer.Client(), configured.Tokens}
 }
 
--- a/internal/daemon/balancer.go
+++ b/internal/daemon/balancer.go
@@ -27,14 +27,22 @@
 	logger        *log.Logger
 	front         *balancer.Balancer
 	control       *control.Server
-	configuration *platform.Poller[platform.Configuration]
+	source        *tableSource
+	configuration runner
 	machines      *platform.Poller[platform.Machines]
 	metrics       balancerGauges
-	// administration is nil without the administration API. The platform's
-	// tables are then put in force as they are.
+	// forwarding is the lookup table in force, of which the next one takes
+	// over what has not changed.
+	forwarding *lookup.Table
+	// administration is nil without the administration API.
 	administration *administration
 }
 
+// runner is a part that runs until its context ends.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
 // balancerGauges show which table is in force.
 type balancerGauges struct {
 	tableVersion    metrics.Gauge
@@ -45,9 +53,10 @@
 func newBalancerRole(shared parts) (*balancerRole, error) {
 	shared.health.SetNotReady(conditionTable, "no table from the platform yet")
 	created := &balancerRole{
-		health:  shared.health,
-		logger:  shared.logger,
-		metrics: newBalancerGauges(shared),
+		health:     shared.health,
+		logger:     shared.logger,
+		metrics:    newBalancerGauges(shared),
+		forwarding: &lookup.Table{},
 	}
 	if err := created.openSockets(shared); err != nil {
 		return nil, err
@@ -73,10 +82,14 @@
 		Listen:      shared.settings.Control.Listen,
 		Unavailable: b.apply,
 	})
+	if err != nil {
+		return err
+	}
+	b.source, err = newTableSource(shared, b.control.Publish)
 	if err != nil || shared.settings.API == nil {
 		return err
 	}
-	b.administration, err = newAdministration(shared, b.control.Publish)
+	b.administration, err = newAdministration(shared, b.source.store)
 	return err
 }
 
@@ -90,10 +103,8 @@
 		return err
 	}
 	pollerMetrics := newPollerMetrics(shared)
-	b.configuration = platform.NewPoller(platform.PollerConfig[platform.Configuration]{
+	b.addConfigurationPoller(platform.PollerConfig[platform.Configuration]{
 		Fetch:    client.Configuration,
-		Deliver:  b.deliver,
-		Confirm:  b.control.Confirm,
 		Interval: source.PollInterval,
 		Logger:   shared.logger.With("service", "configuration"),
 		Metrics:  pollerMetrics.of("configuration"),
@@ -108,14 +119,34 @@
 	return nil
 }
 
+// addConfigurationPoller lets each balancer on its own poll. In a cluster only
+// the leader of the log does, and that the platform has nothing newer does not
+// confirm the table, which other daemons may have changed.
+func (b *balancerRole) addConfigurationPoller(config platform.PollerConfig[platform.Configuration]) {
+	if b.source.node == nil {
+		config.Deliver = b.deliver
+		config.Confirm = b.control.Confirm
+		b.configuration = platform.NewPoller(config)
+		return
+	}
+	b.configuration = &clusterImporter{
+		log:    b.source.node,
+		submit: b.source.importRevision,
+		newPoller: func(deliver func(platform.Configuration)) *platform.Poller[platform.Configuration] {
+			config.Deliver = deliver
+			return platform.NewPoller(config)
+		},
+	}
+}
+
 // deliver hands a configuration to the control server, which ignores a table
 // older than the one it holds and calls apply. With the administration API,
 // the control server gets the tables that the changes lead to.
 func (b *balancerRole) deliver(configuration platform.Configuration) {
 	b.logger.Info("table received",
 		"revision", uint64(configuration.Revision), "version", uint64(configuration.Table.Version))
-	if b.administration != nil {
-		b.administration.importRevision(context.Background(), configuration)
+	if b.source.store != nil {
+		b.source.importRevision(context.Background(), configuration)
 		return
 	}
 	b.control.Publish(configuration.Table)
@@ -128,16 +159,18 @@
 		excluded[row] = true
 	}
 	alive := func(row table.BackendID) bool { return !excluded[row] }
-	b.front.Publish(lookup.Build(configuration, alive))
+	b.forwarding = lookup.Rebuild(b.forwarding, configuration, alive)
+	b.front.Publish(b.forwarding)
 	b.metrics.tableVersion.Set(float64(configuration.Version))
 	b.metrics.unavailableRows.Set(float64(len(unavailable)))
-	if b.administration != nil {
-		b.administration.member.SetInForce(configuration.Version)
-	}
+	b.source.inForce(configuration.Version)
 	b.health.SetReady(conditionTable)
 }
 
 func (b *balancerRole) countMachines(listed platform.Machines) {
+	if b.source.node != nil {
+		b.source.node.SetMachines(machineNames(listed))
+	}
 	for _, role := range platform.Roles() {
 		for _, state := range platform.MachineStates() {
 			gauge := b.metrics.machines.With("role", string(role), "state", string(state))
@@ -153,6 +186,9 @@
 	addActor(&group, b.control.Run)
 	addActor(&group, b.configuration.Run)
 	addActor(&group, b.machines.Run)
+	if b.source.node != nil {
+		addActor(&group, b.source.node.Run)
+	}
 	if b.administration != nil {
 		addActor(&group, b.administration.Run)
 	}
--- /dev/null
+++ b/internal/daemon/source.go
@@ -0,0 +1,83 @@
+// This file implements where the table of a balancer comes from: the platform
+// alone, changes that this process holds, or changes that the fleet agrees on.
+
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/vanetiller/vanetiller/internal/adminapi"
+	"github.com/vanetiller/vanetiller/internal/changelog"
+	"github.com/vanetiller/vanetiller/internal/cluster"
+	"github.com/vanetiller/vanetiller/internal/platform"
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+// platformAuthor is the author of imported revisions in the history.
+const platformAuthor = "platform"
+
+// tableSource holds the table that the changes of operators and of the
+// platform lead to.
+type tableSource struct {
+	logger *log.Logger
+	// store is nil if the platform's tables are put in force as they are.
+	store adminapi.Store
+	// node is nil for a balancer on its own; changes then end with it.
+	node *cluster.Node
+	// inForce is told which version this process forwards by.
+	inForce func(table.Version)
+}
+
+// newTableSource returns the source that the settings ask for. Publish
+// receives each new table that changes lead to.
+func newTableSource(shared parts, publish func(*table.Table)) (*tableSource, error) {
+	created := &tableSource{logger: shared.logger, inForce: func(table.Version) {}}
+	switch {
+	case shared.settings.Cluster != nil:
+		node, err := newNode(shared, publish)
+		if err != nil {
+			return nil, err
+		}
+		created.node = node
+		created.store = node.Store()
+		created.inForce = node.InForce
+	case shared.settings.API != nil:
+		member := adminapi.NewSingleMember(shared.settings.Name, shared.settings.Zone)
+		created.store = adminapi.NewSingleReplicaStore(changelog.DefaultLimits(), member, publish)
+		created.inForce = member.SetInForce
+		shared.logger.Warn("table changes are held by this process alone and end with it")
+	}
+	return created, nil
+}
+
+// importRevision makes the platform's revision a change of the table, and
+// returns whether that is decided. Cells that the platform has not altered
+// since the revision before keep what operators have set.
+func (s *tableSource) importRevision(ctx context.Context, configuration platform.Configuration) bool {
+	revision := uint64(configuration.Revision)
+	submitted := s.store.Submit(ctx, &changelog.Change{
+		ID:   changelog.ChangeID(fmt.Sprintf("platform-revision-%d", revision)),
+		Base: s.store.Table().Table.Version,
+		Who:  platformAuthor,
+		When: time.Now().UnixNano(),
+		Why:  fmt.Sprintf("revision %d of the configuration service", revision),
+		Import: &changelog.Import{
+			Revision: changelog.Revision(revision),
+			Services: configuration.Table.Services,
+			Backends: configuration.Table.Backends,
+		},
+	})
+	switch {
+	case !submitted.Decided:
+		s.logger.Warn("platform revision not imported", "revision", revision, "reason", submitted.Reason)
+	case submitted.Outcome.Accepted:
+		s.logger.Info("platform revision imported", "revision", revision, "version", uint64(submitted.Outcome.Version))
+	default:
+		s.logger.Warn("platform revision refused", "revision", revision, "reason", submitted.Outcome.Refusal.CellError())
+	}
+	return submitted.Decided
+}
