--- a/internal/agreement/cluster_test.go
+++ b/internal/agreement/cluster_test.go
@@ -51,6 +51,8 @@
 	loss      float64
 	duplicate float64
 	isolated  func(from, to agreement.Zone) bool
+	// unlisted zones are missing from the platform's list.
+	unlisted  map[agreement.Zone]bool
 	checker   *checker
 	answers   map[agreement.ProposalID]agreement.Answer
 	reasons   map[agreement.ProposalID]agreement.RefusalReason
@@ -158,9 +160,11 @@
 
 // disseminate stands in for the distribution of the table to all daemons.
 func (c *cluster) disseminate(p *process) {
-	machines := make([]uint32, c.machines)
-	for i := range machines {
-		machines[i] = uint32(i + 1)
+	var machines []uint32
+	for _, other := range c.processes {
+		if !c.unlisted[other.zone] {
+			machines = append(machines, other.id.Machine)
+		}
 	}
 	c.call(p, func(m *agreement.Machine) []agreement.Effect { return m.Listed(machines) })
 	from := c.leader()
@@ -264,6 +268,15 @@
 	c.processes[machine] = c.start(old.id.Machine, start)
 }
 
+// endZone ends all processes of a zone for good.
+func (c *cluster) endZone(zone agreement.Zone) {
+	for _, p := range c.processes {
+		if p.zone == zone {
+			p.ended = true
+		}
+	}
+}
+
 func (c *cluster) pause(machine int) { c.processes[machine].paused = true }
 
 // resume lets a process go on: it first handles all that came meanwhile.
--- a/internal/agreement/machine_test.go
+++ b/internal/agreement/machine_test.go
@@ -128,6 +128,32 @@
 		Expect(c.accept(addRow(1), 10*time.Minute)).To(BeTrue())
 	})
 
+	It("does not form the log anew beside a majority of voters that the list lacks", func() {
+		of := defaultShape
+		of.disseminated = true
+		c = newCluster(of)
+		Expect(c.waitFormed(time.Minute)).To(BeTrue())
+		smaller := func(zone agreement.Zone) bool { return zone >= "g" }
+		c.isolated = func(from, to agreement.Zone) bool { return smaller(from) != smaller(to) }
+		c.unlisted = map[agreement.Zone]bool{"a": true, "b": true, "c": true, "d": true, "e": true, "f": true}
+		c.advance(10 * time.Minute)
+		Expect(c.accept(addRow(1), 10*time.Second)).To(BeTrue())
+		for _, p := range c.processes {
+			Expect(p.machine.Leads(c.now) && smaller(p.zone)).To(BeFalse())
+		}
+	})
+
+	It("replaces the voters of a lost zone by others", func() {
+		zone := c.leader().zone
+		c.endZone(zone)
+		Expect(c.accept(addRow(1), 3*time.Second)).To(BeTrue())
+		c.advance(time.Minute)
+		Expect(c.waitFormed(time.Minute)).To(BeTrue())
+		for _, member := range c.leader().machine.Voters().Members {
+			Expect(member.Zone).NotTo(Equal(zone))
+		}
+	})
+
 	It("refuses at once on the smaller side and takes changes on the larger", func() {
 		old := c.leader()
 		c.isolated = func(from, to agreement.Zone) bool { return (from == old.zone) != (to == old.zone) }
