Bound what a decoder allocates for a datagram

A datagram of a few bytes could claim two thousand million updates or payload bytes, and the generated decoder allocated them before it looked for them. Limit arrays and byte strings when decoding: 128 for membership, whose longest is 60 updates, and 1,200 for dissemination. Lay the measured fleets out in 5 regions as in the target; they had 6.

--- a/internal/dissemination/fleet_test.go
+++ b/internal/dissemination/fleet_test.go
@@ -62,12 +62,14 @@
 	random        *rand.Rand
 	zones         int
 	zonesInRegion int
-	payload       int
-	network       *virtualnet.Network[datagram]
-	daemons       map[membership.Address]*daemon
-	addresses     []membership.Address
-	starts        int
-	sabotage      func(*dissemination.Message)
+	// regions is the number of regions; zero means as many as it takes.
+	regions   int
+	payload   int
+	network   *virtualnet.Network[datagram]
+	daemons   map[membership.Address]*daemon
+	addresses []membership.Address
+	starts    int
+	sabotage  func(*dissemination.Message)
 	// violations describes broken invariants.
 	violations []string
 	// betweenRegions counts the pushes and deltas sent to other regions.
@@ -95,7 +97,11 @@
 }
 
 func (f *fleet) regionOf(address membership.Address) membership.Region {
-	return membership.Region(int(f.zoneOf(address)) / f.zonesInRegion)
+	region := int(f.zoneOf(address)) / f.zonesInRegion
+	if f.regions > 0 {
+		region = min(region, f.regions-1)
+	}
+	return membership.Region(region)
 }
 
 func (f *fleet) delay(from, to virtualnet.NodeID) time.Duration {
--- a/internal/dissemination/measure_bench_test.go
+++ b/internal/dissemination/measure_bench_test.go
@@ -41,6 +41,7 @@
 
 func measureFleet(b *testing.B, members int, loss float64) {
 	measured := newFleet(measureSeed, members, 11, 2, virtualnet.Config{Loss: loss, Jitter: time.Millisecond})
+	measured.regions = 5
 	measured.startAll(30*time.Second, time.Minute)
 	for !measured.settled() {
 		if measured.network.Now() > settleLimit {
--- a/internal/dissemination/message.go
+++ b/internal/dissemination/message.go
@@ -8,6 +8,7 @@
 )
 
 //go:generate go tool msgp -tests=false
+//msgp:limit arrays:1200
 //msgp:tuple Delta Status Message
 
 // Delta is the change from the version before to Version. Its payload is
--- a/internal/dissemination/message_gen.go
+++ b/internal/dissemination/message_gen.go
@@ -7,6 +7,11 @@
 	"github.com/vanetiller/vanetiller/internal/membership"
 )
 
+// Size limits for msgp deserialization
+const (
+	zdc5d9100limitArrays = 1200
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Delta) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -15,6 +20,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
@@ -24,7 +33,10 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
-	z.Payload, err = dc.ReadBytes(z.Payload)
+	z.Payload, err = dc.ReadBytesLimit(z.Payload, zdc5d9100limitArrays)
+	if err == nil && z.Payload == nil {
+		z.Payload = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Payload")
 		return
@@ -83,11 +95,27 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
-	z.Payload, bts, err = msgp.ReadBytesBytes(bts, z.Payload)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Payload")
 		return
 	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Payload == nil || uint32(cap(z.Payload)) < zb0002 {
+		z.Payload = make([]byte, zb0002)
+	} else {
+		z.Payload = z.Payload[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Payload, bts[:zb0002])
+	bts = bts[zb0002:]
 	o = bts
 	return
 }
@@ -158,6 +186,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 9 {
 		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
@@ -177,6 +209,10 @@
 		err = msgp.WrapError(err, "Status")
 		return
 	}
+	if zb0003 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0003 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0003}
 		return
@@ -206,6 +242,10 @@
 		err = msgp.WrapError(err, "Deltas")
 		return
 	}
+	if zb0005 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Deltas) >= int(zb0005) {
 		z.Deltas = (z.Deltas)[:zb0005]
 	} else {
@@ -218,6 +258,10 @@
 			err = msgp.WrapError(err, "Deltas", za0001)
 			return
 		}
+		if zb0006 > zdc5d9100limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
 		if zb0006 != 2 {
 			err = msgp.ArrayError{Wanted: 2, Got: zb0006}
 			return
@@ -227,7 +271,10 @@
 			err = msgp.WrapError(err, "Deltas", za0001, "Version")
 			return
 		}
-		z.Deltas[za0001].Payload, err = dc.ReadBytes(z.Deltas[za0001].Payload)
+		z.Deltas[za0001].Payload, err = dc.ReadBytesLimit(z.Deltas[za0001].Payload, zdc5d9100limitArrays)
+		if err == nil && z.Deltas[za0001].Payload == nil {
+			z.Deltas[za0001].Payload = []byte{}
+		}
 		if err != nil {
 			err = msgp.WrapError(err, "Deltas", za0001, "Payload")
 			return
@@ -259,6 +306,10 @@
 		err = msgp.WrapError(err, "Missing")
 		return
 	}
+	if zb0007 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Missing) >= int(zb0007) {
 		z.Missing = (z.Missing)[:zb0007]
 	} else {
@@ -468,6 +519,10 @@
 		err = msgp.WrapError(err, "Deltas")
 		return
 	}
+	if zb0005 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Deltas) >= int(zb0005) {
 		z.Deltas = (z.Deltas)[:zb0005]
 	} else {
@@ -489,11 +544,27 @@
 			err = msgp.WrapError(err, "Deltas", za0001, "Version")
 			return
 		}
-		z.Deltas[za0001].Payload, bts, err = msgp.ReadBytesBytes(bts, z.Deltas[za0001].Payload)
+		var zb0007 uint32
+		zb0007, bts, err = msgp.ReadBytesHeader(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Deltas", za0001, "Payload")
 			return
 		}
+		if zb0007 > zdc5d9100limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if z.Deltas[za0001].Payload == nil || uint32(cap(z.Deltas[za0001].Payload)) < zb0007 {
+			z.Deltas[za0001].Payload = make([]byte, zb0007)
+		} else {
+			z.Deltas[za0001].Payload = z.Deltas[za0001].Payload[:zb0007]
+		}
+		if uint32(len(bts)) < zb0007 {
+			err = msgp.ErrShortBytes
+			return
+		}
+		copy(z.Deltas[za0001].Payload, bts[:zb0007])
+		bts = bts[zb0007:]
 	}
 	z.Sequence, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
@@ -515,16 +586,20 @@
 		err = msgp.WrapError(err, "Behind")
 		return
 	}
-	var zb0007 uint32
-	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0008 uint32
+	zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Missing")
 		return
 	}
-	if cap(z.Missing) >= int(zb0007) {
-		z.Missing = (z.Missing)[:zb0007]
+	if zb0008 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Missing) >= int(zb0008) {
+		z.Missing = (z.Missing)[:zb0008]
 	} else {
-		z.Missing = make([]membership.Address, zb0007)
+		z.Missing = make([]membership.Address, zb0008)
 	}
 	for za0002 := range z.Missing {
 		bts, err = z.Missing[za0002].UnmarshalMsg(bts)
@@ -610,6 +685,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -26,12 +26,18 @@
 	zones   int
 	// zonesInRegion is the number of zones in each region but the last.
 	zonesInRegion int
+	// regions is the number of regions; zero means as many as it takes.
+	regions int
 }
 
 func (l layout) zoneOf(index int) membership.Zone { return membership.Zone(index % l.zones) }
 
 func (l layout) regionOf(zone membership.Zone) membership.Region {
-	return membership.Region(int(zone) / l.zonesInRegion)
+	region := int(zone) / l.zonesInRegion
+	if l.regions > 0 {
+		region = min(region, l.regions-1)
+	}
+	return membership.Region(region)
 }
 
 // process is one machine on the network.
--- a/internal/membership/measure_bench_test.go
+++ b/internal/membership/measure_bench_test.go
@@ -24,7 +24,7 @@
 
 // targetLayout is the fleet of the capacity target with a number of members.
 func targetLayout(members int) layout {
-	return layout{members: members, zones: 11, zonesInRegion: 2}
+	return layout{members: members, zones: 11, zonesInRegion: 2, regions: 5}
 }
 
 func BenchmarkFleet(b *testing.B) {
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -9,6 +9,7 @@
 )
 
 //go:generate go tool msgp -tests=false
+//msgp:limit arrays:128
 //msgp:tuple Identity Update ZoneDigest Message
 
 // Address is an IPv4 address and UDP port in one number: the address in bits
--- a/internal/membership/message_gen.go
+++ b/internal/membership/message_gen.go
@@ -6,6 +6,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zdc5d9100limitArrays = 128
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Address) DecodeMsg(dc *msgp.Reader) (err error) {
 	{
@@ -66,6 +71,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 4 {
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
@@ -321,6 +330,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 10 {
 		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
@@ -359,6 +372,10 @@
 		err = msgp.WrapError(err, "Updates")
 		return
 	}
+	if zb0004 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Updates) >= int(zb0004) {
 		z.Updates = (z.Updates)[:zb0004]
 	} else {
@@ -377,6 +394,10 @@
 		err = msgp.WrapError(err, "Digest")
 		return
 	}
+	if zb0005 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0005 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0005}
 		return
@@ -400,7 +421,10 @@
 		err = msgp.WrapError(err, "CatchingUp")
 		return
 	}
-	z.Ages, err = dc.ReadBytes(z.Ages)
+	z.Ages, err = dc.ReadBytesLimit(z.Ages, zdc5d9100limitArrays)
+	if err == nil && z.Ages == nil {
+		z.Ages = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Ages")
 		return
@@ -411,6 +435,10 @@
 		err = msgp.WrapError(err, "Digests")
 		return
 	}
+	if zb0007 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Digests) >= int(zb0007) {
 		z.Digests = (z.Digests)[:zb0007]
 	} else {
@@ -423,6 +451,10 @@
 			err = msgp.WrapError(err, "Digests", za0002)
 			return
 		}
+		if zb0008 > zdc5d9100limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
 		if zb0008 != 2 {
 			err = msgp.ArrayError{Wanted: 2, Got: zb0008}
 			return
@@ -442,7 +474,10 @@
 			return
 		}
 	}
-	z.Attachment, err = dc.ReadBytes(z.Attachment)
+	z.Attachment, err = dc.ReadBytesLimit(z.Attachment, zdc5d9100limitArrays)
+	if err == nil && z.Attachment == nil {
+		z.Attachment = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Attachment")
 		return
@@ -628,6 +663,10 @@
 		err = msgp.WrapError(err, "Updates")
 		return
 	}
+	if zb0004 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Updates) >= int(zb0004) {
 		z.Updates = (z.Updates)[:zb0004]
 	} else {
@@ -669,41 +708,61 @@
 		err = msgp.WrapError(err, "CatchingUp")
 		return
 	}
-	z.Ages, bts, err = msgp.ReadBytesBytes(bts, z.Ages)
+	var zb0007 uint32
+	zb0007, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Ages")
 		return
 	}
-	var zb0007 uint32
-	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if zb0007 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Ages == nil || uint32(cap(z.Ages)) < zb0007 {
+		z.Ages = make([]byte, zb0007)
+	} else {
+		z.Ages = z.Ages[:zb0007]
+	}
+	if uint32(len(bts)) < zb0007 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Ages, bts[:zb0007])
+	bts = bts[zb0007:]
+	var zb0008 uint32
+	zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Digests")
 		return
 	}
-	if cap(z.Digests) >= int(zb0007) {
-		z.Digests = (z.Digests)[:zb0007]
+	if zb0008 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Digests) >= int(zb0008) {
+		z.Digests = (z.Digests)[:zb0008]
 	} else {
-		z.Digests = make([]ZoneDigest, zb0007)
+		z.Digests = make([]ZoneDigest, zb0008)
 	}
 	for za0002 := range z.Digests {
-		var zb0008 uint32
-		zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		var zb0009 uint32
+		zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Digests", za0002)
 			return
 		}
-		if zb0008 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0008}
+		if zb0009 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0009}
 			return
 		}
 		{
-			var zb0009 uint8
-			zb0009, bts, err = msgp.ReadUint8Bytes(bts)
+			var zb0010 uint8
+			zb0010, bts, err = msgp.ReadUint8Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Digests", za0002, "Zone")
 				return
 			}
-			z.Digests[za0002].Zone = Zone(zb0009)
+			z.Digests[za0002].Zone = Zone(zb0010)
 		}
 		z.Digests[za0002].Hash, bts, err = msgp.ReadUint32Bytes(bts)
 		if err != nil {
@@ -711,11 +770,27 @@
 			return
 		}
 	}
-	z.Attachment, bts, err = msgp.ReadBytesBytes(bts, z.Attachment)
+	var zb0011 uint32
+	zb0011, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Attachment")
 		return
 	}
+	if zb0011 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Attachment == nil || uint32(cap(z.Attachment)) < zb0011 {
+		z.Attachment = make([]byte, zb0011)
+	} else {
+		z.Attachment = z.Attachment[:zb0011]
+	}
+	if uint32(len(bts)) < zb0011 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Attachment, bts[:zb0011])
+	bts = bts[zb0011:]
 	o = bts
 	return
 }
@@ -842,6 +917,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -1009,6 +1088,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
