Tell other daemons which agents run

Cause: a daemon knew only agents that report to it; with two daemons an agent, each of 1,100 daemons took nearly all rows for down (docs/CAPACITY.md), and all agents to all daemons costs 1.4 MB/s and several cores a daemon. Change: package cluster/liveness spreads each daemon's claims (agent, start, condition) by pushes and repairs them by digests; control.Registry joins them with its own heartbeats (remote.go; condition in registry.go is renamed to heardCondition, and Server gets Observed, Remote and EndAwaitRemote). Without [cluster] the registry decides as before. Conclusion: an agent that reports to one daemon is known to all; the traffic at 1,100 daemons is not measured yet.

--- /dev/null
+++ b/internal/cluster/agents.go
@@ -0,0 +1,54 @@
+// This file joins package liveness to a Node.
+
+package cluster
+
+import (
+	"context"
+
+	"github.com/vanetiller/vanetiller/internal/cluster/liveness"
+	"github.com/vanetiller/vanetiller/internal/membership"
+)
+
+// Claim tells other daemons what this one knows of agents that report to it.
+// Claims that have not changed cost nothing.
+func (n *Node) Claim(claims []liveness.Claim) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, claim := range claims {
+		n.executeLiveness(n.agents.Claim(claim))
+	}
+}
+
+func (n *Node) acceptLiveness(from membership.Address, message liveness.Message) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.executeLiveness(n.agents.Receive(n.now(), from, message))
+}
+
+// executeLiveness carries out effects. The mutex must be held.
+func (n *Node) executeLiveness(effects []liveness.Effect) {
+	for _, effect := range effects {
+		if effect.Kind == liveness.EffectSend {
+			n.socket.send(effect.To.AddrPort(), encode(&Datagram{Liveness: &effect.Message}))
+			continue
+		}
+		n.told.add(effect)
+	}
+}
+
+// tellAgents tells the listener what others say, without locks, until ctx
+// ends.
+func (n *Node) tellAgents(ctx context.Context) error {
+	for {
+		effect, waiting := n.told.next(ctx)
+		switch {
+		case !waiting:
+			return nil
+		case n.config.Agents == nil:
+		case effect.Kind == liveness.EffectReady:
+			n.config.Agents.Ready()
+		case effect.Kind == liveness.EffectCondition:
+			n.config.Agents.Remote(effect.Claim)
+		}
+	}
+}
--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -9,9 +9,19 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanetiller/vanetiller/internal/changelog"
+	"github.com/vanetiller/vanetiller/internal/cluster/liveness"
 	"github.com/vanetiller/vanetiller/internal/table"
 )
 
+// AgentListener learns what other daemons say of agents. Its methods are never
+// called concurrently and may call the Node.
+type AgentListener interface {
+	// Remote tells what the others say now of an agent.
+	Remote(claim liveness.Claim)
+	// Ready tells, once, that Remote has told of all agents that others hear.
+	Ready()
+}
+
 // Config holds the settings of a Node.
 type Config struct {
 	// Listen is the IPv4 address, with UDP and TCP port, under which other
@@ -31,6 +41,9 @@
 	// Changed is called, one at a time and in the order of versions, with
 	// each table that shall come into force. It may call InForce.
 	Changed func(*table.Table)
+	// Agents learns what other daemons say of agents. Nil means that nobody
+	// wants to know.
+	Agents AgentListener
 	// Seed makes the random choices of this process differ from others'.
 	Seed    uint64
 	Logger  *log.Logger
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -58,6 +58,8 @@
 		n.acceptSpread(address, *datagram.Dissemination)
 	case datagram.Directed != nil:
 		n.acceptDirected(address, *datagram.Directed)
+	case datagram.Liveness != nil:
+		n.acceptLiveness(address, *datagram.Liveness)
 	}
 }
 
--- a/internal/cluster/fleet_test.go
+++ b/internal/cluster/fleet_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"github.com/vanetiller/vanetiller/internal/changelog"
 	"github.com/vanetiller/vanetiller/internal/cluster"
+	"github.com/vanetiller/vanetiller/internal/cluster/liveness"
 	"github.com/vanetiller/vanetiller/internal/table"
 )
 
@@ -54,11 +56,46 @@
 	return netip.AddrPortFrom(netip.AddrFrom4(octets), port)
 }
 
+// agentNotes is an AgentListener that remembers what it was told.
+type agentNotes struct {
+	mutex sync.Mutex
+	ready bool
+	said  map[table.Endpoint]liveness.Claim
+}
+
+func (a *agentNotes) Remote(claim liveness.Claim) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.said == nil {
+		a.said = make(map[table.Endpoint]liveness.Claim)
+	}
+	a.said[claim.Agent] = claim
+}
+
+func (a *agentNotes) Ready() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.ready = true
+}
+
+func (a *agentNotes) of(agent table.Endpoint) liveness.Claim {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.said[agent]
+}
+
+func (a *agentNotes) isReady() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.ready
+}
+
 // node is a node that runs and puts every table in force.
 type node struct {
 	*cluster.Node
 	name    string
 	inForce atomic.Uint64
+	agents  agentNotes
 	cancel  context.CancelFunc
 	ended   chan error
 }
@@ -80,7 +117,9 @@
 
 func (f *fleet) start(number int) *node {
 	started := &node{name: fmt.Sprint("balancer-", number), ended: make(chan error, 1)}
-	created, err := cluster.New(f.config(number, started.putInForce))
+	config := f.config(number, started.putInForce)
+	config.Agents = &started.agents
+	created, err := cluster.New(config)
 	Expect(err).NotTo(HaveOccurred())
 	started.Node = created
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/vanetiller/vanetiller/internal/agreement"
+	"github.com/vanetiller/vanetiller/internal/cluster/liveness"
 	"github.com/vanetiller/vanetiller/internal/dissemination"
 )
 
@@ -16,9 +17,10 @@
 // version was decided under may have ended.
 const publishDelay = time.Second
 
-// tellMembers tells dissemination and the log who runs. The mutex must be held.
+// tellMembers tells dissemination, liveness and the log who runs. The mutex must be held.
 func (n *Node) tellMembers() {
 	var peers []dissemination.Peer
+	var reporters []liveness.Peer
 	var running []agreement.Member
 	members := n.members.Members()
 	n.heard.keep(members)
@@ -27,12 +29,14 @@
 			continue
 		}
 		peers = append(peers, dissemination.Peer{Identity: member.Identity, Reachable: member.Reachable})
+		reporters = append(reporters, liveness.Peer{Identity: member.Identity, Reachable: member.Reachable})
 		if member.Reachable {
 			zone := agreement.Zone(n.zones.name(member.Identity.Zone))
 			running = append(running, agreement.Member{ID: processOf(member.Identity), Zone: zone})
 		}
 	}
 	n.spread.SetPeers(peers)
+	n.executeLiveness(n.agents.SetPeers(n.now(), reporters))
 	n.tellLog(running)
 }
 
--- /dev/null
+++ b/internal/cluster/liveness/claims.go
@@ -0,0 +1,132 @@
+// This file implements the claims that a process knows of.
+
+package liveness
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/vanetiller/vanetiller/internal/membership"
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+const (
+	// maximumClaims bounds the claims kept of one daemon.
+	maximumClaims = 4096
+	// maximumReporters bounds the daemons whose claims are kept.
+	maximumReporters = 4096
+)
+
+// reporter holds the claims of one process.
+type reporter struct {
+	incarnation membership.Incarnation
+	records     map[table.Endpoint]Record
+	hash        uint64
+}
+
+func newReporter(incarnation membership.Incarnation) *reporter {
+	return &reporter{incarnation: incarnation, records: make(map[table.Endpoint]Record)}
+}
+
+// put takes in a record and returns whether it was news.
+func (r *reporter) put(record Record) bool {
+	known, exists := r.records[record.Claim.Agent]
+	if exists && known.Sequence >= record.Sequence || !exists && len(r.records) >= maximumClaims {
+		return false
+	}
+	if exists {
+		r.hash ^= known.hash()
+	}
+	r.records[record.Claim.Agent] = record
+	r.hash ^= record.hash()
+	return true
+}
+
+// sorted returns the records in a fixed order.
+func (r *reporter) sorted() []Record {
+	records := make([]Record, 0, len(r.records))
+	for _, record := range r.records {
+		records = append(records, record)
+	}
+	slices.SortFunc(records, func(a, b Record) int {
+		if a.Claim.Agent < b.Claim.Agent {
+			return -1
+		}
+		return 1
+	})
+	return records
+}
+
+// hash covers what must agree between daemons.
+func (r Record) hash() uint64 {
+	var encoded [24]byte
+	binary.BigEndian.PutUint64(encoded[0:], uint64(r.Reporter))
+	binary.BigEndian.PutUint64(encoded[8:], uint64(r.Incarnation))
+	binary.BigEndian.PutUint64(encoded[16:], r.Sequence)
+	digest := xxhash.New()
+	_, _ = digest.Write(encoded[:])
+	_, _ = digest.WriteString(string(r.Claim.Agent))
+	return digest.Sum64()
+}
+
+// valid reports whether a record that came from the network can be used.
+func (r Record) valid() bool {
+	return r.Reporter != 0 && r.Claim.Condition <= Leaving && r.Claim.Agent != ""
+}
+
+// claims holds what all processes claim.
+type claims struct {
+	reporters map[membership.Address]*reporter
+	// byAgent lists who claims something of an agent.
+	byAgent map[table.Endpoint][]membership.Address
+}
+
+func newClaims() claims {
+	return claims{
+		reporters: make(map[membership.Address]*reporter),
+		byAgent:   make(map[table.Endpoint][]membership.Address),
+	}
+}
+
+// put takes in a record and returns whether it was news. The first record of a
+// later process ends all claims of the earlier one.
+func (c *claims) put(record Record) bool {
+	from, known := c.reporters[record.Reporter]
+	switch {
+	case known && record.Incarnation < from.incarnation:
+		return false
+	case !known && len(c.reporters) >= maximumReporters:
+		return false
+	case !known || record.Incarnation > from.incarnation:
+		c.drop(record.Reporter)
+		from = newReporter(record.Incarnation)
+		c.reporters[record.Reporter] = from
+	}
+	if !from.put(record) {
+		return false
+	}
+	agent := record.Claim.Agent
+	if !slices.Contains(c.byAgent[agent], record.Reporter) {
+		c.byAgent[agent] = append(c.byAgent[agent], record.Reporter)
+	}
+	return true
+}
+
+// drop forgets all claims of a daemon.
+func (c *claims) drop(address membership.Address) {
+	from, known := c.reporters[address]
+	if !known {
+		return
+	}
+	for agent := range from.records {
+		left := slices.DeleteFunc(c.byAgent[agent], func(other membership.Address) bool { return other == address })
+		if len(left) == 0 {
+			delete(c.byAgent, agent)
+			continue
+		}
+		c.byAgent[agent] = left
+	}
+	delete(c.reporters, address)
+}
--- a/internal/cluster/message.go
+++ b/internal/cluster/message.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/vanetiller/vanetiller/internal/adminapi/replicated"
 	"github.com/vanetiller/vanetiller/internal/agreement"
+	"github.com/vanetiller/vanetiller/internal/cluster/liveness"
 	"github.com/vanetiller/vanetiller/internal/dissemination"
 	"github.com/vanetiller/vanetiller/internal/membership"
 	"github.com/vanetiller/vanetiller/internal/table"
@@ -29,6 +30,7 @@
 	Membership    *membership.Message
 	Dissemination *dissemination.Message
 	Directed      *Directed
+	Liveness      *liveness.Message
 }
 
 // Hint tells who leads the log. It travels with the messages of package
--- a/internal/cluster/message_gen.go
+++ b/internal/cluster/message_gen.go
@@ -4,6 +4,7 @@
 
 import (
 	"github.com/tinylib/msgp/msgp"
+	"github.com/vanetiller/vanetiller/internal/cluster/liveness"
 	"github.com/vanetiller/vanetiller/internal/dissemination"
 	"github.com/vanetiller/vanetiller/internal/membership"
 )
@@ -16,8 +17,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	if dc.IsNil() {
@@ -91,13 +92,30 @@
 			return
 		}
 	}
+	if dc.IsNil() {
+		err = dc.ReadNil()
+		if err != nil {
+			err = msgp.WrapError(err, "Liveness")
+			return
+		}
+		z.Liveness = nil
+	} else {
+		if z.Liveness == nil {
+			z.Liveness = new(liveness.Message)
+		}
+		err = z.Liveness.DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Liveness")
+			return
+		}
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Datagram) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -152,14 +170,26 @@
 			return
 		}
 	}
+	if z.Liveness == nil {
+		err = en.WriteNil()
+		if err != nil {
+			return
+		}
+	} else {
+		err = z.Liveness.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Liveness")
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Datagram) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	if z.Membership == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -191,6 +221,15 @@
 			return
 		}
 	}
+	if z.Liveness == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Liveness.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Liveness")
+			return
+		}
+	}
 	return
 }
 
@@ -202,8 +241,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	if msgp.IsNil(bts) {
@@ -274,6 +313,22 @@
 			return
 		}
 	}
+	if msgp.IsNil(bts) {
+		bts, err = msgp.ReadNilBytes(bts)
+		if err != nil {
+			return
+		}
+		z.Liveness = nil
+	} else {
+		if z.Liveness == nil {
+			z.Liveness = new(liveness.Message)
+		}
+		bts, err = z.Liveness.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Liveness")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -296,6 +351,11 @@
 	} else {
 		s += 1 + msgp.Uint64Size + msgp.Uint64Size + z.Directed.Message.Msgsize()
 	}
+	if z.Liveness == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Liveness.Msgsize()
+	}
 	return
 }
 
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -16,6 +16,7 @@
 	"github.com/vanetiller/vanetiller/internal/adminapi"
 	"github.com/vanetiller/vanetiller/internal/agreement"
 	"github.com/vanetiller/vanetiller/internal/changelog"
+	"github.com/vanetiller/vanetiller/internal/cluster/liveness"
 	"github.com/vanetiller/vanetiller/internal/dissemination"
 	"github.com/vanetiller/vanetiller/internal/membership"
 	"github.com/vanetiller/vanetiller/internal/table"
@@ -26,6 +27,8 @@
 	tickInterval = membership.TickInterval
 	// metricsInterval is the time between two counts of the members.
 	metricsInterval = time.Second
+	// tellingInterval is the longest time between two tellings of who runs.
+	tellingInterval = 10 * time.Second
 )
 
 // Node is a daemon among the others of its fleet. It is safe for concurrent
@@ -37,7 +40,8 @@
 	socket  *socket
 	started time.Time
 	store   *Store
-	tasks   *taskQueue
+	tasks   *queue[task]
+	told    *queue[liveness.Effect]
 	// wake tells that the log has led to a newer version.
 	wake  chan struct{}
 	voter atomic.Pointer[voter]
@@ -46,8 +50,11 @@
 	mutex   sync.Mutex
 	members *membership.Machine
 	spread  *dissemination.Machine
-	// changed tells that the members must be told to the other parts.
-	changed bool
+	agents  *liveness.Machine
+	// changed tells that the members must be told to the other parts, which
+	// happens at nextTelling anyway.
+	changed     bool
+	nextTelling time.Duration
 	// running are the processes that the log was told of.
 	running  []agreement.Member
 	founding *founding
@@ -87,7 +94,8 @@
 		zones:   numbered,
 		address: address,
 		started: time.Now(),
-		tasks:   newTaskQueue(),
+		tasks:   newQueue[task](),
+		told:    newQueue[liveness.Effect](),
 		wake:    make(chan struct{}, 1),
 	}
 	if err := created.newMachines(self); err != nil {
@@ -111,6 +119,10 @@
 	if err != nil {
 		return err
 	}
+	n.agents, err = liveness.New(liveness.Config{Self: self, Random: n.newRandom(3)})
+	if err != nil {
+		return err
+	}
 	seeds := make([]membership.Address, len(n.config.Seeds))
 	for index, seed := range n.config.Seeds {
 		seeds[index], _ = membership.AddressOf(seed)
@@ -173,6 +185,7 @@
 	group.Go(func() error { return n.tick(ctx) })
 	group.Go(func() error { return n.takePart(ctx) })
 	group.Go(func() error { return n.putInForce(ctx) })
+	group.Go(func() error { return n.tellAgents(ctx) })
 	group.Go(func() error { return n.socket.receive(n.accept) })
 	group.Go(func() error { return n.socket.serve(ctx, n.answer) })
 	return group.Wait()
@@ -221,8 +234,10 @@
 	now := n.now()
 	n.executeMembership(n.members.Tick(now))
 	n.executeSpread(n.spread.Tick(now))
-	if n.changed {
+	n.executeLiveness(n.agents.Tick(now))
+	if n.changed || now >= n.nextTelling {
 		n.changed = false
+		n.nextTelling = now + tellingInterval
 		n.tellMembers()
 	}
 	n.followLeader()
@@ -292,6 +307,7 @@
 		return false
 	}
 	n.voter.Store(n.newVoter(taken))
+	n.agents.SetSelf(n.members.Self())
 	n.running = nil
 	n.changed = true
 	return true
--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -12,6 +12,7 @@
 	"github.com/vanetiller/vanetiller/internal/adminapi"
 	"github.com/vanetiller/vanetiller/internal/changelog"
 	"github.com/vanetiller/vanetiller/internal/cluster"
+	"github.com/vanetiller/vanetiller/internal/cluster/liveness"
 	"github.com/vanetiller/vanetiller/internal/table"
 )
 
@@ -76,6 +77,28 @@
 		expectInForce(append(rest, late), 3)
 	})
 
+	It("tells other daemons of the agents that report to one", func() {
+		started := newFleet(3, 3)
+		nodes := started.startAll(3)
+		const agent = table.Endpoint("192.0.2.1:6081")
+		expect := func(told []*node, claim liveness.Claim) {
+			GinkgoHelper()
+			for _, running := range told {
+				Eventually(func() liveness.Claim { return running.agents.of(agent) }, patience).Should(Equal(claim))
+			}
+		}
+		alive := liveness.Claim{Agent: agent, Start: 5, Condition: liveness.Alive}
+		nodes[0].Claim([]liveness.Claim{alive})
+		expect(nodes[1:], alive)
+		nodes[0].Claim([]liveness.Claim{{Agent: agent, Start: 5, Condition: liveness.Leaving}})
+		expect(nodes[1:], liveness.Claim{Agent: agent, Start: 5, Condition: liveness.Leaving})
+		late := started.start(3)
+		expect([]*node{late}, liveness.Claim{Agent: agent, Start: 5, Condition: liveness.Leaving})
+		Eventually(late.agents.isReady, patience).Should(BeTrue())
+		nodes[0].stop()
+		expect(append(nodes[1:], late), liveness.Claim{Agent: agent})
+	})
+
 	It("accepts nothing before there are voters in enough zones", func() {
 		started := newFleet(1, 3)
 		first := started.start(0)
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -61,6 +61,7 @@
 	// its resumption after a pause.
 	listening  time.Duration
 	everTicked bool
+	remote     remoteView
 }
 
 // NewRegistry returns a registry without a table; it grants no leases before
@@ -175,9 +176,9 @@
 	conditionUnknown
 )
 
-// condition returns what is known of an agent. A daemon that could not hear
-// anything for a while does not take silence for death.
-func (r *Registry) condition(now time.Duration, agent table.Endpoint) condition {
+// heardCondition returns what the heartbeats of an agent say. A daemon that
+// could not hear anything for a while does not take silence for death.
+func (r *Registry) heardCondition(now time.Duration, agent table.Endpoint) condition {
 	record, heard := r.agents[agent]
 	listened := r.Listened(now)
 	if !heard {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -26,6 +26,10 @@
 	// Unavailable is called, never concurrently, with the rows that must not
 	// be given new flows, whenever they or the table have changed.
 	Unavailable func(configuration *table.Table, rows []table.BackendID)
+	// Observed is called, never concurrently, with the agents that report to
+	// this daemon, whenever one of them or its condition has changed. It must
+	// not call the Server. If it is nil, no other daemon hears agents.
+	Observed func([]Observation)
 }
 
 // Server answers agents' heartbeats over UDP.
@@ -40,6 +44,7 @@
 	reported      []table.BackendID
 	changed       bool
 	listened      bool
+	observed      []Observation
 }
 
 // NewServer binds the control socket. It fails if the address is in use.
@@ -48,12 +53,16 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", config.Listen)
 	}
-	return &Server{
+	created := &Server{
 		config:   config,
 		socket:   socket,
 		started:  time.Now(),
 		registry: NewRegistry(),
-	}, nil
+	}
+	if config.Observed != nil {
+		created.registry.AwaitRemote()
+	}
+	return created, nil
 }
 
 // Publish installs a table unless it is older than the one held.
@@ -102,6 +111,7 @@
 			s.mutex.Lock()
 			s.registry.Tick(s.now())
 			s.report()
+			s.observe()
 			s.mutex.Unlock()
 		}
 	}
--- a/internal/daemon/balancer.go
+++ b/internal/daemon/balancer.go
@@ -78,14 +78,18 @@
 	if err != nil {
 		return err
 	}
-	b.control, err = control.NewServer(control.ServerConfig{
+	served := control.ServerConfig{
 		Listen:      shared.settings.Control.Listen,
 		Unavailable: b.apply,
-	})
+	}
+	if shared.settings.Cluster != nil {
+		served.Observed = b.claimAgents
+	}
+	b.control, err = control.NewServer(served)
 	if err != nil {
 		return err
 	}
-	b.source, err = newTableSource(shared, b.control.Publish)
+	b.source, err = newTableSource(shared, b.control)
 	if err != nil || shared.settings.API == nil {
 		return err
 	}
@@ -167,6 +171,11 @@
 	b.health.SetReady(conditionTable)
 }
 
+// claimAgents tells other balancers of the agents that report to this one.
+func (b *balancerRole) claimAgents(observed []control.Observation) {
+	b.source.node.Claim(claimsOf(observed))
+}
+
 func (b *balancerRole) countMachines(listed platform.Machines) {
 	if b.source.node != nil {
 		b.source.node.SetMachines(machineNames(listed))
--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -12,13 +12,13 @@
 
 	"github.com/vanetiller/vanetiller/internal/changelog"
 	"github.com/vanetiller/vanetiller/internal/cluster"
+	"github.com/vanetiller/vanetiller/internal/control"
 	"github.com/vanetiller/vanetiller/internal/platform"
-	"github.com/vanetiller/vanetiller/internal/table"
 )
 
-// newNode opens the address for other balancers. Publish receives each table
-// that the fleet has agreed on.
-func newNode(shared parts, publish func(*table.Table)) (*cluster.Node, error) {
+// newNode opens the address for other balancers. Served receives each table
+// that the fleet has agreed on, and what others say of agents.
+func newNode(shared parts, served *control.Server) (*cluster.Node, error) {
 	configured := shared.settings.Cluster
 	return cluster.New(cluster.Config{
 		Listen:  configured.Listen,
@@ -28,7 +28,8 @@
 		Seeds:   configured.Seeds,
 		Voters:  configured.Voters,
 		Limits:  changelog.DefaultLimits(),
-		Changed: publish,
+		Changed: served.Publish,
+		Agents:  agentListener{served},
 		Seed:    rand.Uint64(),
 		Logger:  shared.logger,
 		Metrics: newClusterMetrics(shared),
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -27,6 +28,11 @@
 	return netip.AddrPortFrom(netip.AddrFrom4(octets), clusterPort)
 }
 
+// controlAddress returns where a balancer hears agents.
+func controlAddress(number int) netip.AddrPort {
+	return netip.AddrPortFrom(clusterAddress(number).Addr(), clusterPort+1)
+}
+
 // joined puts a balancer of the number in a cluster of three zones.
 func joined(number int) func(*settings.Settings) {
 	return func(checked *settings.Settings) {
@@ -36,6 +42,7 @@
 			Listen: clusterAddress(number), Zones: clusterZones, Voters: len(clusterZones),
 			Seeds: []netip.AddrPort{clusterAddress(0), clusterAddress(1), clusterAddress(2)},
 		}
+		checked.Control.Listen = controlAddress(number)
 	}
 }
 
@@ -119,4 +126,34 @@
 			Expect(balancer.row().Weight).To(Equal(weight + 1))
 		}
 	})
+
+	It("know of an agent that reports to one of them", func() {
+		agentAddress := netip.AddrPortFrom(clusterAddress(99).Addr(), 6181)
+		platform := newSource()
+		platform.publish(1, strings.Replace(tableOf(1, 10), "127.0.0.1:6181", agentAddress.String(), 1))
+		var balancers []administered
+		for number := range clusterZones {
+			balancers = append(balancers, startAdministered(platform, joined(number)))
+		}
+		expectUnavailable := func(rows int) {
+			GinkgoHelper()
+			for _, balancer := range balancers {
+				Eventually(balancer.metrics, generous).Should(And(
+					ContainSubstring("\nvanetiller_table_version 1\n"),
+					ContainSubstring(fmt.Sprintf("\nvanetiller_unavailable_rows %d\n", rows))))
+			}
+		}
+		expectUnavailable(1)
+		checked := common()
+		checked.Agent = &settings.Agent{
+			Listen: agentAddress, Fabric: netip.MustParseAddrPort("127.0.0.1:9"),
+			Daemons: []netip.AddrPort{controlAddress(1)}, StopTimeout: 10 * time.Second, FlowLimit: 10,
+			Backends: []settings.AgentBackend{{Service: "lookup", Name: "lookup-1", Address: netip.MustParseAddrPort("127.0.0.1:9")}},
+		}
+		agent := start(checked)
+		expectUnavailable(0)
+		agent.stop()
+		Eventually(agent.ended, generous).Should(Receive(BeNil()))
+		expectUnavailable(1)
+	})
 })
--- a/internal/daemon/source.go
+++ b/internal/daemon/source.go
@@ -13,6 +13,7 @@
 	"github.com/vanetiller/vanetiller/internal/adminapi"
 	"github.com/vanetiller/vanetiller/internal/changelog"
 	"github.com/vanetiller/vanetiller/internal/cluster"
+	"github.com/vanetiller/vanetiller/internal/control"
 	"github.com/vanetiller/vanetiller/internal/platform"
 	"github.com/vanetiller/vanetiller/internal/table"
 )
@@ -32,13 +33,13 @@
 	inForce func(table.Version)
 }
 
-// newTableSource returns the source that the settings ask for. Publish
-// receives each new table that changes lead to.
-func newTableSource(shared parts, publish func(*table.Table)) (*tableSource, error) {
+// newTableSource returns the source that the settings ask for. Served receives
+// each new table that changes lead to.
+func newTableSource(shared parts, served *control.Server) (*tableSource, error) {
 	created := &tableSource{logger: shared.logger, inForce: func(table.Version) {}}
 	switch {
 	case shared.settings.Cluster != nil:
-		node, err := newNode(shared, publish)
+		node, err := newNode(shared, served)
 		if err != nil {
 			return nil, err
 		}
@@ -47,7 +48,7 @@
 		created.inForce = node.InForce
 	case shared.settings.API != nil:
 		member := adminapi.NewSingleMember(shared.settings.Name, shared.settings.Zone)
-		created.store = adminapi.NewSingleReplicaStore(changelog.DefaultLimits(), member, publish)
+		created.store = adminapi.NewSingleReplicaStore(changelog.DefaultLimits(), member, served.Publish)
 		created.inForce = member.SetInForce
 		shared.logger.Warn("table changes are held by this process alone and end with it")
 	}
