Measure the capacity again after mends and spread services evenly

Cause: the product's registry, imports, slots and queries changed after the first figures; the hollow fleet put all services of two regions into the same two.

--- a/bench/hollow/fleet.go
+++ b/bench/hollow/fleet.go
@@ -153,9 +153,11 @@
 }
 
 // regionsOf returns the regions of a service, those without daemons left out.
+// Services, and among them those in two regions, are spread evenly.
 func (f *fleet) regionsOf(index int) []string {
 	count := 1
-	if f.options.SpanningEvery > 0 && index%f.options.SpanningEvery == 0 && f.options.Regions > 1 {
+	round := index / f.options.Regions
+	if f.options.SpanningEvery > 0 && round%f.options.SpanningEvery == 0 {
 		count = 2
 	}
 	var regions []string
--- a/bench/hollow/markdown.go
+++ b/bench/hollow/markdown.go
@@ -24,7 +24,7 @@
 	text.WriteString("| quantity | measured |\n|---|---|\n")
 	row("fleet", "%d daemons, %d agents, %d services, %d zones in %d regions",
 		options.Daemons, options.rows(), options.Services, options.Zones, options.Regions)
-	row("run", "seed %d, %s measured after %s, liveness %s, %d daemons for each agent, loss %g, faults %t, a change every %s",
+	row("run", "seed %d, %s measured after %s, liveness %s, %d daemons for each agent, loss %g, faults %t, changes of the table %s",
 		options.Seed, options.Duration, options.Starting+options.Filling, options.Liveness,
 		options.DaemonsPerAgent, options.Loss, options.Faults, interval(options.ChangeInterval))
 	r.writeFlows(row)
@@ -34,9 +34,9 @@
 
 func interval(value time.Duration) string {
 	if value == 0 {
-		return "never"
+		return "none"
 	}
-	return value.String()
+	return "every " + value.String()
 }
 
 type rowWriter func(quantity, format string, values ...any)
--- a/bench/hollow/members/run.go
+++ b/bench/hollow/members/run.go
@@ -129,10 +129,18 @@
 	return (c.fleet.network.Now() - began).Seconds()
 }
 
+// firstVersion is the version of the table that the fleet begins with. It is
+// older than the changes that daemons keep for others, so that a process that
+// restarts has to fetch the whole table.
+const firstVersion = 10_000
+
 func (c *course) start() {
 	for _, starting := range c.fleet.daemons {
 		at := time.Duration(c.fleet.random.Int64N(int64(startSpread)))
-		c.fleet.network.At(at, starting.start)
+		c.fleet.network.At(at, func() {
+			starting.start()
+			starting.install(c.fleet.network.Now(), firstVersion)
+		})
 	}
 	c.wait(startSpread)
 	c.report.Start = c.settle()
--- a/bench/hollow/options.go
+++ b/bench/hollow/options.go
@@ -41,8 +41,8 @@
 	// Zones are spread over Regions.
 	Zones   int `json:"zones"`
 	Regions int `json:"regions"`
-	// SpanningEvery makes one of that many services have rows in two regions;
-	// zero means none.
+	// SpanningEvery makes one of that many services of each region have rows in
+	// two regions; zero means none.
 	SpanningEvery int `json:"spanning_every"`
 	// DaemonsPerAgent is the number of daemons, of its own zone if that has
 	// enough, to which an agent sends heartbeats.
--- a/bench/slopes/capacity.go
+++ b/bench/slopes/capacity.go
@@ -115,8 +115,8 @@
 			changesPerSecond * agentsPerDaemon * c.at("table slice", rowsPerService), unitBytesSecond, goalBytes},
 		{role, "table slices, worst 10 s", "one change × 21.8 agents × _table slice_ at 8 / 10 s",
 			agentsPerDaemon * c.at("table slice", rowsPerService) / 10, unitBytesSecond, goalBytes},
-		{role, "state", "21.8 × _registry agent_ + 2 × _table row_ at 12,000",
-			agentsPerDaemon*c.slope("registry agent") + 2*c.at("table row", targetAgents), unitBytes, goalMemory},
+		{role, "state", "_registry row_ at 12,000 + 2 × _table row_ at 12,000",
+			c.at("registry row", targetAgents) + 2*c.at("table row", targetAgents), unitBytes, goalMemory},
 		{role, "processor for heartbeats", "21.8 a second × _heartbeat_ at 12,000 rows",
 			heartbeats * c.at("heartbeat", targetAgents) * percentPerNanosecond, unitCore, goalProcessor * 100},
 		{role, "processor for liveness", "10 a second × _liveness look_ at 12,000 rows",
@@ -130,7 +130,7 @@
 
 // daemonLines sum up what one daemon spends.
 func daemonLines(c *calculator) []Line {
-	const role = "daemon, without polling and dissemination"
+	const role = "daemon, without polling, membership and dissemination"
 	unheard := float64(rowsPerService - 1)
 	heartbeats := agentsPerDaemon / heartbeatInterval
 	traffic := heartbeats*c.at("heartbeat and grant", unheard) +
@@ -140,7 +140,7 @@
 		(changesPerSecond+livenessChanges)*c.at("lookup build", targetAgents) +
 		changesPerSecond*c.at("registry publish", targetAgents)
 	memory := 2*c.at("lookup service", targetServices) + 2*c.at("table row", targetAgents) +
-		agentsPerDaemon*c.slope("registry agent")
+		c.at("registry row", targetAgents)
 	return []Line{
 		{role, "traffic", "heartbeats and grants with unheard rows + table slices, mean", traffic, unitBytesSecond, goalBytes},
 		{role, "processor", "heartbeats + liveness + lookup tables + _registry publish_ for each change",
@@ -152,12 +152,14 @@
 func configurationLines(c *calculator) []Line {
 	const role = "table from the platform"
 	return []Line{
-		{role, "polling", "2 polls a second × _platform answer_ at 12,000 rows",
+		{role, "polling, if the service ignores conditional requests", "2 polls a second × _platform answer_ at 12,000 rows",
 			pollsPerSecond * c.at("platform answer", targetAgents), unitBytesSecond, goalBytes},
-		{role, "processor for polling", "2 polls a second × _table parse_ at 12,000 rows",
+		{role, "processor for polling, if the service ignores conditional requests", "2 polls a second × _table parse_ at 12,000 rows",
 			pollsPerSecond * c.at("table parse", targetAgents) * percentPerNanosecond, unitCore, goalProcessor * 100},
-		{role, "answers of the configuration service to the fleet", "1,100 daemons × 2 × _platform answer_",
-			targetDaemons * pollsPerSecond * c.at("platform answer", targetAgents), unitBytesSecond, 0},
+		{role, "one change of the platform's configuration, to one daemon, over 10 s", "_platform answer_ at 12,000 rows / 10 s",
+			c.at("platform answer", targetAgents) / 10, unitBytesSecond, goalBytes},
+		{role, "one change of the platform's configuration, parsed", "_table parse_ at 12,000 rows",
+			c.at("table parse", targetAgents) * milliPerNanosecond, unitMilli, 0},
 	}
 }
 
--- a/bench/slopes/measurement.go
+++ b/bench/slopes/measurement.go
@@ -20,7 +20,7 @@
 	// Driver says what the sizes count.
 	Driver string  `json:"driver"`
 	Points []Point `json:"points"`
-	// Fit is nil for costs that stop growing.
+	// Fit is nil for costs that stop growing or do not grow with the driver.
 	Fit *Fit `json:"fit,omitempty"`
 }
 
--- a/bench/slopes/memory.go
+++ b/bench/slopes/memory.go
@@ -26,13 +26,14 @@
 		{"table row", costHeap, "rows", fleetRows, exactly(heapOfTable)},
 		{"lookup service", costHeap, "services of 8 rows", []int{188, 375, 750, 1500}, exactly(heapOfLookup)},
 		{"lookup row", costHeap, "rows of one service", []int{8, 16, 32, 64, 128}, exactly(heapOfLookupService)},
-		{"registry agent", costHeap, "agents heard", []int{750, 1500, 3000, 6000, 12_000}, exactly(heapOfRegistry)},
+		{"registry row", costHeap, "rows of the table, 22 agents heard", fleetRows, exactly(heapOfRegistryRows)},
+		{"registry agent", costHeap, "agents heard, 12,000 rows", []int{750, 1500, 3000, 6000, 12_000}, exactly(heapOfRegistryAgents)},
 		{"view row", costHeap, "rows of an agent's service", []int{8, 16, 32, 64, 128}, exactly(heapOfView)},
 	}
 }
 
-// ceilingExperiments are costs that stop growing, to which no line fits.
-func ceilingExperiments() []experiment {
+// floodExperiments are costs that stop growing.
+func floodExperiments() []experiment {
 	packets := []int{1000, 10_000, 100_000, 1_000_000}
 	return []experiment{
 		{"flood", costHeap, "spoofed first packets", packets, exactly(heapOfFlood)},
@@ -92,8 +93,13 @@
 	return heap
 }
 
-func heapOfRegistry(agents int) float64 {
-	configuration := sampleTable(agents/rowsPerService, rowsPerService)
+func heapOfRegistryRows(rows int) float64 { return heapOfRegistry(rows, agentsOfDaemon) }
+
+func heapOfRegistryAgents(agents int) float64 { return heapOfRegistry(targetAgents, agents) }
+
+// heapOfRegistry measures the registry without the table that it refers to.
+func heapOfRegistry(rows, agents int) float64 {
+	configuration := sampleTable(rows/rowsPerService, rowsPerService)
 	heartbeats := heartbeatsOf(configuration, agents)
 	heap := heapOf(func() any {
 		registry := control.NewRegistry()
--- a/bench/slopes/movement.go
+++ b/bench/slopes/movement.go
@@ -14,11 +14,13 @@
 )
 
 func movementExperiments() []experiment {
-	rows := []int{4, 8, 16, 32, 64}
+	rows := []int{4, 8, 16, 32, 64, 128}
 	return []experiment{
 		{"row removed", costMoved, "rows of the service", rows, exactly(movedByRemoval)},
-		{"row added", costMoved, "rows of the service", []int{5, 9, 18, 36, 72}, exactly(movedByAddition)},
-		{"row added beyond a power of two", costMoved, "rows of the service", rows, exactly(movedByAddition)},
+		{"row added", costMoved, "rows of the service", []int{4, 8, 9, 16, 64}, exactly(movedByAddition)},
+		// Package lookup takes more slots for services with more rows than
+		// these.
+		{"row added at a step of slots", costMoved, "rows of the service", []int{32, 128}, exactly(movedByAddition)},
 		{"weight halved", costMoved, "rows of the service", rows, exactly(movedByWeight)},
 	}
 }
--- a/bench/slopes/run.go
+++ b/bench/slopes/run.go
@@ -51,7 +51,7 @@
 		if err != nil {
 			return Report{}, err
 		}
-		if !isCeiling(measured.Name) {
+		if !isUnfitted(measured.Name) {
 			fitted := FitOf(measured.Points)
 			measured.Fit = &fitted
 		}
@@ -75,12 +75,18 @@
 }
 
 func experiments() []experiment {
-	return slices.Concat(memoryExperiments(), ceilingExperiments(), processorExperiments(),
-		trafficExperiments(), movementExperiments(), replicaExperiments())
+	return slices.Concat(memoryExperiments(), processorExperiments(), trafficExperiments(),
+		replicaExperiments(), unfittedExperiments())
 }
 
-func isCeiling(name string) bool {
-	return slices.ContainsFunc(ceilingExperiments(), func(known experiment) bool { return known.name == name })
+// unfittedExperiments are those of costs that stop growing or do not grow with
+// the driver, to which no line is fitted.
+func unfittedExperiments() []experiment {
+	return slices.Concat(floodExperiments(), movementExperiments())
+}
+
+func isUnfitted(name string) bool {
+	return slices.ContainsFunc(unfittedExperiments(), func(known experiment) bool { return known.name == name })
 }
 
 func choose(only []string) ([]experiment, error) {
