Count new flows on back ends that are leaving

Cause: the promise that a leaving back end gets no new work was not observed by the bench. Change: drains and planned stops are recorded; a connection accepted more than 3 s (plus the experiment's skew of revisions) later counts as late_admissions and breaks a promise.

--- a/bench/experiment/apply.go
+++ b/bench/experiment/apply.go
@@ -53,8 +53,13 @@
 		return c.resumeBalancer(c.balancerNamed(event.Target))
 	case EventEndpointAdd:
 		return c.addEndpoint(c.endpointNamed(event.Target))
-	case EventEndpointDrain, EventEndpointUndrain:
-		c.endpointNamed(event.Target).row.Drain = event.Kind == EventEndpointDrain
+	case EventEndpointDrain:
+		c.endpointNamed(event.Target).row.Drain = true
+		c.publishTable()
+		c.depart(event.Target)
+	case EventEndpointUndrain:
+		c.comeBack(event.Target)
+		c.endpointNamed(event.Target).row.Drain = false
 		c.publishTable()
 	case EventEndpointReweight:
 		c.endpointNamed(event.Target).row.Weight = event.Weight
@@ -192,6 +197,7 @@
 	c.publishMachines()
 	c.expect(member.process, exitPlanned)
 	c.limitExit(member.process, agentExitLimit)
+	c.depart(member.row.Name)
 	return member.process.Terminate()
 }
 
@@ -204,6 +210,7 @@
 }
 
 func (c *Cluster) restartAgent(member *endpointMember) error {
+	c.comeBack(member.row.Name)
 	if err := c.startAgent(member); err != nil {
 		return err
 	}
--- a/bench/experiment/cluster.go
+++ b/bench/experiment/cluster.go
@@ -56,9 +56,10 @@
 	balancers []*balancerMember
 	endpoints []*endpointMember
 	// expected are the processes that the schedule has ended or is ending.
-	expected map[*fleet.Process]expectedExit
-	faults   []string
-	kills    []kill
+	expected   map[*fleet.Process]expectedExit
+	faults     []string
+	kills      []kill
+	departures []departure
 }
 
 type expectedExit int
--- a/bench/experiment/export_test.go
+++ b/bench/experiment/export_test.go
@@ -45,3 +45,20 @@
 
 // LargestOverMean gives tests largestOverMean.
 func LargestOverMean(shares []float64) float64 { return largestOverMean(shares) }
+
+// Departure gives tests departure; a zero Until lasts.
+type Departure struct {
+	Backend string
+	From    time.Time
+	Until   time.Time
+}
+
+// LateAdmissions gives tests countLate for one connection.
+func LateAdmissions(accepted Acceptance, departures ...Departure) int {
+	var left []departure
+	for _, exported := range departures {
+		left = append(left, departure{backend: exported.Backend, from: exported.From, until: exported.Until})
+	}
+	sightings := [][]backend.Sighting{{{Backend: accepted.Backend, At: accepted.At}}}
+	return countLate(sightings, left, lateAfter)
+}
--- a/bench/experiment/report.go
+++ b/bench/experiment/report.go
@@ -45,7 +45,11 @@
 	Misdelivered int `json:"misdelivered"`
 	DoubleOpened int `json:"double_opened"`
 	DoubleRuns   int `json:"double_runs"`
-	Refused      int `json:"refused"`
+	// LateAdmissions is the number of connections accepted by back ends that
+	// had been leaving for more than three seconds, not counting the skew of
+	// the experiment.
+	LateAdmissions int `json:"late_admissions"`
+	Refused        int `json:"refused"`
 	// FalseRefusals is the number of refused requests that ran.
 	FalseRefusals int `json:"false_refusals"`
 	// Imbalance is the mean of the worst service's imbalance before the
@@ -84,6 +88,7 @@
 		{"a flow opens on one back end", r.DoubleOpened},
 		{"a submission runs at most once", r.DoubleRuns},
 		{"a refused request has not run", r.FalseRefusals},
+		{"a leaving back end gets no new flows", r.LateAdmissions},
 		{"daemons end only as planned", len(r.Faults)},
 	}
 }
@@ -141,25 +146,27 @@
 	results []caller.Result
 	ledger  *backend.Ledger
 	// openings are the acceptances of connections by agents.
-	openings *openings
-	kills    []kill
-	faults   []string
+	openings   *openings
+	kills      []kill
+	departures []departure
+	faults     []string
 }
 
 // newReport sums up the evidence.
 func newReport(seen evidence) Report {
 	totals := seen.ledger.Totals()
 	report := Report{
-		Experiment:   seen.options.Experiment.Name,
-		Shape:        seen.options.Shape.Name,
-		Baseline:     seen.options.Baseline,
-		Seed:         seen.options.Seed,
-		Flows:        len(seen.results),
-		Misdelivered: totals.Misdelivered,
-		DoubleOpened: max(countDouble(seen.ledger.Flows(), seen.kills), countDouble(seen.openings.all(), seen.kills)),
-		DoubleRuns:   totals.DoubleRuns,
-		Causes:       countCauses(seen.results),
-		Faults:       seen.faults,
+		Experiment:     seen.options.Experiment.Name,
+		Shape:          seen.options.Shape.Name,
+		Baseline:       seen.options.Baseline,
+		Seed:           seen.options.Seed,
+		Flows:          len(seen.results),
+		Misdelivered:   totals.Misdelivered,
+		DoubleOpened:   max(countDouble(seen.ledger.Flows(), seen.kills), countDouble(seen.openings.all(), seen.kills)),
+		DoubleRuns:     totals.DoubleRuns,
+		LateAdmissions: countLate(seen.openings.all(), seen.departures, lateAfter+seen.options.Experiment.Skew),
+		Causes:         countCauses(seen.results),
+		Faults:         seen.faults,
 	}
 	for _, result := range seen.results {
 		seen.count(&report, result)
--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -83,7 +83,7 @@
 	c.mutex.Lock()
 	seen := evidence{
 		options: c.options, results: results, ledger: c.ledger, openings: c.openings,
-		kills: slices.Clone(c.kills), faults: slices.Clone(c.faults),
+		kills: slices.Clone(c.kills), departures: slices.Clone(c.departures), faults: slices.Clone(c.faults),
 	}
 	c.mutex.Unlock()
 	report := newReport(seen)
