Measure the loss of a rack

A rack or a switch is lost every week at the target, and only the return of a whole zone was measured. Let the benchmark end two fifths of a zone at once.

--- a/internal/membership/measure_bench_test.go
+++ b/internal/membership/measure_bench_test.go
@@ -62,6 +62,7 @@
 	b.ReportMetric(detection[len(detection)-1].Seconds(), "detected-everywhere-s-max")
 	measureRestart(b, measured)
 	measureZoneReturn(b, measured)
+	measureRackLoss(b, measured)
 	b.ReportMetric(float64(measured.largest), "largest-datagram-B")
 }
 
@@ -158,3 +159,23 @@
 	b.ReportMetric((measured.network.Now() - began).Seconds(), "zone-return-s")
 	b.ReportMetric(worst, "zone-return-bytes/s-worst-10s")
 }
+
+// measureRackLoss ends two fifths of a zone at once and measures the time until
+// all others know it.
+func measureRackLoss(b *testing.B, measured *fleet) {
+	const zone = membership.Zone(4)
+	var members []membership.Address
+	for _, address := range measured.addresses {
+		if _, runs := measured.processes[address]; runs && measured.zoneAt(address) == zone {
+			members = append(members, address)
+		}
+	}
+	for _, address := range members[:len(members)*2/5] {
+		measured.kill(address)
+	}
+	began := measured.network.Now()
+	taken := mustAgree(b, measured)
+	_, worst := trafficOf(measured, began, measured.network.Now())
+	b.ReportMetric(taken.Seconds(), "rack-loss-known-everywhere-s")
+	b.ReportMetric(worst, "rack-loss-bytes/s-worst-10s")
+}
