Tell daemons that a stopped agent has left, and fetch tables sooner

Cause: planned events alone gave handshakes of 1 to 3 s: an agent that had ended its planned stop counted as leaving until its lease ran out and was waited for; a row named by another one but not yet in the table held was asked in vain. Change: the last heartbeats of a stopping agent say that it has left, which is down at once and cannot be overtaken by older ones; a flow whose owner is not in the table waits for the newer table; an unknown peer makes heartbeats due, at most every 20 ms. The new test of a row in a newer table passes before too and is a guard.

--- a/internal/admission/arrive.go
+++ b/internal/admission/arrive.go
@@ -135,7 +135,7 @@
 		return
 	}
 	if packet.Routing.Version > m.Version() {
-		m.awaitVersion(now, key, packet)
+		m.awaitVersion(now, key, packet.Routing.Version, packet)
 		return
 	}
 	if packet.Routing.HandedOver {
--- a/internal/admission/locate.go
+++ b/internal/admission/locate.go
@@ -189,6 +189,12 @@
 	asked.answered = true
 	asked.open = reply.Open
 	asked.available = reply.Available
+	if m.namesUnknownRow(reply) && undecided.purpose == PurposeOpen {
+		// The row that answered holds a newer table.
+		m.abandon(reply.Flow)
+		m.awaitVersion(now, reply.Flow, m.Version()+1, undecided.held[0])
+		return
+	}
 	switch reply.Answer {
 	case AnswerOwned:
 		if reply.Owner != m.config.Row {
@@ -210,6 +216,15 @@
 	m.concludeIfSettled(now, reply.Flow, undecided)
 }
 
+// namesUnknownRow reports whether the owner in a reply is not in the table held.
+func (m *Machine) namesUnknownRow(reply Reply) bool {
+	if reply.Answer != AnswerOwned && reply.Answer != AnswerReferred {
+		return false
+	}
+	_, known := m.history.current.view.row(reply.Owner)
+	return !known
+}
+
 // refer asks a further row that another one named.
 func (m *Machine) refer(now time.Duration, reply Reply, undecided *pending) {
 	before := len(undecided.asks)
--- a/internal/admission/machine_test.go
+++ b/internal/admission/machine_test.go
@@ -286,6 +286,38 @@
 		Expect(total(openRows(c))).To(Equal(uint32(60)))
 	})
 
+	It("waits for the table that has the row another one names", func() {
+		rows := testRows(3)
+		c, view := settledCluster(rows[:2], quiet)
+		larger := withRows(View{Version: view.Version, Service: testService, Rows: rows}, func([]table.Backend) {})
+		for _, row := range rows {
+			if c.machines[row.ID] == nil {
+				c.machines[row.ID] = New(DefaultConfig(row.ID))
+				c.schedule(&event{at: c.now, row: row.ID, tick: true})
+			}
+		}
+		behind := c.rowIDs()[0]
+		for _, id := range c.rowIDs()[1:] {
+			held := larger
+			c.schedule(&event{at: c.now, row: id, view: &held})
+		}
+		c.run(c.now + 3*time.Second)
+		port := uint16(1000)
+		for c.primaryOf(view, port) != behind || c.primaryOf(larger, port) != rows[2].ID {
+			port++
+		}
+		c.caller(larger, port, 5, true)
+		c.run(c.now + quickDelay/2)
+		c.caller(view, port, 5, true)
+		c.run(c.now + 100*time.Millisecond)
+		held := larger
+		c.schedule(&event{at: c.now, row: behind, view: &held})
+		c.run(c.now + 100*time.Millisecond)
+		Expect(c.openedTwice()).To(BeEmpty())
+		Expect(total(openRows(c))).To(Equal(uint32(1)))
+		Expect(c.machines[behind].Pending()).To(BeZero())
+	})
+
 	It("tries a UDP flow again that could not be opened", func() {
 		rows := testRows(2)
 		rows[0].ConnectionLimit, rows[1].ConnectionLimit = 1, 1
--- a/internal/admission/open.go
+++ b/internal/admission/open.go
@@ -236,9 +236,9 @@
 	}
 }
 
-// awaitVersion holds the first packet of a flow until the table version that
-// its balancer used has arrived here.
-func (m *Machine) awaitVersion(now time.Duration, key FlowKey, packet Packet) {
+// awaitVersion holds the first packet of a flow until a table version has
+// arrived here.
+func (m *Machine) awaitVersion(now time.Duration, key FlowKey, version table.Version, packet Packet) {
 	m.emit(Effect{Kind: Refresh})
 	if len(m.pending) >= m.config.PendingLimit {
 		m.drop(DropPendingLimit, packet)
@@ -248,7 +248,7 @@
 		sequence: packet.sequence(),
 		purpose:  PurposeOpen,
 		started:  now,
-		behind:   packet.Routing.Version,
+		behind:   version,
 		held:     []Packet{packet},
 	}
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -215,6 +215,8 @@
 	// stopLingerTimeout bounds, at a planned stop, the wait for callers to
 	// acknowledge the last bytes of ended flows.
 	stopLingerTimeout = 3 * time.Second
+	// leftRepetitions is how often a stopped agent says that it has left.
+	leftRepetitions = 3
 )
 
 // stop lets open flows finish.
@@ -232,9 +234,22 @@
 	a.mutex.Lock()
 	remaining := a.openFlows()
 	a.mutex.Unlock()
+	a.sayLeft()
 	a.config.Logger.Info("stopped", "cut_flows", remaining)
 }
 
+// sayLeft tells the daemons that this agent is gone, so that nobody waits for
+// its lease to end. It is said more than once, since a datagram may be lost.
+func (a *Agent) sayLeft() {
+	for range leftRepetitions {
+		a.mutex.Lock()
+		a.client.Left()
+		a.sendHeartbeats(a.now())
+		a.mutex.Unlock()
+		time.Sleep(stopPollInterval)
+	}
+}
+
 // awaitFlows waits until all flows have ended and balancers have had the time to
 // send elsewhere, within the stop timeout.
 func (a *Agent) awaitFlows() {
--- a/internal/agent/packets.go
+++ b/internal/agent/packets.go
@@ -11,6 +11,7 @@
 	"github.com/vanetiller/vanetiller/internal/encap"
 	"github.com/vanetiller/vanetiller/internal/netstack"
 	"github.com/vanetiller/vanetiller/internal/packet"
+	"github.com/vanetiller/vanetiller/internal/table"
 )
 
 const receiveBufferSize = 64 << 10
@@ -106,6 +107,17 @@
 	a.dropped(reasonMisaddressed)
 }
 
+// peerOf returns where another row is reached. If it is not in the table held,
+// that table is old, and a newer one is asked for.
+func (a *Agent) peerOf(id table.BackendID) (peer, bool) {
+	known, exists := a.peers[id]
+	if !exists {
+		a.client.Refresh()
+		a.dropped(reasonNoPeer)
+	}
+	return known, exists
+}
+
 // execute carries out the effects that a row's machine asked for. The mutex
 // must be held.
 func (a *Agent) execute(served *row, effects []admission.Effect) {
@@ -149,11 +161,8 @@
 }
 
 func (a *Agent) forward(served *row, effect admission.Effect) {
-	next, exists := a.peers[effect.To]
+	next, exists := a.peerOf(effect.To)
 	if !exists {
-		// The row is of a newer table than the one held.
-		a.client.Refresh()
-		a.dropped(reasonNoPeer)
 		return
 	}
 	routing := effect.Packet.Routing
@@ -164,9 +173,8 @@
 }
 
 func (a *Agent) send(served *row, effect admission.Effect) {
-	next, exists := a.peers[effect.To]
+	next, exists := a.peerOf(effect.To)
 	if !exists {
-		a.dropped(reasonNoPeer)
 		return
 	}
 	encoded, err := effect.Message.MarshalMsg(nil)
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -12,6 +12,10 @@
 // daemon, to count a lease from the time its heartbeat was sent.
 const outstandingHeartbeats = 8
 
+// refreshSpacing is the least time between heartbeats to one daemon, whatever
+// makes them due.
+const refreshSpacing = 20 * time.Millisecond
+
 type sentHeartbeat struct {
 	sequence uint64
 	at       time.Duration
@@ -20,6 +24,7 @@
 type daemonRecord struct {
 	address  netip.AddrPort
 	due      time.Duration
+	last     time.Duration // when a heartbeat was sent last
 	interval time.Duration
 	sent     []sentHeartbeat
 	granted  time.Duration
@@ -61,6 +66,7 @@
 	start    uint64
 	sequence uint64
 	leaving  bool
+	left     bool
 	daemons  []*daemonRecord
 	held     *table.Table
 	lease    time.Duration
@@ -82,10 +88,16 @@
 	c.Refresh()
 }
 
-// Refresh makes all heartbeats due.
+// Left marks the agent as stopped and makes all heartbeats due.
+func (c *Client) Left() {
+	c.left = true
+	c.Refresh()
+}
+
+// Refresh makes all heartbeats due, unless they were sent a moment ago.
 func (c *Client) Refresh() {
 	for _, daemon := range c.daemons {
-		daemon.due = 0
+		daemon.due = min(daemon.due, daemon.last+refreshSpacing)
 	}
 }
 
@@ -98,6 +110,7 @@
 		}
 		c.sequence++
 		daemon.due = now + daemon.interval
+		daemon.last = now
 		daemon.sent = append(daemon.sent, sentHeartbeat{sequence: c.sequence, at: now})
 		if len(daemon.sent) > outstandingHeartbeats {
 			daemon.sent = slices.Delete(daemon.sent, 0, 1)
@@ -113,6 +126,7 @@
 		Start:    c.start,
 		Sequence: c.sequence,
 		Leaving:  c.leaving,
+		Left:     c.left,
 	}
 	if c.held != nil {
 		heartbeat.Version = c.held.Version
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -110,6 +110,21 @@
 		Expect(registry.Unavailable(ListenTime)).To(BeEmpty())
 	})
 
+	It("takes an agent for down at once when it has left, and takes it back", func() {
+		tickTo(registry, 0, ListenTime)
+		heard(registry, ListenTime, firstAgent)
+		heard(registry, ListenTime, secondAgent)
+		Expect(registry.Unavailable(ListenTime)).To(BeEmpty())
+		_, granted := registry.Receive(ListenTime, Heartbeat{Agent: secondAgent, Start: 1, Leaving: true, Left: true})
+		Expect(granted).To(BeFalse())
+		Expect(registry.Unavailable(ListenTime)).To(Equal([]table.BackendID{2}))
+		registry.Receive(ListenTime, Heartbeat{Agent: secondAgent, Start: 1, Leaving: true})
+		grant, _ := heard(registry, ListenTime, firstAgent)
+		Expect(grant.Down).To(Equal([]table.BackendID{2}))
+		registry.Receive(ListenTime, Heartbeat{Agent: secondAgent, Start: 2})
+		Expect(registry.Unavailable(ListenTime)).To(BeEmpty())
+	})
+
 	It("grants nothing after a pause until its table is confirmed, and keeps what it knew", func() {
 		tickTo(registry, 0, ListenTime)
 		heard(registry, ListenTime, firstAgent)
@@ -195,6 +210,19 @@
 		Expect(client.State(time.Second).Table).To(BeIdenticalTo(newer))
 	})
 
+	It("does not flood daemons when newer tables are asked for again and again", func() {
+		Expect(client.Tick(0)).To(HaveLen(len(daemons)))
+		sent := 0
+		for now := time.Millisecond; now <= 100*time.Millisecond; now += time.Millisecond {
+			client.Refresh()
+			for _, outgoing := range client.Tick(now) {
+				sent++
+				client.Receive(now, outgoing.Daemon, Grant{Sequence: outgoing.Heartbeat.Sequence, IntervalMillis: 250})
+			}
+		}
+		Expect(sent).To(Equal(5 * len(daemons)))
+	})
+
 	It("keeps its part of the table under a newer version", func() {
 		answer(0, 0, Grant{Table: testTable(), Version: 3})
 		answer(time.Second, 1, Grant{Version: 4})
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -26,6 +26,9 @@
 	Version table.Version `msg:"v"`
 	// Leaving is set while the agent is stopping.
 	Leaving bool `msg:"l"`
+	// Left is set in the last heartbeats of an agent that stops as planned: it
+	// opens no flow any more and answers nobody.
+	Left bool `msg:"e"`
 }
 
 // Grant is a daemon's answer to a heartbeat. It renews the agent's lease,
--- a/internal/control/message_gen.go
+++ b/internal/control/message_gen.go
@@ -592,8 +592,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	err = z.Agent.DecodeMsg(dc)
@@ -621,13 +621,18 @@
 		err = msgp.WrapError(err, "Leaving")
 		return
 	}
+	z.Left, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Left")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 6
+	err = en.Append(0x96)
 	if err != nil {
 		return
 	}
@@ -656,14 +661,19 @@
 		err = msgp.WrapError(err, "Leaving")
 		return
 	}
+	err = en.WriteBool(z.Left)
+	if err != nil {
+		err = msgp.WrapError(err, "Left")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o, err = z.Agent.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Agent")
@@ -677,6 +687,7 @@
 		return
 	}
 	o = msgp.AppendBool(o, z.Leaving)
+	o = msgp.AppendBool(o, z.Left)
 	return
 }
 
@@ -688,8 +699,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	bts, err = z.Agent.UnmarshalMsg(bts)
@@ -717,12 +728,17 @@
 		err = msgp.WrapError(err, "Leaving")
 		return
 	}
+	z.Left, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Left")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + z.Agent.Msgsize() + msgp.Uint64Size + msgp.Uint64Size + z.Version.Msgsize() + msgp.BoolSize
+	s = 1 + z.Agent.Msgsize() + msgp.Uint64Size + msgp.Uint64Size + z.Version.Msgsize() + msgp.BoolSize + msgp.BoolSize
 	return
 }
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -42,6 +42,7 @@
 	lease   time.Duration
 	start   uint64
 	leaving bool
+	left    bool
 }
 
 // Registry keeps what a daemon knows of agents and answers their heartbeats.
@@ -116,6 +117,9 @@
 	if r.configuration == nil {
 		return Grant{}, false
 	}
+	if r.outdated(heartbeat) {
+		return Grant{}, false
+	}
 	interval := r.interval()
 	lease := leaseIntervals * interval
 	before := r.condition(now, heartbeat.Agent)
@@ -124,11 +128,12 @@
 		lease:   lease,
 		start:   heartbeat.Start,
 		leaving: heartbeat.Leaving,
+		left:    heartbeat.Left,
 	}
 	if r.condition(now, heartbeat.Agent) != before {
 		r.invalidate()
 	}
-	if r.suspended {
+	if r.suspended || heartbeat.Left {
 		return Grant{}, false
 	}
 	grant := Grant{
@@ -145,6 +150,13 @@
 	return grant, true
 }
 
+// outdated reports whether a heartbeat was overtaken by the last ones of the same
+// process.
+func (r *Registry) outdated(heartbeat Heartbeat) bool {
+	record, heard := r.agents[heartbeat.Agent]
+	return heard && record.left && record.start == heartbeat.Start && !heartbeat.Left
+}
+
 // interval returns the heartbeat interval that keeps the traffic of all agents
 // within the budget.
 func (r *Registry) interval() time.Duration {
@@ -190,7 +202,7 @@
 	if record.heard < r.listening && !listened {
 		return conditionUnknown
 	}
-	if now >= record.heard+record.lease+livenessMargin {
+	if record.left || now >= record.heard+record.lease+livenessMargin {
 		return conditionDown
 	}
 	if record.leaving {
