Measure how daemons tell each other of agents

Cause: liveness of agents now spreads among daemons, and its traffic was not measured; the daemon takes over slots when it rebuilds its lookup table.

--- a/bench/hollow/members/daemon.go
+++ b/bench/hollow/members/daemon.go
@@ -1,5 +1,5 @@
-// This file implements the hollow daemon: the product's membership and
-// dissemination.
+// This file implements the hollow daemon: the product's membership,
+// dissemination and exchange of agents' liveness.
 
 package members
 
@@ -8,16 +8,18 @@
 	"time"
 
 	"github.com/vanetiller/vanetiller/bench/simnet"
+	"github.com/vanetiller/vanetiller/internal/cluster/liveness"
 	"github.com/vanetiller/vanetiller/internal/dissemination"
 	"github.com/vanetiller/vanetiller/internal/membership"
 	"github.com/vanetiller/vanetiller/internal/table"
 )
 
-// datagram carries a message of one of the two protocols. Messages are passed
+// datagram carries a message of one of the protocols. Messages are passed
 // as values, but their sizes are those of the product's encoding.
 type datagram struct {
 	membership    *membership.Message
 	dissemination *dissemination.Message
+	liveness      *liveness.Message
 }
 
 const (
@@ -36,6 +38,7 @@
 	identity membership.Identity
 	machine  *membership.Machine
 	spread   *dissemination.Machine
+	agents   *liveness.Machine
 	// stalePeers is set when the membership has changed.
 	stalePeers bool
 	// failed is when this process last learned of the watched failure.
@@ -60,6 +63,11 @@
 	if err != nil {
 		panic("members: the default settings are refused: " + err.Error())
 	}
+	d.agents, err = liveness.New(liveness.Config{Self: d.identity, Random: random})
+	if err != nil {
+		panic("members: the default settings are refused: " + err.Error())
+	}
+	d.claimAll()
 	d.machine.SetSeeds(d.fleet.seeds())
 	d.failed = 0
 	phase := time.Duration(d.fleet.random.Int64N(int64(membership.TickInterval)))
@@ -72,31 +80,41 @@
 	d.executeMembership(now, d.machine.Tick(now))
 	if d.stalePeers {
 		d.stalePeers = false
-		d.spread.SetPeers(d.peers())
+		d.setPeers(now)
 	}
 	d.executeDissemination(d.spread.Tick(now))
+	if d.fleet.options.AgentsPerDaemon > 0 {
+		d.executeLiveness(d.agents.Tick(now))
+	}
 	d.fleet.network.Schedule(d.id, membership.TickInterval, timerTick)
 }
 
-func (d *daemon) peers() []dissemination.Peer {
+// setPeers tells the other machines of the members.
+func (d *daemon) setPeers(now time.Duration) {
 	known := d.machine.Members()
 	peers := make([]dissemination.Peer, 0, len(known))
+	reporters := make([]liveness.Peer, 0, len(known))
 	for _, member := range known {
 		if member.State == membership.StateAlive || member.State == membership.StateSuspect {
 			peers = append(peers, dissemination.Peer{Identity: member.Identity, Reachable: member.Reachable})
+			reporters = append(reporters, liveness.Peer{Identity: member.Identity, Reachable: member.Reachable})
 		}
 	}
-	return peers
+	d.spread.SetPeers(peers)
+	d.executeLiveness(d.agents.SetPeers(now, reporters))
 }
 
 // Receive implements simnet.Handler.
 func (d *daemon) Receive(now time.Duration, from simnet.NodeID, received datagram) {
 	sender := d.fleet.daemons[from].address
-	if received.membership != nil {
+	switch {
+	case received.membership != nil:
 		d.executeMembership(now, d.machine.Receive(now, sender, *received.membership))
-		return
+	case received.dissemination != nil:
+		d.executeDissemination(d.spread.Receive(now, sender, *received.dissemination))
+	case received.liveness != nil:
+		d.executeLiveness(d.agents.Receive(now, sender, *received.liveness))
 	}
-	d.executeDissemination(d.spread.Receive(now, sender, *received.dissemination))
 }
 
 func (d *daemon) executeMembership(now time.Duration, effects []membership.Effect) {
@@ -175,10 +193,13 @@
 
 func (f *fleet) sizeOf(sent datagram) int {
 	var err error
-	if sent.membership != nil {
+	switch {
+	case sent.membership != nil:
 		f.encoded, err = sent.membership.MarshalMsg(f.encoded[:0])
-	} else {
+	case sent.dissemination != nil:
 		f.encoded, err = sent.dissemination.MarshalMsg(f.encoded[:0])
+	case sent.liveness != nil:
+		f.encoded, err = sent.liveness.MarshalMsg(f.encoded[:0])
 	}
 	if err != nil {
 		panic("members: cannot encode a message: " + err.Error())
--- a/bench/hollow/members/fleet.go
+++ b/bench/hollow/members/fleet.go
@@ -40,6 +40,9 @@
 	// fetches counts tables and deltas fetched over a connection.
 	fetches int
 	changes []*change
+	// agentStarts counts the restarts of each agent.
+	agentStarts []int
+	restarts    []*agentRestart
 	// cut is set while the first region is cut from the others.
 	cut bool
 }
@@ -60,6 +63,7 @@
 		random:  rand.New(rand.NewPCG(options.Seed, 2)),
 		network: simnet.New[datagram](layout, options.Seed),
 	}
+	created.agentStarts = make([]int, options.AgentsPerDaemon*options.Daemons/reportersOfAgent)
 	for index := range options.Daemons {
 		zone := index % options.Zones
 		added := &daemon{
--- a/bench/hollow/members/members_test.go
+++ b/bench/hollow/members/members_test.go
@@ -55,6 +55,8 @@
 		Expect(report.Changes).To(BeNumerically(">=", 2))
 		Expect(report.Unfinished).To(BeZero())
 		Expect(report.InForceMedian).To(BeNumerically(">", 0))
+		Expect(report.AgentRestarts).To(BeNumerically(">=", 2))
+		Expect(report.AgentsKnownMedian).To(BeNumerically(">", 0))
 		Expect(report.CaughtUp).To(BeNumerically(">=", 0))
 	})
 
--- a/bench/hollow/members/options.go
+++ b/bench/hollow/members/options.go
@@ -33,6 +33,11 @@
 	FailuresPerDay int           `json:"failures_per_day"`
 	// ChangesPerDay are changes of the table, in the usual day and in the cut.
 	ChangesPerDay int `json:"changes_per_day"`
+	// AgentsPerDaemon is the number of agents that report to a daemon; each
+	// reports to two. Zero leaves agents out. AgentRestartsPerDay are those of
+	// the whole fleet.
+	AgentsPerDaemon     int `json:"agents_per_daemon"`
+	AgentRestartsPerDay int `json:"agent_restarts_per_day"`
 	// Kills is the number of daemons killed one after another to measure how
 	// soon it is known.
 	Kills int `json:"kills"`
@@ -53,8 +58,12 @@
 		RestartsPerDay: 1800,
 		FailuresPerDay: 22,
 		ChangesPerDay:  1500,
-		Kills:          5,
-		Cut:            time.Hour,
+
+		AgentsPerDaemon:     22,
+		AgentRestartsPerDay: 1800,
+
+		Kills: 5,
+		Cut:   time.Hour,
 	}
 }
 
@@ -68,7 +77,8 @@
 		return errors.Errorf("members: daemons must be from twice the zones to %d", maximumDaemons)
 	case o.Settling <= 0 || o.Usual < time.Second || o.Cut < 0 || o.Kills < 0:
 		return errors.New("members: times must be positive, Usual at least a second")
-	case o.RestartsPerDay < 0 || o.FailuresPerDay < 0 || o.ChangesPerDay < 0:
+	case o.RestartsPerDay < 0 || o.FailuresPerDay < 0 || o.ChangesPerDay < 0 ||
+		o.AgentsPerDaemon < 0 || o.AgentRestartsPerDay < 0:
 		return errors.New("members: no rate may be negative")
 	case o.Loss < 0 || o.Loss >= 1:
 		return errors.New("members: Loss must be from 0 to below 1")
--- a/bench/slopes/capacity.go
+++ b/bench/slopes/capacity.go
@@ -93,12 +93,12 @@
 		{role, "lookup tables", "2 × _lookup service_ at 1,500 (the old one lives while the new one is built)",
 			2 * c.at("lookup service", targetServices), unitBytes, goalMemory},
 		{role, "packet", "_balancer packet_ at 1,500 services", c.at("balancer packet", targetServices), unitNanoseconds, 0},
-		{role, "lookup table after a change, as the daemon builds it", "_lookup build_ at 12,000 rows",
+		{role, "lookup table at the start", "_lookup build_ at 12,000 rows",
 			c.at("lookup build", targetAgents) * milliPerNanosecond, unitMilli, 0},
-		{role, "lookup table after a change, with slots taken over", "_lookup rebuild_ at 12,000 rows",
+		{role, "lookup table after a change", "_lookup rebuild_ at 12,000 rows",
 			c.at("lookup rebuild", targetAgents) * milliPerNanosecond, unitMilli, 0},
-		{role, "processor for changes, as the daemon builds tables", "(changes + rows going down and up) × _lookup build_",
-			(changesPerSecond + livenessChanges) * c.at("lookup build", targetAgents) * percentPerNanosecond, unitCore, goalProcessor * 100},
+		{role, "processor for changes", "(changes + rows going down and up) × _lookup rebuild_",
+			(changesPerSecond + livenessChanges) * c.at("lookup rebuild", targetAgents) * percentPerNanosecond, unitCore, goalProcessor * 100},
 	}
 }
 
@@ -130,14 +130,14 @@
 
 // daemonLines sum up what one daemon spends.
 func daemonLines(c *calculator) []Line {
-	const role = "daemon, without polling, membership and dissemination"
+	const role = "daemon, without what daemons tell each other"
 	unheard := float64(rowsPerService - 1)
 	heartbeats := agentsPerDaemon / heartbeatInterval
 	traffic := heartbeats*c.at("heartbeat and grant", unheard) +
 		changesPerSecond*agentsPerDaemon*c.at("table slice", rowsPerService)
 	processor := heartbeats*c.at("heartbeat", targetAgents) +
 		looksPerSecond*c.at("liveness look", targetAgents) +
-		(changesPerSecond+livenessChanges)*c.at("lookup build", targetAgents) +
+		(changesPerSecond+livenessChanges)*c.at("lookup rebuild", targetAgents) +
 		changesPerSecond*c.at("registry publish", targetAgents)
 	memory := 2*c.at("lookup service", targetServices) + 2*c.at("table row", targetAgents) +
 		c.at("registry row", targetAgents)
--- a/cmd/vanetiller-bench/hollow.go
+++ b/cmd/vanetiller-bench/hollow.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -52,9 +53,22 @@
 	})
 }
 
-// commandLine names the command that reproduces a generated part.
+// commandLine names the command that reproduces a generated part. The page is
+// left out, since where it lies does not matter.
 func commandLine(command string, arguments []string) string {
-	return "`vanetiller-bench " + strings.Join(append([]string{command}, arguments...), " ") + "`"
+	words := []string{"vanetiller-bench", command}
+	for index := 0; index < len(arguments); index++ {
+		if arguments[index] == "-write" {
+			index++
+			continue
+		}
+		word := arguments[index]
+		if strings.Contains(word, " ") {
+			word = strconv.Quote(word)
+		}
+		words = append(words, word)
+	}
+	return "`" + strings.Join(words, " ") + "`"
 }
 
 func (o *pageOutput) write(parts ...slopes.Part) int {
--- a/cmd/vanetiller-bench/members.go
+++ b/cmd/vanetiller-bench/members.go
@@ -22,6 +22,7 @@
 	output.addFlags(flags, "members")
 	flags.Uint64Var(&options.Seed, "seed", options.Seed, "`number` that determines the run")
 	flags.IntVar(&options.Daemons, "daemons", options.Daemons, "`number` of daemons")
+	flags.IntVar(&options.AgentsPerDaemon, "agents-per-daemon", options.AgentsPerDaemon, "`number` of agents that report to each daemon; 0 for none")
 	flags.Float64Var(&options.Loss, "loss", options.Loss, "`probability` that a datagram is lost")
 	flags.DurationVar(&options.Usual, "usual", options.Usual, "virtual `time` of a usual day that is measured")
 	flags.DurationVar(&options.Cut, "cut", options.Cut, "virtual `time` for which a region is cut from the others")
