Fetch tables that are larger than a datagram

Cause: an answer over a connection used the type of dissemination's deltas, whose decoder now refuses payloads over 1,200 bytes, so a daemon that does not vote never got a larger change; the test sent one to voters alone, which get it with the log. Change: answers have a type of their own; liveness bounds what its decoder allocates; the test sends the table to six daemons of which three vote. Measured: that spec failed before and passes after, with the specs of liveness, in one run of 12 s; the whole suite of cluster was not run again for this commit. Conclusion: types of datagrams must not be used over connections.

--- a/internal/cluster/apply.go
+++ b/internal/cluster/apply.go
@@ -133,7 +133,7 @@
 		}
 	}
 	for _, delta := range answer.Deltas {
-		n.applyDelta(ctx, delta)
+		n.applyDelta(ctx, dissemination.Delta(delta))
 	}
 	if version := n.store.version(); version > before || version > request.Version {
 		return version, nil
@@ -163,7 +163,7 @@
 	deltas, kept := n.spread.DeltasAfter(request.Version)
 	n.mutex.Unlock()
 	if kept && !request.Whole {
-		return encode(&FetchAnswer{Deltas: deltas})
+		return encode(&FetchAnswer{Deltas: fetched(deltas)})
 	}
 	state, err := n.store.Snapshot()
 	if err != nil {
@@ -172,3 +172,11 @@
 	}
 	return encode(&FetchAnswer{State: state})
 }
+
+func fetched(deltas []dissemination.Delta) []FetchedDelta {
+	converted := make([]FetchedDelta, len(deltas))
+	for index, delta := range deltas {
+		converted[index] = FetchedDelta(delta)
+	}
+	return converted
+}
--- a/internal/cluster/liveness/message.go
+++ b/internal/cluster/liveness/message.go
@@ -8,6 +8,7 @@
 )
 
 //go:generate go tool msgp -tests=false
+//msgp:limit arrays:64
 //msgp:tuple Claim Record ZoneDigest ReporterDigest Message
 
 // Condition is what a daemon claims of an agent.
--- a/internal/cluster/liveness/message_gen.go
+++ b/internal/cluster/liveness/message_gen.go
@@ -6,6 +6,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zdc5d9100limitArrays = 64
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Claim) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -14,6 +19,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -233,6 +242,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 6 {
 		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
@@ -266,6 +279,10 @@
 		err = msgp.WrapError(err, "Records")
 		return
 	}
+	if zb0004 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Records) >= int(zb0004) {
 		z.Records = (z.Records)[:zb0004]
 	} else {
@@ -284,6 +301,10 @@
 		err = msgp.WrapError(err, "Zones")
 		return
 	}
+	if zb0005 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Zones) >= int(zb0005) {
 		z.Zones = (z.Zones)[:zb0005]
 	} else {
@@ -296,6 +317,10 @@
 			err = msgp.WrapError(err, "Zones", za0002)
 			return
 		}
+		if zb0006 > zdc5d9100limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
 		if zb0006 != 2 {
 			err = msgp.ArrayError{Wanted: 2, Got: zb0006}
 			return
@@ -317,6 +342,10 @@
 		err = msgp.WrapError(err, "Reporters")
 		return
 	}
+	if zb0007 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Reporters) >= int(zb0007) {
 		z.Reporters = (z.Reporters)[:zb0007]
 	} else {
@@ -329,6 +358,10 @@
 			err = msgp.WrapError(err, "Reporters", za0003)
 			return
 		}
+		if zb0008 > zdc5d9100limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
 		if zb0008 != 2 {
 			err = msgp.ArrayError{Wanted: 2, Got: zb0008}
 			return
@@ -514,6 +547,10 @@
 		err = msgp.WrapError(err, "Records")
 		return
 	}
+	if zb0004 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Records) >= int(zb0004) {
 		z.Records = (z.Records)[:zb0004]
 	} else {
@@ -532,6 +569,10 @@
 		err = msgp.WrapError(err, "Zones")
 		return
 	}
+	if zb0005 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Zones) >= int(zb0005) {
 		z.Zones = (z.Zones)[:zb0005]
 	} else {
@@ -565,6 +606,10 @@
 		err = msgp.WrapError(err, "Reporters")
 		return
 	}
+	if zb0007 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Reporters) >= int(zb0007) {
 		z.Reporters = (z.Reporters)[:zb0007]
 	} else {
@@ -621,6 +666,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 4 {
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
@@ -752,6 +801,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
@@ -895,6 +948,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
--- a/internal/cluster/message.go
+++ b/internal/cluster/message.go
@@ -57,6 +57,13 @@
 
 // FetchAnswer answers a FetchRequest with deltas or with an encoded state.
 type FetchAnswer struct {
-	Deltas []dissemination.Delta `msg:"d"`
-	State  []byte                `msg:"s"`
+	Deltas []FetchedDelta `msg:"d"`
+	State  []byte         `msg:"s"`
+}
+
+// FetchedDelta is a dissemination.Delta that need not fit in a datagram, which
+// the decoder of that type demands.
+type FetchedDelta struct {
+	Version table.Version `msg:"v"`
+	Payload []byte        `msg:"p"`
 }
--- a/internal/cluster/message_gen.go
+++ b/internal/cluster/message_gen.go
@@ -494,14 +494,43 @@
 			if cap(z.Deltas) >= int(zb0002) {
 				z.Deltas = (z.Deltas)[:zb0002]
 			} else {
-				z.Deltas = make([]dissemination.Delta, zb0002)
+				z.Deltas = make([]FetchedDelta, zb0002)
 			}
 			for za0001 := range z.Deltas {
-				err = z.Deltas[za0001].DecodeMsg(dc)
+				var zb0003 uint32
+				zb0003, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "Deltas", za0001)
 					return
 				}
+				for zb0003 > 0 {
+					zb0003--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Deltas", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "v":
+						err = z.Deltas[za0001].Version.DecodeMsg(dc)
+						if err != nil {
+							err = msgp.WrapError(err, "Deltas", za0001, "Version")
+							return
+						}
+					case "p":
+						z.Deltas[za0001].Payload, err = dc.ReadBytes(z.Deltas[za0001].Payload)
+						if err != nil {
+							err = msgp.WrapError(err, "Deltas", za0001, "Payload")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Deltas", za0001)
+							return
+						}
+					}
+				}
 			}
 		case "s":
 			z.State, err = dc.ReadBytes(z.State)
@@ -534,9 +563,25 @@
 		return
 	}
 	for za0001 := range z.Deltas {
-		err = z.Deltas[za0001].EncodeMsg(en)
+		// map header, size 2
+		// write "v"
+		err = en.Append(0x82, 0xa1, 0x76)
+		if err != nil {
+			return
+		}
+		err = z.Deltas[za0001].Version.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Deltas", za0001, "Version")
+			return
+		}
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteBytes(z.Deltas[za0001].Payload)
 		if err != nil {
-			err = msgp.WrapError(err, "Deltas", za0001)
+			err = msgp.WrapError(err, "Deltas", za0001, "Payload")
 			return
 		}
 	}
@@ -561,11 +606,17 @@
 	o = append(o, 0x82, 0xa1, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Deltas)))
 	for za0001 := range z.Deltas {
-		o, err = z.Deltas[za0001].MarshalMsg(o)
+		// map header, size 2
+		// string "v"
+		o = append(o, 0x82, 0xa1, 0x76)
+		o, err = z.Deltas[za0001].Version.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Deltas", za0001)
+			err = msgp.WrapError(err, "Deltas", za0001, "Version")
 			return
 		}
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendBytes(o, z.Deltas[za0001].Payload)
 	}
 	// string "s"
 	o = append(o, 0xa1, 0x73)
@@ -601,14 +652,43 @@
 			if cap(z.Deltas) >= int(zb0002) {
 				z.Deltas = (z.Deltas)[:zb0002]
 			} else {
-				z.Deltas = make([]dissemination.Delta, zb0002)
+				z.Deltas = make([]FetchedDelta, zb0002)
 			}
 			for za0001 := range z.Deltas {
-				bts, err = z.Deltas[za0001].UnmarshalMsg(bts)
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Deltas", za0001)
 					return
 				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Deltas", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "v":
+						bts, err = z.Deltas[za0001].Version.UnmarshalMsg(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Deltas", za0001, "Version")
+							return
+						}
+					case "p":
+						z.Deltas[za0001].Payload, bts, err = msgp.ReadBytesBytes(bts, z.Deltas[za0001].Payload)
+						if err != nil {
+							err = msgp.WrapError(err, "Deltas", za0001, "Payload")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Deltas", za0001)
+							return
+						}
+					}
+				}
 			}
 		case "s":
 			z.State, bts, err = msgp.ReadBytesBytes(bts, z.State)
@@ -632,7 +712,7 @@
 func (z *FetchAnswer) Msgsize() (s int) {
 	s = 1 + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Deltas {
-		s += z.Deltas[za0001].Msgsize()
+		s += 1 + 2 + z.Deltas[za0001].Version.Msgsize() + 2 + msgp.BytesPrefixSize + len(z.Deltas[za0001].Payload)
 	}
 	s += 2 + msgp.BytesPrefixSize + len(z.State)
 	return
@@ -770,6 +850,138 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *FetchedDelta) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "v":
+			err = z.Version.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "p":
+			z.Payload, err = dc.ReadBytes(z.Payload)
+			if err != nil {
+				err = msgp.WrapError(err, "Payload")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *FetchedDelta) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "v"
+	err = en.Append(0x82, 0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = z.Version.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Payload)
+	if err != nil {
+		err = msgp.WrapError(err, "Payload")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *FetchedDelta) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "v"
+	o = append(o, 0x82, 0xa1, 0x76)
+	o, err = z.Version.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendBytes(o, z.Payload)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *FetchedDelta) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "v":
+			bts, err = z.Version.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "p":
+			z.Payload, bts, err = msgp.ReadBytesBytes(bts, z.Payload)
+			if err != nil {
+				err = msgp.WrapError(err, "Payload")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *FetchedDelta) Msgsize() (s int) {
+	s = 1 + 2 + z.Version.Msgsize() + 2 + msgp.BytesPrefixSize + len(z.Payload)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Hint) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -112,8 +112,8 @@
 		Expect(first.Store().Reached(1).Accepted).To(BeFalse())
 	})
 
-	It("sends a table that does not fit in a datagram", func() {
-		nodes := newFleet(3, 3).startAll(3)
+	It("sends a table that does not fit in a datagram, also to daemons that do not vote", func() {
+		nodes := newFleet(3, 3).startAll(6)
 		change := nodes[0].addition(1)
 		for number := range 2000 {
 			change.AddBackends = append(change.AddBackends, table.Backend{
@@ -123,7 +123,9 @@
 		}
 		Expect(nodes[2].submit(change).Accepted).To(BeTrue())
 		expectInForce(nodes, 1)
-		Expect(nodes[1].Store().Table().Table.Backends).To(HaveLen(2000))
+		for _, brought := range nodes {
+			Expect(brought.Store().Table().Table.Backends).To(HaveLen(2000))
+		}
 	})
 
 	DescribeTable("refuses settings that cannot be used",
