Bound what a forged control message can make a daemon allocate

Measured: the new test's forged grant claims 268 million rows; it is refused with the library's limit error and allocates nothing.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -1,11 +1,13 @@
 package control
 
 import (
+	"bytes"
 	"net/netip"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/tinylib/msgp/msgp"
 
 	"github.com/vanetiller/vanetiller/internal/table"
 )
@@ -160,6 +162,17 @@
 		Expect(heartbeatCost).To(BeNumerically("~", size, size/10))
 	})
 
+	It("does not allocate what a forged length claims", func() {
+		granted, err := (&Datagram{Grant: &Grant{Down: []table.BackendID{1}}}).MarshalMsg(nil)
+		Expect(err).NotTo(HaveOccurred())
+		// Array of one element, the element 1.
+		forged := bytes.Replace(granted, []byte{0x91, 0x01}, []byte{0xdd, 0x10, 0, 0, 0}, 1)
+		Expect(forged).NotTo(Equal(granted))
+		var datagram Datagram
+		_, err = datagram.UnmarshalMsg(forged)
+		Expect(err).To(MatchError(msgp.ErrLimitExceeded))
+	})
+
 	It("slows heartbeats as agents grow in number, within bounds", func() {
 		Expect(registry.interval()).To(Equal(minimumInterval))
 		for port := range uint16(200) {
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -14,6 +14,10 @@
 //
 //msgp:tuple Heartbeat Grant
 
+// A forged length must not make the decoder allocate more than a table needs.
+//
+//msgp:limit arrays:65536
+
 // Heartbeat is what an agent tells a daemon at regular intervals.
 type Heartbeat struct {
 	// Agent is the address in the agent column of the rows it serves.
--- a/internal/control/message_gen.go
+++ b/internal/control/message_gen.go
@@ -7,6 +7,11 @@
 	"github.com/vanetiller/vanetiller/internal/table"
 )
 
+// Size limits for msgp deserialization
+const (
+	zdc5d9100limitArrays = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Datagram) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -230,6 +235,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 8 {
 		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
@@ -277,6 +286,10 @@
 		err = msgp.WrapError(err, "Down")
 		return
 	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Down) >= int(zb0002) {
 		z.Down = (z.Down)[:zb0002]
 	} else {
@@ -295,6 +308,10 @@
 		err = msgp.WrapError(err, "Leaving")
 		return
 	}
+	if zb0003 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Leaving) >= int(zb0003) {
 		z.Leaving = (z.Leaving)[:zb0003]
 	} else {
@@ -313,6 +330,10 @@
 		err = msgp.WrapError(err, "Unknown")
 		return
 	}
+	if zb0004 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Unknown) >= int(zb0004) {
 		z.Unknown = (z.Unknown)[:zb0004]
 	} else {
@@ -509,6 +530,10 @@
 		err = msgp.WrapError(err, "Down")
 		return
 	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Down) >= int(zb0002) {
 		z.Down = (z.Down)[:zb0002]
 	} else {
@@ -527,6 +552,10 @@
 		err = msgp.WrapError(err, "Leaving")
 		return
 	}
+	if zb0003 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Leaving) >= int(zb0003) {
 		z.Leaving = (z.Leaving)[:zb0003]
 	} else {
@@ -545,6 +574,10 @@
 		err = msgp.WrapError(err, "Unknown")
 		return
 	}
+	if zb0004 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Unknown) >= int(zb0004) {
 		z.Unknown = (z.Unknown)[:zb0004]
 	} else {
@@ -592,6 +625,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 6 {
 		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -16,6 +16,10 @@
 
 //go:generate go tool msgp -tests=false
 
+// A forged length must not make the decoder allocate more than a table needs.
+//
+//msgp:limit arrays:65536
+
 // Version numbers the accepted states of the table, starting at 1. A larger
 // version always supersedes a smaller one.
 type Version uint64
--- a/internal/table/table_gen.go
+++ b/internal/table/table_gen.go
@@ -6,6 +6,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zb5a809cclimitArrays = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Backend) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -863,6 +868,10 @@
 				err = msgp.WrapError(err, "Services")
 				return
 			}
+			if zb0003 > zb5a809cclimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Services) >= int(zb0003) {
 				z.Services = (z.Services)[:zb0003]
 			} else {
@@ -882,6 +891,10 @@
 				err = msgp.WrapError(err, "Backends")
 				return
 			}
+			if zb0004 > zb5a809cclimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Backends) >= int(zb0004) {
 				z.Backends = (z.Backends)[:zb0004]
 			} else {
@@ -1020,6 +1033,10 @@
 				err = msgp.WrapError(err, "Services")
 				return
 			}
+			if zb0003 > zb5a809cclimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Services) >= int(zb0003) {
 				z.Services = (z.Services)[:zb0003]
 			} else {
@@ -1039,6 +1056,10 @@
 				err = msgp.WrapError(err, "Backends")
 				return
 			}
+			if zb0004 > zb5a809cclimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Backends) >= int(zb0004) {
 				z.Backends = (z.Backends)[:zb0004]
 			} else {
