Bound arrays in the decoders of agreement and change log too

Cause: the same unbounded allocation as in control messages. Change: limits of 65,536 elements in agreement and of 1,048,576 in change log

Measured: tests of agreement, changelog and adminapi pass unchanged.

--- a/internal/adminapi/replicated/message.go
+++ b/internal/adminapi/replicated/message.go
@@ -15,6 +15,10 @@
 
 //go:generate go tool msgp -tests=false
 
+// A forged length must not make the decoder allocate without bound.
+//
+//msgp:limit arrays:65536
+
 // Attempt numbers the proposals of one process. A repeated change is another
 // attempt, so that a late decision on the first is not taken for its own.
 type Attempt uint64
--- a/internal/adminapi/replicated/message_gen.go
+++ b/internal/adminapi/replicated/message_gen.go
@@ -8,6 +8,11 @@
 	"github.com/vanetiller/vanetiller/internal/changelog"
 )
 
+// Size limits for msgp deserialization
+const (
+	zdc5d9100limitArrays = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Attempt) DecodeMsg(dc *msgp.Reader) (err error) {
 	{
@@ -641,7 +646,10 @@
 				return
 			}
 		case "p":
-			z.Payload, err = dc.ReadBytes(z.Payload)
+			z.Payload, err = dc.ReadBytesLimit(z.Payload, zdc5d9100limitArrays)
+			if err == nil && z.Payload == nil {
+				z.Payload = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Payload")
 				return
@@ -748,11 +756,27 @@
 				return
 			}
 		case "p":
-			z.Payload, bts, err = msgp.ReadBytesBytes(bts, z.Payload)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Payload")
 				return
 			}
+			if zb0003 > zdc5d9100limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Payload == nil || uint32(cap(z.Payload)) < zb0003 {
+				z.Payload = make([]byte, zb0003)
+			} else {
+				z.Payload = z.Payload[:zb0003]
+			}
+			if uint32(len(bts)) < zb0003 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Payload, bts[:zb0003])
+			bts = bts[zb0003:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
--- a/internal/agreement/configuration.go
+++ b/internal/agreement/configuration.go
@@ -4,6 +4,10 @@
 
 //go:generate go tool msgp -tests=false
 
+// A forged length must not make the decoder allocate without bound.
+//
+//msgp:limit arrays:65536
+
 //msgp:tuple Member Configuration
 
 // Role tells how a voter takes part.
--- a/internal/agreement/configuration_gen.go
+++ b/internal/agreement/configuration_gen.go
@@ -6,6 +6,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z1d5d2b92limitArrays = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Configuration) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -14,6 +19,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
@@ -24,6 +33,10 @@
 		err = msgp.WrapError(err, "Members")
 		return
 	}
+	if zb0002 > z1d5d2b92limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Members) >= int(zb0002) {
 		z.Members = (z.Members)[:zb0002]
 	} else {
@@ -42,6 +55,10 @@
 		err = msgp.WrapError(err, "Previous")
 		return
 	}
+	if zb0003 > z1d5d2b92limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Previous) >= int(zb0003) {
 		z.Previous = (z.Previous)[:zb0003]
 	} else {
@@ -133,6 +150,10 @@
 		err = msgp.WrapError(err, "Members")
 		return
 	}
+	if zb0002 > z1d5d2b92limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Members) >= int(zb0002) {
 		z.Members = (z.Members)[:zb0002]
 	} else {
@@ -151,6 +172,10 @@
 		err = msgp.WrapError(err, "Previous")
 		return
 	}
+	if zb0003 > z1d5d2b92limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Previous) >= int(zb0003) {
 		z.Previous = (z.Previous)[:zb0003]
 	} else {
@@ -188,6 +213,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1d5d2b92limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
--- a/internal/agreement/identity.go
+++ b/internal/agreement/identity.go
@@ -7,6 +7,10 @@
 
 //go:generate go tool msgp -tests=false
 
+// A forged length must not make the decoder allocate without bound.
+//
+//msgp:limit arrays:65536
+
 //msgp:tuple ProcessID
 
 // ProcessID identifies one run of the daemon on one machine. The daemon
--- a/internal/agreement/identity_gen.go
+++ b/internal/agreement/identity_gen.go
@@ -6,6 +6,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z562da559limitArrays = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Index) DecodeMsg(dc *msgp.Reader) (err error) {
 	{
@@ -66,6 +71,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z562da559limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
--- a/internal/agreement/message.go
+++ b/internal/agreement/message.go
@@ -4,6 +4,10 @@
 
 //go:generate go tool msgp -tests=false
 
+// A forged length must not make the decoder allocate without bound.
+//
+//msgp:limit arrays:65536
+
 //msgp:tuple Entry Snapshot VoteRequest VoteReply AppendRequest AppendReply SnapshotRequest Message
 
 // ProposalID identifies a proposal; its proposer chooses it.
--- a/internal/agreement/message_gen.go
+++ b/internal/agreement/message_gen.go
@@ -6,6 +6,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zdc5d9100limitArrays = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *AppendReply) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -14,6 +19,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -121,6 +130,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 5 {
 		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
@@ -146,6 +159,10 @@
 		err = msgp.WrapError(err, "Entries")
 		return
 	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Entries) >= int(zb0002) {
 		z.Entries = (z.Entries)[:zb0002]
 	} else {
@@ -273,6 +290,10 @@
 		err = msgp.WrapError(err, "Entries")
 		return
 	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Entries) >= int(zb0002) {
 		z.Entries = (z.Entries)[:zb0002]
 	} else {
@@ -312,6 +333,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 6 {
 		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
@@ -344,7 +369,10 @@
 		}
 		z.ID = ProposalID(zb0003)
 	}
-	z.Payload, err = dc.ReadBytes(z.Payload)
+	z.Payload, err = dc.ReadBytesLimit(z.Payload, zdc5d9100limitArrays)
+	if err == nil && z.Payload == nil {
+		z.Payload = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Payload")
 		return
@@ -486,11 +514,27 @@
 		}
 		z.ID = ProposalID(zb0003)
 	}
-	z.Payload, bts, err = msgp.ReadBytesBytes(bts, z.Payload)
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Payload")
 		return
 	}
+	if zb0004 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Payload == nil || uint32(cap(z.Payload)) < zb0004 {
+		z.Payload = make([]byte, zb0004)
+	} else {
+		z.Payload = z.Payload[:zb0004]
+	}
+	if uint32(len(bts)) < zb0004 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Payload, bts[:zb0004])
+	bts = bts[zb0004:]
 	if msgp.IsNil(bts) {
 		bts, err = msgp.ReadNilBytes(bts)
 		if err != nil {
@@ -582,6 +626,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 6 {
 		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
@@ -625,6 +673,10 @@
 			err = msgp.WrapError(err, "VoteReply")
 			return
 		}
+		if zb0002 > zdc5d9100limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
 		if zb0002 != 3 {
 			err = msgp.ArrayError{Wanted: 3, Got: zb0002}
 			return
@@ -679,6 +731,10 @@
 			err = msgp.WrapError(err, "AppendReply")
 			return
 		}
+		if zb0003 > zdc5d9100limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
 		if zb0003 != 3 {
 			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
 			return
@@ -716,6 +772,10 @@
 			err = msgp.WrapError(err, "Snapshot")
 			return
 		}
+		if zb0004 > zdc5d9100limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
 		if zb0004 != 2 {
 			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
 			return
@@ -1161,6 +1221,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 4 {
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
@@ -1180,7 +1244,10 @@
 		err = msgp.WrapError(err, "Configuration")
 		return
 	}
-	z.State, err = dc.ReadBytes(z.State)
+	z.State, err = dc.ReadBytesLimit(z.State, zdc5d9100limitArrays)
+	if err == nil && z.State == nil {
+		z.State = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "State")
 		return
@@ -1269,11 +1336,27 @@
 		err = msgp.WrapError(err, "Configuration")
 		return
 	}
-	z.State, bts, err = msgp.ReadBytesBytes(bts, z.State)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "State")
 		return
 	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.State == nil || uint32(cap(z.State)) < zb0002 {
+		z.State = make([]byte, zb0002)
+	} else {
+		z.State = z.State[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.State, bts[:zb0002])
+	bts = bts[zb0002:]
 	o = bts
 	return
 }
@@ -1292,6 +1375,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
@@ -1383,6 +1470,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -1486,6 +1577,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 4 {
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
--- a/internal/changelog/change.go
+++ b/internal/changelog/change.go
@@ -8,6 +8,10 @@
 
 //go:generate go tool msgp -tests=false
 
+// A forged length must not make the decoder allocate without bound.
+//
+//msgp:limit arrays:1048576
+
 // MaximumTextLength bounds the identifier, author and reason of a change, in
 // bytes.
 const MaximumTextLength = 256
--- a/internal/changelog/change_gen.go
+++ b/internal/changelog/change_gen.go
@@ -7,6 +7,11 @@
 	"github.com/vanetiller/vanetiller/internal/table"
 )
 
+// Size limits for msgp deserialization
+const (
+	ze34be19flimitArrays = 1048576
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *CellChange) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -551,6 +556,10 @@
 				err = msgp.WrapError(err, "ExpectedRows")
 				return
 			}
+			if zb0003 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.ExpectedRows) >= int(zb0003) {
 				z.ExpectedRows = (z.ExpectedRows)[:zb0003]
 			} else {
@@ -599,6 +608,10 @@
 				err = msgp.WrapError(err, "AddServices")
 				return
 			}
+			if zb0005 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.AddServices) >= int(zb0005) {
 				z.AddServices = (z.AddServices)[:zb0005]
 			} else {
@@ -618,6 +631,10 @@
 				err = msgp.WrapError(err, "AddBackends")
 				return
 			}
+			if zb0006 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.AddBackends) >= int(zb0006) {
 				z.AddBackends = (z.AddBackends)[:zb0006]
 			} else {
@@ -637,6 +654,10 @@
 				err = msgp.WrapError(err, "Cells")
 				return
 			}
+			if zb0007 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Cells) >= int(zb0007) {
 				z.Cells = (z.Cells)[:zb0007]
 			} else {
@@ -656,6 +677,10 @@
 				err = msgp.WrapError(err, "RemoveBackends")
 				return
 			}
+			if zb0008 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.RemoveBackends) >= int(zb0008) {
 				z.RemoveBackends = (z.RemoveBackends)[:zb0008]
 			} else {
@@ -675,6 +700,10 @@
 				err = msgp.WrapError(err, "RemoveServices")
 				return
 			}
+			if zb0009 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.RemoveServices) >= int(zb0009) {
 				z.RemoveServices = (z.RemoveServices)[:zb0009]
 			} else {
@@ -1096,6 +1125,10 @@
 				err = msgp.WrapError(err, "ExpectedRows")
 				return
 			}
+			if zb0003 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.ExpectedRows) >= int(zb0003) {
 				z.ExpectedRows = (z.ExpectedRows)[:zb0003]
 			} else {
@@ -1144,6 +1177,10 @@
 				err = msgp.WrapError(err, "AddServices")
 				return
 			}
+			if zb0005 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.AddServices) >= int(zb0005) {
 				z.AddServices = (z.AddServices)[:zb0005]
 			} else {
@@ -1163,6 +1200,10 @@
 				err = msgp.WrapError(err, "AddBackends")
 				return
 			}
+			if zb0006 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.AddBackends) >= int(zb0006) {
 				z.AddBackends = (z.AddBackends)[:zb0006]
 			} else {
@@ -1182,6 +1223,10 @@
 				err = msgp.WrapError(err, "Cells")
 				return
 			}
+			if zb0007 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Cells) >= int(zb0007) {
 				z.Cells = (z.Cells)[:zb0007]
 			} else {
@@ -1201,6 +1246,10 @@
 				err = msgp.WrapError(err, "RemoveBackends")
 				return
 			}
+			if zb0008 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.RemoveBackends) >= int(zb0008) {
 				z.RemoveBackends = (z.RemoveBackends)[:zb0008]
 			} else {
@@ -1220,6 +1269,10 @@
 				err = msgp.WrapError(err, "RemoveServices")
 				return
 			}
+			if zb0009 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.RemoveServices) >= int(zb0009) {
 				z.RemoveServices = (z.RemoveServices)[:zb0009]
 			} else {
@@ -1383,6 +1436,10 @@
 				err = msgp.WrapError(err, "Services")
 				return
 			}
+			if zb0003 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Services) >= int(zb0003) {
 				z.Services = (z.Services)[:zb0003]
 			} else {
@@ -1402,6 +1459,10 @@
 				err = msgp.WrapError(err, "Backends")
 				return
 			}
+			if zb0004 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Backends) >= int(zb0004) {
 				z.Backends = (z.Backends)[:zb0004]
 			} else {
@@ -1540,6 +1601,10 @@
 				err = msgp.WrapError(err, "Services")
 				return
 			}
+			if zb0003 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Services) >= int(zb0003) {
 				z.Services = (z.Services)[:zb0003]
 			} else {
@@ -1559,6 +1624,10 @@
 				err = msgp.WrapError(err, "Backends")
 				return
 			}
+			if zb0004 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Backends) >= int(zb0004) {
 				z.Backends = (z.Backends)[:zb0004]
 			} else {
@@ -1989,6 +2058,10 @@
 				err = msgp.WrapError(err, "Cells")
 				return
 			}
+			if zb0003 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Cells) >= int(zb0003) {
 				z.Cells = (z.Cells)[:zb0003]
 			} else {
@@ -2180,6 +2253,10 @@
 				err = msgp.WrapError(err, "Cells")
 				return
 			}
+			if zb0003 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Cells) >= int(zb0003) {
 				z.Cells = (z.Cells)[:zb0003]
 			} else {
--- a/internal/changelog/snapshot.go
+++ b/internal/changelog/snapshot.go
@@ -8,6 +8,10 @@
 
 //go:generate go tool msgp -tests=false
 
+// A forged length must not make the decoder allocate without bound.
+//
+//msgp:limit arrays:1048576
+
 // RowVersion is the table version of a row's last change.
 type RowVersion struct {
 	Backend table.BackendID `msg:"b"`
--- a/internal/changelog/snapshot_gen.go
+++ b/internal/changelog/snapshot_gen.go
@@ -7,6 +7,11 @@
 	"github.com/vanetiller/vanetiller/internal/table"
 )
 
+// Size limits for msgp deserialization
+const (
+	zf18e7e2flimitArrays = 1048576
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *RowVersion) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -174,6 +179,10 @@
 				err = msgp.WrapError(err, "RowVersions")
 				return
 			}
+			if zb0002 > zf18e7e2flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.RowVersions) >= int(zb0002) {
 				z.RowVersions = (z.RowVersions)[:zb0002]
 			} else {
@@ -222,6 +231,10 @@
 				err = msgp.WrapError(err, "RetiredServices")
 				return
 			}
+			if zb0004 > zf18e7e2flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.RetiredServices) >= int(zb0004) {
 				z.RetiredServices = (z.RetiredServices)[:zb0004]
 			} else {
@@ -247,6 +260,10 @@
 				err = msgp.WrapError(err, "Outcomes")
 				return
 			}
+			if zb0005 > zf18e7e2flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Outcomes) >= int(zb0005) {
 				z.Outcomes = (z.Outcomes)[:zb0005]
 			} else {
@@ -272,6 +289,10 @@
 				err = msgp.WrapError(err, "History")
 				return
 			}
+			if zb0006 > zf18e7e2flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.History) >= int(zb0006) {
 				z.History = (z.History)[:zb0006]
 			} else {
@@ -524,6 +545,10 @@
 				err = msgp.WrapError(err, "RowVersions")
 				return
 			}
+			if zb0002 > zf18e7e2flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.RowVersions) >= int(zb0002) {
 				z.RowVersions = (z.RowVersions)[:zb0002]
 			} else {
@@ -572,6 +597,10 @@
 				err = msgp.WrapError(err, "RetiredServices")
 				return
 			}
+			if zb0004 > zf18e7e2flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.RetiredServices) >= int(zb0004) {
 				z.RetiredServices = (z.RetiredServices)[:zb0004]
 			} else {
@@ -597,6 +626,10 @@
 				err = msgp.WrapError(err, "Outcomes")
 				return
 			}
+			if zb0005 > zf18e7e2flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Outcomes) >= int(zb0005) {
 				z.Outcomes = (z.Outcomes)[:zb0005]
 			} else {
@@ -622,6 +655,10 @@
 				err = msgp.WrapError(err, "History")
 				return
 			}
+			if zb0006 > zf18e7e2flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.History) >= int(zb0006) {
 				z.History = (z.History)[:zb0006]
 			} else {
