--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -30,6 +30,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	started := &backend{listener, make(chan *net.TCPConn, backlog)}
 	go func() {
+		defer close(started.accepted)
 		for {
 			connection, err := listener.AcceptTCP()
 			if err != nil {
--- a/internal/agent/daemon_test.go
+++ b/internal/agent/daemon_test.go
@@ -27,6 +27,8 @@
 	held map[table.Endpoint]table.Version
 	// leaving holds the agents that said they are stopping.
 	leaving map[table.Endpoint]bool
+	// silent is set while heartbeats are not answered.
+	silent bool
 }
 
 func startDaemon() *testDaemon {
@@ -84,6 +86,9 @@
 func (d *testDaemon) answer(heartbeat control.Heartbeat) []byte {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if d.silent {
+		return nil
+	}
 	now := time.Since(d.started)
 	d.registry.Tick(now)
 	// The test's process may be held up; its table is the newest there is.
@@ -101,6 +106,13 @@
 	return encoded
 }
 
+// setSilent stops or resumes answering heartbeats.
+func (d *testDaemon) setSilent(silent bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.silent = silent
+}
+
 // versionHeldBy returns the table version that the agent reported last.
 func (d *testDaemon) versionHeldBy(agent table.Endpoint) table.Version {
 	d.mutex.Lock()
--- a/internal/agent/stop_test.go
+++ b/internal/agent/stop_test.go
@@ -1,6 +1,8 @@
 package agent_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -19,6 +21,13 @@
 	expectMessage(flow, "answer")
 }
 
+// inFlight is how long a flow goes on after the stop has begun.
+const (
+	inFlight        = 4 * time.Second
+	betweenMessages = 100 * time.Millisecond
+)
+
+// messenger is either end of a flow.
 type messenger interface {
 	Read([]byte) (int, error)
 	Write([]byte) (int, error)
@@ -72,7 +81,10 @@
 		stopped.stop()
 		Eventually(func() bool { return site.daemon.knowsLeaving(site.endpoint) }, generous).Should(BeTrue())
 		site.carrier.send(opening(crafted(2000), lookupAddress, 1))
-		exchangeMessages(flow, served)
+		// Longer than a stopping agent without flows goes on.
+		for end := time.Now().Add(inFlight); time.Now().Before(end); time.Sleep(betweenMessages) {
+			exchangeMessages(flow, served)
+		}
 		Expect(service.accepted).To(BeEmpty())
 		_, accepted := site.carrier.resetsTo(crafted(2000))
 		Expect(accepted).To(BeZero())
@@ -82,6 +94,15 @@
 		Expect(service.accepted).To(BeEmpty())
 	})
 
+	It("ends without an error when its time limit cuts a flow that does not finish", func() {
+		service := startBackend()
+		site := startSite(service.address(), unadjusted)
+		flow := startCaller(site.carrier).open(lookupAddress)
+		exchangeMessages(flow, service.take())
+		site.agent.stop()
+		Eventually(site.agent.result, generous).Should(Receive(BeNil()))
+	})
+
 	It("hands new flows over to another row, while the one in flight finishes", func() {
 		pair := startPair()
 		caller := startCaller(pair.carrier)
