Add the experiment table and describe the cluster

Cause: nothing showed real daemons keeping accepted changes while leaders end. Links are not cut by this experiment: the daemons are processes on one machine.

--- a/cmd/vanetiller-bench/commands.go
+++ b/cmd/vanetiller-bench/commands.go
@@ -31,6 +31,7 @@
 	var values parameters
 	flags := newFlagSet("run", &values, defaultDuration)
 	flags.BoolVar(&values.json, "json", false, "print only the line of JSON that otherwise follows the summary")
+	flags.IntVar(&values.daemons, "daemons", defaultDaemons, "`number` of daemons of the experiment table")
 	positional, err := parseInterleaved(flags, arguments)
 	if err == nil && len(positional) != 1 {
 		err = errors.New("run needs one experiment; vanetiller-bench list names them")
@@ -38,6 +39,9 @@
 	if err != nil {
 		return usageError(err)
 	}
+	if positional[0] == tableExperiment {
+		return runTable(ctx, values)
+	}
 	return execute(ctx, values, positional[0])
 }
 
@@ -130,6 +134,7 @@
 	for _, listed := range experiment.Experiments() {
 		fmt.Fprintf(table, "experiment\t%s\t%s\n", listed.Name, listed.Description)
 	}
+	fmt.Fprintf(table, "experiment\t%s\t%s\n", tableExperiment, tableDescription)
 	for _, shape := range experiment.Shapes() {
 		fmt.Fprintf(table, "shape\t%s\t%d balancers, %d services, %d zones\n",
 			shape.Name, shape.Balancers, len(shape.Services), shape.Zones)
--- a/cmd/vanetiller-bench/flags.go
+++ b/cmd/vanetiller-bench/flags.go
@@ -32,6 +32,7 @@
 	baseline  string
 	directory string
 	json      bool
+	daemons   int
 }
 
 func newFlagSet(command string, values *parameters, duration time.Duration) *flag.FlagSet {
