Ignore messages of unknown rows and let UDP flows outlive a back end's restart

Cause: found by the tests with real sockets: a forged query of a row that the service does not have fenced a caller's flow for 6 s; one ICMP refusal ended the answers of a UDP flow for as long as its caller kept sending.

--- a/internal/admission/locate.go
+++ b/internal/admission/locate.go
@@ -89,6 +89,12 @@
 // until the next call.
 func (m *Machine) Receive(now time.Duration, message Message) []Effect {
 	m.effects = m.effects[:0]
+	if !m.knowsRow(message.From) {
+		// The table held is old, or the message is forged: nothing may be
+		// promised to such a row.
+		m.emit(Effect{Kind: Refresh})
+		return m.effects
+	}
 	switch {
 	case message.Query != nil:
 		m.answer(now, message.From, *message.Query)
@@ -221,8 +227,16 @@
 	if reply.Answer != AnswerOwned && reply.Answer != AnswerReferred {
 		return false
 	}
-	_, known := m.history.current.view.row(reply.Owner)
-	return !known
+	return !m.knowsRow(reply.Owner)
+}
+
+// knowsRow reports whether the row is in the table held.
+func (m *Machine) knowsRow(id table.BackendID) bool {
+	if m.history.current == nil {
+		return false
+	}
+	_, known := m.history.current.view.row(id)
+	return known
 }
 
 // refer asks a further row that another one named.
--- a/internal/agent/packets.go
+++ b/internal/agent/packets.go
@@ -99,10 +99,13 @@
 	}
 	for key, served := range a.rows {
 		current := served.backend.Incarnation == key.incarnation && key.backend == message.To
-		if current && served.service.ID == datagram.Service {
+		if !current || served.service.ID != datagram.Service {
+			continue
+		}
+		if _, known := a.peerOf(message.From); known {
 			a.execute(served, served.machine.Receive(a.now(), message))
-			return
 		}
+		return
 	}
 	a.dropped(reasonMisaddressed)
 }
--- a/internal/agent/splice.go
+++ b/internal/agent/splice.go
@@ -1,9 +1,11 @@
 package agent
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -92,16 +94,33 @@
 	}
 }
 
+// stop ends both connections at once.
+func (t *idleTimer) stop() {
+	for _, connection := range t.connections {
+		_ = connection.SetReadDeadline(time.Now())
+	}
+}
+
 func copyDatagrams(destination, source net.Conn, activity *idleTimer) {
+	defer activity.stop()
 	buffer := make([]byte, datagramBufferSize)
 	for {
 		count, err := source.Read(buffer)
-		if err != nil {
+		if endsDatagrams(err) {
 			return
 		}
+		if err != nil {
+			continue
+		}
 		activity.touch()
-		if _, err := destination.Write(buffer[:count]); err != nil {
+		if _, err := destination.Write(buffer[:count]); endsDatagrams(err) {
 			return
 		}
 	}
 }
+
+// endsDatagrams reports whether an error ends a UDP flow. That nobody listened
+// for an earlier datagram does not: the back end may be restarting.
+func endsDatagrams(err error) bool {
+	return err != nil && !errors.Is(err, syscall.ECONNREFUSED)
+}
