--- a/internal/adminapi/replicated/message.go
+++ b/internal/adminapi/replicated/message.go
@@ -27,7 +27,7 @@
 type Proposal struct {
 	Attempt Attempt            `msg:"n"`
 	ID      changelog.ChangeID `msg:"id"`
-	Payload []byte             `msg:"p"`
+	Payload []byte             `msg:"p,limit=67108864"`
 }
 
 // Status is the wire form of an adminapi.ProposalStatus.
--- a/internal/adminapi/replicated/message_gen.go
+++ b/internal/adminapi/replicated/message_gen.go
@@ -646,7 +646,7 @@
 				return
 			}
 		case "p":
-			z.Payload, err = dc.ReadBytesLimit(z.Payload, zdc5d9100limitArrays)
+			z.Payload, err = dc.ReadBytesLimit(z.Payload, 67108864)
 			if err == nil && z.Payload == nil {
 				z.Payload = []byte{}
 			}
@@ -762,7 +762,7 @@
 				err = msgp.WrapError(err, "Payload")
 				return
 			}
-			if zb0003 > zdc5d9100limitArrays {
+			if zb0003 > 67108864 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
--- a/internal/agreement/message.go
+++ b/internal/agreement/message.go
@@ -4,7 +4,8 @@
 
 //go:generate go tool msgp -tests=false
 
-// A forged length must not make the decoder allocate without bound.
+// A forged length must not make the decoder allocate without bound. Payloads and
+// states may be larger than the limit for arrays.
 //
 //msgp:limit arrays:65536
 
@@ -32,7 +33,7 @@
 	Term          Term
 	Kind          EntryKind
 	ID            ProposalID
-	Payload       []byte
+	Payload       []byte `msg:"Payload,limit=67108864"`
 	Configuration *Configuration
 }
 
@@ -42,7 +43,7 @@
 	Term          Term
 	Configuration Configuration
 	// State is the encoded state after the entry at Index was applied.
-	State []byte
+	State []byte `msg:"State,limit=67108864"`
 }
 
 // VoteRequest asks for a vote in the term of the message, or, if Preliminary,
--- a/internal/agreement/message_gen.go
+++ b/internal/agreement/message_gen.go
@@ -369,7 +369,7 @@
 		}
 		z.ID = ProposalID(zb0003)
 	}
-	z.Payload, err = dc.ReadBytesLimit(z.Payload, zdc5d9100limitArrays)
+	z.Payload, err = dc.ReadBytesLimit(z.Payload, 67108864)
 	if err == nil && z.Payload == nil {
 		z.Payload = []byte{}
 	}
@@ -520,7 +520,7 @@
 		err = msgp.WrapError(err, "Payload")
 		return
 	}
-	if zb0004 > zdc5d9100limitArrays {
+	if zb0004 > 67108864 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
@@ -1244,7 +1244,7 @@
 		err = msgp.WrapError(err, "Configuration")
 		return
 	}
-	z.State, err = dc.ReadBytesLimit(z.State, zdc5d9100limitArrays)
+	z.State, err = dc.ReadBytesLimit(z.State, 67108864)
 	if err == nil && z.State == nil {
 		z.State = []byte{}
 	}
@@ -1342,7 +1342,7 @@
 		err = msgp.WrapError(err, "State")
 		return
 	}
-	if zb0002 > zdc5d9100limitArrays {
+	if zb0002 > 67108864 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
