Name outcomes and drop reasons through one package

Cause: five packages each wrote out the same listing and naming of a small enumeration (balancer, packet, encap, lookup, admission). Change: internal/label with Of and All; the names themselves are unchanged.

--- a/internal/admission/effect.go
+++ b/internal/admission/effect.go
@@ -1,6 +1,9 @@
 package admission
 
-import "github.com/vanetiller/vanetiller/internal/table"
+import (
+	"github.com/vanetiller/vanetiller/internal/label"
+	"github.com/vanetiller/vanetiller/internal/table"
+)
 
 // EffectKind tells what the caller of the machine has to do.
 type EffectKind uint8
@@ -23,14 +26,10 @@
 	Refresh
 )
 
+var effectKindNames = []string{"deliver", "forward", "send", "reset", "drop", "refresh"}
+
 // String returns the kind in the form used in logs.
-func (k EffectKind) String() string {
-	names := [...]string{"deliver", "forward", "send", "reset", "drop", "refresh"}
-	if int(k) < len(names) {
-		return names[k]
-	}
-	return "invalid"
-}
+func (k EffectKind) String() string { return label.Of(effectKindNames, k) }
 
 // DropReason tells why a packet was discarded.
 type DropReason uint8
@@ -64,25 +63,17 @@
 
 // DropReasons lists every reason, for counters that are kept by reason.
 func DropReasons() []DropReason {
-	all := make([]DropReason, dropReasonCount)
-	for i := range all {
-		all[i] = DropReason(i)
-	}
-	return all
+	return label.All(dropReasonCount)
 }
 
-// String returns the reason in the form used as a metric label.
-func (r DropReason) String() string {
-	names := [...]string{
-		"none", "no_lease", "duplicate", "closed", "hop_limit", "pending_limit",
-		"flow_limit", "unknown_flow", "no_primary", "query_limit", "no_answer",
-	}
-	if int(r) < len(names) {
-		return names[r]
-	}
-	return "invalid"
+var dropReasonNames = []string{
+	"none", "no_lease", "duplicate", "closed", "hop_limit", "pending_limit",
+	"flow_limit", "unknown_flow", "no_primary", "query_limit", "no_answer",
 }
 
+// String returns the reason in the form used as a metric label.
+func (r DropReason) String() string { return label.Of(dropReasonNames, r) }
+
 // Effect is one thing that the caller of the machine has to do. Which fields
 // are set depends on Kind.
 type Effect struct {
--- a/internal/balancer/reason.go
+++ b/internal/balancer/reason.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/vanetiller/vanetiller/internal/encap"
+	"github.com/vanetiller/vanetiller/internal/label"
 	"github.com/vanetiller/vanetiller/internal/lookup"
 	"github.com/vanetiller/vanetiller/internal/packet"
 )
@@ -52,28 +53,20 @@
 
 // Reasons lists every reason, for counters that are kept by reason.
 func Reasons() []Reason {
-	all := make([]Reason, reasonCount)
-	for i := range all {
-		all[i] = Reason(i)
-	}
-	return all
+	return label.All(reasonCount)
 }
 
-// String returns the reason in the form used as a metric label.
-func (r Reason) String() string {
-	names := [...]string{
-		"forwarded", "no_table",
-		"encap_malformed", "encap_version", "encap_protocol", "encap_critical_option",
-		"control", "already_routed",
-		"truncated", "oversized", "fragmented", "not_ipv4", "unknown_transport", "bad_tcp_flags",
-		"unknown_service", "no_backend", "send_failed",
-	}
-	if int(r) < len(names) {
-		return names[r]
-	}
-	return "invalid"
+var reasonNames = []string{
+	"forwarded", "no_table",
+	"encap_malformed", "encap_version", "encap_protocol", "encap_critical_option",
+	"control", "already_routed",
+	"truncated", "oversized", "fragmented", "not_ipv4", "unknown_transport", "bad_tcp_flags",
+	"unknown_service", "no_backend", "send_failed",
 }
 
+// String returns the reason in the form used as a metric label.
+func (r Reason) String() string { return label.Of(reasonNames, r) }
+
 // The reason for every outcome of each step. An outcome that is missing here
 // would be out of range, which stops the process as a broken invariant.
 var (
--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/binary"
+	"github.com/vanetiller/vanetiller/internal/label"
 
 	"github.com/gopacket/gopacket"
 	"github.com/gopacket/gopacket/layers"
@@ -127,21 +128,13 @@
 
 // Outcomes lists every outcome, for counters that are kept by reason.
 func Outcomes() []Outcome {
-	all := make([]Outcome, outcomeCount)
-	for i := range all {
-		all[i] = Outcome(i)
-	}
-	return all
+	return label.All(outcomeCount)
 }
 
+var outcomeNames = []string{"decoded", "malformed", "wrong_version", "wrong_protocol", "unknown_critical_option"}
+
 // String returns the outcome in the form used as a metric label.
-func (o Outcome) String() string {
-	names := [...]string{"decoded", "malformed", "wrong_version", "wrong_protocol", "unknown_critical_option"}
-	if int(o) < len(names) {
-		return names[o]
-	}
-	return "invalid"
-}
+func (o Outcome) String() string { return label.Of(outcomeNames, o) }
 
 // Datagram is a decoded Geneve datagram. Packet aliases the decoded bytes; it
 // is an IPv4 packet, or a control message if Control is set.
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"slices"
 
+	"github.com/vanetiller/vanetiller/internal/label"
 	"github.com/vanetiller/vanetiller/internal/packet"
 	"github.com/vanetiller/vanetiller/internal/table"
 )
@@ -42,21 +43,13 @@
 
 // Outcomes lists every outcome, for counters that are kept by reason.
 func Outcomes() []Outcome {
-	all := make([]Outcome, outcomeCount)
-	for i := range all {
-		all[i] = Outcome(i)
-	}
-	return all
+	return label.All(outcomeCount)
 }
 
+var outcomeNames = []string{"routed", "unknown_service", "no_backend"}
+
 // String returns the outcome in the form used as a metric label.
-func (o Outcome) String() string {
-	names := [...]string{"routed", "unknown_service", "no_backend"}
-	if int(o) < len(names) {
-		return names[o]
-	}
-	return "invalid"
-}
+func (o Outcome) String() string { return label.Of(outcomeNames, o) }
 
 // serviceKey is a service's IPv4 address, port and protocol in one word, which
 // a map hashes and compares faster than a netip.AddrPort.
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gopacket/gopacket/layers"
 
+	"github.com/vanetiller/vanetiller/internal/label"
 	"github.com/vanetiller/vanetiller/internal/table"
 )
 
@@ -62,21 +63,13 @@
 
 // Outcomes lists every outcome, for counters that are kept by reason.
 func Outcomes() []Outcome {
-	all := make([]Outcome, outcomeCount)
-	for i := range all {
-		all[i] = Outcome(i)
-	}
-	return all
+	return label.All(outcomeCount)
 }
 
+var outcomeNames = []string{"decoded", "truncated", "oversized", "fragmented", "not_ipv4", "unknown_transport", "bad_tcp_flags"}
+
 // String returns the outcome in the form used as a metric label.
-func (o Outcome) String() string {
-	names := [...]string{"decoded", "truncated", "oversized", "fragmented", "not_ipv4", "unknown_transport", "bad_tcp_flags"}
-	if int(o) < len(names) {
-		return names[o]
-	}
-	return "invalid"
-}
+func (o Outcome) String() string { return label.Of(outcomeNames, o) }
 
 // MaxSize is the largest IPv4 packet that is carried, in bytes.
 const MaxSize = 9000
