Answer conditional requests in the platform stand-in

Change: 304 without a body when the reader holds the revision. Measured: the new test; it got 200 with the document before.

--- a/bench/platform/platform.go
+++ b/bench/platform/platform.go
@@ -160,10 +160,13 @@
 // member, so that one reader keeps its lag over reconnects.
 type reader struct {
 	name string
+	// known is the entity tag that the reader holds, or empty.
+	known string
 }
 
 type reply struct {
-	revision Revision
+	tag      string
+	known    bool
 	document any
 }
 
@@ -195,7 +198,8 @@
 		if !found {
 			return nil, errDown
 		}
-		return reply{visible.revision, visible.document}, nil
+		tag := strconv.Quote(strconv.FormatUint(uint64(visible.revision), 10))
+		return reply{tag, tag == request.(reader).known, visible.document}, nil
 	}
 }
 
@@ -206,13 +210,20 @@
 }
 
 func decodeReader(_ context.Context, request *http.Request) (any, error) {
-	return reader{name: request.URL.Query().Get(QueryReader)}, nil
+	return reader{
+		name:  request.URL.Query().Get(QueryReader),
+		known: request.Header.Get("If-None-Match"),
+	}, nil
 }
 
 func encodeReply(_ context.Context, writer http.ResponseWriter, response any) error {
 	answer := response.(reply)
+	writer.Header().Set("ETag", answer.tag)
+	if answer.known {
+		writer.WriteHeader(http.StatusNotModified)
+		return nil
+	}
 	writer.Header().Set("Content-Type", "application/json")
-	writer.Header().Set("ETag", strconv.Quote(strconv.FormatUint(uint64(answer.revision), 10)))
 	return json.NewEncoder(writer).Encode(answer.document)
 }
 
--- a/bench/platform/platform_test.go
+++ b/bench/platform/platform_test.go
@@ -52,6 +52,21 @@
 		Expect(document).To(Equal(platform.Configuration{Revision: 2, Table: second}))
 	})
 
+	It("answers a reader that has the revision without the document", func() {
+		service := newPlatform()
+		service.PublishTable(first)
+		conditional := httptest.NewRequest(http.MethodGet, platform.PathConfiguration, http.NoBody)
+		conditional.Header.Set("If-None-Match", `"1"`)
+		recorder := httptest.NewRecorder()
+		service.Handler().ServeHTTP(recorder, conditional)
+		Expect(recorder.Code).To(Equal(http.StatusNotModified))
+		Expect(recorder.Body.Len()).To(BeZero())
+		service.PublishTable(second)
+		recorder = httptest.NewRecorder()
+		service.Handler().ServeHTTP(recorder, conditional)
+		Expect(recorder.Code).To(Equal(http.StatusOK))
+	})
+
 	It("serves the machine list in the form that daemons read", func() {
 		service := newPlatform()
 		service.PublishMachines([]platform.Machine{{
