--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,89 @@
+// Package directory holds what a balancer knows of the configuration that an
+// operator wrote and of the endpoints that announce themselves.
+//
+// Machine merges items that come from the platform's store, or from other
+// balancers, in any order: the newest revision of each item wins, and the
+// configuration never goes back to an older version. Snapshot is the immutable
+// view that decisions are made with.
+package directory
+
+import (
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+//go:generate go tool msgp -tests=false
+//msgp:limit arrays:65536
+//msgp:ignore Candidate Snapshot Machine held
+//msgp:tuple Share Route Configuration Endpoint Item
+
+// Revision orders the changes of the store. It rises with every change.
+type Revision uint64
+
+// EndpointID identifies one incarnation of an endpoint.
+type EndpointID string
+
+// Share is a service that takes part in a route.
+type Share struct {
+	Service string
+	// Weight is the part of new flows relative to the other shares.
+	Weight uint32
+}
+
+// Route tells which services take the new flows of one address.
+type Route struct {
+	Name   string
+	IP     [4]byte
+	Port   uint16
+	Shares []Share
+	// Priority orders routes under overload; 0 is served first.
+	Priority uint8
+	// Target is the latency objective and Timeout the longest useful time of a
+	// request.
+	Target  time.Duration
+	Timeout time.Duration
+	// Repeatable is set if clients may send a request again after any failure.
+	Repeatable bool
+}
+
+// Address returns the address that clients connect to.
+func (r *Route) Address() segment.Address { return segment.Address{IP: r.IP, Port: r.Port} }
+
+// Configuration is one accepted version of what operators configure.
+type Configuration struct {
+	Version uint64
+	Routes  []Route
+	// IdleTimeout is how long a flow may rest before it may be forgotten.
+	IdleTimeout time.Duration
+}
+
+// Endpoint is what an endpoint announces of itself.
+type Endpoint struct {
+	Service string
+	IP      [4]byte
+	Port    uint16
+	Zone    string
+	// Slots is how many requests it works on at the same time.
+	Slots uint32
+	// Draining is set once it is about to leave.
+	Draining bool
+	// Warming is how much longer it is slow after its start, as of the time at
+	// which it was announced.
+	Warming time.Duration
+}
+
+// Address returns the endpoint's own address.
+func (e *Endpoint) Address() segment.Address { return segment.Address{IP: e.IP, Port: e.Port} }
+
+// Item is one entry of the store at one revision. Neither Configuration nor
+// Endpoint is set if the entry is gone; both may be nil for entries that
+// concern nobody.
+type Item struct {
+	Key           string
+	Revision      Revision
+	Configuration *Configuration
+	// EndpointID is set for entries of endpoints, also when gone.
+	EndpointID EndpointID
+	Endpoint   *Endpoint
+}
--- /dev/null
+++ b/internal/directory/machine.go
@@ -0,0 +1,183 @@
+package directory
+
+import (
+	"time"
+)
+
+// Retention is how long an endpoint is remembered after its entry is gone, so
+// that its open flows can still be found. It is longer than a flow may last.
+const Retention = 90 * time.Second
+
+// held is what the machine keeps of one endpoint.
+type held struct {
+	revision Revision
+	endpoint Endpoint
+	warmAt   time.Duration
+	gone     bool
+	goneAt   time.Duration
+}
+
+// Machine merges items of the store. It is not safe for concurrent use.
+type Machine struct {
+	configuration *Item
+	endpoints     map[EndpointID]*held
+	// complete is the revision up to which all changes are known.
+	complete Revision
+	snapshot *Snapshot
+}
+
+// New returns a machine that knows nothing.
+func New() *Machine {
+	return &Machine{endpoints: make(map[EndpointID]*held), snapshot: newSnapshot(nil, nil)}
+}
+
+// Snapshot returns the current view.
+func (m *Machine) Snapshot() *Snapshot { return m.snapshot }
+
+// Complete returns the revision up to which all changes are known, 0 before the
+// first listing.
+func (m *Machine) Complete() Revision { return m.complete }
+
+// Ready reports whether there is a configuration and at least one listing of
+// the endpoints.
+func (m *Machine) Ready() bool { return m.configuration != nil && m.complete > 0 }
+
+// Listing merges a full listing of the store that was begun at a revision:
+// whatever was known before and is not in it has gone. It reports whether the
+// snapshot changed.
+func (m *Machine) Listing(now time.Duration, items []Item, begun Revision) bool {
+	changed := false
+	listed := make(map[EndpointID]bool, len(items))
+	for _, item := range items {
+		listed[item.EndpointID] = true
+		changed = m.merge(now, item) || changed
+	}
+	for id, known := range m.endpoints {
+		if !known.gone && !listed[id] && known.revision <= begun {
+			known.leave(now, begun)
+			changed = true
+		}
+	}
+	return m.advance(now, begun, changed)
+}
+
+// Changes merges all changes up to a revision, given that the machine knows all
+// changes before them. It reports whether the snapshot changed.
+func (m *Machine) Changes(now time.Duration, items []Item, through Revision) bool {
+	changed := false
+	for _, item := range items {
+		changed = m.merge(now, item) || changed
+	}
+	return m.advance(now, through, changed)
+}
+
+// Hints merges items without any claim that they are all there are, such as
+// those of another balancer. It reports whether the snapshot changed.
+func (m *Machine) Hints(now time.Duration, items []Item) bool {
+	return m.Changes(now, items, 0)
+}
+
+func (m *Machine) advance(now time.Duration, through Revision, changed bool) bool {
+	m.complete = max(m.complete, through)
+	if m.forget(now) || changed {
+		m.rebuild()
+		return true
+	}
+	return false
+}
+
+func (m *Machine) merge(now time.Duration, item Item) bool {
+	if item.Configuration != nil {
+		return m.mergeConfiguration(item)
+	}
+	if item.EndpointID != "" {
+		return m.mergeEndpoint(now, item)
+	}
+	return false
+}
+
+// mergeConfiguration never goes back to an older version.
+func (m *Machine) mergeConfiguration(item Item) bool {
+	current := m.configuration
+	if current != nil && item.Configuration.Version <= current.Configuration.Version {
+		return false
+	}
+	m.configuration = &item
+	return true
+}
+
+func (m *Machine) mergeEndpoint(now time.Duration, item Item) bool {
+	known, exists := m.endpoints[item.EndpointID]
+	if exists && item.Revision <= known.revision {
+		return false
+	}
+	if item.Endpoint == nil {
+		if !exists || known.gone {
+			return false
+		}
+		known.leave(now, item.Revision)
+		return true
+	}
+	m.endpoints[item.EndpointID] = &held{
+		revision: item.Revision,
+		endpoint: *item.Endpoint,
+		warmAt:   now + item.Endpoint.Warming,
+	}
+	return true
+}
+
+func (h *held) leave(now time.Duration, revision Revision) {
+	h.gone = true
+	h.goneAt = now
+	h.revision = max(h.revision, revision)
+}
+
+func (m *Machine) forget(now time.Duration) bool {
+	forgotten := false
+	for id, known := range m.endpoints {
+		if known.gone && now-known.goneAt > Retention {
+			delete(m.endpoints, id)
+			forgotten = true
+		}
+	}
+	return forgotten
+}
+
+func (m *Machine) rebuild() {
+	candidates := make([]Candidate, 0, len(m.endpoints))
+	for id, known := range m.endpoints {
+		candidates = append(candidates, Candidate{
+			ID:       id,
+			Endpoint: known.endpoint,
+			Leaving:  known.gone || known.endpoint.Draining,
+			Gone:     known.gone,
+			GoneAt:   known.goneAt,
+			WarmAt:   known.warmAt,
+		})
+	}
+	var configuration *Configuration
+	if m.configuration != nil {
+		configuration = m.configuration.Configuration
+	}
+	m.snapshot = newSnapshot(configuration, candidates)
+}
+
+// Items returns everything that is known, for another balancer.
+func (m *Machine) Items() []Item {
+	items := make([]Item, 0, len(m.endpoints)+1)
+	if m.configuration != nil {
+		items = append(items, *m.configuration)
+	}
+	for id, known := range m.endpoints {
+		items = append(items, known.item(id))
+	}
+	return items
+}
+
+func (h *held) item(id EndpointID) Item {
+	item := Item{EndpointID: id, Revision: h.revision}
+	if !h.gone {
+		item.Endpoint = &h.endpoint
+	}
+	return item
+}
--- /dev/null
+++ b/internal/directory/snapshot.go
@@ -0,0 +1,96 @@
+package directory
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+// Candidate is an endpoint as decisions see it.
+type Candidate struct {
+	ID       EndpointID
+	Endpoint Endpoint
+	// Leaving is set if the endpoint must get no new flow.
+	Leaving bool
+	// Gone is set if its entry is gone.
+	Gone bool
+	// GoneAt is when its entry was found to be gone.
+	GoneAt time.Duration
+	// WarmAt is when it is no longer slow after its start.
+	WarmAt time.Duration
+}
+
+// Draining reports whether the endpoint itself has announced its end.
+func (c Candidate) Draining() bool { return c.Endpoint.Draining }
+
+const never = time.Duration(math.MaxInt64)
+
+// LapsedSince returns how long the entry of an endpoint that did not announce
+// its end has been gone; it is the longest duration for all others.
+func (c Candidate) LapsedSince(now time.Duration) time.Duration {
+	if !c.Gone || c.Draining() {
+		return never
+	}
+	return now - c.GoneAt
+}
+
+// Snapshot is an immutable view of routes and endpoints.
+type Snapshot struct {
+	version  uint64
+	routes   map[segment.Address]*Route
+	services map[string][]Candidate
+	byID     map[EndpointID]Candidate
+	all      []Candidate
+}
+
+// Version returns the version of the configuration, 0 if there is none.
+func (s *Snapshot) Version() uint64 { return s.version }
+
+// Route returns the route of an address that clients connect to.
+func (s *Snapshot) Route(address segment.Address) (*Route, bool) {
+	route, exists := s.routes[address]
+	return route, exists
+}
+
+// Routes returns the number of routes.
+func (s *Snapshot) Routes() int { return len(s.routes) }
+
+// Candidates returns the endpoints of a service, leaving ones included, in the
+// order of their identifiers. The result must not be changed.
+func (s *Snapshot) Candidates(service string) []Candidate { return s.services[service] }
+
+// Candidate returns the endpoint with an identifier.
+func (s *Snapshot) Candidate(id EndpointID) (Candidate, bool) {
+	candidate, exists := s.byID[id]
+	return candidate, exists
+}
+
+// All returns all endpoints, leaving ones included, in the order of their
+// identifiers. The result must not be changed.
+func (s *Snapshot) All() []Candidate { return s.all }
+
+func newSnapshot(configuration *Configuration, candidates []Candidate) *Snapshot {
+	built := &Snapshot{
+		routes:   make(map[segment.Address]*Route),
+		services: make(map[string][]Candidate),
+		byID:     make(map[EndpointID]Candidate, len(candidates)),
+		all:      candidates,
+	}
+	if configuration != nil {
+		built.version = configuration.Version
+		for index := range configuration.Routes {
+			route := &configuration.Routes[index]
+			built.routes[route.Address()] = route
+		}
+	}
+	slices.SortFunc(candidates, func(a, b Candidate) int { return cmp.Compare(a.ID, b.ID) })
+	for _, candidate := range candidates {
+		service := candidate.Endpoint.Service
+		built.services[service] = append(built.services[service], candidate)
+		built.byID[candidate.ID] = candidate
+	}
+	return built
+}
--- /dev/null
+++ b/internal/relay/agent.go
@@ -0,0 +1,444 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+// AgentConfig holds the parameters of an Agent.
+type AgentConfig struct {
+	// Service is the service of the endpoint beside the agent.
+	Service string
+	Codec   segment.Codec
+	// Complete is set if the agent starts together with its endpoint, so that
+	// no flow can have been opened before.
+	Complete bool
+	// FlowLifetime is the longest time for which a flow may last.
+	FlowLifetime time.Duration
+	// FlowLimit is the largest number of flows remembered.
+	FlowLimit int
+}
+
+// agentFlowState is the progress of a flow as its agent sees it.
+type agentFlowState uint8
+
+const (
+	// stateOffered: the opening packet went to the endpoint.
+	stateOffered agentFlowState = iota
+	// stateAnswered: the endpoint answered the opening packet.
+	stateAnswered
+	// stateOpen: the client acknowledged this endpoint's answer.
+	stateOpen
+	// stateEnded: one end has closed the flow, or reset it.
+	stateEnded
+	// stateProbed: the agent does not know the flow and has handed one packet
+	// of it to the endpoint to learn whether it does.
+	stateProbed
+	// stateDenied: the endpoint does not hold the flow.
+	stateDenied
+	// stateSought: a balancer seeks the owner of the flow, which the agent
+	// does not know.
+	stateSought
+)
+
+// agentFlow is what an agent remembers of a flow.
+type agentFlow struct {
+	state agentFlowState
+	// sequence is the client's initial sequence number, answer the endpoint's.
+	sequence uint32
+	answer   uint32
+	// answered is set once answer is known.
+	answered bool
+	balancer segment.Address
+	touched  time.Duration
+}
+
+func (f *agentFlow) running() bool { return f.state <= stateOpen }
+
+const (
+	// acknowledgmentWindow is how far an acknowledgment may be ahead of the
+	// endpoint's initial sequence number for the flow to be the endpoint's.
+	acknowledgmentWindow = 1 << 26
+	// offeredRetention is how long an opening packet that was not answered, or
+	// whose answer was not acknowledged, is remembered.
+	offeredRetention = 5 * time.Second
+	// endedRetention is how long an ended flow is remembered, so that its last
+	// packets reach the endpoint.
+	endedRetention = 10 * time.Second
+	// soughtRetention is how long a search for the owner of a flow is
+	// remembered.
+	soughtRetention = 3 * time.Second
+	// probeDelay is how long after the first search for an owner a restarted
+	// agent asks its endpoint: the client has then repeated its packet.
+	probeDelay = 120 * time.Millisecond
+	// sweepInterval is the time between removals of old flows.
+	sweepInterval = time.Second
+)
+
+// Agent decides what becomes of packets to and from one endpoint. It is not
+// safe for concurrent use.
+type Agent struct {
+	config    AgentConfig
+	started   time.Duration
+	begun     bool
+	flows     map[segment.FlowKey]*agentFlow
+	running   uint32
+	draining  bool
+	stopping  bool
+	balancers map[segment.Address]time.Duration
+	nextSweep time.Duration
+	effects   []Effect
+}
+
+// NewAgent returns an agent that knows no flow.
+func NewAgent(config AgentConfig) *Agent {
+	return &Agent{
+		config:    config,
+		flows:     make(map[segment.FlowKey]*agentFlow),
+		balancers: make(map[segment.Address]time.Duration),
+	}
+}
+
+// Flows returns the number of flows remembered.
+func (a *Agent) Flows() int { return len(a.flows) }
+
+// Load returns how busy the endpoint is.
+func (a *Agent) Load() Load {
+	return Load{Running: a.running, Refusing: a.refusing()}
+}
+
+func (a *Agent) refusing() bool { return a.draining || a.stopping }
+
+func (a *Agent) begin(now time.Duration) {
+	a.effects = a.effects[:0]
+	if !a.begun {
+		a.begun = true
+		a.started = now
+	}
+}
+
+// complete reports whether the agent knows all flows that its endpoint holds.
+func (a *Agent) complete(now time.Duration) bool {
+	return a.config.Complete || now-a.started > a.config.FlowLifetime
+}
+
+// Stop makes the agent take no more new flows and tells balancers so. The
+// returned effects are valid until the next call.
+func (a *Agent) Stop(now time.Duration) []Effect {
+	a.begin(now)
+	a.stopping = true
+	for balancer := range a.balancers {
+		a.send(balancer, Message{Kind: KindLeaving, Service: a.config.Service})
+	}
+	return a.effects
+}
+
+// Receive handles a message from a balancer. The returned effects are valid
+// until the next call.
+func (a *Agent) Receive(now time.Duration, from segment.Address, message Message) []Effect {
+	a.begin(now)
+	a.balancers[from] = now
+	switch message.Kind {
+	case KindOffer, KindForward, KindLocate:
+		a.receivePacket(now, from, message)
+	case KindPing:
+		a.send(from, Message{Kind: KindPong, Service: a.config.Service})
+	case KindDrain:
+		if message.Service == a.config.Service {
+			a.draining = true
+		}
+	}
+	return a.effects
+}
+
+func (a *Agent) receivePacket(now time.Duration, from segment.Address, message Message) {
+	header, outcome := a.config.Codec.Decode(message.Packet)
+	if outcome != segment.Decoded {
+		a.event(Event{Kind: EventMalformed, Peer: from, Reason: outcome.String()})
+		return
+	}
+	key := segment.FlowKey{Client: header.Source, Service: header.Destination}
+	if message.Service != a.config.Service {
+		a.bringBack(from, key, header, message.Packet, "other_service")
+		return
+	}
+	if header.Opening() {
+		a.receiveOpening(now, from, key, header, message.Packet)
+		return
+	}
+	a.receiveSegment(now, from, key, header, message)
+}
+
+// bringBack returns a packet to the balancer it came from.
+func (a *Agent) bringBack(to segment.Address, key segment.FlowKey, header segment.Header, packet []byte, reason string) {
+	kind := KindUnknown
+	event := EventNotOwned
+	if header.Opening() {
+		kind = KindReturned
+		event = EventReturned
+	}
+	a.send(to, Message{Kind: kind, Service: a.config.Service, Sequence: header.Sequence, Packet: packet})
+	a.event(Event{Kind: event, Flow: key, Peer: to, Reason: reason})
+}
+
+func (a *Agent) receiveOpening(now time.Duration, from segment.Address, key segment.FlowKey, header segment.Header, packet []byte) {
+	known, exists := a.flows[key]
+	if exists && known.running() && known.sequence == header.Sequence {
+		known.balancer = from
+		a.deliver(packet)
+		return
+	}
+	if a.refusing() {
+		a.bringBack(from, key, header, packet, "leaving")
+		return
+	}
+	if len(a.flows) >= a.config.FlowLimit && !exists {
+		a.bringBack(from, key, header, packet, "flow_limit")
+		return
+	}
+	a.forget(key)
+	a.flows[key] = &agentFlow{state: stateOffered, sequence: header.Sequence, balancer: from, touched: now}
+	a.running++
+	a.deliver(packet)
+}
+
+// receiveSegment handles a client's packet that does not open a flow.
+func (a *Agent) receiveSegment(now time.Duration, from segment.Address, key segment.FlowKey, header segment.Header, message Message) {
+	known, exists := a.flows[key]
+	if exists && a.owns(known, header) {
+		a.receiveOwned(now, from, key, known, header, message)
+		return
+	}
+	if message.Kind == KindForward {
+		a.bringBack(from, key, header, message.Packet, "not_owned")
+		return
+	}
+	a.receiveSought(now, from, key, known, message.Packet)
+}
+
+// owns reports whether a client's packet belongs to a flow of this endpoint.
+func (a *Agent) owns(known *agentFlow, header segment.Header) bool {
+	switch known.state {
+	case stateOpen, stateEnded:
+		return !known.answered || acknowledges(header, known.answer)
+	case stateAnswered:
+		return acknowledges(header, known.answer)
+	}
+	return false
+}
+
+// acknowledges reports whether the packet acknowledges what the endpoint with
+// the given initial sequence number has sent. A reset need not.
+func acknowledges(header segment.Header, answer uint32) bool {
+	if !header.Flags.Has(segment.Acknowledge) {
+		return header.Flags.Has(segment.Reset)
+	}
+	return header.Acknowledgment-answer-1 < acknowledgmentWindow
+}
+
+func (a *Agent) receiveOwned(now time.Duration, from segment.Address, key segment.FlowKey, known *agentFlow, header segment.Header, message Message) {
+	known.touched = now
+	known.balancer = from
+	if known.state == stateAnswered {
+		known.state = stateOpen
+	}
+	if message.Kind == KindLocate {
+		a.send(from, Message{Kind: KindOwned, Service: a.config.Service, Flow: FlowOf(key), Load: a.Load()})
+	}
+	a.deliver(message.Packet)
+	if header.Flags.Has(segment.Finish) || header.Flags.Has(segment.Reset) {
+		a.end(known)
+	}
+}
+
+// receiveSought handles a packet of a flow that this agent does not know while
+// a balancer seeks its owner. An agent that was restarted beside a running
+// endpoint lets the endpoint tell, once for each flow and only after the client
+// has repeated its packet in vain.
+func (a *Agent) receiveSought(now time.Duration, from segment.Address, key segment.FlowKey, known *agentFlow, packet []byte) {
+	if a.complete(now) || len(a.flows) >= a.config.FlowLimit {
+		return
+	}
+	if known == nil {
+		a.flows[key] = &agentFlow{state: stateSought, balancer: from, touched: now}
+		return
+	}
+	if known.state != stateSought || now-known.touched < probeDelay {
+		return
+	}
+	known.state = stateProbed
+	known.balancer = from
+	known.touched = now
+	a.event(Event{Kind: EventProbed, Flow: key, Peer: from})
+	a.deliver(packet)
+}
+
+// Emitted handles a packet that the endpoint wrote or did not take. The
+// returned effects are valid until the next call.
+func (a *Agent) Emitted(now time.Duration, packet []byte) []Effect {
+	a.begin(now)
+	header, outcome := a.config.Codec.Decode(packet)
+	if outcome != segment.Decoded {
+		a.event(Event{Kind: EventMalformed, Reason: outcome.String()})
+		return a.effects
+	}
+	if header.Flags.Has(segment.Returned) {
+		a.emittedReturned(now, header, packet)
+		return a.effects
+	}
+	a.emittedOwn(now, header, packet)
+	return a.effects
+}
+
+// emittedReturned handles a client's packet that the endpoint did not take.
+func (a *Agent) emittedReturned(now time.Duration, header segment.Header, packet []byte) {
+	key := segment.FlowKey{Client: header.Source, Service: header.Destination}
+	known, exists := a.flows[key]
+	a.config.Codec.ClearReturned(packet)
+	if header.Opening() {
+		a.returnedOpening(key, known, header, packet)
+		return
+	}
+	if !exists {
+		return
+	}
+	if known.state == stateOpen {
+		a.lost(key, header)
+	}
+	a.forget(key)
+	a.flows[key] = &agentFlow{state: stateDenied, touched: now}
+}
+
+func (a *Agent) returnedOpening(key segment.FlowKey, known *agentFlow, header segment.Header, packet []byte) {
+	if known == nil || known.state != stateOffered || known.sequence != header.Sequence {
+		return
+	}
+	balancer := known.balancer
+	a.forget(key)
+	a.bringBack(balancer, key, header, packet, "endpoint")
+}
+
+// lost resets a flow that the endpoint held and does not know any more, since
+// it was restarted.
+func (a *Agent) lost(key segment.FlowKey, header segment.Header) {
+	a.event(Event{Kind: EventEndpointLostFlow, Flow: key})
+	a.effects = append(a.effects, Effect{
+		Kind:   EffectClient,
+		To:     key.Client,
+		Packet: a.config.Codec.AppendReset(nil, key, header.Acknowledgment),
+	})
+}
+
+// emittedOwn handles a packet that the endpoint wrote.
+func (a *Agent) emittedOwn(now time.Duration, header segment.Header, packet []byte) {
+	key := segment.FlowKey{Client: header.Destination, Service: header.Source}
+	known, exists := a.flows[key]
+	if !exists || !known.running() && known.state != stateEnded {
+		known = a.adopt(now, key, header)
+	}
+	known.touched = now
+	switch {
+	case header.Flags.Has(segment.Synchronize):
+		a.answer(key, known, header)
+	case header.Flags.Has(segment.Finish), header.Flags.Has(segment.Reset):
+		a.end(known)
+	}
+	a.effects = append(a.effects, Effect{Kind: EffectClient, To: key.Client, Packet: packet})
+}
+
+// adopt remembers a flow that the endpoint turns out to hold.
+func (a *Agent) adopt(now time.Duration, key segment.FlowKey, header segment.Header) *agentFlow {
+	known := &agentFlow{state: stateOpen, touched: now}
+	if previous := a.flows[key]; previous != nil {
+		known.balancer = previous.balancer
+	}
+	if header.Flags.Has(segment.Synchronize) {
+		known.state = stateOffered
+	}
+	a.flows[key] = known
+	a.running++
+	if !known.balancer.IsZero() && known.state == stateOpen {
+		a.send(known.balancer, Message{Kind: KindOwned, Service: a.config.Service, Flow: FlowOf(key), Load: a.Load()})
+	}
+	return known
+}
+
+func (a *Agent) answer(key segment.FlowKey, known *agentFlow, header segment.Header) {
+	known.answer = header.Sequence
+	known.answered = true
+	if known.state != stateOffered {
+		return
+	}
+	known.state = stateAnswered
+	if known.balancer.IsZero() {
+		return
+	}
+	a.send(known.balancer, Message{
+		Kind: KindPlaced, Service: a.config.Service, Flow: FlowOf(key), Sequence: known.sequence, Load: a.Load(),
+	})
+}
+
+func (a *Agent) end(known *agentFlow) {
+	if known.running() {
+		a.running--
+	}
+	known.state = stateEnded
+}
+
+func (a *Agent) forget(key segment.FlowKey) {
+	known, exists := a.flows[key]
+	if !exists {
+		return
+	}
+	if known.running() {
+		a.running--
+	}
+	delete(a.flows, key)
+}
+
+// Tick must be called at least every second. The returned effects are valid
+// until the next call.
+func (a *Agent) Tick(now time.Duration) []Effect {
+	a.begin(now)
+	if now < a.nextSweep {
+		return a.effects
+	}
+	a.nextSweep = now + sweepInterval
+	for key, known := range a.flows {
+		if now-known.touched > a.retention(known) {
+			a.forget(key)
+		}
+	}
+	for balancer, heard := range a.balancers {
+		if now-heard > a.config.FlowLifetime {
+			delete(a.balancers, balancer)
+		}
+	}
+	return a.effects
+}
+
+func (a *Agent) retention(known *agentFlow) time.Duration {
+	switch known.state {
+	case stateOffered, stateAnswered:
+		return offeredRetention
+	case stateEnded:
+		return endedRetention
+	case stateSought:
+		return soughtRetention
+	}
+	return a.config.FlowLifetime
+}
+
+func (a *Agent) deliver(packet []byte) {
+	a.effects = append(a.effects, Effect{Kind: EffectEndpoint, Packet: packet})
+}
+
+func (a *Agent) send(to segment.Address, message Message) {
+	message.Load = a.Load()
+	a.effects = append(a.effects, Effect{Kind: EffectPeer, To: to, Message: message})
+}
+
+func (a *Agent) event(event Event) {
+	a.effects = append(a.effects, Effect{Kind: EffectEvent, Event: event})
+}
--- /dev/null
+++ b/internal/relay/effect.go
@@ -0,0 +1,100 @@
+package relay
+
+import (
+	"github.com/vanetiller/vanetiller/internal/label"
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+// EffectKind tells what an effect is.
+type EffectKind uint8
+
+// The kinds of effects.
+const (
+	// EffectPeer: send Message to the daemon at To.
+	EffectPeer EffectKind = iota
+	// EffectClient: send Packet to the client at To.
+	EffectClient
+	// EffectEndpoint: hand Packet to the endpoint beside the agent.
+	EffectEndpoint
+	// EffectEvent: Event happened; it can be logged and counted.
+	EffectEvent
+)
+
+// Effect is one thing that the caller has to do. Packets share memory with the
+// input and are valid until the next call.
+type Effect struct {
+	Kind    EffectKind
+	To      segment.Address
+	Message Message
+	Packet  []byte
+	Event   Event
+}
+
+// EventKind names a decision that operators may want to trace.
+type EventKind uint8
+
+// The kinds of events.
+const (
+	// EventMalformed: a packet could not be decoded.
+	EventMalformed EventKind = iota
+	// EventForged: a packet or message cannot have come from where it claims.
+	EventForged
+	// EventPlaced: an endpoint answered the opening packet of a flow.
+	EventPlaced
+	// EventOffered: an opening packet was offered to an endpoint.
+	EventOffered
+	// EventOfferedAgain: an opening packet was offered to a further endpoint,
+	// since the one before was silent or did not take it.
+	EventOfferedAgain
+	// EventLocating: agents are asked for the owner of a flow.
+	EventLocating
+	// EventLocated: the owner of a flow was found.
+	EventLocated
+	// EventNoRoute: a flow was reset since its address has no route.
+	EventNoRoute
+	// EventNoEndpoint: a flow was reset or left since no endpoint can take it.
+	EventNoEndpoint
+	// EventNotReady: a packet was dropped since the directory is not known.
+	EventNotReady
+	// EventSuspected: an agent does not answer.
+	EventSuspected
+	// EventRecovered: a suspected agent answers again.
+	EventRecovered
+	// EventEndpointLostFlow: the endpoint does not know a flow that it held.
+	EventEndpointLostFlow
+	// EventNotOwned: a packet was sent back since this agent does not own its
+	// flow.
+	EventNotOwned
+	// EventProbed: a packet of a flow that a restarted agent does not know was
+	// handed to the endpoint to learn whether it holds the flow.
+	EventProbed
+	// EventReturned: an opening packet was not taken.
+	EventReturned
+	// EventRefused: a client was refused since the endpoint is overloaded.
+	EventRefused
+	eventKindCount
+)
+
+var eventNames = []string{
+	"malformed", "forged", "placed", "offered", "offered_again", "locating", "located", "no_route",
+	"no_endpoint", "not_ready", "suspected", "recovered", "endpoint_lost_flow", "not_owned", "probed",
+	"returned", "refused",
+}
+
+// Event is one decision with what decided it.
+type Event struct {
+	Kind EventKind
+	Flow segment.FlowKey
+	// Peer is the daemon concerned, if any.
+	Peer segment.Address
+	// Version is the version of the configuration that decided, if any.
+	Version uint64
+	// Reason tells more, in the form of a metric label.
+	Reason string
+}
+
+// EventKinds lists every kind, for counters that are kept by kind.
+func EventKinds() []EventKind { return label.All(eventKindCount) }
+
+// String returns the kind in the form used as a metric label.
+func (k EventKind) String() string { return label.Of(eventNames, k) }
--- /dev/null
+++ b/internal/relay/message.go
@@ -0,0 +1,93 @@
+package relay
+
+import (
+	"encoding/binary"
+
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+//go:generate go tool msgp -tests=false
+//msgp:limit arrays:4096
+//msgp:tuple Message Load
+
+// MaximumMessage bounds an encoded message in bytes.
+const MaximumMessage = 2048
+
+// Kind is the purpose of a message between a balancer and an agent.
+type Kind uint8
+
+// The kinds of messages.
+const (
+	// KindOffer carries an opening packet that the agent's endpoint may take.
+	KindOffer Kind = iota
+	// KindForward carries a packet of a flow that the agent is believed to
+	// own.
+	KindForward
+	// KindLocate carries a packet of a flow whose owner is not known.
+	KindLocate
+	// KindPlaced tells that the endpoint has answered an opening packet.
+	KindPlaced
+	// KindReturned brings back an opening packet that was not taken.
+	KindReturned
+	// KindOwned tells that the agent owns a flow.
+	KindOwned
+	// KindUnknown brings back a packet of a flow that the agent does not own.
+	KindUnknown
+	// KindPing asks the agent whether it is there.
+	KindPing
+	// KindPong answers a ping.
+	KindPong
+	// KindLeaving tells that the agent is about to stop.
+	KindLeaving
+	// KindDrain tells the agent that its endpoint must get no new flows.
+	KindDrain
+)
+
+// Flow is the encoded form of a segment.FlowKey.
+type Flow [flowSize]byte
+
+const flowSize = 12
+
+// FlowOf encodes a flow key.
+func FlowOf(key segment.FlowKey) Flow {
+	var encoded Flow
+	copy(encoded[0:], key.Client.IP[:])
+	binary.BigEndian.PutUint16(encoded[4:], key.Client.Port)
+	copy(encoded[6:], key.Service.IP[:])
+	binary.BigEndian.PutUint16(encoded[10:], key.Service.Port)
+	return encoded
+}
+
+// Key decodes the flow key.
+func (f Flow) Key() segment.FlowKey {
+	return segment.FlowKey{
+		Client:  segment.Address{IP: [4]byte(f[0:4]), Port: binary.BigEndian.Uint16(f[4:])},
+		Service: segment.Address{IP: [4]byte(f[6:10]), Port: binary.BigEndian.Uint16(f[10:])},
+	}
+}
+
+// Load is how busy an agent's endpoint is.
+type Load struct {
+	// Running is the number of flows that are open or about to be.
+	Running uint32
+	// Waiting is the number of opening packets that the agent holds back.
+	Waiting uint32
+	// Refusing is set if the endpoint gets no new flows.
+	Refusing bool
+}
+
+// Message is what balancers and agents send each other.
+type Message struct {
+	Kind Kind
+	// Service is the service that the balancer takes the endpoint for.
+	Service string
+	// Flow is set in messages about a flow that carry no packet.
+	Flow Flow
+	// Sequence is the client's initial sequence number, in messages about an
+	// opening packet.
+	Sequence uint32
+	// Load is set in messages of agents.
+	Load Load
+	// Packet is a client's packet as it was sent.
+	Packet []byte
+}
--- /dev/null
+++ b/internal/relay/placement.go
@@ -0,0 +1,220 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+const (
+	// silencesToSuspect is the number of offers in a row without an answer
+	// after which an endpoint gets no new flows.
+	silencesToSuspect = 2
+	// firstSuspicion is how long an endpoint is left out at first; the time
+	// doubles up to longestSuspicion while its answers stay out.
+	firstSuspicion   = 300 * time.Millisecond
+	longestSuspicion = 2400 * time.Millisecond
+	// warmingFactor is how much busier an endpoint counts while it is slow
+	// after its start.
+	warmingFactor = 1.6
+)
+
+// health is what a balancer believes of one endpoint.
+type health struct {
+	// outstanding is the number of flows that this balancer gave the endpoint
+	// and whose clients have not closed them.
+	outstanding int
+	silences    int
+	suspicion   time.Duration
+	suspectEnds time.Duration
+	load        Load
+}
+
+func (h *health) suspected(now time.Duration) bool { return now < h.suspectEnds }
+
+// suspect leaves the endpoint out for a while, then lets one flow find out.
+func (h *health) suspect(now time.Duration) {
+	h.suspicion = min(max(2*h.suspicion, firstSuspicion), longestSuspicion)
+	h.suspectEnds = now + h.suspicion
+}
+
+func (h *health) trust() {
+	h.silences = 0
+	h.suspicion = 0
+	h.suspectEnds = 0
+}
+
+func (b *Balancer) healthOf(id directory.EndpointID) *health {
+	known, exists := b.health[id]
+	if !exists {
+		known = &health{}
+		b.health[id] = known
+	}
+	return known
+}
+
+func (b *Balancer) count(now time.Duration, flow *balancerFlow) {
+	if !flow.counted {
+		flow.counted = true
+		b.healthOf(flow.endpoint).outstanding++
+	}
+}
+
+func (b *Balancer) uncount(flow *balancerFlow) {
+	if !flow.counted {
+		return
+	}
+	flow.counted = false
+	if known, exists := b.health[flow.endpoint]; exists && known.outstanding > 0 {
+		known.outstanding--
+	}
+}
+
+// heard notes that an agent has answered about a flow.
+func (b *Balancer) heard(now time.Duration, flow *balancerFlow, from segment.Address, load Load) {
+	if flow.agent != from {
+		return
+	}
+	known := b.healthOf(flow.endpoint)
+	known.load = load
+	if known.suspicion > 0 {
+		b.event(Event{Kind: EventRecovered, Peer: from, Flow: segment.FlowKey{}})
+	}
+	known.trust()
+	if load.Refusing {
+		known.suspect(now)
+	}
+}
+
+// silent notes that an agent has not answered an offer.
+func (b *Balancer) silent(now time.Duration, flow *balancerFlow) {
+	known := b.healthOf(flow.endpoint)
+	known.silences++
+	if known.silences < silencesToSuspect && known.suspicion == 0 {
+		return
+	}
+	if known.suspected(now) {
+		return
+	}
+	known.suspect(now)
+	b.event(Event{Kind: EventSuspected, Peer: flow.agent})
+}
+
+// choose returns the endpoint of a service with the fewest outstanding flows
+// for its size, among those not tried. Endpoints that are suspected are taken
+// only if there are no others.
+func (b *Balancer) choose(now time.Duration, service string, tried []directory.EndpointID) (directory.Candidate, bool) {
+	usable := func(c directory.Candidate) bool { return !c.Leaving }
+	trusted := func(c directory.Candidate) bool { return usable(c) && !b.healthOf(c.ID).suspected(now) }
+	lapsed := func(c directory.Candidate) bool { return c.LapsedSince(now) < lapseTolerance }
+	for _, accepts := range []func(directory.Candidate) bool{trusted, usable, lapsed} {
+		chosen, exists := b.leastLoaded(now, service, tried, accepts)
+		if exists {
+			return chosen, true
+		}
+	}
+	return directory.Candidate{}, false
+}
+
+// lapseTolerance is how long after its entry has gone without notice an
+// endpoint may still get new flows if its service has no other.
+const lapseTolerance = 1500 * time.Millisecond
+
+func (b *Balancer) leastLoaded(now time.Duration, service string, tried []directory.EndpointID, accepts func(directory.Candidate) bool) (directory.Candidate, bool) {
+	var best directory.Candidate
+	found := false
+	leastScore := 0.0
+	ties := 0
+	for _, candidate := range b.snapshot.Candidates(service) {
+		if !accepts(candidate) || slices.Contains(tried, candidate.ID) {
+			continue
+		}
+		score := b.score(now, candidate)
+		switch {
+		case !found || score < leastScore:
+			best, found, leastScore, ties = candidate, true, score, 1
+		case score == leastScore:
+			ties++
+			if b.config.Random.IntN(ties) == 0 {
+				best = candidate
+			}
+		}
+	}
+	return best, found
+}
+
+// zoneBonus is what an endpoint in the balancer's zone counts less busy. It
+// decides only between equals.
+const zoneBonus = 0.01
+
+// score is the utilisation that the endpoint would have with one more flow.
+func (b *Balancer) score(now time.Duration, candidate directory.Candidate) float64 {
+	slots := float64(max(candidate.Endpoint.Slots, 1))
+	score := float64(b.healthOf(candidate.ID).outstanding+1) / slots
+	if now < candidate.WarmAt {
+		score *= warmingFactor
+	}
+	if candidate.Endpoint.Zone == b.config.Zone {
+		score -= zoneBonus
+	}
+	return score
+}
+
+// sharing spreads the new flows of one route over its services by smooth
+// weighted round robin (as in nginx, 2012), which keeps every prefix of the
+// choices within one flow of its weights.
+type sharing struct {
+	shares  []directory.Share
+	credits []int64
+}
+
+// chooseService returns the service that takes the next new flow of a route.
+func (b *Balancer) chooseService(route *directory.Route) string {
+	if len(route.Shares) == 1 {
+		return route.Shares[0].Service
+	}
+	known, exists := b.sharing[route.Address()]
+	if !exists || !slices.Equal(known.shares, route.Shares) {
+		known = &sharing{shares: route.Shares, credits: make([]int64, len(route.Shares))}
+		b.sharing[route.Address()] = known
+	}
+	return known.next()
+}
+
+func (s *sharing) next() string {
+	var total int64
+	best := 0
+	for index, share := range s.shares {
+		s.credits[index] += int64(share.Weight)
+		total += int64(share.Weight)
+		if s.credits[index] > s.credits[best] {
+			best = index
+		}
+	}
+	s.credits[best] -= total
+	return s.shares[best].Service
+}
+
+// budget bounds the further offers that are made for silence, as retry budgets
+// do, so that they cannot double an overload.
+type budget struct{ tokens float64 }
+
+const (
+	budgetBurst = 50
+	// budgetShare is the number of further offers earned by each new flow.
+	budgetShare = 0.2
+)
+
+func newBudget() budget { return budget{budgetBurst} }
+
+func (b *budget) earn() { b.tokens = min(b.tokens+budgetShare, budgetBurst) }
+
+func (b *budget) spend() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/relaydaemon/daemon.go
@@ -0,0 +1,134 @@
+// Package relaydaemon implements the wiring of a process that carries the
+// packets of flows whole: sockets, timers, log and metrics around a
+// relay.Balancer or a relay.Agent.
+package relaydaemon
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/logging"
+	"github.com/vanetiller/vanetiller/internal/observability"
+	"github.com/vanetiller/vanetiller/internal/observability/registry"
+	"github.com/vanetiller/vanetiller/internal/segment"
+	"github.com/vanetiller/vanetiller/internal/settings"
+)
+
+// The conditions of readiness that /healthz reports.
+const (
+	// conditionServing holds from the start of the role to its planned stop.
+	conditionServing observability.Condition = "serving"
+	// conditionDirectory holds once routes and endpoints are known.
+	conditionDirectory observability.Condition = "directory"
+)
+
+// Config is what a daemon is built from.
+type Config struct {
+	// Settings must have a Relay table.
+	Settings *settings.Settings
+	// Output receives the log.
+	Output io.Writer
+	Codec  segment.Codec
+	// Store is needed for a balancer only.
+	Store directory.Store
+}
+
+// role is what the process does besides being observed.
+type role interface {
+	// add adds the parts of the role to a group.
+	add(group *run.Group)
+	// stop begins a planned stop.
+	stop()
+}
+
+// Daemon is one process of the fleet.
+type Daemon struct {
+	config        Config
+	logger        *log.Logger
+	health        *observability.Health
+	role          role
+	observability *observability.Server
+}
+
+// New opens the sockets of the daemon. Nothing is served before Run.
+func New(config Config) (*Daemon, error) {
+	checked := config.Settings
+	health := observability.NewHealth(conditionServing)
+	metrics := registry.New()
+	created := &Daemon{
+		config: config,
+		logger: logging.New(config.Output, checked.Log.Level, checked.Name, checked.Zone),
+		health: health,
+	}
+	var err error
+	created.observability, err = observability.NewServer(observability.ServerConfig{
+		Listen:  checked.Observability.Listen,
+		Health:  health,
+		Metrics: metrics.Handler(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	watch := newJournal(created.logger, metrics)
+	if checked.Relay.Balancer != nil {
+		created.role, err = newBalancerRole(config, health, watch)
+	} else {
+		created.role, err = newAgentRole(config, watch)
+	}
+	return created, errors.Wrap(err, "relay")
+}
+
+// stopMargin is what a planned stop leaves of its longest time.
+const stopMargin = 1500 * time.Millisecond
+
+// Run serves until ctx ends and then stops as planned: it reports that it is
+// not ready and goes on serving until the stop timeout is nearly over. It
+// returns nil after a planned stop, and the first error if a part fails.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.logger.Info("daemon started")
+	var group run.Group
+	addActor(&group, d.observability.Run)
+	d.role.add(&group)
+	addActor(&group, func(ended context.Context) error {
+		d.awaitStop(ctx, ended)
+		return nil
+	})
+	d.health.SetReady(conditionServing)
+	err := group.Run()
+	if err != nil {
+		d.logger.Error("daemon failed", "error", err)
+		return err
+	}
+	d.logger.Info("daemon stopped")
+	return nil
+}
+
+func (d *Daemon) awaitStop(stopping, ended context.Context) {
+	select {
+	case <-stopping.Done():
+	case <-ended.Done():
+		return
+	}
+	delay := max(d.config.Settings.Relay.StopTimeout-stopMargin, 0)
+	d.logger.Info("stopping", "delay", delay)
+	d.health.SetNotReady(conditionServing, "stopping")
+	d.role.stop()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ended.Done():
+	}
+}
+
+// addActor adds a part that runs until its context ends.
+func addActor(group *run.Group, execute func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return execute(ctx) }, func(error) { cancel() })
+}
--- /dev/null
+++ b/internal/relaydaemon/socket.go
@@ -0,0 +1,57 @@
+package relaydaemon
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/internal/relay"
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+// receiveBuffer is the size asked of the system for unread datagrams, in
+// bytes.
+const receiveBuffer = 1 << 20
+
+// socket is a UDP socket with its reader.
+type socket struct {
+	connection *net.UDPConn
+	// handle gets each datagram, which is valid until it returns.
+	handle func(from netip.AddrPort, datagram []byte)
+}
+
+func listen(address netip.AddrPort, handle func(netip.AddrPort, []byte)) (*socket, error) {
+	connection, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, errors.Wrap(err, address.String())
+	}
+	// A smaller buffer than asked for is no failure.
+	_ = connection.SetReadBuffer(receiveBuffer)
+	return &socket{connection, handle}, nil
+}
+
+// run reads until ctx ends.
+func (s *socket) run(ctx context.Context) error {
+	stopped := context.AfterFunc(ctx, func() { s.connection.Close() })
+	defer stopped()
+	buffer := make([]byte, relay.MaximumMessage)
+	for {
+		length, from, err := s.connection.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return errors.Wrap(err, "read")
+		}
+		if err == nil {
+			s.handle(from, buffer[:length])
+		}
+	}
+}
+
+// send transmits a datagram. The network may lose it, so may the system.
+func (s *socket) send(to segment.Address, datagram []byte) {
+	_, _ = s.connection.WriteToUDPAddrPort(datagram, to.AddrPort())
+}
--- a/internal/settings/convert.go
+++ b/internal/settings/convert.go
@@ -57,10 +57,17 @@
 	if raw.Agent != nil {
 		checked.Agent = c.agent(raw.Agent)
 	}
+	if raw.Relay != nil {
+		checked.Relay = c.relay(raw.Relay)
+	}
 	return checked
 }
 
 func (c *checker) checkRole(raw *document) {
+	if raw.Relay != nil {
+		c.checkRelayAlone(raw)
+		return
+	}
 	if raw.Balancer == nil && raw.Agent == nil {
 		c.broken("balancer", "is required, unless there is an agent table")
 	}
@@ -81,6 +88,12 @@
 	}
 }
 
+func (c *checker) checkRelayAlone(raw *document) {
+	if raw.Balancer != nil || raw.Agent != nil || raw.API != nil || raw.Cluster != nil {
+		c.broken("relay", "must not stand beside a balancer, agent, api or cluster table")
+	}
+}
+
 func (c *checker) platform(raw *platformDocument) Platform {
 	return Platform{
 		ConfigurationURL: c.url("platform.configuration_url", raw.ConfigurationURL),
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -21,6 +21,7 @@
 	API           *apiDocument          `toml:"api"`
 	Cluster       *clusterDocument      `toml:"cluster"`
 	Agent         *agentDocument        `toml:"agent"`
+	Relay         *relayDocument        `toml:"relay"`
 }
 
 type logDocument struct {
--- /dev/null
+++ b/internal/settings/relay.go
@@ -0,0 +1,137 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Relay holds the settings of a process that carries the packets of flows
+// whole. Exactly one of Balancer and Agent is set.
+type Relay struct {
+	// Peers is the UDP address for messages of other daemons. All balancers of
+	// a fleet use one port, and all agents use another.
+	Peers netip.AddrPort
+	// FlowLifetime is the longest time for which a flow may last.
+	FlowLifetime time.Duration
+	// StopTimeout is how long a planned stop may take.
+	StopTimeout time.Duration
+	// FlowLimit is the largest number of flows held in memory.
+	FlowLimit int
+	Balancer  *RelayBalancer
+	Agent     *RelayAgent
+}
+
+// RelayBalancer holds the settings of a balancer that carries packets whole.
+type RelayBalancer struct {
+	// Listen is the UDP address for clients' packets. Its port is also the one
+	// on which clients receive packets and agents the messages of daemons.
+	Listen netip.AddrPort
+	// Store is the TCP address of the platform's store.
+	Store netip.AddrPort
+	// Seeds are addresses of balancers to ask at the start; there may be none.
+	Seeds []netip.AddrPort
+}
+
+// RelayAgent holds the settings of an agent that carries packets whole.
+type RelayAgent struct {
+	// Service is the service of the endpoint beside the agent.
+	Service string
+	// Endpoint is the UDP address of the endpoint.
+	Endpoint netip.AddrPort
+	// Emitted is the UDP address that the endpoint sends all its packets to.
+	Emitted netip.AddrPort
+	// FirstStart is set if the endpoint starts together with the agent, so that
+	// it cannot hold any flow yet.
+	FirstStart bool
+}
+
+// The values and bounds of relay settings.
+const (
+	DefaultFlowLifetime = "60s"
+	MinFlowLifetime     = time.Second
+	MaxFlowLifetime     = time.Hour
+	maxSeeds            = 64
+)
+
+type relayDocument struct {
+	Peers        any                    `toml:"peers"`
+	FlowLifetime any                    `toml:"flow_lifetime"`
+	StopTimeout  any                    `toml:"stop_timeout"`
+	FlowLimit    any                    `toml:"flow_limit"`
+	Balancer     *relayBalancerDocument `toml:"balancer"`
+	Agent        *relayAgentDocument    `toml:"agent"`
+}
+
+type relayBalancerDocument struct {
+	Listen any `toml:"listen"`
+	Store  any `toml:"store"`
+	Seeds  any `toml:"seeds"`
+}
+
+type relayAgentDocument struct {
+	Service    any `toml:"service"`
+	Endpoint   any `toml:"endpoint"`
+	Emitted    any `toml:"emitted"`
+	FirstStart any `toml:"first_start"`
+}
+
+func (c *checker) relay(raw *relayDocument) *Relay {
+	checked := &Relay{
+		Peers: c.address("relay.peers", raw.Peers, remoteAddress),
+		FlowLifetime: c.duration("relay.flow_lifetime",
+			withDefault(raw.FlowLifetime, DefaultFlowLifetime), MinFlowLifetime, MaxFlowLifetime),
+		StopTimeout: c.duration("relay.stop_timeout",
+			withDefault(raw.StopTimeout, DefaultStopTimeout), MinStopTimeout, MaxStopTimeout),
+		FlowLimit: c.integer("relay.flow_limit",
+			withDefault(raw.FlowLimit, int64(DefaultFlowLimit)), 1, MaxFlowLimit),
+	}
+	if (raw.Balancer == nil) == (raw.Agent == nil) {
+		c.broken("relay", "must have either a balancer or an agent table")
+	}
+	if raw.Balancer != nil {
+		checked.Balancer = c.relayBalancer(raw.Balancer)
+	}
+	if raw.Agent != nil {
+		checked.Agent = c.relayAgent(raw.Agent)
+	}
+	return checked
+}
+
+func (c *checker) relayBalancer(raw *relayBalancerDocument) *RelayBalancer {
+	return &RelayBalancer{
+		Listen: c.address("relay.balancer.listen", raw.Listen, remoteAddress),
+		Store:  c.address("relay.balancer.store", raw.Store, remoteAddress),
+		Seeds:  c.seeds("relay.balancer.seeds", raw.Seeds),
+	}
+}
+
+func (c *checker) relayAgent(raw *relayAgentDocument) *RelayAgent {
+	return &RelayAgent{
+		Service:    c.rowName("relay.agent.service", raw.Service),
+		Endpoint:   c.address("relay.agent.endpoint", raw.Endpoint, remoteAddress),
+		Emitted:    c.address("relay.agent.emitted", raw.Emitted, remoteAddress),
+		FirstStart: c.boolean("relay.agent.first_start", withDefault(raw.FirstStart, false)),
+	}
+}
+
+// seeds takes an array that may be left out or empty.
+func (c *checker) seeds(key string, value any) []netip.AddrPort {
+	items, isArray := withDefault(value, []any{}).([]any)
+	if !isArray || len(items) > maxSeeds {
+		c.broken(key, "must be an array of at most %d addresses", maxSeeds)
+		return nil
+	}
+	seeds := make([]netip.AddrPort, len(items))
+	for index, item := range items {
+		seeds[index] = c.address(key, item, remoteAddress)
+	}
+	return seeds
+}
+
+func (c *checker) boolean(key string, value any) bool {
+	truth, isBoolean := value.(bool)
+	if !isBoolean {
+		c.broken(key, "must be true or false")
+	}
+	return truth
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,7 +15,7 @@
 )
 
 // Settings is the checked content of one settings file. Exactly one of
-// Balancer and Agent is set.
+// Balancer, Agent and Relay is set.
 type Settings struct {
 	// Name identifies the process within the fleet.
 	Name string
@@ -34,6 +34,7 @@
 	// Cluster is nil for a balancer on its own, and for agents.
 	Cluster *Cluster
 	Agent   *Agent
+	Relay   *Relay
 }
 
 // Log holds the settings of the process's log.
