Read the settings again at SIGHUP in place of ending

Ruled out: faults of the processes, whose logs end without an error. The command line of both programs is one package now, internal/program; SIGHUP puts the log level in force and tells what waits for the next start. Tests: internal/program, which fail without the handler.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -94,6 +94,17 @@
 // Status returns the health of the daemon, also after it has stopped.
 func (d *Daemon) Status() observability.Status { return d.health.Status() }
 
+// Reload puts the log level in force; all else takes a new start.
+func (d *Daemon) Reload(changed *settings.Settings) {
+	d.logger.SetLevel(changed.Log.Level)
+	d.logger.Info("settings read again", "log_level", changed.Log.Level)
+}
+
+// ReloadFailed tells that the settings could not be read again.
+func (d *Daemon) ReloadFailed(err error) {
+	d.logger.Error("settings kept, since the new ones are wrong", "error", err)
+}
+
 // Run serves until ctx ends and then stops as planned. It returns nil after a
 // planned stop, and the first error if a part fails.
 func (d *Daemon) Run(ctx context.Context) error {
--- /dev/null
+++ b/internal/program/program_test.go
@@ -0,0 +1,106 @@
+package program_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/program"
+	"github.com/vanetiller/vanetiller/internal/settings"
+)
+
+func TestProgram(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Program")
+}
+
+const validSettings = `name = "agent-1"
+zone = "zone-1"
+[observability]
+listen = "127.0.0.1:0"
+[relay]
+peers = "127.0.0.1:6181"
+[relay.agent]
+service = "lookup"
+endpoint = "127.0.0.1:8081"
+emitted = "127.0.0.1:8082"
+`
+
+// recorder is a server that tells what reaches it.
+type recorder struct {
+	reloaded chan *settings.Settings
+	failed   chan error
+}
+
+func (r recorder) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+func (r recorder) Reload(changed *settings.Settings) { r.reloaded <- changed }
+func (r recorder) ReloadFailed(err error)            { r.failed <- err }
+
+var _ = Describe("Program", func() {
+	var (
+		server  recorder
+		file    string
+		reload  chan os.Signal
+		stop    context.CancelFunc
+		status  chan int
+		started program.Program
+	)
+
+	BeforeEach(func() {
+		server = recorder{make(chan *settings.Settings, 1), make(chan error, 1)}
+		file = filepath.Join(GinkgoT().TempDir(), "settings.toml")
+		Expect(os.WriteFile(file, []byte(validSettings), 0o600)).To(Succeed())
+		reload = make(chan os.Signal, 1)
+		status = make(chan int, 1)
+		var ctx context.Context
+		ctx, stop = context.WithCancel(context.Background())
+		loaded := make(chan struct{})
+		started = program.Program{Name: "p", New: func(*settings.Settings, io.Writer) (program.Server, error) {
+			close(loaded)
+			return server, nil
+		}}
+		go func() {
+			status <- started.Command(ctx, reload, []string{"-settings", file}, io.Discard, io.Discard)
+		}()
+		DeferCleanup(stop)
+		Eventually(loaded).Should(BeClosed())
+	})
+
+	It("reads the settings again on request and goes on running", func() {
+		Expect(os.WriteFile(file, []byte(validSettings+"[log]\nlevel = \"debug\"\n"), 0o600)).To(Succeed())
+		reload <- syscall.SIGHUP
+		var changed *settings.Settings
+		Eventually(server.reloaded).Should(Receive(&changed))
+		Expect(changed.Log.Level).To(Equal(log.DebugLevel))
+		Expect(status).NotTo(Receive())
+		stop()
+		Eventually(status).Should(Receive(Equal(program.ExitStopped)))
+	})
+
+	It("keeps the settings if the new ones are wrong", func() {
+		Expect(os.WriteFile(file, []byte("name = 1\n"), 0o600)).To(Succeed())
+		reload <- syscall.SIGHUP
+		Eventually(server.failed).Should(Receive(MatchError(ContainSubstring("name: must be a string"))))
+		Expect(status).NotTo(Receive())
+	})
+
+	It("ends with the status for wrong settings if a server cannot use them", func() {
+		var stderr bytes.Buffer
+		refusing := program.Program{Name: "p", New: func(*settings.Settings, io.Writer) (program.Server, error) {
+			return nil, settings.Errors{{Key: "relay", Rule: "is not for this program"}}
+		}}
+		Expect(refusing.Command(context.Background(), nil, []string{"-settings", file}, io.Discard, &stderr)).To(Equal(program.ExitUsage))
+		Expect(stderr.String()).To(ContainSubstring("relay: is not for this program"))
+	})
+})
--- a/internal/relaydaemon/agent.go
+++ b/internal/relaydaemon/agent.go
@@ -9,6 +9,7 @@
 
 	"github.com/vanetiller/vanetiller/internal/relay"
 	"github.com/vanetiller/vanetiller/internal/segment"
+	"github.com/vanetiller/vanetiller/internal/settings"
 )
 
 // agentTick is how often the agent looks at its timeouts.
@@ -20,8 +21,7 @@
 	agent    *relay.Agent
 }
 
-func newAgentRole(config Config, journal *journal) (*agentRole, error) {
-	checked := config.Settings.Relay
+func newAgentRole(surroundings Surroundings, checked *settings.Relay, journal *journal) (*agentRole, error) {
 	created := &agentRole{
 		executor: executor{
 			started:    time.Now(),
@@ -31,7 +31,7 @@
 		},
 		agent: relay.NewAgent(relay.AgentConfig{
 			Service:      checked.Agent.Service,
-			Codec:        config.Codec,
+			Codec:        surroundings.Codec,
 			Complete:     checked.Agent.FirstStart,
 			FlowLifetime: checked.FlowLifetime,
 			FlowLimit:    checked.FlowLimit,
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -11,6 +11,7 @@
 	"github.com/vanetiller/vanetiller/internal/directory"
 	"github.com/vanetiller/vanetiller/internal/observability"
 	"github.com/vanetiller/vanetiller/internal/relay"
+	"github.com/vanetiller/vanetiller/internal/settings"
 )
 
 // minimumTick bounds how often the balancer looks at its timeouts.
@@ -28,14 +29,14 @@
 	armed     time.Duration
 }
 
-func newBalancerRole(config Config, health *observability.Health, journal *journal) (*balancerRole, error) {
-	checked := config.Settings.Relay
+func newBalancerRole(surroundings Surroundings, whole *settings.Settings, health *observability.Health, journal *journal) (*balancerRole, error) {
+	checked := whole.Relay
 	machine := directory.New()
 	created := &balancerRole{
 		executor: executor{started: time.Now(), clientPort: checked.Balancer.Listen.Port(), journal: journal},
 		balancer: relay.NewBalancer(relay.BalancerConfig{
-			Zone:         config.Settings.Zone,
-			Codec:        config.Codec,
+			Zone:         whole.Zone,
+			Codec:        surroundings.Codec,
 			AgentPort:    checked.Balancer.Listen.Port(),
 			FlowLifetime: checked.FlowLifetime,
 			FlowLimit:    checked.FlowLimit,
@@ -44,7 +45,7 @@
 		health:    health,
 		directory: machine,
 		follower:  directory.NewFollower(machine),
-		store:     config.Store,
+		store:     surroundings.NewStore(checked.Balancer.Store),
 		timer:     time.NewTimer(0),
 	}
 	health.SetNotReady(conditionDirectory, "routes and endpoints are not known yet")
--- /dev/null
+++ b/internal/relaydaemon/command.go
@@ -0,0 +1,30 @@
+package relaydaemon
+
+import (
+	"io"
+	"net/netip"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/program"
+	"github.com/vanetiller/vanetiller/internal/segment"
+	"github.com/vanetiller/vanetiller/internal/settings"
+)
+
+// Surroundings are the parts that depend on the platform.
+type Surroundings struct {
+	// Codec reads and writes the packets of flows.
+	Codec segment.Codec
+	// NewStore returns a client of the store at an address.
+	NewStore func(address netip.AddrPort) directory.Store
+}
+
+// Program is vanetiller-relay.
+func Program(surroundings Surroundings) program.Program {
+	return program.Program{
+		Name:    "vanetiller-relay",
+		Purpose: "runs one process of a fleet that carries the packets of flows whole: a balancer, or the agent beside an endpoint.",
+		New: func(checked *settings.Settings, output io.Writer) (program.Server, error) {
+			return New(surroundings, checked, output)
+		},
+	}
+}
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -6,17 +6,16 @@
 import (
 	"context"
 	"io"
+	"reflect"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
 
-	"github.com/vanetiller/vanetiller/internal/directory"
 	"github.com/vanetiller/vanetiller/internal/logging"
 	"github.com/vanetiller/vanetiller/internal/observability"
 	"github.com/vanetiller/vanetiller/internal/observability/registry"
-	"github.com/vanetiller/vanetiller/internal/segment"
 	"github.com/vanetiller/vanetiller/internal/settings"
 )
 
@@ -28,17 +27,6 @@
 	conditionDirectory observability.Condition = "directory"
 )
 
-// Config is what a daemon is built from.
-type Config struct {
-	// Settings must have a Relay table.
-	Settings *settings.Settings
-	// Output receives the log.
-	Output io.Writer
-	Codec  segment.Codec
-	// Store is needed for a balancer only.
-	Store directory.Store
-}
-
 // role is what the process does besides being observed.
 type role interface {
 	// add adds the parts of the role to a group.
@@ -49,22 +37,26 @@
 
 // Daemon is one process of the fleet.
 type Daemon struct {
-	config        Config
+	settings      *settings.Settings
 	logger        *log.Logger
 	health        *observability.Health
 	role          role
 	observability *observability.Server
 }
 
-// New opens the sockets of the daemon. Nothing is served before Run.
-func New(config Config) (*Daemon, error) {
-	checked := config.Settings
+// New opens the sockets of the daemon and writes its log to output. It fails
+// if the settings have no relay table or an address cannot be bound. Nothing is
+// served before Run.
+func New(surroundings Surroundings, checked *settings.Settings, output io.Writer) (*Daemon, error) {
+	if checked.Relay == nil {
+		return nil, settings.Errors{{Key: "relay", Rule: "is required"}}
+	}
 	health := observability.NewHealth(conditionServing)
 	metrics := registry.New()
 	created := &Daemon{
-		config: config,
-		logger: logging.New(config.Output, checked.Log.Level, checked.Name, checked.Zone),
-		health: health,
+		settings: checked,
+		logger:   logging.New(output, checked.Log.Level, checked.Name, checked.Zone),
+		health:   health,
 	}
 	var err error
 	created.observability, err = observability.NewServer(observability.ServerConfig{
@@ -77,13 +69,25 @@
 	}
 	watch := newJournal(created.logger, metrics)
 	if checked.Relay.Balancer != nil {
-		created.role, err = newBalancerRole(config, health, watch)
+		created.role, err = newBalancerRole(surroundings, checked, health, watch)
 	} else {
-		created.role, err = newAgentRole(config, watch)
+		created.role, err = newAgentRole(surroundings, checked.Relay, watch)
 	}
 	return created, errors.Wrap(err, "relay")
 }
 
+// Reload puts the log level in force; all else takes a new start.
+func (d *Daemon) Reload(changed *settings.Settings) {
+	d.logger.SetLevel(changed.Log.Level)
+	restart := !reflect.DeepEqual(changed.Relay, d.settings.Relay)
+	d.logger.Info("settings read again", "log_level", changed.Log.Level, "changes_wait_for_start", restart)
+}
+
+// ReloadFailed tells that the settings could not be read again.
+func (d *Daemon) ReloadFailed(err error) {
+	d.logger.Error("settings kept, since the new ones are wrong", "error", err)
+}
+
 // stopMargin is what a planned stop leaves of its longest time.
 const stopMargin = 1500 * time.Millisecond
 
@@ -115,7 +119,7 @@
 	case <-ended.Done():
 		return
 	}
-	delay := max(d.config.Settings.Relay.StopTimeout-stopMargin, 0)
+	delay := max(d.settings.Relay.StopTimeout-stopMargin, 0)
 	d.logger.Info("stopping", "delay", delay)
 	d.health.SetNotReady(conditionServing, "stopping")
 	d.role.stop()
