--- /dev/null
+++ b/internal/directory/machine_test.go
@@ -0,0 +1,172 @@
+package directory_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+)
+
+func TestDirectory(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Directory")
+}
+
+func endpoint(service string, draining bool) *directory.Endpoint {
+	return &directory.Endpoint{Service: service, IP: [4]byte{10, 0, 0, 1}, Port: 80, Slots: 3, Draining: draining}
+}
+
+func endpointItem(id string, revision directory.Revision, value *directory.Endpoint) directory.Item {
+	return directory.Item{EndpointID: directory.EndpointID(id), Revision: revision, Endpoint: value}
+}
+
+func configurationItem(version uint64, revision directory.Revision) directory.Item {
+	return directory.Item{Key: "configuration", Revision: revision, Configuration: &directory.Configuration{Version: version}}
+}
+
+var _ = Describe("Machine", func() {
+	var machine *directory.Machine
+
+	BeforeEach(func() { machine = directory.New() })
+
+	leaving := func(id string) bool {
+		candidate, exists := machine.Snapshot().Candidate(directory.EndpointID(id))
+		Expect(exists).To(BeTrue(), id)
+		return candidate.Leaving
+	}
+
+	It("is ready once it has a configuration and a listing", func() {
+		machine.Hints(0, []directory.Item{configurationItem(1, 5)})
+		Expect(machine.Ready()).To(BeFalse())
+		machine.Listing(0, nil, 6)
+		Expect(machine.Ready()).To(BeTrue())
+	})
+
+	It("never goes back to an older configuration, whatever its revision", func() {
+		machine.Changes(0, []directory.Item{configurationItem(7, 10)}, 10)
+		Expect(machine.Changes(0, []directory.Item{configurationItem(6, 11)}, 11)).To(BeFalse())
+		machine.Listing(0, []directory.Item{configurationItem(5, 12)}, 12)
+		Expect(machine.Snapshot().Version()).To(Equal(uint64(7)))
+	})
+
+	It("keeps the newest revision of an endpoint in whatever order items come", func() {
+		machine.Changes(0, []directory.Item{endpointItem("a", 9, endpoint("s", true))}, 9)
+		machine.Hints(0, []directory.Item{endpointItem("a", 4, endpoint("s", false))})
+		Expect(leaving("a")).To(BeTrue())
+	})
+
+	It("takes what a listing does not have for gone, unless it came later", func() {
+		machine.Changes(0, []directory.Item{
+			endpointItem("old", 3, endpoint("s", false)),
+			endpointItem("new", 30, endpoint("s", false)),
+		}, 3)
+		machine.Listing(time.Second, nil, 20)
+		Expect(leaving("old")).To(BeTrue())
+		Expect(leaving("new")).To(BeFalse())
+	})
+
+	It("lets an endpoint whose entry had lapsed come back", func() {
+		machine.Changes(0, []directory.Item{endpointItem("a", 3, endpoint("s", false))}, 3)
+		machine.Changes(0, []directory.Item{endpointItem("a", 5, nil)}, 5)
+		Expect(leaving("a")).To(BeTrue())
+		machine.Changes(0, []directory.Item{endpointItem("a", 8, endpoint("s", false))}, 8)
+		Expect(leaving("a")).To(BeFalse())
+	})
+
+	It("remembers gone endpoints as long as their flows may last, then forgets them", func() {
+		machine.Changes(0, []directory.Item{endpointItem("a", 3, endpoint("s", false))}, 3)
+		machine.Changes(0, []directory.Item{endpointItem("a", 5, nil)}, 5)
+		machine.Changes(directory.Retention, nil, 6)
+		Expect(machine.Snapshot().All()).To(HaveLen(1))
+		machine.Changes(directory.Retention+time.Second, nil, 7)
+		Expect(machine.Snapshot().All()).To(BeEmpty())
+	})
+
+	It("tells how long a lapsed entry is gone, but never of an endpoint that drained", func() {
+		machine.Changes(0, []directory.Item{
+			endpointItem("lapsed", 3, endpoint("s", false)), endpointItem("drained", 3, endpoint("s", true)),
+		}, 3)
+		machine.Changes(time.Second, []directory.Item{endpointItem("lapsed", 5, nil), endpointItem("drained", 5, nil)}, 5)
+		lapsed, _ := machine.Snapshot().Candidate("lapsed")
+		drained, _ := machine.Snapshot().Candidate("drained")
+		Expect(lapsed.LapsedSince(3 * time.Second)).To(Equal(2 * time.Second))
+		Expect(drained.LapsedSince(3 * time.Second)).To(BeNumerically(">", time.Hour))
+	})
+
+	It("gives another machine everything it knows", func() {
+		machine.Changes(0, []directory.Item{configurationItem(4, 2), endpointItem("a", 3, endpoint("s", true))}, 3)
+		other := directory.New()
+		other.Hints(0, machine.Items())
+		Expect(other.Snapshot().Version()).To(Equal(uint64(4)))
+		candidate, exists := other.Snapshot().Candidate("a")
+		Expect(exists).To(BeTrue())
+		Expect(candidate.Draining()).To(BeTrue())
+	})
+})
+
+var _ = Describe("Follower", func() {
+	var (
+		machine  *directory.Machine
+		follower *directory.Follower
+	)
+
+	BeforeEach(func() {
+		machine = directory.New()
+		follower = directory.NewFollower(machine)
+	})
+
+	fail := func(reason directory.StoreFailure) { follower.Failed(&directory.StoreError{Failure: reason}) }
+
+	It("lists page by page, then watches from where the listing began", func() {
+		Expect(follower.Next(0)).To(HaveField("Listing", true))
+		follower.Listed(0, directory.Page{Items: []directory.Item{endpointItem("a", 3, endpoint("s", false))}, Last: "a", More: true, At: 5})
+		next := follower.Next(0)
+		Expect(next.Listing).To(BeTrue())
+		Expect(next.After).To(Equal("a"))
+		follower.Listed(0, directory.Page{Items: []directory.Item{endpointItem("b", 9, endpoint("s", false))}, Last: "b", At: 9})
+		next = follower.Next(0)
+		Expect(next.Listing).To(BeFalse())
+		Expect(next.AfterRevision).To(Equal(directory.Revision(5)))
+		Expect(machine.Snapshot().All()).To(HaveLen(2))
+	})
+
+	It("lists anew when history is lost, without delay, and finds what left in the gap", func() {
+		follower.Listed(0, directory.Page{Items: []directory.Item{endpointItem("a", 3, endpoint("s", false))}, At: 5})
+		fail(directory.StoreCompacted)
+		next := follower.Next(0)
+		Expect(next.Listing).To(BeTrue())
+		Expect(next.After).To(BeEmpty())
+		Expect(next.Delay).To(BeZero())
+		follower.Listed(0, directory.Page{At: 9})
+		candidate, _ := machine.Snapshot().Candidate("a")
+		Expect(candidate.Leaving).To(BeTrue())
+	})
+
+	It("backs off with jitter after failures and calls at once after an answer", func() {
+		var delays []time.Duration
+		for range 6 {
+			fail(directory.StoreUnavailable)
+			delays = append(delays, follower.Next(0).Delay)
+		}
+		Expect(delays[0]).To(Equal(60 * time.Millisecond))
+		Expect(delays[5]).To(Equal(500 * time.Millisecond))
+		Expect(follower.Next(0.9).Delay).To(BeNumerically("<", delays[5]))
+		follower.Listed(0, directory.Page{At: 1})
+		Expect(follower.Next(0).Delay).To(BeZero())
+	})
+
+	It("resumes a listing at the page that failed", func() {
+		follower.Listed(0, directory.Page{Last: "k", More: true, At: 5})
+		fail(directory.StoreThrottled)
+		Expect(follower.Next(0).After).To(Equal("k"))
+	})
+
+	It("does not page forever if the store does not advance", func() {
+		follower.Listed(0, directory.Page{Last: "k", More: true, At: 5})
+		follower.Listed(0, directory.Page{Last: "k", More: true, At: 5})
+		Expect(follower.Next(0).Listing).To(BeFalse())
+	})
+})
