Hold opening packets back at the agent while its endpoint is busy

Ruled out: lookup, discovery and restart of ours, which serve within 0.2 s of the machines' return. The agent counts requests between admission and the first byte of the answer, gives its endpoint slots plus one and what shakes hands meanwhile, and lets the others wait, most urgent and newest first (adaptive LIFO). Balancers are told, so that they don't offer the packet elsewhere.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -24,8 +24,10 @@
 type agentFlowState uint8
 
 const (
+	// stateHeld: the opening packet waits until the endpoint can take it.
+	stateHeld agentFlowState = iota
 	// stateOffered: the opening packet went to the endpoint.
-	stateOffered agentFlowState = iota
+	stateOffered
 	// stateAnswered: the endpoint answered the opening packet.
 	stateAnswered
 	// stateOpen: the client acknowledged this endpoint's answer.
@@ -52,9 +54,11 @@
 	answered bool
 	balancer segment.Address
 	touched  time.Duration
+	work     work
 }
 
-func (f *agentFlow) running() bool { return f.state <= stateOpen }
+// running reports whether the endpoint has the flow and it has not ended.
+func (f *agentFlow) running() bool { return f.state >= stateOffered && f.state <= stateOpen }
 
 const (
 	// acknowledgmentWindow is how far an acknowledgment may be ahead of the
@@ -84,6 +88,8 @@
 	begun     bool
 	flows     map[segment.FlowKey]*agentFlow
 	running   uint32
+	queue     queue
+	pace      pace
 	draining  bool
 	stopping  bool
 	balancers map[segment.Address]time.Duration
@@ -105,7 +111,7 @@
 
 // Load returns how busy the endpoint is.
 func (a *Agent) Load() Load {
-	return Load{Running: a.running, Refusing: a.refusing()}
+	return Load{Running: a.running, Waiting: uint32(len(a.queue.waiting)), Refusing: a.refusing()}
 }
 
 func (a *Agent) refusing() bool { return a.draining || a.stopping }
@@ -164,7 +170,7 @@
 		return
 	}
 	if header.Opening() {
-		a.receiveOpening(now, from, key, header, message.Packet)
+		a.receiveOpening(now, from, key, header, message)
 		return
 	}
 	a.receiveSegment(now, from, key, header, message)
@@ -182,25 +188,34 @@
 	a.event(Event{Kind: event, Flow: key, Peer: to, Reason: reason})
 }
 
-func (a *Agent) receiveOpening(now time.Duration, from segment.Address, key segment.FlowKey, header segment.Header, packet []byte) {
+func (a *Agent) receiveOpening(now time.Duration, from segment.Address, key segment.FlowKey, header segment.Header, message Message) {
 	known, exists := a.flows[key]
-	if exists && known.running() && known.sequence == header.Sequence {
+	if exists && known.sequence == header.Sequence && known.state <= stateOpen {
 		known.balancer = from
-		a.deliver(packet)
+		if known.state == stateHeld {
+			a.sendHeld(key, known)
+			return
+		}
+		a.deliver(message.Packet)
 		return
 	}
 	if a.refusing() {
-		a.bringBack(from, key, header, packet, "leaving")
+		a.bringBack(from, key, header, message.Packet, "leaving")
 		return
 	}
 	if len(a.flows) >= a.config.FlowLimit && !exists {
-		a.bringBack(from, key, header, packet, "flow_limit")
+		a.bringBack(from, key, header, message.Packet, "flow_limit")
 		return
 	}
-	a.forget(key)
-	a.flows[key] = &agentFlow{state: stateOffered, sequence: header.Sequence, balancer: from, touched: now}
-	a.running++
-	a.deliver(packet)
+	a.forget(now, key)
+	opened := &agentFlow{state: stateHeld, sequence: header.Sequence, balancer: from, touched: now}
+	a.flows[key] = opened
+	a.pace.slots = message.Terms.Slots
+	if a.pace.full() {
+		a.hold(now, key, opened, message)
+		return
+	}
+	a.admit(now, opened, message.Packet)
 }
 
 // receiveSegment handles a client's packet that does not open a flow.
@@ -247,8 +262,11 @@
 		a.send(from, Message{Kind: KindOwned, Service: a.config.Service, Flow: FlowOf(key), Load: a.Load()})
 	}
 	a.deliver(message.Packet)
+	if header.Length > 0 {
+		a.requested(now, known)
+	}
 	if header.Flags.Has(segment.Finish) || header.Flags.Has(segment.Reset) {
-		a.end(known)
+		a.end(now, known)
 	}
 }
 
@@ -297,7 +315,7 @@
 	known, exists := a.flows[key]
 	a.config.Codec.ClearReturned(packet)
 	if header.Opening() {
-		a.returnedOpening(key, known, header, packet)
+		a.returnedOpening(now, key, known, header, packet)
 		return
 	}
 	if !exists {
@@ -306,16 +324,16 @@
 	if known.state == stateOpen {
 		a.lost(key, header)
 	}
-	a.forget(key)
+	a.forget(now, key)
 	a.flows[key] = &agentFlow{state: stateDenied, touched: now}
 }
 
-func (a *Agent) returnedOpening(key segment.FlowKey, known *agentFlow, header segment.Header, packet []byte) {
+func (a *Agent) returnedOpening(now time.Duration, key segment.FlowKey, known *agentFlow, header segment.Header, packet []byte) {
 	if known == nil || known.state != stateOffered || known.sequence != header.Sequence {
 		return
 	}
 	balancer := known.balancer
-	a.forget(key)
+	a.forget(now, key)
 	a.bringBack(balancer, key, header, packet, "endpoint")
 }
 
@@ -342,7 +360,9 @@
 	case header.Flags.Has(segment.Synchronize):
 		a.answer(key, known, header)
 	case header.Flags.Has(segment.Finish), header.Flags.Has(segment.Reset):
-		a.end(known)
+		a.end(now, known)
+	case header.Length > 0:
+		a.responded(now, known)
 	}
 	a.effects = append(a.effects, Effect{Kind: EffectClient, To: key.Client, Packet: packet})
 }
@@ -379,14 +399,15 @@
 	})
 }
 
-func (a *Agent) end(known *agentFlow) {
+func (a *Agent) end(now time.Duration, known *agentFlow) {
 	if known.running() {
 		a.running--
 	}
 	known.state = stateEnded
+	a.release(now, known)
 }
 
-func (a *Agent) forget(key segment.FlowKey) {
+func (a *Agent) forget(now time.Duration, key segment.FlowKey) {
 	known, exists := a.flows[key]
 	if !exists {
 		return
@@ -395,19 +416,28 @@
 		a.running--
 	}
 	delete(a.flows, key)
+	a.release(now, known)
 }
 
-// Tick must be called at least every second. The returned effects are valid
-// until the next call.
+// NextTick returns when Tick should be called at the latest.
+func (a *Agent) NextTick(now time.Duration) time.Duration {
+	if len(a.queue.waiting) > 0 {
+		return now + queueInterval
+	}
+	return now + sweepInterval
+}
+
+// Tick handles timeouts. The returned effects are valid until the next call.
 func (a *Agent) Tick(now time.Duration) []Effect {
 	a.begin(now)
+	a.expire(now)
 	if now < a.nextSweep {
 		return a.effects
 	}
 	a.nextSweep = now + sweepInterval
 	for key, known := range a.flows {
 		if now-known.touched > a.retention(known) {
-			a.forget(key)
+			a.forget(now, key)
 		}
 	}
 	for balancer, heard := range a.balancers {
@@ -420,7 +450,7 @@
 
 func (a *Agent) retention(known *agentFlow) time.Duration {
 	switch known.state {
-	case stateOffered, stateAnswered:
+	case stateHeld, stateOffered, stateAnswered:
 		return offeredRetention
 	case stateEnded:
 		return endedRetention
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -69,6 +69,7 @@
 	endpoint directory.EndpointID
 	service  string
 	touched  time.Duration
+	terms    Terms
 	// offer is set while the state is flowOffering.
 	offer *offer
 }
@@ -197,7 +198,7 @@
 		return
 	}
 	b.budget.earn()
-	opened := &balancerFlow{sequence: header.Sequence, touched: now, service: b.chooseService(route)}
+	opened := &balancerFlow{sequence: header.Sequence, touched: now, service: b.chooseService(route), terms: termsOf(route)}
 	opened.offer = &offer{key: key, packet: slices.Clone(packet)}
 	if !b.offerNext(now, key, opened) {
 		b.refuse(key, header, "no_candidate")
@@ -207,10 +208,18 @@
 	b.offers = append(b.offers, opened.offer)
 }
 
+func termsOf(route *directory.Route) Terms {
+	return Terms{
+		Priority: route.Priority,
+		Target:   uint32(route.Target.Milliseconds()),
+		Timeout:  uint32(route.Timeout.Milliseconds()),
+	}
+}
+
 // repeatOffer sends a copy of an opening packet to where the first went.
 func (b *Balancer) repeatOffer(now time.Duration, key segment.FlowKey, known *balancerFlow, packet []byte) {
 	known.touched = now
-	b.send(known.agent, Message{Kind: KindOffer, Service: known.service, Packet: packet})
+	b.send(known.agent, Message{Kind: KindOffer, Service: known.service, Terms: known.terms, Packet: packet})
 }
 
 // offerNext offers the opening packet of a flow to the best endpoint that it
@@ -226,7 +235,10 @@
 	opened.offer.tried = append(opened.offer.tried, chosen.ID)
 	opened.offer.deadline = now + offerTimeout
 	b.count(now, opened)
-	b.send(opened.agent, Message{Kind: KindOffer, Service: opened.service, Packet: opened.offer.packet})
+	opened.terms.Slots = chosen.Endpoint.Slots
+	b.send(opened.agent, Message{
+		Kind: KindOffer, Service: opened.service, Terms: opened.terms, Packet: opened.offer.packet,
+	})
 	return true
 }
 
@@ -331,6 +343,8 @@
 	switch message.Kind {
 	case KindPlaced:
 		b.receivePlaced(now, from, message)
+	case KindHeld:
+		b.receiveHeld(now, from, message)
 	case KindReturned:
 		b.receiveReturned(now, from, message)
 	case KindOwned:
@@ -364,6 +378,19 @@
 	b.event(Event{Kind: EventPlaced, Flow: key, Peer: from, Version: b.snapshot.Version()})
 }
 
+// receiveHeld handles that an agent holds an opening packet back: it is alive,
+// so the packet is not offered to another for its silence.
+func (b *Balancer) receiveHeld(now time.Duration, from segment.Address, message Message) {
+	known, exists := b.flows[message.Flow.Key()]
+	if !exists || known.sequence != message.Sequence || known.agent != from {
+		return
+	}
+	b.heard(now, known, from, message.Load)
+	if known.offer != nil {
+		known.offer.done = true
+	}
+}
+
 // moveTo makes another agent the believed owner of a flow.
 func (b *Balancer) moveTo(now time.Duration, known *balancerFlow, agent segment.Address) {
 	b.uncount(known)
@@ -450,7 +477,7 @@
 }
 
 // NextTick returns when Tick should be called at the latest.
-func (b *Balancer) NextTick() time.Duration {
+func (b *Balancer) NextTick(time.Duration) time.Duration {
 	next := b.nextSweep
 	for _, waiting := range b.offers {
 		if !waiting.done {
--- a/internal/relay/effect.go
+++ b/internal/relay/effect.go
@@ -70,6 +70,8 @@
 	EventProbed
 	// EventReturned: an opening packet was not taken.
 	EventReturned
+	// EventHeld: an opening packet waits for its endpoint.
+	EventHeld
 	// EventRefused: a client was refused since the endpoint is overloaded.
 	EventRefused
 	eventKindCount
@@ -78,7 +80,7 @@
 var eventNames = []string{
 	"malformed", "forged", "placed", "offered", "offered_again", "locating", "located", "no_route",
 	"no_endpoint", "not_ready", "suspected", "recovered", "endpoint_lost_flow", "not_owned", "probed",
-	"returned", "refused",
+	"returned", "held", "refused",
 }
 
 // Event is one decision with what decided it.
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -8,7 +8,7 @@
 
 //go:generate go tool msgp -tests=false
 //msgp:limit arrays:4096
-//msgp:tuple Message Load
+//msgp:tuple Message Load Terms
 
 // MaximumMessage bounds an encoded message in bytes.
 const MaximumMessage = 2048
@@ -33,6 +33,9 @@
 	KindOwned
 	// KindUnknown brings back a packet of a flow that the agent does not own.
 	KindUnknown
+	// KindHeld tells that the agent holds an opening packet back until its
+	// endpoint can take it.
+	KindHeld
 	// KindPing asks the agent whether it is there.
 	KindPing
 	// KindPong answers a ping.
@@ -76,6 +79,19 @@
 	Refusing bool
 }
 
+// Terms tell an agent what a flow needs and what its endpoint can do.
+type Terms struct {
+	// Slots is how many requests the endpoint works on at the same time; 0
+	// means that this is not known.
+	Slots uint32
+	// Priority orders flows under overload; 0 is served first.
+	Priority uint8
+	// Target is the latency objective and Timeout the longest useful time of a
+	// request, in milliseconds.
+	Target  uint32
+	Timeout uint32
+}
+
 // Message is what balancers and agents send each other.
 type Message struct {
 	Kind Kind
@@ -86,6 +102,8 @@
 	// Sequence is the client's initial sequence number, in messages about an
 	// opening packet.
 	Sequence uint32
+	// Terms are set in offers.
+	Terms Terms
 	// Load is set in messages of agents.
 	Load Load
 	// Packet is a client's packet as it was sent.
--- a/internal/relay/message_gen.go
+++ b/internal/relay/message_gen.go
@@ -226,8 +226,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	{
@@ -254,6 +254,11 @@
 		err = msgp.WrapError(err, "Sequence")
 		return
 	}
+	err = z.Terms.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Terms")
+		return
+	}
 	var zb0003 uint32
 	zb0003, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -296,8 +301,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Message) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 6
-	err = en.Append(0x96)
+	// array header, size 7
+	err = en.Append(0x97)
 	if err != nil {
 		return
 	}
@@ -321,6 +326,11 @@
 		err = msgp.WrapError(err, "Sequence")
 		return
 	}
+	err = z.Terms.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Terms")
+		return
+	}
 	// array header, size 3
 	err = en.Append(0x93)
 	if err != nil {
@@ -352,12 +362,17 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendUint8(o, uint8(z.Kind))
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendBytes(o, (z.Flow)[:])
 	o = msgp.AppendUint32(o, z.Sequence)
+	o, err = z.Terms.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Terms")
+		return
+	}
 	// array header, size 3
 	o = append(o, 0x93)
 	o = msgp.AppendUint32(o, z.Load.Running)
@@ -375,8 +390,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	{
@@ -403,6 +418,11 @@
 		err = msgp.WrapError(err, "Sequence")
 		return
 	}
+	bts, err = z.Terms.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Terms")
+		return
+	}
 	var zb0003 uint32
 	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -455,6 +475,129 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Message) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize)) + msgp.Uint32Size + 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Packet)
+	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize)) + msgp.Uint32Size + z.Terms.Msgsize() + 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Packet)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Terms) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Slots, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Slots")
+		return
+	}
+	z.Priority, err = dc.ReadUint8()
+	if err != nil {
+		err = msgp.WrapError(err, "Priority")
+		return
+	}
+	z.Target, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Timeout, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Timeout")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Terms) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Slots)
+	if err != nil {
+		err = msgp.WrapError(err, "Slots")
+		return
+	}
+	err = en.WriteUint8(z.Priority)
+	if err != nil {
+		err = msgp.WrapError(err, "Priority")
+		return
+	}
+	err = en.WriteUint32(z.Target)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	err = en.WriteUint32(z.Timeout)
+	if err != nil {
+		err = msgp.WrapError(err, "Timeout")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Terms) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint32(o, z.Slots)
+	o = msgp.AppendUint8(o, z.Priority)
+	o = msgp.AppendUint32(o, z.Target)
+	o = msgp.AppendUint32(o, z.Timeout)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Terms) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Slots, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Slots")
+		return
+	}
+	z.Priority, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Priority")
+		return
+	}
+	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Timeout, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Timeout")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Terms) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint32Size
 	return
 }
--- a/internal/relaydaemon/agent.go
+++ b/internal/relaydaemon/agent.go
@@ -1,7 +1,6 @@
 package relaydaemon
 
 import (
-	"context"
 	"net/netip"
 	"time"
 
@@ -12,71 +11,41 @@
 	"github.com/vanetiller/vanetiller/internal/settings"
 )
 
-// agentTick is how often the agent looks at its timeouts.
-const agentTick = time.Second
-
 // agentRole runs a relay.Agent.
 type agentRole struct {
-	executor executor
+	executor *executor
 	agent    *relay.Agent
 }
 
 func newAgentRole(surroundings Surroundings, checked *settings.Relay, journal *journal) (*agentRole, error) {
-	created := &agentRole{
-		executor: executor{
-			started:    time.Now(),
-			clientPort: checked.Peers.Port(),
-			journal:    journal,
-			endpoint:   segment.AddressOf(checked.Agent.Endpoint),
-		},
-		agent: relay.NewAgent(relay.AgentConfig{
-			Service:      checked.Agent.Service,
-			Codec:        surroundings.Codec,
-			Complete:     checked.Agent.FirstStart,
-			FlowLifetime: checked.FlowLifetime,
-			FlowLimit:    checked.FlowLimit,
-		}),
-	}
+	agent := relay.NewAgent(relay.AgentConfig{
+		Service:      checked.Agent.Service,
+		Codec:        surroundings.Codec,
+		Complete:     checked.Agent.FirstStart,
+		FlowLifetime: checked.FlowLifetime,
+		FlowLimit:    checked.FlowLimit,
+	})
+	created := &agentRole{newExecutor(agent, checked.Peers.Port(), journal), agent}
+	created.executor.endpoint = segment.AddressOf(checked.Agent.Endpoint)
 	var err error
 	created.executor.packets, err = listen(checked.Agent.Emitted, created.emitted)
 	if err != nil {
 		return nil, err
 	}
-	created.executor.peers, err = listen(checked.Peers, created.executor.handleMessage(created.agent))
+	created.executor.peers, err = listen(checked.Peers, created.executor.message)
 	return created, err
 }
 
 // emitted handles a packet of the endpoint. Only the endpoint may send to this
 // address, from the machine itself.
 func (r *agentRole) emitted(_ netip.AddrPort, packet []byte) {
-	r.executor.mutex.Lock()
-	defer r.executor.mutex.Unlock()
-	r.executor.execute(r.agent.Emitted(r.executor.now(), packet))
+	r.executor.do(func(now time.Duration) []relay.Effect { return r.agent.Emitted(now, packet) })
 }
 
 func (r *agentRole) add(group *run.Group) {
 	addActor(group, r.executor.packets.run)
 	addActor(group, r.executor.peers.run)
-	addActor(group, r.tick)
-}
-
-func (r *agentRole) tick(ctx context.Context) error {
-	ticker := time.NewTicker(agentTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		r.executor.mutex.Lock()
-		r.executor.execute(r.agent.Tick(r.executor.now()))
-		r.executor.mutex.Unlock()
-	}
+	addActor(group, r.executor.tick)
 }
 
-func (r *agentRole) stop() {
-	r.executor.mutex.Lock()
-	defer r.executor.mutex.Unlock()
-	r.executor.execute(r.agent.Stop(r.executor.now()))
-}
+func (r *agentRole) stop() { r.executor.do(r.agent.Stop) }
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -14,98 +14,58 @@
 	"github.com/vanetiller/vanetiller/internal/settings"
 )
 
-// minimumTick bounds how often the balancer looks at its timeouts.
-const minimumTick = 5 * time.Millisecond
-
 // balancerRole runs a relay.Balancer and keeps its directory current.
 type balancerRole struct {
-	executor  executor
+	executor  *executor
 	balancer  *relay.Balancer
 	health    *observability.Health
 	directory *directory.Machine
 	follower  *directory.Follower
 	store     directory.Store
-	timer     *time.Timer
-	armed     time.Duration
 }
 
-func newBalancerRole(surroundings Surroundings, whole *settings.Settings, health *observability.Health, journal *journal) (*balancerRole, error) {
-	checked := whole.Relay
+func newBalancerRole(surroundings Surroundings, checked *settings.Settings, health *observability.Health, journal *journal) (*balancerRole, error) {
+	given := checked.Relay.Balancer
+	balancer := relay.NewBalancer(relay.BalancerConfig{
+		Zone:         checked.Zone,
+		Codec:        surroundings.Codec,
+		AgentPort:    given.Listen.Port(),
+		FlowLifetime: checked.Relay.FlowLifetime,
+		FlowLimit:    checked.Relay.FlowLimit,
+		Random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
 	machine := directory.New()
 	created := &balancerRole{
-		executor: executor{started: time.Now(), clientPort: checked.Balancer.Listen.Port(), journal: journal},
-		balancer: relay.NewBalancer(relay.BalancerConfig{
-			Zone:         whole.Zone,
-			Codec:        surroundings.Codec,
-			AgentPort:    checked.Balancer.Listen.Port(),
-			FlowLifetime: checked.FlowLifetime,
-			FlowLimit:    checked.FlowLimit,
-			Random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		}),
+		executor:  newExecutor(balancer, given.Listen.Port(), journal),
+		balancer:  balancer,
 		health:    health,
 		directory: machine,
 		follower:  directory.NewFollower(machine),
-		store:     surroundings.NewStore(checked.Balancer.Store),
-		timer:     time.NewTimer(0),
+		store:     surroundings.NewStore(given.Store),
 	}
 	health.SetNotReady(conditionDirectory, "routes and endpoints are not known yet")
 	var err error
-	created.executor.packets, err = listen(checked.Balancer.Listen, created.arrive)
+	created.executor.packets, err = listen(given.Listen, created.arrive)
 	if err != nil {
 		return nil, err
 	}
-	created.executor.peers, err = listen(checked.Peers, created.receive())
+	created.executor.peers, err = listen(checked.Relay.Peers, created.executor.message)
 	return created, err
 }
 
 func (r *balancerRole) arrive(_ netip.AddrPort, packet []byte) {
-	r.executor.mutex.Lock()
-	defer r.executor.mutex.Unlock()
-	r.executor.execute(r.balancer.Arrive(r.executor.now(), packet))
-	r.arm()
-}
-
-func (r *balancerRole) receive() func(netip.AddrPort, []byte) {
-	handle := r.executor.handleMessage(r.balancer)
-	return func(from netip.AddrPort, datagram []byte) {
-		handle(from, datagram)
-	}
+	r.executor.do(func(now time.Duration) []relay.Effect { return r.balancer.Arrive(now, packet) })
 }
 
 func (r *balancerRole) add(group *run.Group) {
 	addActor(group, r.executor.packets.run)
 	addActor(group, r.executor.peers.run)
-	addActor(group, r.tick)
+	addActor(group, r.executor.tick)
 	addActor(group, r.follow)
 }
 
 func (r *balancerRole) stop() {}
 
-// arm sets the timer if the next timeout comes before it.
-func (r *balancerRole) arm() {
-	next := r.balancer.NextTick()
-	if next >= r.armed {
-		return
-	}
-	r.armed = next
-	r.timer.Reset(max(next-r.executor.now(), minimumTick))
-}
-
-func (r *balancerRole) tick(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-r.timer.C:
-		}
-		r.executor.mutex.Lock()
-		r.executor.execute(r.balancer.Tick(r.executor.now()))
-		r.armed = r.balancer.NextTick()
-		r.timer.Reset(max(r.armed-r.executor.now(), minimumTick))
-		r.executor.mutex.Unlock()
-	}
-}
-
 // follow keeps the directory current until ctx ends.
 func (r *balancerRole) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -139,39 +99,40 @@
 // conclude hands the outcome of a call to the follower and puts a changed
 // snapshot in force.
 func (r *balancerRole) conclude(err error, merge func(now time.Duration) bool) {
-	r.executor.mutex.Lock()
-	defer r.executor.mutex.Unlock()
-	now := r.executor.now()
-	before := r.follower.Following()
-	if err != nil {
-		r.follower.Failed(err)
-		if before {
-			r.executor.journal.logger.Warn("store lost", "error", err)
+	r.executor.do(func(now time.Duration) []relay.Effect {
+		before := r.follower.Following()
+		if err != nil {
+			r.follower.Failed(err)
+			r.reportLoss(before, err)
+			return nil
 		}
-		return
-	}
-	changed := merge(now)
-	if !before && r.follower.Following() {
-		r.executor.journal.logger.Info("store followed", "revision", uint64(r.directory.Complete()))
-	}
-	if r.follower.Following() {
-		r.balancer.Confirm(now)
-	}
-	if changed {
-		r.install(now)
-	}
+		changed := merge(now)
+		if r.follower.Following() {
+			r.balancer.Confirm(now)
+		}
+		if !before && r.follower.Following() {
+			r.executor.journal.logger.Info("store followed", "revision", uint64(r.directory.Complete()))
+		}
+		if changed && r.directory.Ready() {
+			return r.install(now)
+		}
+		return nil
+	})
 }
 
-func (r *balancerRole) install(now time.Duration) {
-	if !r.directory.Ready() {
-		return
+func (r *balancerRole) reportLoss(followed bool, err error) {
+	if followed {
+		r.executor.journal.logger.Warn("store lost", "error", err)
 	}
+}
+
+func (r *balancerRole) install(now time.Duration) []relay.Effect {
 	snapshot := r.directory.Snapshot()
-	r.executor.execute(r.balancer.Install(now, snapshot))
 	r.health.SetReady(conditionDirectory)
 	r.executor.journal.logger.Info("directory changed",
 		"version", snapshot.Version(), "revision", uint64(r.directory.Complete()),
 		"routes", snapshot.Routes(), "endpoints", len(snapshot.All()))
+	return r.balancer.Install(now, snapshot)
 }
 
 // sleep waits and reports whether ctx is still live.
