Report not ready while no agent can be reached; test the relay's machines

A balancer that hears no agent for 0.25 s while packets wait pings agents, takes itself for isolated 0.5 s later, and is ready again at the first answer. A route's service without endpoints now gives its turn to another. Tests of balancer and agent, in virtual time; those on isolation, on another service and on a client without a request at time zero failed first.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"time"
 
 	"github.com/vanetiller/vanetiller/internal/segment"
@@ -60,6 +61,9 @@
 // running reports whether the endpoint has the flow and it has not ended.
 func (f *agentFlow) running() bool { return f.state >= stateOffered && f.state <= stateOpen }
 
+// never is later than any time.
+const never = time.Duration(math.MaxInt64)
+
 const (
 	// acknowledgmentWindow is how far an acknowledgment may be ahead of the
 	// endpoint's initial sequence number for the flow to be the endpoint's.
--- /dev/null
+++ b/internal/relay/agent_test.go
@@ -0,0 +1,235 @@
+package relay_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/relay"
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+var _ = Describe("Agent", func() {
+	var agent *relay.Agent
+
+	terms := relay.Terms{Slots: 2, Target: 250, Timeout: 2000}
+
+	offer := func(now time.Duration, number int, sequence uint32) []relay.Effect {
+		return agent.Receive(now, balancerA, relay.Message{
+			Kind: relay.KindOffer, Service: service, Terms: terms, Packet: opening(number, sequence),
+		})
+	}
+	forward := func(now time.Duration, kind relay.Kind, packet []byte) []relay.Effect {
+		return agent.Receive(now, balancerB, relay.Message{Kind: kind, Service: service, Packet: packet})
+	}
+	answer := func(now time.Duration, number int, sequence uint32) []relay.Effect {
+		return agent.Emitted(now, fromEndpoint(number, segment.Synchronize|segment.Acknowledge, sequence, 101, ""))
+	}
+	// open opens a flow whose endpoint's initial sequence number is 500.
+	open := func(now time.Duration, number int) {
+		offer(now, number, 100)
+		answer(now, number, 500)
+		forward(now, relay.KindForward, fromClient(number, segment.Acknowledge, 101, 501, "request"))
+	}
+	delivered := func(effects []relay.Effect) []relay.Effect { return ofKind(effects, relay.EffectEndpoint) }
+	returned := func(packet []byte) []byte {
+		copied := append([]byte(nil), packet...)
+		codec.MarkReturned(copied)
+		return copied
+	}
+
+	BeforeEach(func() { agent = newAgent(true) })
+
+	It("gives an offered packet to its endpoint unchanged and tells of the answer", func() {
+		effects := offer(0, 1, 100)
+		Expect(delivered(effects)[0].Packet).To(Equal(opening(1, 100)))
+		effects = answer(millisecond, 1, 500)
+		told := onlyMessage(effects)
+		Expect(told.To).To(Equal(balancerA))
+		Expect(told.Message.Kind).To(Equal(relay.KindPlaced))
+		Expect(told.Message.Flow.Key()).To(Equal(keyOf(1)))
+		Expect(ofKind(effects, relay.EffectClient)[0].To).To(Equal(clientAddress(1)))
+	})
+
+	It("does not take packets for another service", func() {
+		effects := agent.Receive(0, balancerA, relay.Message{Kind: relay.KindOffer, Service: otherService, Packet: opening(1, 100)})
+		Expect(delivered(effects)).To(BeEmpty())
+		Expect(onlyMessage(effects).Message.Kind).To(Equal(relay.KindReturned))
+	})
+
+	It("brings back an opening packet that its endpoint did not take, as the client wrote it", func() {
+		offer(0, 1, 100)
+		effects := agent.Emitted(millisecond, returned(opening(1, 100)))
+		Expect(onlyMessage(effects).Message.Kind).To(Equal(relay.KindReturned))
+		Expect(onlyMessage(effects).Message.Packet).To(Equal(opening(1, 100)))
+		Expect(agent.Flows()).To(BeZero())
+	})
+
+	It("knows by the acknowledgment that the client chose another endpoint", func() {
+		offer(0, 1, 100)
+		answer(0, 1, 500)
+		effects := forward(millisecond, relay.KindForward, fromClient(1, segment.Acknowledge, 101, 90501, "request"))
+		Expect(delivered(effects)).To(HaveLen(1), "90,000 bytes further on may still be this endpoint's")
+		effects = forward(millisecond, relay.KindForward, fromClient(1, segment.Acknowledge, 101, 0x9000_0000, "request"))
+		Expect(delivered(effects)).To(BeEmpty())
+		Expect(onlyMessage(effects).Message.Kind).To(Equal(relay.KindUnknown))
+	})
+
+	It("never gives its endpoint a packet of a flow that it does not own", func() {
+		stray := fromClient(1, segment.Acknowledge, 101, 501, "request")
+		Expect(delivered(forward(0, relay.KindForward, stray))).To(BeEmpty())
+		for step := range 20 {
+			effects := forward(time.Duration(step)*200*millisecond, relay.KindLocate, stray)
+			Expect(delivered(effects)).To(BeEmpty())
+			Expect(sent(effects)).To(BeEmpty())
+		}
+	})
+
+	It("answers a search for a flow that it owns and delivers its packet", func() {
+		open(0, 1)
+		effects := forward(millisecond, relay.KindLocate, fromClient(1, segment.Acknowledge, 108, 501, "more"))
+		Expect(delivered(effects)).To(HaveLen(1))
+		Expect(onlyMessage(effects).To).To(Equal(balancerB))
+		Expect(onlyMessage(effects).Message.Kind).To(Equal(relay.KindOwned))
+	})
+
+	It("takes no new flow once its endpoint drains, and goes on with those it has", func() {
+		open(0, 1)
+		agent.Receive(0, balancerA, relay.Message{Kind: relay.KindDrain, Service: service})
+		Expect(onlyMessage(offer(millisecond, 2, 100)).Message.Kind).To(Equal(relay.KindReturned))
+		Expect(delivered(forward(millisecond, relay.KindForward, fromClient(1, segment.Acknowledge, 108, 501, "x")))).To(HaveLen(1))
+	})
+
+	It("tells balancers that it stops, and goes on with the flows it has", func() {
+		open(0, 1)
+		told := sent(agent.Stop(millisecond))
+		Expect(told).To(HaveLen(2))
+		Expect(told[0].Message.Kind).To(Equal(relay.KindLeaving))
+		Expect(sent(offer(2*millisecond, 2, 100))[0].Message.Kind).To(Equal(relay.KindReturned))
+		Expect(delivered(forward(millisecond, relay.KindForward, fromClient(1, segment.Acknowledge, 108, 501, "x")))).To(HaveLen(1))
+	})
+
+	It("resets a flow that its endpoint has lost, and only such a one", func() {
+		open(0, 1)
+		stray := fromClient(2, segment.Acknowledge, 101, 501, "x")
+		Expect(resets(agent.Emitted(0, returned(stray)))).To(BeEmpty())
+		request := fromClient(1, segment.Acknowledge, 101, 501, "request")
+		lost := resets(agent.Emitted(millisecond, returned(request)))
+		Expect(lost).To(HaveLen(1))
+		Expect(lost[0].Sequence).To(Equal(uint32(501)))
+	})
+
+	It("does not take a bounced copy of an opening packet for the loss of an open flow", func() {
+		open(0, 1)
+		effects := agent.Emitted(millisecond, returned(opening(1, 100)))
+		Expect(effects).To(BeEmpty())
+		Expect(delivered(forward(millisecond, relay.KindForward, fromClient(1, segment.Acknowledge, 108, 501, "x")))).To(HaveLen(1))
+	})
+
+	Describe("restarted beside a running endpoint", func() {
+		request := fromClient(1, segment.Acknowledge, 101, 501, "request")
+
+		BeforeEach(func() { agent = newAgent(false) })
+
+		It("learns of flows from what its endpoint writes", func() {
+			agent.Emitted(0, fromEndpoint(1, segment.Acknowledge, 501, 108, "answer"))
+			Expect(delivered(forward(millisecond, relay.KindForward, request))).To(HaveLen(1))
+		})
+
+		It("lets its endpoint tell, once, when a client has repeated a packet in vain", func() {
+			Expect(delivered(forward(0, relay.KindLocate, request))).To(BeEmpty())
+			Expect(delivered(forward(200*millisecond, relay.KindLocate, request))).To(HaveLen(1))
+			Expect(resets(agent.Emitted(201*millisecond, returned(request)))).To(BeEmpty())
+			for step := 2; step < 10; step++ {
+				Expect(delivered(forward(time.Duration(step)*200*millisecond, relay.KindLocate, request))).To(BeEmpty())
+			}
+		})
+
+		It("owns the flow once its endpoint has answered, and tells the balancer", func() {
+			forward(0, relay.KindLocate, request)
+			forward(200*millisecond, relay.KindLocate, request)
+			effects := agent.Emitted(201*millisecond, fromEndpoint(1, segment.Acknowledge, 501, 108, ""))
+			Expect(onlyMessage(effects).Message.Kind).To(Equal(relay.KindOwned))
+			Expect(onlyMessage(effects).To).To(Equal(balancerB))
+		})
+	})
+
+	Describe("with a busy endpoint", func() {
+		// respond lets the endpoint answer the request of a flow.
+		respond := func(now time.Duration, number int) []relay.Effect {
+			return agent.Emitted(now, fromEndpoint(number, segment.Acknowledge, 501, 108, "answer"))
+		}
+		openedBy := func(effects []relay.Effect) []int {
+			var numbers []int
+			for _, effect := range delivered(effects) {
+				header, _ := codec.Decode(effect.Packet)
+				numbers = append(numbers, int(header.Source.Port)-40000)
+			}
+			return numbers
+		}
+
+		BeforeEach(func() {
+			for number := range 3 {
+				open(0, number)
+			}
+		})
+
+		It("holds opening packets back and tells the balancer", func() {
+			effects := offer(millisecond, 10, 100)
+			Expect(delivered(effects)).To(BeEmpty())
+			Expect(onlyMessage(effects).Message.Kind).To(Equal(relay.KindHeld))
+			Expect(onlyMessage(effects).Message.Load.Waiting).To(Equal(uint32(1)))
+		})
+
+		It("admits the newest first when a slot is free", func() {
+			offer(1*millisecond, 10, 100)
+			offer(2*millisecond, 11, 100)
+			Expect(openedBy(respond(3*millisecond, 0))).To(Equal([]int{11}))
+			Expect(openedBy(respond(4*millisecond, 1))).To(Equal([]int{10}))
+		})
+
+		It("admits the more urgent before the newer", func() {
+			terms.Priority = 1
+			offer(1*millisecond, 10, 100)
+			terms.Priority = 2
+			offer(2*millisecond, 11, 100)
+			terms.Priority = 0
+			Expect(openedBy(respond(3*millisecond, 0))).To(Equal([]int{10}))
+		})
+
+		It("does not count a copy of an opening packet as newer", func() {
+			offer(1*millisecond, 10, 100)
+			offer(2*millisecond, 11, 100)
+			Expect(onlyMessage(offer(3*millisecond, 10, 100)).Message.Kind).To(Equal(relay.KindHeld))
+			Expect(openedBy(respond(4*millisecond, 0))).To(Equal([]int{11}))
+		})
+
+		It("refuses at once what has waited too long, and nothing of it has run", func() {
+			offer(millisecond, 10, 100)
+			Expect(agent.NextTick(millisecond)).To(BeNumerically("<=", 100*millisecond))
+			Expect(resets(agent.Tick(500 * millisecond))).To(BeEmpty())
+			refused := agent.Tick(1200 * millisecond)
+			Expect(resets(refused)).To(HaveLen(1))
+			Expect(delivered(refused)).To(BeEmpty())
+			Expect(openedBy(respond(1201*millisecond, 0))).To(BeEmpty())
+		})
+
+		It("frees the slot of a client that never sends its request", func() {
+			respond(0, 0)
+			offer(0, 9, 100)
+			answer(0, 9, 500)
+			offer(millisecond, 10, 100)
+			Expect(openedBy(agent.Tick(200 * millisecond))).To(BeEmpty())
+			Expect(openedBy(agent.Tick(400 * millisecond))).To(Equal([]int{10}))
+		})
+	})
+
+	It("forgets flows that have ended", func() {
+		open(0, 1)
+		forward(0, relay.KindForward, fromClient(1, segment.Acknowledge|segment.Finish, 108, 501, ""))
+		agent.Tick(20 * time.Second)
+		Expect(agent.Flows()).To(BeZero())
+		Expect(agent.Load().Running).To(BeZero())
+	})
+})
--- /dev/null
+++ b/internal/relay/balancer_test.go
@@ -0,0 +1,340 @@
+package relay_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/relay"
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+const millisecond = time.Millisecond
+
+var _ = Describe("Balancer", func() {
+	var (
+		balancer *relay.Balancer
+		known    *fleet
+	)
+
+	install := func(now time.Duration) []relay.Effect { return balancer.Install(now, known.machine.Snapshot()) }
+
+	placed := func(now time.Duration, agent segment.Address, number int, sequence uint32) []relay.Effect {
+		return balancer.Receive(now, agent, relay.Message{
+			Kind: relay.KindPlaced, Service: service, Flow: relay.FlowOf(keyOf(number)), Sequence: sequence,
+		})
+	}
+
+	BeforeEach(func() {
+		balancer = newBalancer()
+		known = newFleet()
+		known.configure(directory.Share{Service: service, Weight: 1})
+		for number := range 3 {
+			known.endpoint(0, number, nil)
+		}
+		install(0)
+		balancer.Confirm(0)
+	})
+
+	It("drops packets and resets nothing before it has a directory", func() {
+		starting := newBalancer()
+		effects := starting.Arrive(0, opening(1, 100))
+		Expect(events(effects)).To(ConsistOf(relay.EventNotReady))
+		Expect(resets(effects)).To(BeEmpty())
+		Expect(resets(starting.Arrive(0, fromClient(1, segment.Acknowledge, 101, 7, "")))).To(BeEmpty())
+	})
+
+	It("offers a new flow to one endpoint and its later packets to the same", func() {
+		offer := onlyMessage(balancer.Arrive(0, opening(1, 100)))
+		Expect(offer.Message.Kind).To(Equal(relay.KindOffer))
+		Expect(offer.Message.Service).To(Equal(service))
+		Expect(offer.Message.Terms).To(Equal(relay.Terms{Slots: 4, Target: 250, Timeout: 2000}))
+		placed(millisecond, offer.To, 1, 100)
+		forward := onlyMessage(balancer.Arrive(2*millisecond, fromClient(1, segment.Acknowledge, 101, 501, "request")))
+		Expect(forward.To).To(Equal(offer.To))
+		Expect(forward.Message.Kind).To(Equal(relay.KindForward))
+	})
+
+	It("spreads flows evenly by what is outstanding", func() {
+		counts := map[segment.Address]int{}
+		for number := range 30 {
+			offer := onlyMessage(balancer.Arrive(0, opening(number, 100)))
+			counts[offer.To]++
+			placed(0, offer.To, number, 100)
+		}
+		Expect(counts).To(HaveLen(3))
+		for _, count := range counts {
+			Expect(count).To(Equal(10))
+		}
+	})
+
+	It("gives an endpoint that is slow after its start fewer flows", func() {
+		known.endpoint(0, 0, func(e *directory.Endpoint) { e.Warming = time.Second })
+		install(0)
+		counts := map[segment.Address]int{}
+		for number := range 39 {
+			offer := onlyMessage(balancer.Arrive(0, opening(number, 100)))
+			counts[offer.To]++
+			placed(0, offer.To, number, 100)
+		}
+		Expect(counts[agentAddress(0)]).To(BeNumerically("~", 9, 1))
+	})
+
+	It("keeps the weights of a route within one flow", func() {
+		known.endpoint(0, 7, func(e *directory.Endpoint) { e.Service = otherService })
+		known.configure(directory.Share{Service: service, Weight: 90}, directory.Share{Service: otherService, Weight: 10})
+		install(0)
+		other := 0
+		for number := range 100 {
+			if onlyMessage(balancer.Arrive(0, opening(number, 100))).Message.Service == otherService {
+				other++
+			}
+			Expect(other).To(BeNumerically("~", float64(number+1)/10, 1))
+		}
+		Expect(other).To(Equal(10))
+	})
+
+	It("takes another service of the route if the one whose turn it is has no endpoint", func() {
+		known.configure(directory.Share{Service: otherService, Weight: 90}, directory.Share{Service: service, Weight: 10})
+		install(0)
+		for number := range 10 {
+			Expect(onlyMessage(balancer.Arrive(0, opening(number, 100))).Message.Service).To(Equal(service))
+		}
+	})
+
+	It("repeats an opening packet to the same endpoint", func() {
+		first := onlyMessage(balancer.Arrive(0, opening(1, 100)))
+		placed(millisecond, first.To, 1, 100)
+		again := onlyMessage(balancer.Arrive(200*millisecond, opening(1, 100)))
+		Expect(again.To).To(Equal(first.To))
+	})
+
+	It("offers a silent opening packet to another endpoint before the client repeats it", func() {
+		first := onlyMessage(balancer.Arrive(0, opening(1, 100)))
+		balancer.Tick(millisecond)
+		next := balancer.NextTick(millisecond)
+		Expect(next).To(BeNumerically("<", 200*millisecond))
+		second := onlyMessage(balancer.Tick(next))
+		Expect(second.Message.Kind).To(Equal(relay.KindOffer))
+		Expect(second.To).NotTo(Equal(first.To))
+		Expect(second.Message.Packet).To(Equal(opening(1, 100)))
+	})
+
+	It("does not offer a packet again that an agent holds back", func() {
+		first := onlyMessage(balancer.Arrive(0, opening(1, 100)))
+		balancer.Receive(millisecond, first.To, relay.Message{Kind: relay.KindHeld, Flow: relay.FlowOf(keyOf(1)), Sequence: 100})
+		Expect(sent(balancer.Tick(500 * millisecond))).To(BeEmpty())
+	})
+
+	It("bounds what it offers again for silence", func() {
+		offers := 0
+		for number := range 200 {
+			balancer.Arrive(0, opening(number, 100))
+		}
+		for now := time.Duration(0); now < time.Second; now += 10 * millisecond {
+			for _, each := range sent(balancer.Tick(now)) {
+				if each.Message.Kind == relay.KindOffer {
+					offers++
+				}
+			}
+		}
+		Expect(offers).To(BeNumerically("<=", 50))
+	})
+
+	It("offers a returned packet to all others, then refuses the client at once", func() {
+		tried := map[segment.Address]bool{}
+		effects := balancer.Arrive(0, opening(1, 100))
+		for range 3 {
+			offer := onlyMessage(effects)
+			Expect(tried).NotTo(HaveKey(offer.To))
+			tried[offer.To] = true
+			effects = balancer.Receive(millisecond, offer.To, relay.Message{Kind: relay.KindReturned, Packet: opening(1, 100)})
+		}
+		Expect(resets(effects)).To(HaveLen(1))
+		Expect(balancer.Flows()).To(BeZero())
+	})
+
+	It("gives no new flow to an endpoint that is draining or gone", func() {
+		known.endpoint(0, 0, func(e *directory.Endpoint) { e.Draining = true })
+		known.gone(0, 1)
+		told := install(0)
+		Expect(onlyMessage(told).To).To(Equal(agentAddress(0)))
+		Expect(onlyMessage(told).Message.Kind).To(Equal(relay.KindDrain))
+		for number := range 20 {
+			Expect(onlyMessage(balancer.Arrive(0, opening(number, 100))).To).To(Equal(agentAddress(2)))
+		}
+	})
+
+	It("uses endpoints whose entries have just lapsed if there are no others, but not for long", func() {
+		for number := range 3 {
+			known.gone(time.Second, number)
+		}
+		install(time.Second)
+		Expect(sent(balancer.Arrive(2*time.Second, opening(1, 100)))).To(HaveLen(1))
+		Expect(resets(balancer.Arrive(3*time.Second, opening(2, 100)))).To(HaveLen(1))
+	})
+
+	It("never gives an endpoint that drained a new flow, even if there are no others", func() {
+		for number := range 3 {
+			known.endpoint(0, number, func(e *directory.Endpoint) { e.Draining = true })
+			known.gone(0, number)
+		}
+		install(0)
+		Expect(sent(balancer.Arrive(0, opening(1, 100)))).To(BeEmpty())
+	})
+
+	It("leaves out an endpoint that does not answer, and tries it again later with one flow", func() {
+		victim := agentAddress(0)
+		now := time.Duration(0)
+		answer := func(effects []relay.Effect, number int) int {
+			offered := 0
+			for _, offer := range sent(effects) {
+				if offer.To == victim {
+					offered++
+					continue
+				}
+				placed(now, offer.To, number, 100)
+			}
+			return offered
+		}
+		toVictim := 0
+		for number := range 200 {
+			now += 10 * millisecond
+			toVictim += answer(balancer.Arrive(now, opening(number, 100)), number)
+			for _, offer := range sent(balancer.Tick(now)) {
+				header, _ := codec.Decode(offer.Message.Packet)
+				placed(now, offer.To, int(header.Source.Port)-40000, 100)
+			}
+		}
+		Expect(toVictim).To(BeNumerically(">=", 3))
+		Expect(toVictim).To(BeNumerically("<=", 25))
+	})
+
+	Describe("a flow that it does not know", func() {
+		request := fromClient(1, segment.Acknowledge, 101, 501, "request")
+
+		It("asks all endpoints of the route, leaving and gone ones included", func() {
+			known.endpoint(0, 0, func(e *directory.Endpoint) { e.Draining = true })
+			known.gone(0, 1)
+			install(0)
+			asked := sent(balancer.Arrive(0, request))
+			Expect(asked).To(HaveLen(3))
+			for _, each := range asked {
+				Expect(each.Message.Kind).To(Equal(relay.KindLocate))
+			}
+		})
+
+		It("is never reset", func() {
+			for step := range 20 {
+				Expect(resets(balancer.Arrive(time.Duration(step)*200*millisecond, request))).To(BeEmpty())
+			}
+		})
+
+		It("goes to its owner once that has answered", func() {
+			balancer.Arrive(0, request)
+			balancer.Receive(millisecond, agentAddress(2), relay.Message{
+				Kind: relay.KindOwned, Service: service, Flow: relay.FlowOf(keyOf(1)),
+			})
+			Expect(onlyMessage(balancer.Arrive(2*millisecond, request)).To).To(Equal(agentAddress(2)))
+		})
+
+		It("is sought among all endpoints after a search in vain, since routes may have changed", func() {
+			known.endpoint(0, 9, func(e *directory.Endpoint) { e.Service = otherService })
+			install(0)
+			Expect(sent(balancer.Arrive(0, request))).To(HaveLen(3))
+			Expect(sent(balancer.Arrive(200*millisecond, request))).To(HaveLen(4))
+		})
+
+		It("is sought again if the believed owner does not know it", func() {
+			offer := onlyMessage(balancer.Arrive(0, opening(1, 100)))
+			placed(0, offer.To, 1, 100)
+			balancer.Arrive(millisecond, request)
+			asked := sent(balancer.Receive(2*millisecond, offer.To, relay.Message{Kind: relay.KindUnknown, Packet: request}))
+			Expect(asked).To(HaveLen(2))
+			for _, each := range asked {
+				Expect(each.To).NotTo(Equal(offer.To))
+				Expect(each.Message.Packet).To(Equal(request))
+			}
+		})
+	})
+
+	Describe("an address without a route", func() {
+		unrouted := codec.Encode(segment.Header{Source: clientAddress(1), Destination: noRoute, Flags: segment.Synchronize}, nil)
+
+		It("is reset while the directory is current", func() {
+			Expect(resets(balancer.Arrive(time.Second, unrouted))).To(HaveLen(1))
+		})
+
+		It("is not reset if the directory may be out of date", func() {
+			Expect(resets(balancer.Arrive(time.Minute, unrouted))).To(BeEmpty())
+		})
+	})
+
+	It("keeps open flows of a route that a configuration drops where they are", func() {
+		offer := onlyMessage(balancer.Arrive(0, opening(1, 100)))
+		placed(0, offer.To, 1, 100)
+		known.configure()
+		install(0)
+		Expect(onlyMessage(balancer.Arrive(0, fromClient(1, segment.Acknowledge, 101, 501, "x"))).To).To(Equal(offer.To))
+	})
+
+	DescribeTable("drops what no client can have written", func(packet []byte, expected relay.EventKind) {
+		effects := balancer.Arrive(0, packet)
+		Expect(events(effects)).To(ConsistOf(expected))
+		Expect(sent(effects)).To(BeEmpty())
+	},
+		Entry("an endpoint's answer", fromClient(1, segment.Synchronize|segment.Acknowledge, 1, 2, ""), relay.EventForged),
+		Entry("a returned packet", fromClient(1, segment.Synchronize|segment.Returned, 1, 2, ""), relay.EventForged),
+		Entry("a truncated packet", []byte{1, 2, 3}, relay.EventMalformed),
+	)
+
+	Describe("cut off from all agents", func() {
+		// endure lets time pass while flows arrive and nobody answers.
+		endure := func(from, to time.Duration) int {
+			pings := 0
+			for now := from; now < to; now += 10 * millisecond {
+				balancer.Arrive(now, opening(int(now/millisecond), 100))
+				for _, each := range sent(balancer.Tick(now)) {
+					if each.Message.Kind == relay.KindPing {
+						pings++
+					}
+				}
+			}
+			return pings
+		}
+
+		It("says so after it has pinged agents in vain, and takes it back at the first answer", func() {
+			endure(0, 500*millisecond)
+			Expect(balancer.Isolated()).To(BeFalse())
+			Expect(endure(500*millisecond, time.Second)).To(BeNumerically(">", 3))
+			Expect(balancer.Isolated()).To(BeTrue())
+			balancer.Receive(time.Second, agentAddress(1), relay.Message{Kind: relay.KindPong})
+			Expect(balancer.Isolated()).To(BeFalse())
+		})
+
+		It("does not believe others than agents", func() {
+			endure(0, time.Second)
+			balancer.Receive(time.Second, balancerB, relay.Message{Kind: relay.KindPong})
+			Expect(balancer.Isolated()).To(BeTrue())
+		})
+
+		It("does not take calm for being cut off", func() {
+			offer := onlyMessage(balancer.Arrive(0, opening(1, 100)))
+			placed(millisecond, offer.To, 1, 100)
+			balancer.Tick(time.Minute)
+			Expect(sent(balancer.Tick(2 * time.Minute))).To(BeEmpty())
+			Expect(balancer.Isolated()).To(BeFalse())
+		})
+	})
+
+	It("forgets flows whose clients have closed them", func() {
+		offer := onlyMessage(balancer.Arrive(0, opening(1, 100)))
+		placed(0, offer.To, 1, 100)
+		balancer.Arrive(millisecond, fromClient(1, segment.Acknowledge|segment.Finish, 101, 501, ""))
+		Expect(onlyMessage(balancer.Arrive(2*millisecond, fromClient(1, segment.Acknowledge, 102, 502, ""))).To).To(Equal(offer.To))
+		balancer.Tick(10 * time.Second)
+		Expect(balancer.Flows()).To(BeZero())
+	})
+})
--- a/internal/relay/effect.go
+++ b/internal/relay/effect.go
@@ -70,6 +70,10 @@
 	EventProbed
 	// EventReturned: an opening packet was not taken.
 	EventReturned
+	// EventIsolated: no agent can be reached.
+	EventIsolated
+	// EventReconnected: an agent can be reached again.
+	EventReconnected
 	// EventHeld: an opening packet waits for its endpoint.
 	EventHeld
 	// EventRefused: a client was refused since the endpoint is overloaded.
@@ -80,7 +84,7 @@
 var eventNames = []string{
 	"malformed", "forged", "placed", "offered", "offered_again", "locating", "located", "no_route",
 	"no_endpoint", "not_ready", "suspected", "recovered", "endpoint_lost_flow", "not_owned", "probed",
-	"returned", "held", "refused",
+	"returned", "isolated", "reconnected", "held", "refused",
 }
 
 // Event is one decision with what decided it.
--- /dev/null
+++ b/internal/relay/fixture_test.go
@@ -0,0 +1,165 @@
+package relay_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/relay"
+	"github.com/vanetiller/vanetiller/internal/segment"
+	"github.com/vanetiller/vanetiller/internal/segment/segmenttest"
+)
+
+func TestRelay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Relay")
+}
+
+const (
+	agentPort    = 6181
+	flowLifetime = time.Minute
+	ownZone      = "zone-1"
+	otherZone    = "zone-2"
+	service      = "lookup"
+	otherService = "export"
+)
+
+var (
+	codec        = segmenttest.Codec{Key: 7}
+	routeAddress = segment.Address{IP: [4]byte{198, 51, 100, 1}, Port: 443}
+	noRoute      = segment.Address{IP: [4]byte{198, 51, 100, 1}, Port: 444}
+	balancerA    = segment.Address{IP: [4]byte{10, 1, 0, 1}, Port: 7000}
+	balancerB    = segment.Address{IP: [4]byte{10, 1, 0, 2}, Port: 7000}
+)
+
+func clientAddress(number int) segment.Address {
+	return segment.Address{IP: [4]byte{100, 64, 0, byte(number >> 8)}, Port: uint16(40000 + number)}
+}
+
+func keyOf(number int) segment.FlowKey {
+	return segment.FlowKey{Client: clientAddress(number), Service: routeAddress}
+}
+
+// fromClient returns a packet of the client with a number.
+func fromClient(number int, flags segment.Flags, sequence, acknowledgment uint32, data string) []byte {
+	return codec.Encode(segment.Header{
+		Source: clientAddress(number), Destination: routeAddress,
+		Flags: flags, Sequence: sequence, Acknowledgment: acknowledgment,
+	}, []byte(data))
+}
+
+func opening(number int, sequence uint32) []byte {
+	return fromClient(number, segment.Synchronize, sequence, 0, "")
+}
+
+// fromEndpoint returns a packet of an endpoint to the client with a number.
+func fromEndpoint(number int, flags segment.Flags, sequence, acknowledgment uint32, data string) []byte {
+	return codec.Encode(segment.Header{
+		Source: routeAddress, Destination: clientAddress(number),
+		Flags: flags, Sequence: sequence, Acknowledgment: acknowledgment,
+	}, []byte(data))
+}
+
+func endpointAddress(number int) segment.Address {
+	return segment.Address{IP: [4]byte{10, 2, 0, byte(number)}, Port: 8080}
+}
+
+func agentAddress(number int) segment.Address { return endpointAddress(number).WithPort(agentPort) }
+
+// fleet builds snapshots of a directory.
+type fleet struct {
+	machine  *directory.Machine
+	revision directory.Revision
+	version  uint64
+}
+
+func newFleet() *fleet { return &fleet{machine: directory.New()} }
+
+func (f *fleet) endpoint(now time.Duration, number int, change func(*directory.Endpoint)) {
+	f.revision++
+	value := &directory.Endpoint{
+		Service: service, IP: endpointAddress(number).IP, Port: endpointAddress(number).Port, Zone: ownZone, Slots: 4,
+	}
+	if change != nil {
+		change(value)
+	}
+	id := directory.EndpointID(rune('a' + number))
+	f.machine.Changes(now, []directory.Item{{EndpointID: id, Revision: f.revision, Endpoint: value}}, f.revision)
+}
+
+func (f *fleet) gone(now time.Duration, number int) {
+	f.revision++
+	id := directory.EndpointID(rune('a' + number))
+	f.machine.Changes(now, []directory.Item{{EndpointID: id, Revision: f.revision}}, f.revision)
+}
+
+func (f *fleet) configure(shares ...directory.Share) {
+	f.revision++
+	f.version++
+	configuration := &directory.Configuration{Version: f.version}
+	if len(shares) > 0 {
+		configuration.Routes = []directory.Route{{
+			IP: routeAddress.IP, Port: routeAddress.Port, Shares: shares,
+			Target: 250 * time.Millisecond, Timeout: 2 * time.Second,
+		}}
+	}
+	f.machine.Changes(0, []directory.Item{{Revision: f.revision, Configuration: configuration}}, f.revision)
+}
+
+func newBalancer() *relay.Balancer {
+	return relay.NewBalancer(relay.BalancerConfig{
+		Zone: ownZone, Codec: codec, AgentPort: agentPort, FlowLifetime: flowLifetime, FlowLimit: 1000,
+		Random: rand.New(rand.NewPCG(1, 2)),
+	})
+}
+
+func newAgent(complete bool) *relay.Agent {
+	return relay.NewAgent(relay.AgentConfig{
+		Service: service, Codec: codec, Complete: complete, FlowLifetime: flowLifetime, FlowLimit: 1000,
+	})
+}
+
+// sent returns the messages among effects, with their receivers.
+func sent(effects []relay.Effect) []relay.Effect { return ofKind(effects, relay.EffectPeer) }
+
+func ofKind(effects []relay.Effect, kind relay.EffectKind) []relay.Effect {
+	var found []relay.Effect
+	for _, effect := range effects {
+		if effect.Kind == kind {
+			found = append(found, effect)
+		}
+	}
+	return found
+}
+
+// onlyMessage expects exactly one message among the effects.
+func onlyMessage(effects []relay.Effect) relay.Effect {
+	GinkgoHelper()
+	messages := sent(effects)
+	Expect(messages).To(HaveLen(1))
+	return messages[0]
+}
+
+func events(effects []relay.Effect) []relay.EventKind {
+	var kinds []relay.EventKind
+	for _, effect := range ofKind(effects, relay.EffectEvent) {
+		kinds = append(kinds, effect.Event.Kind)
+	}
+	return kinds
+}
+
+// resets returns the resets to clients among effects.
+func resets(effects []relay.Effect) []segment.Header {
+	var found []segment.Header
+	for _, effect := range ofKind(effects, relay.EffectClient) {
+		header, _ := codec.Decode(effect.Packet)
+		if header.Flags.Has(segment.Reset) {
+			found = append(found, header)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/relay/offer.go
@@ -0,0 +1,205 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+// offer is an opening packet that no endpoint has answered yet.
+type offer struct {
+	key      segment.FlowKey
+	packet   []byte
+	deadline time.Duration
+	tried    []directory.EndpointID
+	done     bool
+}
+
+// arriveOpening handles a packet that opens a flow, or a copy of it.
+func (b *Balancer) arriveOpening(now time.Duration, key segment.FlowKey, header segment.Header, packet []byte) {
+	known, exists := b.flows[key]
+	if exists && known.sequence == header.Sequence && known.state != flowLocating {
+		b.repeatOffer(now, key, known, packet)
+		return
+	}
+	if exists {
+		b.forget(key, known)
+	}
+	route, exists := b.snapshot.Route(key.Service)
+	if !exists {
+		b.refuseUnrouted(now, key, header)
+		return
+	}
+	if len(b.flows) >= b.config.FlowLimit {
+		b.event(Event{Kind: EventNoEndpoint, Flow: key, Version: b.snapshot.Version(), Reason: "flow_limit"})
+		return
+	}
+	b.budget.earn()
+	opened := &balancerFlow{sequence: header.Sequence, touched: now, terms: termsOf(route)}
+	opened.offer = &offer{key: key, packet: slices.Clone(packet)}
+	opened.service = b.chooseService(now, route)
+	if !b.offerNext(now, key, opened) {
+		b.refuse(key, header, "no_candidate")
+		return
+	}
+	b.flows[key] = opened
+	b.offers = append(b.offers, opened.offer)
+}
+
+func termsOf(route *directory.Route) Terms {
+	return Terms{
+		Priority: route.Priority,
+		Target:   uint32(route.Target.Milliseconds()),
+		Timeout:  uint32(route.Timeout.Milliseconds()),
+	}
+}
+
+// repeatOffer sends a copy of an opening packet to where the first went.
+func (b *Balancer) repeatOffer(now time.Duration, key segment.FlowKey, known *balancerFlow, packet []byte) {
+	known.touched = now
+	b.send(known.agent, Message{Kind: KindOffer, Service: known.service, Terms: known.terms, Packet: packet})
+}
+
+// offerNext offers the opening packet of a flow to the best endpoint that it
+// was not offered to. It reports whether there is one.
+func (b *Balancer) offerNext(now time.Duration, key segment.FlowKey, opened *balancerFlow) bool {
+	chosen, exists := b.choose(now, opened.service, opened.offer.tried)
+	if !exists {
+		return false
+	}
+	b.uncount(opened)
+	opened.agent = b.agentOf(chosen)
+	opened.endpoint = chosen.ID
+	opened.offer.tried = append(opened.offer.tried, chosen.ID)
+	opened.offer.deadline = now + offerTimeout
+	b.count(now, opened)
+	b.awaitAgent(now)
+	opened.terms.Slots = chosen.Endpoint.Slots
+	b.send(opened.agent, Message{
+		Kind: KindOffer, Service: opened.service, Terms: opened.terms, Packet: opened.offer.packet,
+	})
+	return true
+}
+
+// refuseUnrouted resets a flow to an address that has no route, unless the
+// directory may be out of date.
+func (b *Balancer) refuseUnrouted(now time.Duration, key segment.FlowKey, header segment.Header) {
+	if now-b.confirmed > confirmationTimeout {
+		b.event(Event{Kind: EventNoRoute, Flow: key, Version: b.snapshot.Version(), Reason: "unconfirmed"})
+		return
+	}
+	b.event(Event{Kind: EventNoRoute, Flow: key, Version: b.snapshot.Version(), Reason: "reset"})
+	b.reset(key, header)
+}
+
+// refuse resets a flow that no endpoint can take; nothing of it has run.
+func (b *Balancer) refuse(key segment.FlowKey, header segment.Header, reason string) {
+	b.event(Event{Kind: EventNoEndpoint, Flow: key, Version: b.snapshot.Version(), Reason: reason})
+	b.reset(key, header)
+}
+
+func (b *Balancer) reset(key segment.FlowKey, header segment.Header) {
+	packet := b.config.Codec.AppendReset(nil, key, header.Acknowledgment)
+	b.effects = append(b.effects, Effect{Kind: EffectClient, To: key.Client, Packet: packet})
+}
+
+func (b *Balancer) receivePlaced(now time.Duration, from segment.Address, message Message) {
+	key := message.Flow.Key()
+	known, exists := b.flows[key]
+	if !exists || known.sequence != message.Sequence {
+		return
+	}
+	b.heard(now, known, from, message.Load)
+	if known.state != flowOffering {
+		return
+	}
+	// An earlier offer may be answered after a later one was made: the agent
+	// that answered first is the likely owner, and others would return the
+	// client's packets.
+	if known.agent != from {
+		b.moveTo(now, known, from)
+	}
+	b.settle(known)
+	known.state = flowPlaced
+	b.event(Event{Kind: EventPlaced, Flow: key, Peer: from, Version: b.snapshot.Version()})
+}
+
+// receiveHeld handles that an agent holds an opening packet back: it is alive,
+// so the packet is not offered to another for its silence.
+func (b *Balancer) receiveHeld(now time.Duration, from segment.Address, message Message) {
+	known, exists := b.flows[message.Flow.Key()]
+	if !exists || known.sequence != message.Sequence || known.agent != from {
+		return
+	}
+	b.heard(now, known, from, message.Load)
+	if known.offer != nil {
+		known.offer.done = true
+	}
+}
+
+// moveTo makes another agent the believed owner of a flow.
+func (b *Balancer) moveTo(now time.Duration, known *balancerFlow, agent segment.Address) {
+	b.uncount(known)
+	known.agent = agent
+	known.endpoint = ""
+	for _, candidate := range b.snapshot.All() {
+		if b.agentOf(candidate) == agent && !candidate.Gone {
+			known.endpoint = candidate.ID
+			known.service = candidate.Endpoint.Service
+			b.count(now, known)
+			return
+		}
+	}
+}
+
+func (b *Balancer) receiveReturned(now time.Duration, from segment.Address, message Message) {
+	header, outcome := b.config.Codec.Decode(message.Packet)
+	if outcome != segment.Decoded || !header.Opening() {
+		b.event(Event{Kind: EventMalformed, Peer: from, Reason: "returned"})
+		return
+	}
+	key := segment.FlowKey{Client: header.Source, Service: header.Destination}
+	known, exists := b.flows[key]
+	if !exists || known.state != flowOffering || known.sequence != header.Sequence || known.agent != from {
+		return
+	}
+	b.heard(now, known, from, message.Load)
+	b.offerAgain(now, key, known, "returned")
+}
+
+// offerAgain offers an opening packet to a further endpoint. If there is none,
+// the client is refused at once.
+func (b *Balancer) offerAgain(now time.Duration, key segment.FlowKey, known *balancerFlow, reason string) {
+	if len(known.offer.tried) < maximumOffers && b.offerNext(now, key, known) {
+		b.event(Event{Kind: EventOfferedAgain, Flow: key, Peer: known.agent, Reason: reason})
+		return
+	}
+	b.forget(key, known)
+	b.refuse(key, segment.Header{}, "all_returned")
+}
+
+// offerExpired handles an opening packet that an agent has not answered.
+func (b *Balancer) offerExpired(now time.Duration, waiting *offer) {
+	known, exists := b.flows[waiting.key]
+	if !exists || known.offer != waiting {
+		waiting.done = true
+		return
+	}
+	b.silent(now, known)
+	if len(waiting.tried) < maximumOffers && b.budget.spend() && b.offerNext(now, waiting.key, known) {
+		b.event(Event{Kind: EventOfferedAgain, Flow: waiting.key, Peer: known.agent, Reason: "silence"})
+		return
+	}
+	// The client repeats the packet; it goes to the agent that had it last.
+	waiting.done = true
+}
+
+// settle ends the offering of an opening packet.
+func (b *Balancer) settle(known *balancerFlow) {
+	if known.offer != nil {
+		known.offer.done = true
+		known.offer = nil
+	}
+}
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -170,17 +170,35 @@
 	credits []int64
 }
 
-// chooseService returns the service that takes the next new flow of a route.
-func (b *Balancer) chooseService(route *directory.Route) string {
-	if len(route.Shares) == 1 {
+// chooseService returns the service that takes the next new flow of a route:
+// the one whose turn it is or, if that has no endpoint, another of the route. It
+// is empty if no service of the route has a weight.
+func (b *Balancer) chooseService(now time.Duration, route *directory.Route) string {
+	switch len(route.Shares) {
+	case 0:
+		return ""
+	case 1:
 		return route.Shares[0].Service
 	}
+	chosen := b.sharingOf(route).next()
+	if _, exists := b.choose(now, chosen, nil); exists {
+		return chosen
+	}
+	for _, share := range route.Shares {
+		if _, exists := b.choose(now, share.Service, nil); exists {
+			return share.Service
+		}
+	}
+	return chosen
+}
+
+func (b *Balancer) sharingOf(route *directory.Route) *sharing {
 	known, exists := b.sharing[route.Address()]
 	if !exists || !slices.Equal(known.shares, route.Shares) {
 		known = &sharing{shares: route.Shares, credits: make([]int64, len(route.Shares))}
 		b.sharing[route.Address()] = known
 	}
-	return known.next()
+	return known
 }
 
 func (s *sharing) next() string {
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -29,9 +29,12 @@
 
 // work is the progress of the request of a flow.
 type work struct {
-	occupies  bool
-	since     time.Duration
-	requested time.Duration
+	// occupies is set from the admission until the endpoint answers.
+	occupies bool
+	// requested is set once the client's request has reached the endpoint.
+	requested bool
+	// since is when the flow was admitted or, later, requested.
+	since time.Duration
 }
 
 // pace is what an agent measures of its endpoint.
@@ -126,17 +129,18 @@
 
 // requested notes that the client's request reached the endpoint.
 func (a *Agent) requested(now time.Duration, known *agentFlow) {
-	if !known.work.occupies || known.work.requested > 0 {
+	if !known.work.occupies || known.work.requested {
 		return
 	}
-	known.work.requested = now
 	average(&a.pace.handshake, now-known.work.since)
+	known.work.requested = true
+	known.work.since = now
 }
 
 // responded notes that the endpoint has begun to answer.
 func (a *Agent) responded(now time.Duration, known *agentFlow) {
-	if known.work.occupies && known.work.requested > 0 {
-		average(&a.pace.working, now-known.work.requested)
+	if known.work.occupies && known.work.requested {
+		average(&a.pace.working, now-known.work.since)
 	}
 	a.release(now, known)
 }
@@ -173,7 +177,7 @@
 		}
 	}
 	for _, known := range a.flows {
-		if known.work.occupies && known.work.requested == 0 && now-known.work.since > handshakeTimeout {
+		if known.work.occupies && !known.work.requested && now-known.work.since > handshakeTimeout {
 			a.release(now, known)
 		}
 	}
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -22,6 +22,8 @@
 	directory *directory.Machine
 	follower  *directory.Follower
 	store     directory.Store
+	// isolated is what was reported last.
+	isolated bool
 }
 
 func newBalancerRole(surroundings Surroundings, checked *settings.Settings, health *observability.Health, journal *journal) (*balancerRole, error) {
@@ -43,6 +45,8 @@
 		follower:  directory.NewFollower(machine),
 		store:     surroundings.NewStore(given.Store),
 	}
+	created.executor.after = created.reportReach
+	health.SetReady(conditionAgents)
 	health.SetNotReady(conditionDirectory, "routes and endpoints are not known yet")
 	var err error
 	created.executor.packets, err = listen(given.Listen, created.arrive)
@@ -53,6 +57,20 @@
 	return created, err
 }
 
+// reportReach makes the fabric leave a balancer out that reaches no agent.
+func (r *balancerRole) reportReach() {
+	isolated := r.balancer.Isolated()
+	if isolated == r.isolated {
+		return
+	}
+	r.isolated = isolated
+	if isolated {
+		r.health.SetNotReady(conditionAgents, "no agent can be reached")
+		return
+	}
+	r.health.SetReady(conditionAgents)
+}
+
 func (r *balancerRole) arrive(_ netip.AddrPort, packet []byte) {
 	r.executor.do(func(now time.Duration) []relay.Effect { return r.balancer.Arrive(now, packet) })
 }
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -25,6 +25,8 @@
 	conditionServing observability.Condition = "serving"
 	// conditionDirectory holds once routes and endpoints are known.
 	conditionDirectory observability.Condition = "directory"
+	// conditionAgents holds unless no agent can be reached.
+	conditionAgents observability.Condition = "agents"
 )
 
 // role is what the process does besides being observed.
--- a/internal/relaydaemon/executor.go
+++ b/internal/relaydaemon/executor.go
@@ -35,6 +35,8 @@
 	encoded  []byte
 	timer    *time.Timer
 	armed    time.Duration
+	// after, if set, is called after each input.
+	after func()
 }
 
 func newExecutor(decider decider, clientPort uint16, journal *journal) *executor {
@@ -55,6 +57,9 @@
 	now := time.Since(e.started)
 	e.execute(input(now))
 	e.arm(now)
+	if e.after != nil {
+		e.after()
+	}
 }
 
 func (e *executor) execute(effects []relay.Effect) {
--- /dev/null
+++ b/internal/segment/segmenttest/codec.go
@@ -0,0 +1,103 @@
+// Package segmenttest implements an encoding of packets of the project's own,
+// sealed by a keyed sum, for tests and for the emulator. It differs from that
+// of any platform, so that code which passes with it depends on none.
+package segmenttest
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+const (
+	offsetSum      = 0
+	offsetFlags    = 8
+	offsetSource   = 10
+	offsetTarget   = 16
+	offsetSequence = 22
+	offsetAck      = 26
+	headSize       = 30
+	maximumSize    = headSize + 1200
+	// sealedFlags leaves out the bit that is no part of what is sealed.
+	sealedFlags = ^byte(segment.Returned)
+)
+
+// Codec implements segment.Codec, and for the two ends of flows also encoding
+// and checking.
+type Codec struct {
+	// Key seals packets. The daemons under test are not given it.
+	Key uint64
+}
+
+// Encode returns a sealed packet.
+func (c Codec) Encode(header segment.Header, data []byte) []byte {
+	packet := make([]byte, headSize, headSize+len(data))
+	packet[offsetFlags] = byte(header.Flags)
+	putAddress(packet[offsetSource:], header.Source)
+	putAddress(packet[offsetTarget:], header.Destination)
+	binary.BigEndian.PutUint32(packet[offsetSequence:], header.Sequence)
+	binary.BigEndian.PutUint32(packet[offsetAck:], header.Acknowledgment)
+	packet = append(packet, data...)
+	binary.BigEndian.PutUint64(packet[offsetSum:], c.sum(packet))
+	return packet
+}
+
+// Sealed reports whether the packet is as its sender wrote it.
+func (c Codec) Sealed(packet []byte) bool {
+	return binary.BigEndian.Uint64(packet[offsetSum:]) == c.sum(packet)
+}
+
+// Data returns the data of a packet.
+func (Codec) Data(packet []byte) []byte { return packet[headSize:] }
+
+// MarkReturned marks, in place, a packet that an endpoint does not take.
+func (Codec) MarkReturned(packet []byte) { packet[offsetFlags] |= byte(segment.Returned) }
+
+func (c Codec) sum(packet []byte) uint64 {
+	digest := xxhash.NewWithSeed(c.Key)
+	_, _ = digest.Write([]byte{packet[offsetFlags] & sealedFlags})
+	_, _ = digest.Write(packet[offsetFlags+1:])
+	return digest.Sum64()
+}
+
+// Decode implements segment.Codec.
+func (Codec) Decode(packet []byte) (segment.Header, segment.Outcome) {
+	switch {
+	case len(packet) < headSize:
+		return segment.Header{}, segment.Truncated
+	case len(packet) > maximumSize:
+		return segment.Header{}, segment.Oversized
+	}
+	return segment.Header{
+		Source:         addressAt(packet[offsetSource:]),
+		Destination:    addressAt(packet[offsetTarget:]),
+		Flags:          segment.Flags(packet[offsetFlags]),
+		Sequence:       binary.BigEndian.Uint32(packet[offsetSequence:]),
+		Acknowledgment: binary.BigEndian.Uint32(packet[offsetAck:]),
+		Length:         len(packet) - headSize,
+	}, segment.Decoded
+}
+
+// ClearReturned implements segment.Codec.
+func (Codec) ClearReturned(packet []byte) { packet[offsetFlags] &= sealedFlags }
+
+// AppendReset implements segment.Codec. The sum stays 0.
+func (Codec) AppendReset(output []byte, key segment.FlowKey, sequence uint32) []byte {
+	head := make([]byte, headSize)
+	head[offsetFlags] = byte(segment.Reset)
+	putAddress(head[offsetSource:], key.Service)
+	putAddress(head[offsetTarget:], key.Client)
+	binary.BigEndian.PutUint32(head[offsetSequence:], sequence)
+	return append(output, head...)
+}
+
+func putAddress(target []byte, address segment.Address) {
+	copy(target, address.IP[:])
+	binary.BigEndian.PutUint16(target[4:], address.Port)
+}
+
+func addressAt(source []byte) segment.Address {
+	return segment.Address{IP: [4]byte(source[0:4]), Port: binary.BigEndian.Uint16(source[4:])}
+}
