--- /dev/null
+++ b/bench/flownet/balancer.go
@@ -0,0 +1,252 @@
+package flownet
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/vanetiller/vanetiller/bench/simnet"
+	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/relay"
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+const (
+	tickTimer uint32 = iota
+	callTimer
+	digestTimer
+	timeoutTimer
+)
+
+const (
+	tickInterval = 10 * time.Millisecond
+	// stopDuration is how long a stopping process goes on serving.
+	stopDuration = 4500 * time.Millisecond
+	// restartDelay is how long a stopped process stays away.
+	restartDelay = 300 * time.Millisecond
+	// digestInterval is how often a balancer tells others how much it knows.
+	digestInterval = time.Second
+	// digestFanout is how many others it tells.
+	digestFanout = 2
+	// fetchTimeout is how long it waits for the directory of another.
+	fetchTimeout = 800 * time.Millisecond
+)
+
+// balancerPart is the deciding part of a balancer, of the product or of a
+// baseline.
+type balancerPart interface {
+	Arrive(now time.Duration, packet []byte) []relay.Effect
+	Receive(now time.Duration, from segment.Address, message relay.Message) []relay.Effect
+	Install(now time.Duration, snapshot *directory.Snapshot) []relay.Effect
+	Confirm(now time.Duration)
+	Tick(now time.Duration) []relay.Effect
+	Isolated() bool
+}
+
+// balancerNode is one machine with a balancer.
+type balancerNode struct {
+	world *world
+	id    simnet.NodeID
+	ip    [4]byte
+	zone  int
+
+	part      balancerPart
+	directory *directory.Machine
+	follower  *directory.Follower
+	exchange  *directory.Exchange[simnet.NodeID]
+	fetching  time.Duration
+	call      directory.Call
+	number    uint64
+	stopping  bool
+	removed   bool
+	// cut is set while the store cannot be reached.
+	cut bool
+}
+
+func (w *world) addBalancer(zone int) *balancerNode {
+	created := &balancerNode{world: w, ip: w.machine(), zone: zone}
+	created.id = w.net.AddNode(simnet.ZoneID(zone), created)
+	w.nodes[created.ip] = created.id
+	w.balancers = append(w.balancers, created)
+	created.begin()
+	return created
+}
+
+// begin starts a new process on the machine.
+func (n *balancerNode) begin() {
+	w := n.world
+	n.part = w.options.newBalancer(relay.BalancerConfig{
+		Zone: w.zoneName(n.zone), Codec: w.codec, AgentPort: packetPort, FlowLifetime: time.Minute, FlowLimit: 100_000,
+		Random: rand.New(rand.NewPCG(w.random.Uint64(), 1)),
+	})
+	n.directory = directory.New()
+	n.follower = directory.NewFollower(n.directory)
+	n.exchange = directory.NewExchange(n.directory, w.seeds(n), rand.New(rand.NewPCG(w.random.Uint64(), 2)))
+	n.fetching = 0
+	n.stopping = false
+	w.net.Schedule(n.id, tickInterval, tickTimer)
+	w.net.Schedule(n.id, 0, digestTimer)
+	n.nextCall()
+}
+
+func (n *balancerNode) restart() {
+	n.world.net.Restart(n.id, n)
+	n.begin()
+}
+
+// ready is what the balancer answers to the fabric's probe.
+func (n *balancerNode) ready() bool {
+	running := !n.world.net.Stopped(n.id)
+	return running && !n.stopping && n.directory.Ready() && !n.part.Isolated()
+}
+
+func (n *balancerNode) nextCall() {
+	n.call = n.follower.Next(n.world.random.Float64())
+	n.number++
+	n.world.net.Schedule(n.id, n.call.Delay, callTimer)
+}
+
+// Wake implements simnet.Handler.
+func (n *balancerNode) Wake(now time.Duration, timer uint32) {
+	switch timer {
+	case tickTimer:
+		n.execute(n.part.Tick(now))
+		n.fetchNext(now)
+		n.world.net.Schedule(n.id, tickInterval, tickTimer)
+	case callTimer:
+		n.sendCall()
+	case digestTimer:
+		n.sendDigest()
+	default:
+		if uint64(timer-timeoutTimer) == n.number {
+			n.follower.Failed(&directory.StoreError{Failure: directory.StoreUnreachable})
+			n.nextCall()
+		}
+	}
+}
+
+func (n *balancerNode) sendCall() {
+	call := storeCall{
+		listing: n.call.Listing, after: n.call.After, since: n.call.AfterRevision, wait: n.call.Wait, number: n.number,
+	}
+	if !n.cut {
+		n.world.net.Send(n.id, n.world.store.id, simnet.Control, 100, datagram{port: peerPort, call: &call})
+	}
+	n.world.net.Schedule(n.id, n.call.Timeout, timeoutTimer+uint32(n.number))
+}
+
+// Receive implements simnet.Handler.
+func (n *balancerNode) Receive(now time.Duration, from simnet.NodeID, received datagram) {
+	switch {
+	case received.reply != nil:
+		n.receiveReply(now, *received.reply)
+	case received.digest != nil:
+		n.exchange.Heard(now, from, *received.digest)
+	case received.fetch:
+		state := n.directory.State(now)
+		n.world.net.Send(n.id, from, simnet.Control, 1000, datagram{port: peerPort, state: &state})
+	case received.state != nil:
+		n.adopt(now, *received.state)
+	case received.message != nil:
+		n.execute(n.part.Receive(now, received.from, *received.message))
+	case received.packet != nil:
+		n.execute(n.part.Arrive(now, received.packet))
+	}
+}
+
+func (n *balancerNode) receiveReply(now time.Duration, reply storeReply) {
+	if reply.number != n.number || n.cut {
+		return
+	}
+	changed := false
+	switch {
+	case reply.failure != nil:
+		n.follower.Failed(reply.failure)
+	case n.call.Listing:
+		changed = n.follower.Listed(now, reply.page)
+	default:
+		changed = n.follower.Watched(now, reply.changes)
+	}
+	if n.follower.Following() {
+		n.part.Confirm(now)
+	}
+	if changed && n.directory.Ready() {
+		n.execute(n.part.Install(now, n.directory.Snapshot()))
+	}
+	n.nextCall()
+}
+
+// seeds returns some other balancers, which may be down.
+func (w *world) seeds(except *balancerNode) []simnet.NodeID {
+	var seeds []simnet.NodeID
+	for _, each := range w.balancers[:min(len(w.balancers), 3)] {
+		if each != except {
+			seeds = append(seeds, each.id)
+		}
+	}
+	return seeds
+}
+
+// sendDigest stands in for the membership, whose messages carry digests.
+func (n *balancerNode) sendDigest() {
+	digest := n.directory.Digest()
+	for range digestFanout {
+		other, _ := pick(n.world, n.world.balancers)
+		if other != n {
+			n.world.net.Send(n.id, other.id, simnet.Control, 60, datagram{port: peerPort, digest: &digest})
+		}
+	}
+	n.world.net.Schedule(n.id, digestInterval, digestTimer)
+}
+
+func (n *balancerNode) fetchNext(now time.Duration) {
+	if n.fetching > 0 && now-n.fetching > fetchTimeout {
+		n.fetching = 0
+		n.exchange.FetchFailed()
+	}
+	if from, wanted := n.exchange.Next(now); wanted {
+		n.fetching = now
+		n.world.net.Send(n.id, from, simnet.Control, 60, datagram{port: peerPort, fetch: true})
+	}
+}
+
+func (n *balancerNode) adopt(now time.Duration, state directory.State) {
+	if n.fetching == 0 {
+		return
+	}
+	n.fetching = 0
+	if n.exchange.Fetched(now, state) && n.directory.Ready() {
+		n.execute(n.part.Install(now, n.directory.Snapshot()))
+	}
+}
+
+func (n *balancerNode) execute(effects []relay.Effect) {
+	for _, effect := range effects {
+		switch effect.Kind {
+		case relay.EffectPeer:
+			n.world.sendMessage(n.id, segment.Address{IP: n.ip, Port: peerPort}, effect.To, effect.Message)
+		case relay.EffectClient:
+			n.world.sendToClient(n.id, effect.To, effect.Packet)
+		case relay.EffectEvent:
+			n.world.ledger.decided(effect.Event)
+		}
+	}
+}
+
+// sendMessage sends a message between daemons in its encoded form, as they do.
+func (w *world) sendMessage(from simnet.NodeID, source, to segment.Address, message relay.Message) {
+	encoded, err := message.MarshalMsg(nil)
+	if err != nil {
+		panic("flownet: cannot encode a message: " + err.Error())
+	}
+	var decoded relay.Message
+	if _, err := decoded.UnmarshalMsg(encoded); err != nil {
+		panic("flownet: cannot decode a message: " + err.Error())
+	}
+	target, exists := w.nodes[to.IP]
+	if to.Port == packetPort {
+		target, exists = w.agents[to.IP], w.agents[to.IP] != 0
+	}
+	if exists {
+		w.net.Send(from, target, simnet.Payload, len(encoded), datagram{port: to.Port, from: source, message: &decoded})
+	}
+}
--- /dev/null
+++ b/bench/flownet/flownet_test.go
@@ -0,0 +1,81 @@
+package flownet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/bench/flownet"
+)
+
+func TestFlownet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Flownet")
+}
+
+func options(shape string, seed uint64) flownet.Options {
+	chosen, err := flownet.ShapeNamed(shape)
+	Expect(err).NotTo(HaveOccurred())
+	return flownet.Options{
+		Shape: chosen, Seed: seed, Duration: 20 * time.Second, Hash: flownet.HashSteady, Events: 12, Load: 1,
+	}
+}
+
+var _ = Describe("Run", func() {
+	It("serves a calm run in whole and in time", func() {
+		for _, shape := range flownet.Shapes() {
+			chosen := options(shape.Name, 1)
+			chosen.Events = 0
+			report := flownet.Run(chosen)
+			Expect(report.Broken()).To(BeZero(), fmt.Sprintf("%+v", report))
+			Expect(report.Served).To(BeNumerically(">", 0.999))
+			Expect(report.InTarget).To(BeNumerically(">", 0.99))
+		}
+	})
+
+	It("is the same for the same seed", func() {
+		Expect(flownet.Run(options("kolkata", 3))).To(Equal(flownet.Run(options("kolkata", 3))))
+	})
+
+	DescribeTable("keeps every promise under random events", func(shape string, hash flownet.Hash) {
+		for seed := uint64(1); seed <= 6; seed++ {
+			chosen := options(shape, seed)
+			chosen.Hash = hash
+			report := flownet.Run(chosen)
+			Expect(report.Broken()).To(BeZero(), fmt.Sprintf("seed %d: %+v", seed, report))
+			Expect(report.Served).To(BeNumerically(">", 0.9), fmt.Sprintf("seed %d: %+v", seed, report))
+		}
+	},
+		Entry("casablanca, steady hash", "casablanca", flownet.HashSteady),
+		Entry("casablanca, modulo hash", "casablanca", flownet.HashModulo),
+		Entry("kolkata, steady hash", "kolkata", flownet.HashSteady),
+		Entry("kolkata, modulo hash", "kolkata", flownet.HashModulo),
+	)
+
+	DescribeTable("loses next to nothing to planned work", func(shape string) {
+		for seed := uint64(1); seed <= 4; seed++ {
+			chosen := options(shape, seed)
+			chosen.Planned = true
+			report := flownet.Run(chosen)
+			Expect(report.Broken()).To(BeZero(), fmt.Sprintf("seed %d: %+v", seed, report))
+			Expect(report.Served).To(BeNumerically(">", 0.998), fmt.Sprintf("seed %d: %+v", seed, report))
+		}
+	},
+		Entry("casablanca", "casablanca"),
+		Entry("kolkata", "kolkata"),
+	)
+
+	It("breaks promises with a stateless hash, so that the checks are shown to see them", func() {
+		broken := 0
+		for seed := uint64(1); seed <= 3; seed++ {
+			chosen := options("casablanca", seed)
+			chosen.Baseline = true
+			chosen.Planned = true
+			broken += flownet.Run(chosen).Broken()
+		}
+		Expect(broken).To(BeNumerically(">", 0))
+	})
+})
--- /dev/null
+++ b/bench/flownet/report.go
@@ -0,0 +1,81 @@
+package flownet
+
+import "slices"
+
+// Window is what became of the requests that were sent in one period.
+type Window struct {
+	Asked    int `json:"asked"`
+	Served   int `json:"served"`
+	InTarget int `json:"in_target"`
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Experiment string  `json:"experiment"`
+	Shape      string  `json:"shape"`
+	Seed       uint64  `json:"seed"`
+	Hash       Hash    `json:"hash"`
+	Baseline   bool    `json:"baseline"`
+	Asked      int     `json:"asked"`
+	Served     float64 `json:"served"`
+	InTarget   float64 `json:"in_target"`
+	// WorstWindow is the least share in target of a window.
+	WorstWindow float64 `json:"worst_window"`
+	// ResetOpen counts flows that a daemon reset while their endpoint lived.
+	ResetOpen int `json:"reset_open_flows"`
+	// Misrouted counts flows whose packets went to other endpoints.
+	Misrouted int `json:"misrouted_flows"`
+	// DoubleRuns counts requests that ran twice and must not.
+	DoubleRuns int `json:"double_runs"`
+	// LateOpenings counts flows that opened at an endpoint that had left.
+	LateOpenings int `json:"late_openings"`
+	// LateRoutes counts flows that were treated by an old configuration.
+	LateRoutes int `json:"late_routes"`
+	// Forged counts packets that arrived not as their sender wrote them.
+	Forged int `json:"forged"`
+	// Mixed counts answers that belong to another request.
+	Mixed     int            `json:"mixed"`
+	Lost      map[string]int `json:"lost"`
+	Decisions map[string]int `json:"decisions"`
+	Windows   []Window       `json:"windows"`
+}
+
+// Broken returns the number of broken promises.
+func (r Report) Broken() int {
+	return r.ResetOpen + r.Misrouted + r.DoubleRuns + r.LateOpenings + r.LateRoutes + r.Forged + r.Mixed
+}
+
+func (w *world) report() Report {
+	l := w.ledger
+	created := Report{
+		Experiment: "platform", Shape: w.options.Shape.Name, Seed: w.options.Seed, Hash: w.options.Hash,
+		Baseline: w.options.Baseline, WorstWindow: 1,
+		ResetOpen: l.resetOpen, Misrouted: l.misrouted, DoubleRuns: l.doubleRuns, LateOpenings: l.lateOpenings,
+		LateRoutes: l.lateRoutes, Forged: l.forgedPackets + l.forgedToClient, Mixed: l.mixed,
+		Lost: l.causes, Decisions: l.decisions,
+	}
+	indices := make([]int, 0, len(l.windows))
+	for index := range l.windows {
+		indices = append(indices, index)
+	}
+	slices.Sort(indices)
+	served, inTarget := 0, 0
+	for _, index := range indices {
+		window := *l.windows[index]
+		created.Windows = append(created.Windows, window)
+		created.Asked += window.Asked
+		served += window.Served
+		inTarget += window.InTarget
+		created.WorstWindow = min(created.WorstWindow, share(window.InTarget, window.Asked))
+	}
+	created.Served = share(served, created.Asked)
+	created.InTarget = share(inTarget, created.Asked)
+	return created
+}
+
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 1
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/bench/flownet/run.go
@@ -0,0 +1,119 @@
+package flownet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/relay"
+)
+
+// Hash is how the fabric chooses a balancer.
+type Hash string
+
+// The ways of choosing a balancer.
+const (
+	// HashSteady moves only the flows of a balancer that comes or goes.
+	HashSteady Hash = "steady"
+	// HashModulo moves nearly all flows.
+	HashModulo Hash = "modulo"
+)
+
+// Options determine a run.
+type Options struct {
+	Shape    Shape
+	Seed     uint64
+	Duration time.Duration
+	Hash     Hash
+	// Events is the number of events of the schedule.
+	Events int
+	// Planned leaves out all events but planned work.
+	Planned bool
+	// Load multiplies the traffic of the shape.
+	Load float64
+	// PowerLoss makes all machines lose power once, near the end.
+	PowerLoss bool
+	// Baseline replaces the product by a stateless hash, as negative control.
+	Baseline bool
+	// Unbounded makes agents give all packets to their endpoints at once, for
+	// comparison.
+	Unbounded bool
+}
+
+func (o Options) newBalancer(config relay.BalancerConfig) balancerPart {
+	if o.Baseline {
+		return &hashBalancer{config: config}
+	}
+	return relay.NewBalancer(config)
+}
+
+func (o Options) newAgent(config relay.AgentConfig) agentPart {
+	if o.Baseline {
+		return &hashAgent{config: config}
+	}
+	if o.Unbounded {
+		return &unboundedAgent{relay.NewAgent(config)}
+	}
+	return relay.NewAgent(config)
+}
+
+const (
+	// leadTime passes before traffic begins, tailTime after it ends.
+	leadTime = 2 * time.Second
+	tailTime = 6 * time.Second
+	// quietTime passes at both ends of the traffic without events.
+	quietTime = 2 * time.Second
+	// powerLossTime is how long machines stay without power.
+	powerLossTime = 800 * time.Millisecond
+	// windowLength is the length of a window of a report.
+	windowLength = 2 * time.Second
+)
+
+// Run plays one run.
+func Run(options Options) Report {
+	w := newWorld(options)
+	end := leadTime + options.Duration
+	for _, class := range options.Shape.Classes {
+		w.scheduleRequests(class, end)
+	}
+	w.scheduleEvents(end)
+	if options.PowerLoss {
+		w.net.At(leadTime+options.Duration*2/3, func() { w.powerLoss(powerLossTime) })
+	}
+	w.net.Run(end + tailTime)
+	return w.report()
+}
+
+// scheduleRequests lets clients send the requests of a class at random times.
+func (w *world) scheduleRequests(class Class, end time.Duration) {
+	rate := class.PerSecond * w.options.Load
+	var next func()
+	next = func() {
+		if w.net.Now() >= end {
+			return
+		}
+		host, _ := pick(w, w.clients)
+		host.try(w.ledger.ask(class))
+		gap := time.Duration(w.random.ExpFloat64() / rate * float64(time.Second))
+		w.net.At(w.net.Now()+gap, next)
+	}
+	w.net.At(leadTime, next)
+}
+
+func (w *world) scheduleEvents(end time.Duration) {
+	kinds := faults()
+	if w.options.Planned {
+		kinds = slices.DeleteFunc(kinds, func(each fault) bool { return each.lasts > 0 })
+	}
+	span := end - leadTime - 2*quietTime
+	for range w.options.Events {
+		at := leadTime + quietTime + time.Duration(w.random.Int64N(int64(span)))
+		chosen, _ := pick(w, kinds)
+		w.net.At(at, func() {
+			if chosen.lasts > 0 {
+				w.disturb(chosen.lasts)
+			}
+			w.ledger.decisions["event: "+chosen.name]++
+			chosen.act(w)
+		})
+	}
+}
--- /dev/null
+++ b/bench/flownet/store.go
@@ -0,0 +1,192 @@
+package flownet
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/vanetiller/vanetiller/bench/simnet"
+	"github.com/vanetiller/vanetiller/internal/directory"
+)
+
+// pageSize is the number of items on a page of a listing; it is small so that
+// listings take several calls.
+const pageSize = 5
+
+// storeCall is a call of a balancer.
+type storeCall struct {
+	listing bool
+	after   string
+	since   directory.Revision
+	wait    time.Duration
+	number  uint64
+}
+
+// storeReply answers a call; failure is nil unless it failed.
+type storeReply struct {
+	number  uint64
+	page    directory.Page
+	changes directory.Changes
+	failure *directory.StoreError
+}
+
+type watcher struct {
+	node   simnet.NodeID
+	call   storeCall
+	closed bool
+}
+
+// storeState is how the store answers.
+type storeState uint8
+
+const (
+	storeUp storeState = iota
+	storeBusy
+	storeSilent
+)
+
+// store stands in for the platform's store.
+type store struct {
+	world    *world
+	id       simnet.NodeID
+	revision directory.Revision
+	items    map[string]directory.Item
+	history  []directory.Item
+	// oldest is the revision before the first change in history.
+	oldest   directory.Revision
+	watchers []*watcher
+	state    storeState
+	slow     time.Duration
+	version  uint64
+	routes   []directory.Route
+}
+
+func newStore(w *world) *store {
+	created := &store{world: w, items: make(map[string]directory.Item)}
+	created.id = w.net.AddNode(0, created)
+	return created
+}
+
+// Receive implements simnet.Handler.
+func (s *store) Receive(_ time.Duration, from simnet.NodeID, received datagram) {
+	if received.call == nil {
+		return
+	}
+	call := *received.call
+	s.world.net.At(s.world.net.Now()+4*time.Millisecond+s.slow, func() { s.answer(from, call) })
+}
+
+// Wake implements simnet.Handler.
+func (s *store) Wake(time.Duration, uint32) {}
+
+func (s *store) answer(from simnet.NodeID, call storeCall) {
+	switch s.state {
+	case storeSilent:
+		return
+	case storeBusy:
+		s.reply(from, storeReply{number: call.number, failure: &directory.StoreError{Failure: directory.StoreUnavailable}})
+		return
+	}
+	if call.listing {
+		s.reply(from, storeReply{number: call.number, page: s.page(call.after)})
+		return
+	}
+	if call.since < s.oldest {
+		s.reply(from, storeReply{number: call.number, failure: &directory.StoreError{Failure: directory.StoreCompacted}})
+		return
+	}
+	s.watch(from, call)
+}
+
+func (s *store) reply(to simnet.NodeID, reply storeReply) {
+	s.world.net.Send(s.id, to, simnet.Control, 200, datagram{port: peerPort, reply: &reply})
+}
+
+func (s *store) page(after string) directory.Page {
+	keys := make([]string, 0, len(s.items))
+	for key := range s.items {
+		if key > after {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	page := directory.Page{At: s.revision, More: len(keys) > pageSize}
+	for _, key := range keys[:min(len(keys), pageSize)] {
+		page.Items = append(page.Items, s.items[key])
+		page.Last = key
+	}
+	return page
+}
+
+func (s *store) watch(from simnet.NodeID, call storeCall) {
+	waiting := &watcher{node: from, call: call}
+	if s.revision > call.since {
+		s.notify(waiting)
+		return
+	}
+	s.watchers = append(s.watchers, waiting)
+	s.world.net.At(s.world.net.Now()+call.wait, func() { s.notify(waiting) })
+}
+
+func (s *store) notify(waiting *watcher) {
+	if waiting.closed || s.state != storeUp {
+		return
+	}
+	waiting.closed = true
+	changes := directory.Changes{Through: s.revision}
+	for _, item := range s.history {
+		if item.Revision > waiting.call.since {
+			changes.Items = append(changes.Items, item)
+		}
+	}
+	s.reply(waiting.node, storeReply{number: waiting.call.number, changes: changes})
+}
+
+// put changes an item and tells those who watch.
+func (s *store) put(item directory.Item, gone bool) {
+	s.revision++
+	item.Revision = s.revision
+	if gone {
+		delete(s.items, item.Key)
+	} else {
+		s.items[item.Key] = item
+	}
+	s.history = append(s.history, item)
+	for _, waiting := range s.watchers {
+		s.notify(waiting)
+	}
+	s.watchers = slices.DeleteFunc(s.watchers, func(w *watcher) bool { return w.closed })
+}
+
+// compact forgets history and cuts those who watch.
+func (s *store) compact() {
+	s.history = nil
+	s.oldest = s.revision
+	for _, waiting := range s.watchers {
+		waiting.closed = true
+		s.reply(waiting.node, storeReply{
+			number: waiting.call.number, failure: &directory.StoreError{Failure: directory.StoreUnreachable},
+		})
+	}
+	s.watchers = nil
+}
+
+// configure accepts a new version of the configuration.
+func (s *store) configure(routes []directory.Route) {
+	s.version += 1 + uint64(s.world.random.IntN(3))
+	s.routes = routes
+	s.put(directory.Item{
+		Key: "configuration", Configuration: &directory.Configuration{Version: s.version, Routes: routes},
+	}, false)
+	s.world.ledger.configured(routes)
+}
+
+func (s *store) announce(each *side) {
+	s.put(directory.Item{Key: entryKey(each), EndpointID: each.id, Endpoint: entryOf(each)}, false)
+}
+
+func (s *store) remove(each *side) {
+	s.put(directory.Item{Key: entryKey(each), EndpointID: each.id}, true)
+}
+
+func entryKey(each *side) string { return fmt.Sprintf("endpoints/%s", each.id) }
--- a/cmd/vanetiller-bench/commands.go
+++ b/cmd/vanetiller-bench/commands.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanetiller/vanetiller/bench/experiment"
+	"github.com/vanetiller/vanetiller/bench/flownet"
 )
 
 func demo(ctx context.Context, arguments []string) int {
@@ -32,6 +33,9 @@
 	flags := newFlagSet("run", &values, defaultDuration)
 	flags.BoolVar(&values.json, "json", false, "print only the line of JSON that otherwise follows the summary")
 	flags.IntVar(&values.daemons, "daemons", defaultDaemons, "`number` of daemons of the experiment table")
+	flags.StringVar(&values.hash, "hash", string(flownet.HashSteady), "`way` in which the fabric of the experiment platform chooses balancers: steady or modulo")
+	flags.BoolVar(&values.powerLoss, "power-loss", false, "let all machines of the experiment platform lose power once")
+	flags.BoolVar(&values.planned, "planned", false, "play only planned work in the experiment platform")
 	positional, err := parseInterleaved(flags, arguments)
 	if err == nil && len(positional) != 1 {
 		err = errors.New("run needs one experiment; vanetiller-bench list names them")
@@ -39,6 +43,9 @@
 	if err != nil {
 		return usageError(err)
 	}
+	if positional[0] == platformExperiment {
+		return runPlatform(values)
+	}
 	if positional[0] == tableExperiment {
 		return runTable(ctx, values)
 	}
@@ -135,6 +142,7 @@
 		fmt.Fprintf(table, "experiment\t%s\t%s\n", listed.Name, listed.Description)
 	}
 	fmt.Fprintf(table, "experiment\t%s\t%s\n", tableExperiment, tableDescription)
+	fmt.Fprintf(table, "experiment\t%s\t%s\n", platformExperiment, platformDescription)
 	for _, shape := range experiment.Shapes() {
 		fmt.Fprintf(table, "shape\t%s\t%d balancers, %d services, %d zones\n",
 			shape.Name, shape.Balancers, len(shape.Services), shape.Zones)
--- a/cmd/vanetiller-bench/flags.go
+++ b/cmd/vanetiller-bench/flags.go
@@ -33,6 +33,9 @@
 	directory string
 	json      bool
 	daemons   int
+	hash      string
+	powerLoss bool
+	planned   bool
 }
 
 func newFlagSet(command string, values *parameters, duration time.Duration) *flag.FlagSet {
--- /dev/null
+++ b/cmd/vanetiller-bench/platform.go
@@ -0,0 +1,82 @@
+// This file implements the experiments platform and surge, which play the relay
+// in virtual time.
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/bench/flownet"
+)
+
+const (
+	platformExperiment  = "platform"
+	platformDescription = "balancers and agents that carry packets whole, in virtual time, under random events"
+	// platformEventRate is the number of events a second of the schedule.
+	platformEventRate = 0.6
+)
+
+// runPlatform plays one run and prints its report.
+func runPlatform(values parameters) int {
+	shape, err := flownet.ShapeNamed(values.shape)
+	if err != nil {
+		return usageError(err)
+	}
+	baseline, err := parseBaseline(values.baseline)
+	if err != nil {
+		return usageError(err)
+	}
+	if values.hash != string(flownet.HashSteady) && values.hash != string(flownet.HashModulo) {
+		return usageError(errors.Errorf("-hash must be %s or %s", flownet.HashSteady, flownet.HashModulo))
+	}
+	report := flownet.Run(flownet.Options{
+		Shape: shape, Seed: values.seed, Duration: values.duration, Hash: flownet.Hash(values.hash),
+		Events: int(values.duration.Seconds() * platformEventRate), Load: 1,
+		PowerLoss: values.powerLoss, Planned: values.planned, Baseline: baseline != "",
+	})
+	if !values.json {
+		printPlatform(report)
+	}
+	encoded, err := json.Marshal(report)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "vanetiller-bench:", err)
+		return exitBroken
+	}
+	fmt.Println(string(encoded))
+	if report.Broken() > 0 {
+		return exitBroken
+	}
+	return exitKept
+}
+
+func printPlatform(report flownet.Report) {
+	table := tabwriter.NewWriter(os.Stdout, 0, tabWidth, tabPadding, ' ', 0)
+	fmt.Fprintf(table, "%s on %s, seed %d\n\n", report.Experiment, report.Shape, report.Seed)
+	fmt.Fprintf(table, "requests\t%d\t%.2f%% served, %.2f%% within their objective\n",
+		report.Asked, 100*report.Served, 100*report.InTarget)
+	fmt.Fprintf(table, "worst two seconds\t%.2f%%\twithin their objective\n\n", 100*report.WorstWindow)
+	for _, promise := range []struct {
+		name   string
+		broken int
+	}{
+		{"open flows are not reset", report.ResetOpen},
+		{"packets of open flows reach their endpoint", report.Misrouted},
+		{"requests that must not be repeated run once", report.DoubleRuns},
+		{"endpoints that leave get no new flows", report.LateOpenings},
+		{"configurations are in force in time", report.LateRoutes},
+		{"packets arrive as they were written", report.Forged},
+		{"answers belong to their requests", report.Mixed},
+	} {
+		verdict := "kept"
+		if promise.broken > 0 {
+			verdict = fmt.Sprintf("BROKEN %d times", promise.broken)
+		}
+		fmt.Fprintf(table, "%s\t%s\n", promise.name, verdict)
+	}
+	_ = table.Flush()
+}
--- /dev/null
+++ b/internal/directory/exchange.go
@@ -0,0 +1,108 @@
+package directory
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// patience is how long a process that is behind waits for the store to tell
+	// it, before it asks a peer.
+	patience = 400 * time.Millisecond
+	// fetchInterval is the least time between two fetches.
+	fetchInterval = 250 * time.Millisecond
+	// rememberedPeers bounds the peers that are remembered.
+	rememberedPeers = 16
+)
+
+// Exchange decides when a balancer fetches the directory of another: once after
+// its start, since peers know of endpoints that have left and still have flows,
+// and whenever it stays behind, as when it cannot reach the store. It is
+// deterministic.
+type Exchange[Peer comparable] struct {
+	machine *Machine
+	random  *rand.Rand
+	seeds   []Peer
+	peers   []Peer
+	// fetched is set after the first successful fetch.
+	fetched  bool
+	behind   bool
+	since    time.Duration
+	informed Peer
+	busy     bool
+	next     time.Duration
+}
+
+// NewExchange returns an exchange that first asks the seeds.
+func NewExchange[Peer comparable](machine *Machine, seeds []Peer, random *rand.Rand) *Exchange[Peer] {
+	return &Exchange[Peer]{machine: machine, seeds: seeds, random: random}
+}
+
+// Heard handles the digest of a peer.
+func (e *Exchange[Peer]) Heard(now time.Duration, from Peer, digest Digest) {
+	if !slices.Contains(e.peers, from) {
+		e.peers = append(e.peers, from)
+	}
+	if len(e.peers) > rememberedPeers {
+		e.peers = slices.Delete(e.peers, 0, 1)
+	}
+	if !digest.ahead(e.machine.Digest()) {
+		return
+	}
+	if !e.behind {
+		e.behind = true
+		e.since = now
+	}
+	e.informed = from
+}
+
+// Lost forgets a peer that has failed or left.
+func (e *Exchange[Peer]) Lost(peer Peer) {
+	e.peers = slices.DeleteFunc(e.peers, func(known Peer) bool { return known == peer })
+}
+
+// Next returns the peer to fetch from now, false if there is nothing to fetch.
+// Fetched or FetchFailed must follow.
+func (e *Exchange[Peer]) Next(now time.Duration) (Peer, bool) {
+	var none Peer
+	if e.busy || now < e.next {
+		return none, false
+	}
+	chosen, wanted := e.choose(now)
+	if wanted {
+		e.busy = true
+		e.next = now + fetchInterval
+	}
+	return chosen, wanted
+}
+
+func (e *Exchange[Peer]) choose(now time.Duration) (Peer, bool) {
+	if e.behind && now-e.since >= patience {
+		return e.informed, true
+	}
+	if e.fetched {
+		var none Peer
+		return none, false
+	}
+	known := slices.Concat(e.peers, e.seeds)
+	if len(known) == 0 {
+		var none Peer
+		return none, false
+	}
+	return known[e.random.IntN(len(known))], true
+}
+
+// Fetched handles the state of a peer. It reports whether the snapshot changed.
+func (e *Exchange[Peer]) Fetched(now time.Duration, state State) bool {
+	e.busy = false
+	e.fetched = true
+	e.behind = false
+	return e.machine.Adopt(now, state)
+}
+
+// FetchFailed tells that a peer did not answer.
+func (e *Exchange[Peer]) FetchFailed() {
+	e.busy = false
+	e.behind = false
+}
--- /dev/null
+++ b/internal/directory/exchange_test.go
@@ -0,0 +1,69 @@
+package directory_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+)
+
+var _ = Describe("Exchange", func() {
+	var (
+		machine  *directory.Machine
+		exchange *directory.Exchange[string]
+	)
+
+	newer := directory.Digest{Version: 9, Complete: 100}
+
+	BeforeEach(func() {
+		machine = directory.New()
+		exchange = directory.NewExchange(machine, []string{"seed"}, rand.New(rand.NewPCG(1, 1)))
+	})
+
+	fetch := func(now time.Duration) string {
+		peer, wanted := exchange.Next(now)
+		if !wanted {
+			return ""
+		}
+		return peer
+	}
+
+	It("asks a seed at the start, again after a failure, and no more after a success", func() {
+		Expect(fetch(0)).To(Equal("seed"))
+		Expect(fetch(time.Second)).To(BeEmpty(), "one fetch at a time")
+		exchange.FetchFailed()
+		Expect(fetch(100*time.Millisecond)).To(BeEmpty(), "not at once")
+		Expect(fetch(time.Second)).To(Equal("seed"))
+		exchange.Fetched(time.Second, directory.State{})
+		Expect(fetch(time.Minute)).To(BeEmpty())
+	})
+
+	It("fetches from a peer that is ahead, but leaves the store some time first", func() {
+		fetch(0)
+		exchange.Fetched(0, directory.State{})
+		exchange.Heard(time.Second, "peer", newer)
+		Expect(fetch(time.Second)).To(BeEmpty())
+		Expect(fetch(1500 * time.Millisecond)).To(Equal("peer"))
+	})
+
+	It("does not fetch what it knows", func() {
+		fetch(0)
+		exchange.Fetched(0, directory.State{})
+		machine.Changes(0, []directory.Item{configurationItem(9, 100)}, 100)
+		exchange.Heard(time.Second, "peer", newer)
+		Expect(fetch(time.Minute)).To(BeEmpty())
+	})
+
+	It("asks peers that it hears of too, and forgets those that are lost", func() {
+		exchange = directory.NewExchange[string](machine, nil, rand.New(rand.NewPCG(1, 1)))
+		Expect(fetch(0)).To(BeEmpty())
+		exchange.Heard(0, "peer", directory.Digest{})
+		Expect(fetch(0)).To(Equal("peer"))
+		exchange.FetchFailed()
+		exchange.Lost("peer")
+		Expect(fetch(time.Minute)).To(BeEmpty())
+	})
+})
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -23,6 +23,9 @@
 	endpoints     map[EndpointID]*held
 	// complete is the revision up to which all changes are known.
 	complete Revision
+	// adopted is the revision up to which another process knew all changes when
+	// it told what it knows.
+	adopted  Revision
 	snapshot *Snapshot
 }
 
@@ -38,9 +41,11 @@
 // first listing.
 func (m *Machine) Complete() Revision { return m.complete }
 
-// Ready reports whether there is a configuration and at least one listing of
-// the endpoints.
-func (m *Machine) Ready() bool { return m.configuration != nil && m.complete > 0 }
+// Ready reports whether there is a configuration and the endpoints are known,
+// from a listing or from another process.
+func (m *Machine) Ready() bool {
+	return m.configuration != nil && (m.complete > 0 || m.adopted > 0)
+}
 
 // Listing merges a full listing of the store that was begun at a revision:
 // whatever was known before and is not in it has gone. It reports whether the
@@ -71,12 +76,6 @@
 	return m.advance(now, through, changed)
 }
 
-// Hints merges items without any claim that they are all there are, such as
-// those of another balancer. It reports whether the snapshot changed.
-func (m *Machine) Hints(now time.Duration, items []Item) bool {
-	return m.Changes(now, items, 0)
-}
-
 func (m *Machine) advance(now time.Duration, through Revision, changed bool) bool {
 	m.complete = max(m.complete, through)
 	if m.forget(now) || changed {
@@ -161,23 +160,3 @@
 	}
 	m.snapshot = newSnapshot(configuration, candidates)
 }
-
-// Items returns everything that is known, for another balancer.
-func (m *Machine) Items() []Item {
-	items := make([]Item, 0, len(m.endpoints)+1)
-	if m.configuration != nil {
-		items = append(items, *m.configuration)
-	}
-	for id, known := range m.endpoints {
-		items = append(items, known.item(id))
-	}
-	return items
-}
-
-func (h *held) item(id EndpointID) Item {
-	item := Item{EndpointID: id, Revision: h.revision}
-	if !h.gone {
-		item.Endpoint = &h.endpoint
-	}
-	return item
-}
--- /dev/null
+++ b/internal/directory/state.go
@@ -0,0 +1,92 @@
+package directory
+
+import "time"
+
+//go:generate go tool msgp -tests=false
+//msgp:limit arrays:65536
+//msgp:tuple Digest State EndpointState
+
+// Digest tells how much a process knows. It is small enough to travel with
+// every message between balancers.
+type Digest struct {
+	Version  uint64
+	Complete Revision
+}
+
+// ahead reports whether a digest shows something that other does not have.
+func (d Digest) ahead(other Digest) bool {
+	return d.Version > other.Version || d.Complete > other.Complete
+}
+
+// State is everything that a process knows, for another.
+type State struct {
+	// Complete is the revision up to which all changes are in it.
+	Complete      Revision
+	Configuration *Configuration
+	// ConfigurationRevision is the revision of Configuration.
+	ConfigurationRevision Revision
+	Endpoints             []EndpointState
+}
+
+// EndpointState is what a process knows of an endpoint.
+type EndpointState struct {
+	ID       EndpointID
+	Revision Revision
+	Endpoint Endpoint
+	// Gone is set if its entry is gone, for as long as GoneFor.
+	Gone    bool
+	GoneFor time.Duration
+}
+
+// Digest returns how much is known.
+func (m *Machine) Digest() Digest {
+	return Digest{m.snapshot.Version(), max(m.complete, m.adopted)}
+}
+
+// State returns everything that is known.
+func (m *Machine) State(now time.Duration) State {
+	state := State{Complete: max(m.complete, m.adopted), Endpoints: make([]EndpointState, 0, len(m.endpoints))}
+	if m.configuration != nil {
+		state.Configuration = m.configuration.Configuration
+		state.ConfigurationRevision = m.configuration.Revision
+	}
+	for id, known := range m.endpoints {
+		described := EndpointState{ID: id, Revision: known.revision, Endpoint: known.endpoint, Gone: known.gone}
+		described.Endpoint.Warming = max(known.warmAt-now, 0)
+		if known.gone {
+			described.GoneFor = now - known.goneAt
+		}
+		state.Endpoints = append(state.Endpoints, described)
+	}
+	return state
+}
+
+// Adopt merges what another process knows. It reports whether the snapshot
+// changed.
+func (m *Machine) Adopt(now time.Duration, state State) bool {
+	changed := false
+	if state.Configuration != nil {
+		m.adopted = max(m.adopted, state.Complete)
+		changed = m.mergeConfiguration(Item{Revision: state.ConfigurationRevision, Configuration: state.Configuration})
+	}
+	for _, described := range state.Endpoints {
+		changed = m.adoptEndpoint(now, described) || changed
+	}
+	return m.advance(now, 0, changed)
+}
+
+func (m *Machine) adoptEndpoint(now time.Duration, described EndpointState) bool {
+	known, exists := m.endpoints[described.ID]
+	if exists && described.Revision <= known.revision {
+		return false
+	}
+	adopted := &held{
+		revision: described.Revision,
+		endpoint: described.Endpoint,
+		warmAt:   now + described.Endpoint.Warming,
+		gone:     described.Gone,
+		goneAt:   now - described.GoneFor,
+	}
+	m.endpoints[described.ID] = adopted
+	return true
+}
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -40,9 +40,6 @@
 	stateProbed
 	// stateDenied: the endpoint does not hold the flow.
 	stateDenied
-	// stateSought: a balancer seeks the owner of the flow, which the agent
-	// does not know.
-	stateSought
 )
 
 // agentFlow is what an agent remembers of a flow.
@@ -74,12 +71,6 @@
 	// endedRetention is how long an ended flow is remembered, so that its last
 	// packets reach the endpoint.
 	endedRetention = 10 * time.Second
-	// soughtRetention is how long a search for the owner of a flow is
-	// remembered.
-	soughtRetention = 3 * time.Second
-	// probeDelay is how long after the first search for an owner a restarted
-	// agent asks its endpoint: the client has then repeated its packet.
-	probeDelay = 120 * time.Millisecond
 	// sweepInterval is the time between removals of old flows.
 	sweepInterval = time.Second
 )
@@ -150,7 +141,7 @@
 	a.begin(now)
 	a.balancers[from] = now
 	switch message.Kind {
-	case KindOffer, KindForward, KindLocate:
+	case KindOffer, KindForward, KindLocate, KindProbe:
 		a.receivePacket(now, from, message)
 	case KindPing:
 		a.send(from, Message{Kind: KindPong, Service: a.config.Service})
@@ -229,11 +220,15 @@
 		a.receiveOwned(now, from, key, known, header, message)
 		return
 	}
-	if message.Kind == KindForward {
+	mayOwn := known == nil && !a.complete(now) && len(a.flows) < a.config.FlowLimit
+	switch {
+	case mayOwn && message.Kind == KindLocate:
+		a.send(from, Message{Kind: KindUncertain, Service: a.config.Service, Flow: FlowOf(key)})
+	case mayOwn:
+		a.probe(now, from, key, message.Packet)
+	case message.Kind == KindForward:
 		a.bringBack(from, key, header, message.Packet, "not_owned")
-		return
 	}
-	a.receiveSought(now, from, key, known, message.Packet)
 }
 
 // owns reports whether a client's packet belongs to a flow of this endpoint.
@@ -262,7 +257,7 @@
 	if known.state == stateAnswered {
 		known.state = stateOpen
 	}
-	if message.Kind == KindLocate {
+	if message.Kind != KindForward {
 		a.send(from, Message{Kind: KindOwned, Service: a.config.Service, Flow: FlowOf(key), Load: a.Load()})
 	}
 	a.deliver(message.Packet)
@@ -274,24 +269,11 @@
 	}
 }
 
-// receiveSought handles a packet of a flow that this agent does not know while
-// a balancer seeks its owner. An agent that was restarted beside a running
-// endpoint lets the endpoint tell, once for each flow and only after the client
-// has repeated its packet in vain.
-func (a *Agent) receiveSought(now time.Duration, from segment.Address, key segment.FlowKey, known *agentFlow, packet []byte) {
-	if a.complete(now) || len(a.flows) >= a.config.FlowLimit {
-		return
-	}
-	if known == nil {
-		a.flows[key] = &agentFlow{state: stateSought, balancer: from, touched: now}
-		return
-	}
-	if known.state != stateSought || now-known.touched < probeDelay {
-		return
-	}
-	known.state = stateProbed
-	known.balancer = from
-	known.touched = now
+// probe lets the endpoint tell whether it holds a flow that this agent does not
+// know, since the agent was restarted. It happens once for each flow: if a
+// balancer takes this agent for the owner or has found no other.
+func (a *Agent) probe(now time.Duration, from segment.Address, key segment.FlowKey, packet []byte) {
+	a.flows[key] = &agentFlow{state: stateProbed, balancer: from, touched: now}
 	a.event(Event{Kind: EventProbed, Flow: key, Peer: from})
 	a.deliver(packet)
 }
@@ -458,8 +440,6 @@
 		return offeredRetention
 	case stateEnded:
 		return endedRetention
-	case stateSought:
-		return soughtRetention
 	}
 	return a.config.FlowLifetime
 }
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -37,9 +37,6 @@
 	// closingRetention is how long a flow is remembered after its client has
 	// closed it.
 	closingRetention = 5 * time.Second
-	// locateAllAfter is the number of searches among the services of a route
-	// after which all endpoints are asked.
-	locateAllAfter = 1
 	// locateLimit bounds the agents that one packet is sent to.
 	locateLimit = 256
 )
@@ -63,15 +60,16 @@
 type balancerFlow struct {
 	state    balancerFlowState
 	counted  bool
-	searches uint8
 	sequence uint32
 	agent    segment.Address
 	endpoint directory.EndpointID
 	service  string
 	touched  time.Duration
 	terms    Terms
-	// offer is set while the state is flowOffering.
-	offer *offer
+	// offer is set while the state is flowOffering, search while it is
+	// flowLocating.
+	offer  *offer
+	search *search
 }
 
 // Balancer decides what becomes of clients' packets. It is not safe for
@@ -182,7 +180,7 @@
 	known.touched = now
 	switch known.state {
 	case flowLocating:
-		b.locate(key, known, packet, segment.Address{})
+		b.locate(now, key, known, packet)
 	default:
 		b.send(known.agent, Message{Kind: KindForward, Service: known.service, Packet: packet})
 		b.noteClosing(known, header)
@@ -216,6 +214,8 @@
 		b.receiveReturned(now, from, message)
 	case KindOwned:
 		b.receiveOwned(now, from, message)
+	case KindUncertain:
+		b.receiveUncertain(from, message)
 	case KindUnknown:
 		b.receiveUnknown(now, from, message)
 	case KindLeaving:
--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -1,12 +1,40 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/vanetiller/vanetiller/internal/directory"
 	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
+const (
+	// searchesOfRoute is the number of searches among the services of a route
+	// after which all endpoints are asked.
+	searchesOfRoute = 1
+	// probesAtOnce bounds the endpoints that get a packet of a flow which may
+	// not be theirs, in probePeriod.
+	probesAtOnce = 2
+	probePeriod  = 2100 * time.Millisecond
+	// probeAfter is how long after the first search endpoints are probed: the
+	// client has then repeated its packet.
+	probeAfter = 120 * time.Millisecond
+)
+
+// search is the search for the owner of a flow.
+type search struct {
+	rounds int
+	begun  time.Duration
+	// uncertain are restarted agents that may own the flow, in the order of
+	// their answers; those before the index probed have been probed.
+	uncertain []segment.Address
+	probed    int
+	// period is when the present period of probes began, and probes is their
+	// number.
+	period time.Duration
+	probes int
+}
+
 // remember begins the search for the owner of a flow. It returns nil if there
 // are too many flows.
 func (b *Balancer) remember(now time.Duration, key segment.FlowKey) *balancerFlow {
@@ -14,34 +42,49 @@
 		b.event(Event{Kind: EventNoEndpoint, Flow: key, Reason: "flow_limit"})
 		return nil
 	}
-	known := &balancerFlow{state: flowLocating, touched: now}
+	known := &balancerFlow{state: flowLocating, touched: now, search: &search{begun: now, period: now}}
 	b.flows[key] = known
 	return known
 }
 
-// locate sends a packet to all agents that may own its flow, except one.
-func (b *Balancer) locate(key segment.FlowKey, known *balancerFlow, packet []byte, except segment.Address) {
-	candidates := b.possibleOwners(key, known)
+// locate asks all agents that may own a flow, and sends them its packet. If none
+// has said that it does, it lets some of those that do not know probe.
+func (b *Balancer) locate(now time.Duration, key segment.FlowKey, known *balancerFlow, packet []byte) {
 	b.event(Event{Kind: EventLocating, Flow: key, Version: b.snapshot.Version()})
-	if known.searches <= locateAllAfter {
-		known.searches++
-	}
-	for _, candidate := range candidates {
-		agent := b.agentOf(candidate)
-		if agent == except {
-			continue
+	probing := known.search.nextProbes(now)
+	for _, candidate := range b.possibleOwners(key, known.search) {
+		kind := KindLocate
+		if slices.Contains(probing, b.agentOf(candidate)) {
+			kind = KindProbe
 		}
-		b.send(agent, Message{Kind: KindLocate, Service: candidate.Endpoint.Service, Packet: packet})
+		b.send(b.agentOf(candidate), Message{Kind: kind, Service: candidate.Endpoint.Service, Packet: packet})
 	}
+	known.search.rounds++
+}
+
+// nextProbes returns the agents that shall probe now.
+func (s *search) nextProbes(now time.Duration) []segment.Address {
+	if now-s.begun < probeAfter {
+		return nil
+	}
+	if now-s.period >= probePeriod {
+		s.period = now
+		s.probes = 0
+	}
+	count := min(probesAtOnce-s.probes, len(s.uncertain)-s.probed)
+	chosen := s.uncertain[s.probed : s.probed+count]
+	s.probed += count
+	s.probes += count
+	return chosen
 }
 
 // possibleOwners returns the endpoints of the services that the flow's route
 // has now, leaving ones included, and after a search among these was in vain,
 // all endpoints, since the configuration may have changed under the flow.
-func (b *Balancer) possibleOwners(key segment.FlowKey, known *balancerFlow) []directory.Candidate {
+func (b *Balancer) possibleOwners(key segment.FlowKey, sought *search) []directory.Candidate {
 	var candidates []directory.Candidate
 	route, exists := b.snapshot.Route(key.Service)
-	if exists && known.searches < locateAllAfter {
+	if exists && sought.rounds < searchesOfRoute {
 		for _, share := range route.Shares {
 			candidates = append(candidates, b.snapshot.Candidates(share.Service)...)
 		}
@@ -51,6 +94,15 @@
 	return candidates[:min(len(candidates), locateLimit)]
 }
 
+// receiveUncertain handles that a restarted agent may own a flow.
+func (b *Balancer) receiveUncertain(from segment.Address, message Message) {
+	known, exists := b.flows[message.Flow.Key()]
+	if !exists || known.search == nil || slices.Contains(known.search.uncertain, from) {
+		return
+	}
+	known.search.uncertain = append(known.search.uncertain, from)
+}
+
 func (b *Balancer) receiveOwned(now time.Duration, from segment.Address, message Message) {
 	key := message.Flow.Key()
 	known, exists := b.flows[key]
@@ -58,6 +110,7 @@
 		return
 	}
 	b.settle(known)
+	known.search = nil
 	known.state = flowPlaced
 	known.service = message.Service
 	b.moveTo(now, known, from)
@@ -82,7 +135,10 @@
 	}
 	b.settle(known)
 	b.uncount(known)
+	if known.search == nil {
+		known.search = &search{begun: now, period: now}
+	}
 	known.state = flowLocating
 	known.agent = segment.Address{}
-	b.locate(key, known, message.Packet, from)
+	b.locate(now, key, known, message.Packet)
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -25,12 +25,18 @@
 	KindForward
 	// KindLocate carries a packet of a flow whose owner is not known.
 	KindLocate
+	// KindProbe carries a packet that the agent shall hand to its endpoint even
+	// if it does not know the flow, provided that it was restarted.
+	KindProbe
 	// KindPlaced tells that the endpoint has answered an opening packet.
 	KindPlaced
 	// KindReturned brings back an opening packet that was not taken.
 	KindReturned
 	// KindOwned tells that the agent owns a flow.
 	KindOwned
+	// KindUncertain tells that the agent was restarted and does not know
+	// whether its endpoint holds a flow.
+	KindUncertain
 	// KindUnknown brings back a packet of a flow that the agent does not own.
 	KindUnknown
 	// KindHeld tells that the agent holds an opening packet back until its
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -22,6 +22,7 @@
 	directory *directory.Machine
 	follower  *directory.Follower
 	store     directory.Store
+	peers     *peers
 	// isolated is what was reported last.
 	isolated bool
 }
@@ -54,6 +55,10 @@
 		return nil, err
 	}
 	created.executor.peers, err = listen(checked.Relay.Peers, created.executor.message)
+	if err != nil {
+		return nil, err
+	}
+	created.peers, err = newPeers(checked, created)
 	return created, err
 }
 
@@ -80,6 +85,7 @@
 	addActor(group, r.executor.peers.run)
 	addActor(group, r.executor.tick)
 	addActor(group, r.follow)
+	r.peers.add(group)
 }
 
 func (r *balancerRole) stop() {}
@@ -131,13 +137,19 @@
 		if !before && r.follower.Following() {
 			r.executor.journal.logger.Info("store followed", "revision", uint64(r.directory.Complete()))
 		}
-		if changed && r.directory.Ready() {
-			return r.install(now)
-		}
-		return nil
+		return r.installIf(changed, now)
 	})
 }
 
+// installIf puts the directory in force if it has changed.
+func (r *balancerRole) installIf(changed bool, now time.Duration) []relay.Effect {
+	r.peers.announce(r.directory.Digest())
+	if !changed || !r.directory.Ready() {
+		return nil
+	}
+	return r.install(now)
+}
+
 func (r *balancerRole) reportLoss(followed bool, err error) {
 	if followed {
 		r.executor.journal.logger.Warn("store lost", "error", err)
--- /dev/null
+++ b/internal/relaydaemon/peers.go
@@ -0,0 +1,214 @@
+package relaydaemon
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/membership"
+	"github.com/vanetiller/vanetiller/internal/membership/transport"
+	"github.com/vanetiller/vanetiller/internal/relay"
+	"github.com/vanetiller/vanetiller/internal/settings"
+)
+
+const (
+	// directoryPath is where a balancer gives its directory to others.
+	directoryPath = "/v1/directory"
+	// exchangeTick is how often a balancer considers a fetch from a peer.
+	exchangeTick = 100 * time.Millisecond
+	// fetchTimeout bounds a fetch from a peer.
+	fetchTimeout = 800 * time.Millisecond
+	// maximumState bounds the directory of a peer, in bytes.
+	maximumState = 16 << 20
+)
+
+// peers is what balancers tell each other: who there is, how much each knows of
+// the directory, and the directory itself.
+type peers struct {
+	role       *balancerRole
+	membership *transport.Endpoint
+	listener   net.Listener
+	server     *http.Server
+	client     *http.Client
+	exchange   *directory.Exchange[membership.Address]
+}
+
+func newPeers(checked *settings.Settings, role *balancerRole) (*peers, error) {
+	given := checked.Relay.Balancer
+	created := &peers{
+		role:   role,
+		client: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	seeds := seedsOf(given)
+	created.exchange = directory.NewExchange(role.directory, seeds, random)
+	var err error
+	created.membership, err = transport.New(transport.Config{
+		Listen:     given.Exchange,
+		Membership: membership.DefaultConfig(identityOf(checked), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		Events:     created.handle,
+		Logger:     role.executor.journal.logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	created.membership.SetSeeds(seeds)
+	created.listener, err = net.Listen("tcp4", given.Exchange.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "exchange")
+	}
+	created.server = &http.Server{Handler: created.handler(), ReadTimeout: fetchTimeout, WriteTimeout: fetchTimeout}
+	return created, nil
+}
+
+func identityOf(checked *settings.Settings) membership.Identity {
+	zones := slices.Sorted(slices.Values(checked.Relay.Balancer.Zones))
+	return membership.Identity{
+		Zone:        membership.Zone(max(slices.Index(zones, checked.Zone), 0)),
+		Incarnation: membership.Incarnation(time.Now().UnixMilli()),
+	}
+}
+
+// seedsOf returns the seeds without this process.
+func seedsOf(given *settings.RelayBalancer) []membership.Address {
+	var seeds []membership.Address
+	for _, seed := range given.Seeds {
+		if address, usable := membership.AddressOf(seed); usable && seed != given.Exchange {
+			seeds = append(seeds, address)
+		}
+	}
+	return seeds
+}
+
+// handle takes what the membership tells.
+func (p *peers) handle(event membership.Effect) {
+	switch event.Kind {
+	case membership.EffectAttachment:
+		var digest directory.Digest
+		if _, err := digest.UnmarshalMsg(event.Attachment); err == nil {
+			p.role.executor.do(func(now time.Duration) []relay.Effect {
+				p.exchange.Heard(now, event.Member.Address, digest)
+				return nil
+			})
+		}
+	case membership.EffectFailed, membership.EffectLeft:
+		p.role.executor.do(func(time.Duration) []relay.Effect {
+			p.exchange.Lost(event.Member.Address)
+			return nil
+		})
+	}
+}
+
+// announce makes all further messages to peers carry the digest.
+func (p *peers) announce(digest directory.Digest) {
+	encoded, err := digest.MarshalMsg(nil)
+	if err != nil {
+		panic("relaydaemon: cannot encode a digest: " + err.Error())
+	}
+	p.membership.SetAttachment(encoded)
+}
+
+// handler gives the directory to other balancers.
+func (p *peers) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+directoryPath, kithttp.NewServer(
+		func(context.Context, any) (any, error) { return p.state(), nil },
+		kithttp.NopRequestDecoder, encodeState))
+	return mux
+}
+
+func (p *peers) state() directory.State {
+	var state directory.State
+	p.role.executor.do(func(now time.Duration) []relay.Effect {
+		state = p.role.directory.State(now)
+		return nil
+	})
+	return state
+}
+
+func encodeState(_ context.Context, w http.ResponseWriter, response any) error {
+	state := response.(directory.State)
+	encoded, err := state.MarshalMsg(nil)
+	if err != nil {
+		return errors.Wrap(err, "directory")
+	}
+	_, err = w.Write(encoded)
+	return err
+}
+
+func (p *peers) add(group *run.Group) {
+	addActor(group, p.membership.Run)
+	addActor(group, p.serve)
+	addActor(group, p.follow)
+}
+
+func (p *peers) serve(ctx context.Context) error {
+	stopped := context.AfterFunc(ctx, func() { p.server.Close() })
+	defer stopped()
+	if err := p.server.Serve(p.listener); err != nil && ctx.Err() == nil {
+		return errors.Wrap(err, "exchange")
+	}
+	return nil
+}
+
+// follow fetches from peers whenever the exchange wants to.
+func (p *peers) follow(ctx context.Context) error {
+	for sleep(ctx, exchangeTick) {
+		var from membership.Address
+		wanted := false
+		p.role.executor.do(func(now time.Duration) []relay.Effect {
+			from, wanted = p.exchange.Next(now)
+			return nil
+		})
+		if wanted {
+			state, err := p.fetch(ctx, from.AddrPort())
+			p.conclude(from, state, err)
+		}
+	}
+	return nil
+}
+
+func (p *peers) conclude(from membership.Address, state directory.State, err error) {
+	p.role.executor.do(func(now time.Duration) []relay.Effect {
+		if err != nil {
+			p.exchange.FetchFailed()
+			return nil
+		}
+		changed := p.exchange.Fetched(now, state)
+		p.role.executor.journal.logger.Info("directory fetched", "peer", from.String(), "changed", changed,
+			"endpoints", len(state.Endpoints), "revision", uint64(state.Complete))
+		return p.role.installIf(changed, now)
+	})
+}
+
+func (p *peers) fetch(ctx context.Context, from netip.AddrPort) (directory.State, error) {
+	var state directory.State
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+directoryPath, nil)
+	if err != nil {
+		return state, errors.Wrap(err, "directory of a peer")
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return state, errors.Wrap(err, "directory of a peer")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return state, errors.Errorf("directory of a peer: %s", response.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maximumState))
+	if err != nil {
+		return state, errors.Wrap(err, "directory of a peer")
+	}
+	_, err = state.UnmarshalMsg(body)
+	return state, errors.Wrap(err, "directory of a peer")
+}
--- a/internal/settings/convert.go
+++ b/internal/settings/convert.go
@@ -58,7 +58,7 @@
 		checked.Agent = c.agent(raw.Agent)
 	}
 	if raw.Relay != nil {
-		checked.Relay = c.relay(raw.Relay)
+		checked.Relay = c.relay(raw.Relay, checked.Zone)
 	}
 	return checked
 }
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -2,7 +2,10 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
+
+	"github.com/vanetiller/vanetiller/internal/membership"
 )
 
 // Relay holds the settings of a process that carries the packets of flows
@@ -28,8 +31,14 @@
 	Listen netip.AddrPort
 	// Store is the TCP address of the platform's store.
 	Store netip.AddrPort
-	// Seeds are addresses of balancers to ask at the start; there may be none.
+	// Exchange is the UDP and TCP address under which other balancers reach
+	// this one. All of a fleet use the same port.
+	Exchange netip.AddrPort
+	// Seeds are Exchange addresses of balancers to ask at the start; there may
+	// be none.
 	Seeds []netip.AddrPort
+	// Zones are the names of all zones, in the same order everywhere.
+	Zones []string
 }
 
 // RelayAgent holds the settings of an agent that carries packets whole.
@@ -63,9 +72,11 @@
 }
 
 type relayBalancerDocument struct {
-	Listen any `toml:"listen"`
-	Store  any `toml:"store"`
-	Seeds  any `toml:"seeds"`
+	Listen   any `toml:"listen"`
+	Store    any `toml:"store"`
+	Exchange any `toml:"exchange"`
+	Seeds    any `toml:"seeds"`
+	Zones    any `toml:"zones"`
 }
 
 type relayAgentDocument struct {
@@ -75,7 +86,7 @@
 	FirstStart any `toml:"first_start"`
 }
 
-func (c *checker) relay(raw *relayDocument) *Relay {
+func (c *checker) relay(raw *relayDocument, zone string) *Relay {
 	checked := &Relay{
 		Peers: c.address("relay.peers", raw.Peers, remoteAddress),
 		FlowLifetime: c.duration("relay.flow_lifetime",
@@ -89,7 +100,7 @@
 		c.broken("relay", "must have either a balancer or an agent table")
 	}
 	if raw.Balancer != nil {
-		checked.Balancer = c.relayBalancer(raw.Balancer)
+		checked.Balancer = c.relayBalancer(raw.Balancer, zone)
 	}
 	if raw.Agent != nil {
 		checked.Agent = c.relayAgent(raw.Agent)
@@ -97,12 +108,18 @@
 	return checked
 }
 
-func (c *checker) relayBalancer(raw *relayBalancerDocument) *RelayBalancer {
-	return &RelayBalancer{
-		Listen: c.address("relay.balancer.listen", raw.Listen, remoteAddress),
-		Store:  c.address("relay.balancer.store", raw.Store, remoteAddress),
-		Seeds:  c.seeds("relay.balancer.seeds", raw.Seeds),
+func (c *checker) relayBalancer(raw *relayBalancerDocument, zone string) *RelayBalancer {
+	checked := &RelayBalancer{
+		Listen:   c.address("relay.balancer.listen", raw.Listen, remoteAddress),
+		Store:    c.address("relay.balancer.store", raw.Store, remoteAddress),
+		Exchange: c.address("relay.balancer.exchange", raw.Exchange, remoteAddress),
+		Seeds:    c.seeds("relay.balancer.seeds", raw.Seeds),
+		Zones:    c.names("relay.balancer.zones", raw.Zones, membership.MaximumZones),
+	}
+	if len(checked.Zones) > 0 && !slices.Contains(checked.Zones, zone) {
+		c.broken("relay.balancer.zones", "must contain the zone of this process, %s", zone)
 	}
+	return checked
 }
 
 func (c *checker) relayAgent(raw *relayAgentDocument) *RelayAgent {
