Take a client's first acknowledgment for this endpoint's only if it is near

Cause: an opening packet had been offered to two endpoints since the notice of the first was lost; the client chose the first, the balancer believed in the second, whose agent took any acknowledgment up to 2^26 ahead of its endpoint's initial sequence number for its own: by chance 1 in 64. Ruled out: a crash of the endpoint; it held the flow.

--- a/bench/flownet/client.go
+++ b/bench/flownet/client.go
@@ -122,6 +122,9 @@
 	if !exists || flow.done {
 		return
 	}
+	if header.Flags.Has(segment.Reset) && !flow.accepts(header) {
+		return
+	}
 	if header.Flags.Has(segment.Reset) {
 		c.world.ledger.reset(flow)
 		flow.fail("reset", !flow.open)
@@ -134,6 +137,17 @@
 	flow.receive(header, c.world.codec.Data(received.packet))
 }
 
+// resetWindow is how far the sequence number of a reset may be from what the
+// client of an open flow acknowledged last.
+const resetWindow = 76_800
+
+// accepts reports whether a client takes a reset: any before its flow is open,
+// then only one with a fitting sequence number (RFC 5961, section 3).
+func (f *clientFlow) accepts(header segment.Header) bool {
+	distance := int32(header.Sequence - f.answer - 1)
+	return !f.open || distance <= resetWindow && distance >= -resetWindow
+}
+
 func (f *clientFlow) receive(header segment.Header, data []byte) {
 	if header.Flags.Has(segment.Synchronize) {
 		if !f.open {
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -62,9 +62,13 @@
 const never = time.Duration(math.MaxInt64)
 
 const (
-	// acknowledgmentWindow is how far an acknowledgment may be ahead of the
-	// endpoint's initial sequence number for the flow to be the endpoint's.
-	acknowledgmentWindow = 1 << 26
+	// openWindow is how far a client's acknowledgment may be ahead of the
+	// initial sequence number of the endpoint that holds its flow.
+	openWindow = 1 << 26
+	// openingWindow is the same for the first packet after the handshake. The
+	// endpoint has sent next to nothing then, and a packet for another endpoint
+	// fits by chance only once in 2^16 times.
+	openingWindow = 1 << 16
 	// offeredRetention is how long an opening packet that was not answered, or
 	// whose answer was not acknowledged, is remembered.
 	offeredRetention = 5 * time.Second
@@ -235,20 +239,20 @@
 func (a *Agent) owns(known *agentFlow, header segment.Header) bool {
 	switch known.state {
 	case stateOpen, stateEnded:
-		return !known.answered || acknowledges(header, known.answer)
+		return !known.answered || acknowledges(header, known.answer, openWindow)
 	case stateAnswered:
-		return acknowledges(header, known.answer)
+		return acknowledges(header, known.answer, openingWindow)
 	}
 	return false
 }
 
 // acknowledges reports whether the packet acknowledges what the endpoint with
 // the given initial sequence number has sent. A reset need not.
-func acknowledges(header segment.Header, answer uint32) bool {
+func acknowledges(header segment.Header, answer, window uint32) bool {
 	if !header.Flags.Has(segment.Acknowledge) {
 		return header.Flags.Has(segment.Reset)
 	}
-	return header.Acknowledgment-answer-1 < acknowledgmentWindow
+	return header.Acknowledgment-answer-1 < window
 }
 
 func (a *Agent) receiveOwned(now time.Duration, from segment.Address, key segment.FlowKey, known *agentFlow, header segment.Header, message Message) {
