Log, count and time the relay's decisions; test its daemon with real sockets

Decisions get their elapsed time; histograms of placement, answer, wait and refusal stand beside the counters, and unusual decisions have a bound of the log of their own (50 a second), so that routine ones cannot crowd them out. Tests of settings, handshake, peers with the store down, planned stop and metrics; the metrics tests failed first, since metrics without a label were absent until used.

--- a/internal/observability/registry/registry.go
+++ b/internal/observability/registry/registry.go
@@ -18,7 +18,8 @@
 // Namespace begins the name of every metric.
 const Namespace = "vanetiller"
 
-// Registry creates metrics and answers scrapes. Asking for one name twice is
+// Registry creates metrics and answers scrapes. A metric without labels is
+// there from the start, so that a scrape tells zero from absent. Asking for one name twice is
 // a broken invariant and panics.
 type Registry struct {
 	registry *prometheus.Registry
@@ -40,6 +41,9 @@
 	vector := prometheus.NewCounterVec(
 		prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help}, labels)
 	r.registry.MustRegister(vector)
+	if len(labels) == 0 {
+		vector.WithLabelValues()
+	}
 	return kitprometheus.NewCounter(vector)
 }
 
@@ -48,6 +52,9 @@
 	vector := prometheus.NewGaugeVec(
 		prometheus.GaugeOpts{Namespace: Namespace, Name: name, Help: help}, labels)
 	r.registry.MustRegister(vector)
+	if len(labels) == 0 {
+		vector.WithLabelValues()
+	}
 	return kitprometheus.NewGauge(vector)
 }
 
@@ -57,6 +64,9 @@
 	vector := prometheus.NewHistogramVec(
 		prometheus.HistogramOpts{Namespace: Namespace, Name: name, Help: help, Buckets: buckets}, labels)
 	r.registry.MustRegister(vector)
+	if len(labels) == 0 {
+		vector.WithLabelValues()
+	}
 	return kitprometheus.NewHistogram(vector)
 }
 
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -352,7 +352,7 @@
 	case header.Flags.Has(segment.Finish), header.Flags.Has(segment.Reset):
 		a.end(now, known)
 	case header.Length > 0:
-		a.responded(now, known)
+		a.responded(now, key, known)
 	}
 	a.effects = append(a.effects, Effect{Kind: EffectClient, To: key.Client, Packet: packet})
 }
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -64,6 +64,7 @@
 	agent    segment.Address
 	endpoint directory.EndpointID
 	service  string
+	opened   time.Duration
 	touched  time.Duration
 	terms    Terms
 	// offer is set while the state is flowOffering, search while it is
--- a/internal/relay/effect.go
+++ b/internal/relay/effect.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/vanetiller/vanetiller/internal/label"
 	"github.com/vanetiller/vanetiller/internal/segment"
 )
@@ -41,8 +43,11 @@
 	EventForged
 	// EventPlaced: an endpoint answered the opening packet of a flow.
 	EventPlaced
-	// EventOffered: an opening packet was offered to an endpoint.
-	EventOffered
+	// EventAnswered: an endpoint began to answer a request.
+	EventAnswered
+	// EventAdmitted: an opening packet that had waited was given to the
+	// endpoint.
+	EventAdmitted
 	// EventOfferedAgain: an opening packet was offered to a further endpoint,
 	// since the one before was silent or did not take it.
 	EventOfferedAgain
@@ -82,7 +87,7 @@
 )
 
 var eventNames = []string{
-	"malformed", "forged", "placed", "offered", "offered_again", "locating", "located", "no_route",
+	"malformed", "forged", "placed", "answered", "admitted", "offered_again", "locating", "located", "no_route",
 	"no_endpoint", "not_ready", "suspected", "recovered", "endpoint_lost_flow", "not_owned", "probed",
 	"returned", "isolated", "reconnected", "held", "refused",
 }
@@ -97,6 +102,10 @@
 	Version uint64
 	// Reason tells more, in the form of a metric label.
 	Reason string
+	// Elapsed is the time that ended with the event: from the first offer to
+	// EventPlaced, from the request to EventAnswered, and the wait before
+	// EventAdmitted and EventRefused.
+	Elapsed time.Duration
 }
 
 // EventKinds lists every kind, for counters that are kept by kind.
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -37,7 +37,7 @@
 		return
 	}
 	b.budget.earn()
-	opened := &balancerFlow{sequence: header.Sequence, touched: now, terms: termsOf(route)}
+	opened := &balancerFlow{sequence: header.Sequence, opened: now, touched: now, terms: termsOf(route)}
 	opened.offer = &offer{key: key, packet: slices.Clone(packet)}
 	opened.service = b.chooseService(now, route)
 	if !b.offerNext(now, key, opened) {
@@ -123,7 +123,9 @@
 	}
 	b.settle(known)
 	known.state = flowPlaced
-	b.event(Event{Kind: EventPlaced, Flow: key, Peer: from, Version: b.snapshot.Version()})
+	b.event(Event{
+		Kind: EventPlaced, Flow: key, Peer: from, Version: b.snapshot.Version(), Elapsed: now - known.opened,
+	})
 }
 
 // receiveHeld handles that an agent holds an opening packet back: it is alive,
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -138,9 +138,10 @@
 }
 
 // responded notes that the endpoint has begun to answer.
-func (a *Agent) responded(now time.Duration, known *agentFlow) {
+func (a *Agent) responded(now time.Duration, key segment.FlowKey, known *agentFlow) {
 	if known.work.occupies && known.work.requested {
 		average(&a.pace.working, now-known.work.since)
+		a.event(Event{Kind: EventAnswered, Flow: key, Elapsed: now - known.work.since})
 	}
 	a.release(now, known)
 }
@@ -161,6 +162,7 @@
 func (a *Agent) admitWaiting(now time.Duration) {
 	for len(a.queue.waiting) > 0 && !a.pace.full() {
 		next := a.queue.next()
+		a.event(Event{Kind: EventAdmitted, Flow: next.key, Peer: next.flow.balancer, Elapsed: now - next.since})
 		a.admit(now, next.flow, next.packet)
 	}
 }
@@ -193,7 +195,7 @@
 func (a *Agent) refuse(now time.Duration, held *waiting, reason string) {
 	a.queue.remove(held.flow)
 	delete(a.flows, held.key)
-	a.event(Event{Kind: EventRefused, Flow: held.key, Reason: reason})
+	a.event(Event{Kind: EventRefused, Flow: held.key, Reason: reason, Elapsed: now - held.since})
 	a.effects = append(a.effects, Effect{
 		Kind: EffectClient, To: held.key.Client, Packet: a.config.Codec.AppendReset(nil, held.key, 0),
 	})
--- /dev/null
+++ b/internal/relaydaemon/daemon_test.go
@@ -0,0 +1,272 @@
+package relaydaemon_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/relaydaemon"
+	"github.com/vanetiller/vanetiller/internal/segment"
+	"github.com/vanetiller/vanetiller/internal/segment/segmenttest"
+	"github.com/vanetiller/vanetiller/internal/settings"
+)
+
+func TestRelayDaemon(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "RelayDaemon")
+}
+
+var codec = segmenttest.Codec{Key: 3}
+
+// fakeStore gives a listing, and no changes.
+type fakeStore struct {
+	page directory.Page
+	down bool
+}
+
+func (s fakeStore) List(context.Context, string) (directory.Page, error) {
+	if s.down {
+		return directory.Page{}, &directory.StoreError{Failure: directory.StoreUnavailable}
+	}
+	return s.page, nil
+}
+
+func (s fakeStore) Watch(ctx context.Context, after directory.Revision, wait time.Duration) (directory.Changes, error) {
+	select {
+	case <-ctx.Done():
+		return directory.Changes{}, &directory.StoreError{Failure: directory.StoreUnreachable}
+	case <-time.After(wait):
+		return directory.Changes{Through: after}, nil
+	}
+}
+
+// logBuffer is a log that may be read while it is written.
+type logBuffer struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+func (b *logBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.Write(data)
+}
+
+func (b *logBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.String()
+}
+
+// site is the machine addresses of one test. All daemons share ports, as on a
+// platform; the machines are addresses of the loopback network.
+type site struct {
+	packetPort, peerPort, healthPort, exchangePort, appPort, emittedPort int
+}
+
+func freePort() int {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+func newSite() site {
+	return site{freePort(), freePort(), freePort(), freePort(), freePort(), freePort()}
+}
+
+func load(text string) *settings.Settings {
+	checked, err := settings.Parse("test.toml", []byte(text))
+	Expect(err).NotTo(HaveOccurred())
+	return checked
+}
+
+func (s site) balancer(ip string, seeds string) *settings.Settings {
+	return load(fmt.Sprintf(`name = "balancer"
+zone = "zone-1"
+[observability]
+listen = "%[1]s:%[2]d"
+[relay]
+peers = "%[1]s:%[3]d"
+stop_timeout = "2s"
+[relay.balancer]
+listen = "%[1]s:%[4]d"
+store = "127.0.0.1:1"
+exchange = "%[1]s:%[5]d"
+seeds = [%[6]s]
+zones = ["zone-1"]
+`, ip, s.healthPort, s.peerPort, s.packetPort, s.exchangePort, seeds))
+}
+
+func (s site) agent(ip string) *settings.Settings {
+	return load(fmt.Sprintf(`name = "agent"
+zone = "zone-1"
+[observability]
+listen = "%[1]s:%[2]d"
+[relay]
+peers = "%[1]s:%[3]d"
+stop_timeout = "2s"
+[relay.agent]
+service = "lookup"
+endpoint = "%[1]s:%[4]d"
+emitted = "%[1]s:%[5]d"
+first_start = true
+`, ip, s.healthPort, s.packetPort, s.appPort, s.emittedPort))
+}
+
+// start runs a daemon and returns what stops it and waits for its end.
+func start(checked *settings.Settings, store directory.Store, log io.Writer) (stop context.CancelFunc, ended chan error) {
+	created, err := relaydaemon.New(relaydaemon.Surroundings{
+		Codec: codec, NewStore: func(netip.AddrPort) directory.Store { return store },
+	}, checked, log)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended = make(chan error, 1)
+	go func() {
+		ended <- created.Run(ctx)
+		close(ended)
+	}()
+	DeferCleanup(func() {
+		cancel()
+		for range ended {
+			// Run has returned once the channel is closed.
+		}
+	})
+	return cancel, ended
+}
+
+func (s site) health(ip string) int {
+	response, err := http.Get(fmt.Sprintf("http://%s:%d/healthz", ip, s.healthPort))
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+func udp(ip string, port int) *net.UDPConn {
+	connection, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ip), Port: port})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(connection.Close)
+	Expect(connection.SetReadDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+	return connection
+}
+
+func receive(connection *net.UDPConn) []byte {
+	GinkgoHelper()
+	buffer := make([]byte, 2048)
+	length, err := connection.Read(buffer)
+	Expect(err).NotTo(HaveOccurred())
+	return buffer[:length]
+}
+
+const (
+	balancerIP = "127.0.1.1"
+	otherIP    = "127.0.1.2"
+	agentIP    = "127.0.1.3"
+	clientIP   = "127.0.1.4"
+)
+
+var route = segment.Address{IP: [4]byte{198, 51, 100, 1}, Port: 443}
+
+func (s site) listing() directory.Page {
+	return directory.Page{At: 5, Items: []directory.Item{
+		{Revision: 1, Configuration: &directory.Configuration{Version: 4, Routes: []directory.Route{{
+			IP: route.IP, Port: route.Port, Shares: []directory.Share{{Service: "lookup", Weight: 1}},
+		}}}},
+		{Revision: 2, EndpointID: "e-1", Endpoint: &directory.Endpoint{
+			Service: "lookup", IP: [4]byte{127, 0, 1, 3}, Port: uint16(s.appPort), Slots: 3,
+		}},
+	}}
+}
+
+var _ = Describe("Daemon", func() {
+	var (
+		used site
+		log  *logBuffer
+	)
+
+	BeforeEach(func() {
+		used = newSite()
+		log = &logBuffer{}
+	})
+
+	status := func(ip string) func() int { return func() int { return used.health(ip) } }
+
+	It("carries a handshake between a client and an endpoint", func() {
+		app := udp(agentIP, used.appPort)
+		client := udp(clientIP, used.packetPort)
+		start(used.agent(agentIP), nil, log)
+		start(used.balancer(balancerIP, ""), fakeStore{page: used.listing()}, log)
+		Eventually(status(balancerIP)).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+		caller := segment.Address{IP: [4]byte{127, 0, 1, 4}, Port: 5555}
+		opening := codec.Encode(segment.Header{Source: caller, Destination: route, Flags: segment.Synchronize, Sequence: 9}, nil)
+		_, err := client.WriteToUDP(opening, &net.UDPAddr{IP: net.ParseIP(balancerIP), Port: used.packetPort})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(receive(app)).To(Equal(opening))
+		answer := codec.Encode(segment.Header{
+			Source: route, Destination: caller, Flags: segment.Synchronize | segment.Acknowledge, Sequence: 70, Acknowledgment: 10,
+		}, nil)
+		_, err = app.WriteToUDP(answer, &net.UDPAddr{IP: net.ParseIP(agentIP), Port: used.emittedPort})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(receive(client)).To(Equal(answer))
+		Eventually(log.String).WithTimeout(10 * time.Second).Should(ContainSubstring(`"event":"placed"`))
+	})
+
+	It("is not ready without a directory, and ready once a peer has told it one while the store is down", func() {
+		start(used.balancer(balancerIP, ""), fakeStore{page: used.listing()}, log)
+		Eventually(status(balancerIP)).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+		lonely := newSite()
+		lonely.exchangePort = used.exchangePort
+		start(lonely.balancer(otherIP, ""), fakeStore{down: true}, io.Discard)
+		Eventually(func() int { return lonely.health(otherIP) }).WithTimeout(10 * time.Second).Should(Equal(http.StatusServiceUnavailable))
+		Consistently(func() int { return lonely.health(otherIP) }).Should(Equal(http.StatusServiceUnavailable))
+		informed := newSite()
+		informed.exchangePort = used.exchangePort
+		start(informed.balancer("127.0.1.5", fmt.Sprintf("%q", fmt.Sprintf("%s:%d", balancerIP, used.exchangePort))), fakeStore{down: true}, log)
+		Eventually(func() int { return informed.health("127.0.1.5") }).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+		Expect(log.String()).To(ContainSubstring(`"msg":"directory fetched"`))
+	})
+
+	It("goes on serving for a while after a stop has begun, not ready", func() {
+		stop, ended := start(used.balancer(balancerIP, ""), fakeStore{page: used.listing()}, log)
+		Eventually(status(balancerIP)).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+		stop()
+		Eventually(status(balancerIP)).WithTimeout(10 * time.Second).Should(Equal(http.StatusServiceUnavailable))
+		Expect(ended).NotTo(Receive())
+		Eventually(ended).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
+		Expect(log.String()).To(ContainSubstring(`"msg":"daemon stopped"`))
+	})
+
+	It("serves its counters and histograms", func() {
+		start(used.agent(agentIP), nil, log)
+		var body []byte
+		Eventually(func() error {
+			response, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", agentIP, used.healthPort))
+			if err != nil {
+				return err
+			}
+			defer response.Body.Close()
+			body, err = io.ReadAll(response.Body)
+			return err
+		}).WithTimeout(10 * time.Second).Should(Succeed())
+		Expect(string(body)).To(ContainSubstring(`vanetiller_relay_events_total{kind="refused"} 0`))
+		Expect(string(body)).To(ContainSubstring("vanetiller_relay_wait_seconds_bucket"))
+	})
+
+	It("refuses settings without a relay table", func() {
+		_, err := relaydaemon.New(relaydaemon.Surroundings{}, &settings.Settings{}, io.Discard)
+		Expect(err).To(MatchError(ContainSubstring("relay: is required")))
+	})
+})
--- a/internal/relaydaemon/journal.go
+++ b/internal/relaydaemon/journal.go
@@ -12,44 +12,89 @@
 // kindLabel is the label of the counter of events.
 const kindLabel = "kind"
 
-// The log of decisions is bounded, so that it costs little under load; what was
-// left out is counted.
+// The log of decisions is bounded, so that it costs little under load. What is
+// left out is counted in the next line. Decisions that are part of every flow
+// that goes well have a bound of their own.
 const (
-	eventsPerSecond = 20
-	eventsBurst     = 60
+	eventsPerSecond  = 50
+	eventsBurst      = 200
+	routinePerSecond = 2
+	routineBurst     = 5
 )
 
-// journal logs and counts the decisions of a role.
+// secondsBuckets are the upper bounds of the buckets of latency histograms.
+var secondsBuckets = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5}
+
+// journal logs, counts and times the decisions of a role.
 type journal struct {
 	logger  *log.Logger
+	unusual limited
+	routine limited
+	counts  []metrics.Counter
+	elapsed map[relay.EventKind]metrics.Histogram
+}
+
+// limited is a part of the log with a bound.
+type limited struct {
 	limiter *rate.Limiter
 	omitted int
-	counts  []metrics.Counter
+}
+
+func newLimited(perSecond rate.Limit, burst int) limited {
+	return limited{limiter: rate.NewLimiter(perSecond, burst)}
 }
 
 func newJournal(logger *log.Logger, registered *registry.Registry) *journal {
+	histogram := func(name, help string) metrics.Histogram {
+		return registered.Histogram(name, help, secondsBuckets)
+	}
+	created := &journal{
+		logger:  logger,
+		unusual: newLimited(eventsPerSecond, eventsBurst),
+		routine: newLimited(routinePerSecond, routineBurst),
+		elapsed: map[relay.EventKind]metrics.Histogram{
+			relay.EventPlaced:   histogram("relay_placement_seconds", "Time from a flow's opening packet to the endpoint's answer to it."),
+			relay.EventAnswered: histogram("relay_answer_seconds", "Time from a request to the beginning of its answer."),
+			relay.EventAdmitted: histogram("relay_wait_seconds", "Time that opening packets waited for a busy endpoint."),
+			relay.EventRefused:  histogram("relay_refusal_seconds", "Time that opening packets waited in vain."),
+		},
+	}
 	counter := registered.Counter("relay_events_total", "Decisions about packets and peers, by kind.", kindLabel)
-	created := &journal{logger: logger, limiter: rate.NewLimiter(eventsPerSecond, eventsBurst)}
 	for _, kind := range relay.EventKinds() {
-		created.counts = append(created.counts, counter.With(kindLabel, kind.String()))
+		counted := counter.With(kindLabel, kind.String())
+		counted.Add(0)
+		created.counts = append(created.counts, counted)
 	}
 	return created
 }
 
-// routine reports whether an event is part of every flow that goes well.
-func routine(kind relay.EventKind) bool {
-	return kind == relay.EventPlaced || kind == relay.EventOffered
+// isRoutine reports whether an event is part of every flow that goes well.
+func isRoutine(kind relay.EventKind) bool {
+	return kind == relay.EventPlaced || kind == relay.EventAnswered
 }
 
 func (j *journal) record(event relay.Event) {
 	j.counts[event.Kind].Add(1)
-	if routine(event.Kind) {
-		return
+	if histogram, timed := j.elapsed[event.Kind]; timed {
+		histogram.Observe(event.Elapsed.Seconds())
 	}
-	if !j.limiter.Allow() {
-		j.omitted++
+	bound := &j.unusual
+	if isRoutine(event.Kind) {
+		bound = &j.routine
+	}
+	if !bound.limiter.Allow() {
+		bound.omitted++
 		return
 	}
+	fields := fieldsOf(event)
+	if bound.omitted > 0 {
+		fields = append(fields, "omitted", bound.omitted)
+		bound.omitted = 0
+	}
+	j.logger.Info("decision", fields...)
+}
+
+func fieldsOf(event relay.Event) []any {
 	fields := []any{"event", event.Kind.String()}
 	if !event.Flow.Client.IsZero() {
 		fields = append(fields, "client", event.Flow.Client, "service", event.Flow.Service)
@@ -63,9 +108,8 @@
 	if event.Reason != "" {
 		fields = append(fields, "reason", event.Reason)
 	}
-	if j.omitted > 0 {
-		fields = append(fields, "omitted", j.omitted)
-		j.omitted = 0
+	if event.Elapsed > 0 {
+		fields = append(fields, "elapsed_ms", float64(event.Elapsed.Microseconds())/1000)
 	}
-	j.logger.Info("decision", fields...)
+	return fields
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -66,6 +66,35 @@
 voters = 5
 `
 
+const relayBalancerFile = `name = "balancer-1"
+zone = "zone-1"
+[observability]
+listen = "192.0.2.1:8167"
+[relay]
+peers = "192.0.2.1:7700"
+flow_lifetime = "45s"
+stop_timeout = "6s"
+[relay.balancer]
+listen = "192.0.2.1:8100"
+store = "192.0.2.9:8000"
+exchange = "192.0.2.1:8166"
+seeds = ["192.0.2.2:8166"]
+zones = ["zone-1", "zone-2"]
+`
+
+const relayAgentFile = `name = "agent-1"
+zone = "zone-1"
+[observability]
+listen = "192.0.2.1:8167"
+[relay]
+peers = "192.0.2.1:8100"
+[relay.agent]
+service = "lookup"
+endpoint = "192.0.2.1:8081"
+emitted = "192.0.2.1:8082"
+first_start = true
+`
+
 func endpoint(text string) netip.AddrPort { return netip.MustParseAddrPort(text) }
 
 var _ = Describe("Parse", func() {
@@ -131,6 +160,54 @@
 		Expect(without.Cluster.Voters).To(Equal(settings.DefaultVoters))
 	})
 
+	It("returns the typed values and defaults of a relay balancer", func() {
+		parsed, err := settings.Parse("r.toml", []byte(relayBalancerFile))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*parsed.Relay).To(Equal(settings.Relay{
+			Peers: endpoint("192.0.2.1:7700"), FlowLifetime: 45 * time.Second, StopTimeout: 6 * time.Second,
+			FlowLimit: settings.DefaultFlowLimit,
+			Balancer: &settings.RelayBalancer{
+				Listen: endpoint("192.0.2.1:8100"), Store: endpoint("192.0.2.9:8000"), Exchange: endpoint("192.0.2.1:8166"),
+				Seeds: []netip.AddrPort{endpoint("192.0.2.2:8166")}, Zones: []string{"zone-1", "zone-2"},
+			},
+		}))
+	})
+
+	It("returns the typed values and defaults of a relay agent", func() {
+		parsed, err := settings.Parse("r.toml", []byte(relayAgentFile))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(*parsed.Relay).To(Equal(settings.Relay{
+			Peers: endpoint("192.0.2.1:8100"), FlowLifetime: time.Minute, StopTimeout: 20 * time.Second,
+			FlowLimit: settings.DefaultFlowLimit,
+			Agent: &settings.RelayAgent{
+				Service: "lookup", Endpoint: endpoint("192.0.2.1:8081"), Emitted: endpoint("192.0.2.1:8082"), FirstStart: true,
+			},
+		}))
+	})
+
+	DescribeTable("reports one broken rule of a relay with its line and key",
+		func(file, old, replacement, expected string) {
+			Expect(strings.Count(file, old)).To(Equal(1), "the text to replace")
+			_, err := settings.Parse("r.toml", []byte(strings.Replace(file, old, replacement, 1)))
+			Expect(err).To(MatchError(expected))
+		},
+		Entry("an unspecified address", relayBalancerFile, `peers = "192.0.2.1:7700"`, `peers = "0.0.0.0:7700"`,
+			"r.toml:6: relay.peers: must not be the unspecified address 0.0.0.0"),
+		Entry("no store", relayBalancerFile, "store = \"192.0.2.9:8000\"\n", "",
+			"r.toml:9: relay.balancer.store: is required"),
+		Entry("seeds that are no array", relayBalancerFile, `seeds = ["192.0.2.2:8166"]`, `seeds = "192.0.2.2:8166"`,
+			"r.toml:13: relay.balancer.seeds: must be an array of at most 64 addresses"),
+		Entry("an own zone that is not listed", relayBalancerFile, `zones = ["zone-1", "zone-2"]`, `zones = ["zone-2"]`,
+			"r.toml:14: relay.balancer.zones: must contain the zone of this process, zone-1"),
+		Entry("text for a truth value", relayAgentFile, "first_start = true", `first_start = "yes"`,
+			"r.toml:11: relay.agent.first_start: must be true or false"),
+		Entry("a role of the other kind beside it", relayAgentFile, "[relay.agent]", "[cluster]\n[relay.agent]",
+			"r.toml:5: relay: must not stand beside a balancer, agent, api or cluster table\n"+
+				"r.toml:7: cluster.listen: is required\nr.toml:7: cluster.seeds: is required\nr.toml:7: cluster.zones: is required"),
+		Entry("an unknown key", relayAgentFile, "first_start = true", "first = true",
+			"r.toml:11: relay.agent.first: is not a known key"),
+	)
+
 	DescribeTable("reports one broken rule with its line and key",
 		func(file, old, replacement, expected string) {
 			Expect(strings.Count(file, old)).To(Equal(1), "the text to replace")
