--- a/bench/flownet/world.go
+++ b/bench/flownet/world.go
@@ -116,25 +116,7 @@
 
 func (w *world) zoneName(zone int) string { return w.options.Shape.Zones[zone] }
 
-// sendPacket sends a packet of a flow to an address.
-func (w *world) sendPacket(from simnet.NodeID, source, to segment.Address, packet []byte) {
-	target, exists := w.nodes[to.IP]
-	if to.Port == endpointPort || !exists {
-		return
-	}
-	w.net.Send(from, target, simnet.Payload, len(packet), datagram{port: to.Port, from: source, packet: packet})
-}
-
-func (w *world) serviceOf(name string) Service {
-	for _, service := range w.options.Shape.Services {
-		if service.Name == name {
-			return service
-		}
-	}
-	return Service{}
-}
-
-// entry returns what an endpoint announces.
+// entryOf returns what an endpoint announces.
 func entryOf(s *side) *directory.Endpoint {
 	return &directory.Endpoint{
 		Service: s.service.Name, IP: s.ip, Port: endpointPort, Zone: s.zoneName, Slots: uint32(s.service.Slots), Draining: s.draining,
