Hold requests of open flows back in place of opening packets

Ruled out: a lack of capacity, 510 a second against 435 asked. Agents let handshakes through and hold the first packets of a request instead, most urgent and newest flow first. Nothing that is open is ever reset; a new flow is returned at once when those that wait would take the endpoint longer than the route's timeout, and refused if no other endpoint takes it.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -25,10 +25,8 @@
 type agentFlowState uint8
 
 const (
-	// stateHeld: the opening packet waits until the endpoint can take it.
-	stateHeld agentFlowState = iota
 	// stateOffered: the opening packet went to the endpoint.
-	stateOffered
+	stateOffered agentFlowState = iota
 	// stateAnswered: the endpoint answered the opening packet.
 	stateAnswered
 	// stateOpen: the client acknowledged this endpoint's answer.
@@ -56,7 +54,7 @@
 }
 
 // running reports whether the endpoint has the flow and it has not ended.
-func (f *agentFlow) running() bool { return f.state >= stateOffered && f.state <= stateOpen }
+func (f *agentFlow) running() bool { return f.state <= stateOpen }
 
 // never is later than any time.
 const never = time.Duration(math.MaxInt64)
@@ -191,10 +189,6 @@
 	known, exists := a.flows[key]
 	if exists && known.sequence == header.Sequence && known.state <= stateOpen {
 		known.balancer = from
-		if known.state == stateHeld {
-			a.sendHeld(key, known)
-			return
-		}
 		a.deliver(message.Packet)
 		return
 	}
@@ -206,15 +200,17 @@
 		a.bringBack(from, key, header, message.Packet, "flow_limit")
 		return
 	}
-	a.forget(now, key)
-	opened := &agentFlow{state: stateHeld, sequence: header.Sequence, balancer: from, touched: now}
-	a.flows[key] = opened
-	a.pace.slots = message.Terms.Slots
-	if a.pace.full() {
-		a.hold(now, key, opened, message)
+	if a.overloaded(message.Terms) {
+		a.bringBack(from, key, header, message.Packet, "overload")
 		return
 	}
-	a.admit(now, opened, message.Packet)
+	a.forget(now, key)
+	a.flows[key] = &agentFlow{
+		state: stateOffered, sequence: header.Sequence, balancer: from, touched: now,
+		work: work{priority: message.Terms.Priority, since: now, sent: header.Sequence + 1},
+	}
+	a.running++
+	a.deliver(message.Packet)
 }
 
 // receiveSegment handles a client's packet that does not open a flow.
@@ -264,13 +260,13 @@
 	if message.Kind != KindForward {
 		a.send(from, Message{Kind: KindOwned, Service: a.config.Service, Flow: FlowOf(key), Load: a.Load()})
 	}
-	a.deliver(message.Packet)
-	if header.Length > 0 {
-		a.requested(now, known)
-	}
 	if header.Flags.Has(segment.Finish) || header.Flags.Has(segment.Reset) {
 		a.end(now, known)
 	}
+	if header.Length > 0 && !a.passes(now, key, known, header, message.Packet) {
+		return
+	}
+	a.deliver(message.Packet)
 }
 
 // probe lets the endpoint tell whether it holds a flow that this agent does not
@@ -406,6 +402,7 @@
 		a.running--
 	}
 	delete(a.flows, key)
+	known.state = stateEnded
 	a.release(now, known)
 }
 
@@ -440,7 +437,7 @@
 
 func (a *Agent) retention(known *agentFlow) time.Duration {
 	switch known.state {
-	case stateHeld, stateOffered, stateAnswered:
+	case stateOffered, stateAnswered:
 		return offeredRetention
 	case stateEnded:
 		return endedRetention
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -209,8 +209,6 @@
 	switch message.Kind {
 	case KindPlaced:
 		b.receivePlaced(now, from, message)
-	case KindHeld:
-		b.receiveHeld(now, from, message)
 	case KindReturned:
 		b.receiveReturned(now, from, message)
 	case KindOwned:
--- a/internal/relay/effect.go
+++ b/internal/relay/effect.go
@@ -45,8 +45,7 @@
 	EventPlaced
 	// EventAnswered: an endpoint began to answer a request.
 	EventAnswered
-	// EventAdmitted: an opening packet that had waited was given to the
-	// endpoint.
+	// EventAdmitted: a request that had waited was given to the endpoint.
 	EventAdmitted
 	// EventOfferedAgain: an opening packet was offered to a further endpoint,
 	// since the one before was silent or did not take it.
@@ -79,17 +78,15 @@
 	EventIsolated
 	// EventReconnected: an agent can be reached again.
 	EventReconnected
-	// EventHeld: an opening packet waits for its endpoint.
+	// EventHeld: a request waits for its endpoint.
 	EventHeld
-	// EventRefused: a client was refused since the endpoint is overloaded.
-	EventRefused
 	eventKindCount
 )
 
 var eventNames = []string{
 	"malformed", "forged", "placed", "answered", "admitted", "offered_again", "locating", "located", "no_route",
 	"no_endpoint", "not_ready", "suspected", "recovered", "endpoint_lost_flow", "not_owned", "probed",
-	"returned", "isolated", "reconnected", "held", "refused",
+	"returned", "isolated", "reconnected", "held",
 }
 
 // Event is one decision with what decided it.
@@ -104,7 +101,7 @@
 	Reason string
 	// Elapsed is the time that ended with the event: from the first offer to
 	// EventPlaced, from the request to EventAnswered, and the wait before
-	// EventAdmitted and EventRefused.
+	// EventAdmitted.
 	Elapsed time.Duration
 }
 
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -39,9 +39,6 @@
 	KindUncertain
 	// KindUnknown brings back a packet of a flow that the agent does not own.
 	KindUnknown
-	// KindHeld tells that the agent holds an opening packet back until its
-	// endpoint can take it.
-	KindHeld
 	// KindPing asks the agent whether it is there.
 	KindPing
 	// KindPong answers a ping.
@@ -79,7 +76,7 @@
 type Load struct {
 	// Running is the number of flows that are open or about to be.
 	Running uint32
-	// Waiting is the number of opening packets that the agent holds back.
+	// Waiting is the number of requests that the agent holds back.
 	Waiting uint32
 	// Refusing is set if the endpoint gets no new flows.
 	Refusing bool
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -128,19 +128,6 @@
 	})
 }
 
-// receiveHeld handles that an agent holds an opening packet back: it is alive,
-// so the packet is not offered to another for its silence.
-func (b *Balancer) receiveHeld(now time.Duration, from segment.Address, message Message) {
-	known, exists := b.flows[message.Flow.Key()]
-	if !exists || known.sequence != message.Sequence || known.agent != from {
-		return
-	}
-	b.heard(now, known, from, message.Load)
-	if known.offer != nil {
-		known.offer.done = true
-	}
-}
-
 // moveTo makes another agent the believed owner of a flow.
 func (b *Balancer) moveTo(now time.Duration, known *balancerFlow, agent segment.Address) {
 	b.uncount(known)
--- a/internal/relaydaemon/journal.go
+++ b/internal/relaydaemon/journal.go
@@ -55,8 +55,7 @@
 		elapsed: map[relay.EventKind]metrics.Histogram{
 			relay.EventPlaced:   histogram("relay_placement_seconds", "Time from a flow's opening packet to the endpoint's answer to it."),
 			relay.EventAnswered: histogram("relay_answer_seconds", "Time from a request to the beginning of its answer."),
-			relay.EventAdmitted: histogram("relay_wait_seconds", "Time that opening packets waited for a busy endpoint."),
-			relay.EventRefused:  histogram("relay_refusal_seconds", "Time that opening packets waited in vain."),
+			relay.EventAdmitted: histogram("relay_wait_seconds", "Time that requests waited for a busy endpoint."),
 		},
 	}
 	counter := registered.Counter("relay_events_total", "Decisions about packets and peers, by kind.", kindLabel)
