Find owners of flows through the services that an address had; list what is open

Cause: after a search among a route's services in vain all endpoints were asked, of which a large fleet's limit cut off an arbitrary rest; each message of an agent scanned all endpoints. The directory now remembers up to four former services of an address, and endpoints are found by address.

--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -1,7 +1,11 @@
 package directory
 
 import (
+	"maps"
+	"slices"
 	"time"
+
+	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
 // Retention is how long an endpoint is remembered after its entry is gone, so
@@ -25,13 +29,18 @@
 	complete Revision
 	// adopted is the revision up to which another process knew all changes when
 	// it told what it knows.
-	adopted  Revision
+	adopted Revision
+	// former are the services that earlier configurations gave addresses.
+	former   map[segment.Address][]string
 	snapshot *Snapshot
 }
 
+// formerServices bounds the services remembered of an address.
+const formerServices = 4
+
 // New returns a machine that knows nothing.
 func New() *Machine {
-	return &Machine{endpoints: make(map[EndpointID]*held), snapshot: newSnapshot(nil, nil)}
+	return &Machine{endpoints: make(map[EndpointID]*held), snapshot: newSnapshot(nil, nil, nil)}
 }
 
 // Snapshot returns the current view.
@@ -101,10 +110,45 @@
 	if current != nil && item.Configuration.Version <= current.Configuration.Version {
 		return false
 	}
+	if current != nil {
+		m.rememberServices(current.Configuration, item.Configuration)
+	}
 	m.configuration = &item
 	return true
 }
 
+// rememberServices keeps which services the addresses had that a configuration
+// changes or drops, so that their open flows can still be found. Snapshots share
+// the map, so it is replaced.
+func (m *Machine) rememberServices(before, after *Configuration) {
+	present := make(map[segment.Address][]Share, len(after.Routes))
+	for index := range after.Routes {
+		present[after.Routes[index].Address()] = after.Routes[index].Shares
+	}
+	former := maps.Clone(m.former)
+	if former == nil {
+		former = make(map[segment.Address][]string)
+	}
+	for index := range before.Routes {
+		route := &before.Routes[index]
+		if slices.Equal(present[route.Address()], route.Shares) {
+			continue
+		}
+		former[route.Address()] = withServices(former[route.Address()], route.Shares)
+	}
+	m.former = former
+}
+
+// withServices returns the services with those of shares at the end.
+func withServices(services []string, shares []Share) []string {
+	merged := slices.Clone(services)
+	for _, share := range shares {
+		merged = slices.DeleteFunc(merged, func(known string) bool { return known == share.Service })
+		merged = append(merged, share.Service)
+	}
+	return merged[max(len(merged)-formerServices, 0):]
+}
+
 func (m *Machine) mergeEndpoint(now time.Duration, item Item) bool {
 	known, exists := m.endpoints[item.EndpointID]
 	if exists && item.Revision <= known.revision {
@@ -158,5 +202,5 @@
 	if m.configuration != nil {
 		configuration = m.configuration.Configuration
 	}
-	m.snapshot = newSnapshot(configuration, candidates)
+	m.snapshot = newSnapshot(configuration, m.former, candidates)
 }
--- a/internal/directory/machine_test.go
+++ b/internal/directory/machine_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
 func TestDirectory(t *testing.T) {
@@ -85,6 +86,35 @@
 		Expect(machine.Snapshot().All()).To(BeEmpty())
 	})
 
+	It("remembers the services that an address had, also of a route that was dropped", func() {
+		address := segment.Address{IP: [4]byte{198, 51, 100, 1}, Port: 443}
+		configure := func(version uint64, services ...string) {
+			configuration := &directory.Configuration{Version: version}
+			for _, service := range services {
+				configuration.Routes = append(configuration.Routes, directory.Route{
+					IP: address.IP, Port: address.Port, Shares: []directory.Share{{Service: service, Weight: 1}},
+				})
+			}
+			machine.Changes(0, []directory.Item{{Configuration: configuration}}, directory.Revision(version))
+		}
+		configure(1, "a")
+		configure(2, "a")
+		Expect(machine.Snapshot().FormerServices(address)).To(BeEmpty())
+		before := machine.Snapshot()
+		configure(3, "b")
+		configure(4)
+		Expect(machine.Snapshot().FormerServices(address)).To(Equal([]string{"a", "b"}))
+		Expect(before.FormerServices(address)).To(BeEmpty(), "snapshots do not change")
+	})
+
+	It("finds the endpoint at an address, that which is there before one that has gone", func() {
+		machine.Changes(0, []directory.Item{endpointItem("a", 1, endpoint("s", false))}, 1)
+		machine.Changes(0, []directory.Item{endpointItem("a", 2, nil), endpointItem("b", 3, endpoint("t", false))}, 3)
+		found, exists := machine.Snapshot().At([4]byte{10, 0, 0, 1})
+		Expect(exists).To(BeTrue())
+		Expect(found.ID).To(Equal(directory.EndpointID("b")))
+	})
+
 	It("tells how long a lapsed entry is gone, but never of an endpoint that drained", func() {
 		machine.Changes(0, []directory.Item{
 			endpointItem("lapsed", 3, endpoint("s", false)), endpointItem("drained", 3, endpoint("s", true)),
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -43,7 +43,9 @@
 	routes   map[segment.Address]*Route
 	services map[string][]Candidate
 	byID     map[EndpointID]Candidate
+	byIP     map[[4]byte]Candidate
 	all      []Candidate
+	former   map[segment.Address][]string
 }
 
 // Version returns the version of the configuration, 0 if there is none.
@@ -68,16 +70,29 @@
 	return candidate, exists
 }
 
+// At returns the endpoint at an IP address. If several have had the address, it
+// is the one whose entry is there.
+func (s *Snapshot) At(ip [4]byte) (Candidate, bool) {
+	candidate, exists := s.byIP[ip]
+	return candidate, exists
+}
+
+// FormerServices returns the services that earlier configurations gave an
+// address, the latest ones last.
+func (s *Snapshot) FormerServices(address segment.Address) []string { return s.former[address] }
+
 // All returns all endpoints, leaving ones included, in the order of their
 // identifiers. The result must not be changed.
 func (s *Snapshot) All() []Candidate { return s.all }
 
-func newSnapshot(configuration *Configuration, candidates []Candidate) *Snapshot {
+func newSnapshot(configuration *Configuration, former map[segment.Address][]string, candidates []Candidate) *Snapshot {
 	built := &Snapshot{
 		routes:   make(map[segment.Address]*Route),
 		services: make(map[string][]Candidate),
 		byID:     make(map[EndpointID]Candidate, len(candidates)),
+		byIP:     make(map[[4]byte]Candidate, len(candidates)),
 		all:      candidates,
+		former:   former,
 	}
 	if configuration != nil {
 		built.version = configuration.Version
@@ -91,6 +106,9 @@
 		service := candidate.Endpoint.Service
 		built.services[service] = append(built.services[service], candidate)
 		built.byID[candidate.ID] = candidate
+		if other, taken := built.byIP[candidate.Endpoint.IP]; !taken || other.Gone {
+			built.byIP[candidate.Endpoint.IP] = candidate
+		}
 	}
 	return built
 }
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -223,11 +223,10 @@
 	return b.effects
 }
 
+// receiveLeaving handles that an agent is about to stop.
 func (b *Balancer) receiveLeaving(now time.Duration, from segment.Address) {
-	for _, candidate := range b.snapshot.All() {
-		if b.agentOf(candidate) == from {
-			b.healthOf(candidate.ID).suspect(now)
-		}
+	if candidate, exists := b.snapshot.At(from.IP); exists {
+		b.healthOf(candidate.ID).suspect(now)
 	}
 }
 
--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -10,7 +10,7 @@
 
 const (
 	// searchesOfRoute is the number of searches among the services of a route
-	// after which all endpoints are asked.
+	// after which those that it had before are asked too.
 	searchesOfRoute = 1
 	// probesAtOnce bounds the endpoints that get a packet of a flow which may
 	// not be theirs, in probePeriod.
@@ -78,18 +78,28 @@
 	return chosen
 }
 
-// possibleOwners returns the endpoints of the services that the flow's route
-// has now, leaving ones included, and after a search among these was in vain,
-// all endpoints, since the configuration may have changed under the flow.
+// possibleOwners returns the endpoints, leaving ones included, of the services
+// that the flow's route has, and after a search among these was in vain also of
+// those that it had before, since the configuration may have changed under the
+// flow. All endpoints are asked in a small fleet.
 func (b *Balancer) possibleOwners(key segment.FlowKey, sought *search) []directory.Candidate {
-	var candidates []directory.Candidate
+	widen := sought.rounds >= searchesOfRoute
+	if widen && len(b.snapshot.All()) <= locateLimit {
+		return b.snapshot.All()
+	}
+	var services []string
 	route, exists := b.snapshot.Route(key.Service)
-	if exists && sought.rounds < searchesOfRoute {
+	if exists {
 		for _, share := range route.Shares {
-			candidates = append(candidates, b.snapshot.Candidates(share.Service)...)
+			services = append(services, share.Service)
 		}
-	} else {
-		candidates = b.snapshot.All()
+	}
+	if widen || !exists {
+		services = append(services, b.snapshot.FormerServices(key.Service)...)
+	}
+	var candidates []directory.Candidate
+	for _, service := range services {
+		candidates = append(candidates, b.snapshot.Candidates(service)...)
 	}
 	return candidates[:min(len(candidates), locateLimit)]
 }
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -133,13 +133,10 @@
 	b.uncount(known)
 	known.agent = agent
 	known.endpoint = ""
-	for _, candidate := range b.snapshot.All() {
-		if b.agentOf(candidate) == agent && !candidate.Gone {
-			known.endpoint = candidate.ID
-			known.service = candidate.Endpoint.Service
-			b.count(now, known)
-			return
-		}
+	if candidate, exists := b.snapshot.At(agent.IP); exists {
+		known.endpoint = candidate.ID
+		known.service = candidate.Endpoint.Service
+		b.count(now, known)
 	}
 }
 
--- a/internal/relay/reach.go
+++ b/internal/relay/reach.go
@@ -97,13 +97,6 @@
 // isAgent reports whether an address is that of a known agent, so that others
 // cannot make a balancer believe that it reaches agents.
 func (b *Balancer) isAgent(from segment.Address) bool {
-	if from.Port != b.config.AgentPort {
-		return false
-	}
-	for _, candidate := range b.snapshot.All() {
-		if candidate.Endpoint.IP == from.IP {
-			return true
-		}
-	}
-	return false
+	_, known := b.snapshot.At(from.IP)
+	return known && from.Port == b.config.AgentPort
 }
