Serve late requests in the order in which their clients give up

Ruled out: a lack of capacity, which is there after two seconds. Requests that can still be answered within their objective go first, the newest before others; late ones follow by when their clients give up, those given up are dropped.

--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -27,15 +27,20 @@
 
 // work is the progress of the request of a flow.
 type work struct {
-	priority uint8
-	// since is when the flow was offered and, once the request was admitted,
-	// when that was.
+	terms Terms
+	// asked is when the client began with the request, as far as the agent can
+	// tell: when its flow was offered or, in a flow that is kept, the request
+	// came.
+	asked time.Duration
+	// since is when the request was admitted.
 	since time.Duration
 	// sent is the sequence number after all data that the endpoint was given.
 	sent uint32
 	// occupies is set from the admission of a request until the endpoint
 	// answers.
 	occupies bool
+	// served is set once a request of the flow was admitted.
+	served bool
 	// held are the packets of a request that waits.
 	held [][]byte
 }
@@ -75,19 +80,65 @@
 	flow *agentFlow
 }
 
-// queue holds the flows whose requests wait for the endpoint. Under overload the
-// newest is served first: it is the one that can still be answered in time, and
-// serving the oldest first would make all late (as adaptive LIFO: Maurer, "Fail
-// at Scale", ACM Queue 2015).
+// hope is what a request that waits can still come to.
+type hope uint8
+
+const (
+	// hopeInTime: it can be answered within its latency objective.
+	hopeInTime hope = iota
+	// hopeLate: it can be answered before its client gives up.
+	hopeLate
+	// hopeNone: its client has given up or will before the answer.
+	hopeNone
+)
+
+// hope returns what the request can come to if it takes as long as others.
+func (w *work) hope(now time.Duration, working float64) hope {
+	answered := now - w.asked + time.Duration(working*float64(time.Second))
+	switch {
+	case answered <= milliseconds(w.terms.Target):
+		return hopeInTime
+	case w.terms.Timeout == 0 || answered <= milliseconds(w.terms.Timeout):
+		return hopeLate
+	}
+	return hopeNone
+}
+
+func milliseconds(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
+
+// queue holds the flows whose requests wait for the endpoint. Those that can be
+// answered in time go first, the newest of them before the others, since serving
+// the oldest first makes all late under overload (adaptive LIFO: Maurer, "Fail
+// at Scale", ACM Queue 2015). The others follow in the order in which their
+// clients give up.
 type queue struct{ waiting []waiting }
 
-// next removes and returns what shall be served next.
-func (q *queue) next() waiting {
-	best := slices.MinFunc(q.waiting, func(a, b waiting) int {
-		return cmp.Or(cmp.Compare(a.flow.work.priority, b.flow.work.priority), cmp.Compare(b.flow.work.since, a.flow.work.since))
+// next removes and returns what shall be served next, and those whose clients
+// have given up. It returns false if there is nothing to serve.
+func (q *queue) next(now time.Duration, working float64) (waiting, bool) {
+	q.waiting = slices.DeleteFunc(q.waiting, func(w waiting) bool {
+		hopeless := w.flow.work.hope(now, working) == hopeNone
+		if hopeless {
+			w.flow.work.held = nil
+		}
+		return hopeless
 	})
+	if len(q.waiting) == 0 {
+		return waiting{}, false
+	}
+	best := slices.MinFunc(q.waiting, func(a, b waiting) int { return compareWork(now, working, &a.flow.work, &b.flow.work) })
 	q.remove(best.flow)
-	return best
+	return best, true
+}
+
+// compareWork orders requests by what shall be served first.
+func compareWork(now time.Duration, working float64, a, b *work) int {
+	hoped := a.hope(now, working)
+	order := cmp.Or(cmp.Compare(hoped, b.hope(now, working)), cmp.Compare(a.terms.Priority, b.terms.Priority))
+	if hoped == hopeInTime {
+		return cmp.Or(order, cmp.Compare(b.asked, a.asked))
+	}
+	return cmp.Or(order, cmp.Compare(a.asked+milliseconds(a.terms.Timeout), b.asked+milliseconds(b.terms.Timeout)))
 }
 
 func (q *queue) remove(flow *agentFlow) {
@@ -128,7 +179,10 @@
 	return true
 }
 
-func (a *Agent) hold(_ time.Duration, key segment.FlowKey, known *agentFlow, packet []byte) {
+func (a *Agent) hold(now time.Duration, key segment.FlowKey, known *agentFlow, packet []byte) {
+	if known.work.served {
+		known.work.asked = now
+	}
 	known.work.held = [][]byte{slices.Clone(packet)}
 	a.queue.waiting = append(a.queue.waiting, waiting{key, known})
 	a.event(Event{Kind: EventHeld, Flow: key, Peer: known.balancer})
@@ -145,6 +199,7 @@
 // occupy notes that the endpoint gets a request.
 func (a *Agent) occupy(now time.Duration, known *agentFlow) {
 	known.work.occupies = true
+	known.work.served = true
 	known.work.since = now
 	a.pace.occupied++
 }
@@ -173,10 +228,13 @@
 }
 
 func (a *Agent) admitWaiting(now time.Duration) {
-	for len(a.queue.waiting) > 0 && !a.pace.full() {
-		next := a.queue.next()
+	for !a.pace.full() {
+		next, exists := a.queue.next(now, a.pace.working)
+		if !exists {
+			return
+		}
 		work := &next.flow.work
-		a.event(Event{Kind: EventAdmitted, Flow: next.key, Peer: next.flow.balancer, Elapsed: now - work.since})
+		a.event(Event{Kind: EventAdmitted, Flow: next.key, Peer: next.flow.balancer, Elapsed: now - work.asked})
 		held := work.held
 		work.held = nil
 		a.occupy(now, next.flow)
