--- a/bench/flownet/balancer.go
+++ b/bench/flownet/balancer.go
@@ -158,6 +158,9 @@
 		return
 	}
 	changed := false
+	planted := n.world.options.Planted
+	reply.page.Items = planted.filter(reply.page.Items)
+	reply.changes.Items = planted.filter(reply.changes.Items)
 	switch {
 	case reply.failure != nil:
 		n.follower.Failed(reply.failure)
--- a/bench/flownet/fault.go
+++ b/bench/flownet/fault.go
@@ -141,6 +141,25 @@
 		Name: "added", IP: address.IP, Port: address.Port, Shares: []directory.Share{{Service: service.Name, Weight: 1}},
 	})
 	w.store.configure(routes)
+	w.probeRoute(Class{
+		Name: "probe", Service: service.Name, Address: address, Work: 5 * time.Millisecond, Answer: 1,
+		Target: time.Second, Timeout: time.Second, Repeatable: true,
+	})
+}
+
+// probeRoute sends requests to a route that was added, also after it is dropped.
+func (w *world) probeRoute(class Class) {
+	end := leadTime + w.options.Duration
+	var next func()
+	next = func() {
+		if w.net.Now() >= end {
+			return
+		}
+		host, _ := pick(w, w.clients)
+		host.try(w.ledger.probe(class))
+		w.net.At(w.net.Now()+probeInterval, next)
+	}
+	w.net.At(w.net.Now(), next)
 }
 
 // dropRoute drops a route that was added, never one with traffic.
--- a/bench/flownet/flownet_test.go
+++ b/bench/flownet/flownet_test.go
@@ -78,4 +78,21 @@
 		}
 		Expect(broken).To(BeNumerically(">", 0))
 	})
+
+	DescribeTable("sees planted faults", func(planted flownet.Planted, broken func(flownet.Report) int) {
+		found := 0
+		for seed := uint64(1); seed <= 4; seed++ {
+			chosen := options("casablanca", seed)
+			chosen.Planned = true
+			chosen.Planted = planted
+			found += broken(flownet.Run(chosen))
+		}
+		Expect(found).To(BeNumerically(">", 0))
+	},
+		Entry("leaving endpoints ignored", flownet.PlantedIgnoreLeaving, func(r flownet.Report) int { return r.LateOpenings }),
+		Entry("an old configuration kept", flownet.PlantedOldConfiguration, func(r flownet.Report) int { return r.LateRoutes }),
+		Entry("unknown flows reset", flownet.PlantedResetUnknown, func(r flownet.Report) int { return r.ResetOpen }),
+		Entry("packets of other endpoints taken", flownet.PlantedAnyOwner, func(r flownet.Report) int { return r.Misrouted }),
+		Entry("packets changed", flownet.PlantedAltered, func(r flownet.Report) int { return r.Forged }),
+	)
 })
--- a/bench/flownet/ledger.go
+++ b/bench/flownet/ledger.go
@@ -27,6 +27,9 @@
 	tries    int
 	runs     int
 	finished bool
+	// probe is set for requests that only test which configuration is in force;
+	// the windows leave them out.
+	probe bool
 }
 
 // openFlow is a flow at its endpoint, as the ledger knows it.
@@ -89,10 +92,17 @@
 
 // ask notes a new request.
 func (l *ledger) ask(class Class) *request {
+	asked := l.probe(class)
+	asked.probe = false
+	l.window(asked).Asked++
+	return asked
+}
+
+// probe notes a request that only tests which configuration is in force.
+func (l *ledger) probe(class Class) *request {
 	l.next++
-	asked := &request{id: l.next, class: class, sent: l.now(), deadline: l.now() + class.Timeout}
+	asked := &request{id: l.next, class: class, sent: l.now(), deadline: l.now() + class.Timeout, probe: true}
 	l.requests[asked.id] = asked
-	l.window(asked).Asked++
 	return asked
 }
 
@@ -116,6 +126,9 @@
 		return
 	}
 	answered.finished = true
+	if answered.probe {
+		return
+	}
 	window := l.window(answered)
 	window.Served++
 	if l.now()-answered.sent <= answered.class.Target {
@@ -128,6 +141,9 @@
 		return
 	}
 	given.finished = true
+	if given.probe {
+		return
+	}
 	l.causes[reason]++
 }
 
--- /dev/null
+++ b/bench/flownet/planted.go
@@ -0,0 +1,92 @@
+package flownet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/relay"
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+// Planted is a fault that is built into the daemons on purpose.
+type Planted uint8
+
+// The planted faults.
+const (
+	// PlantedNone: the daemons are as they are.
+	PlantedNone Planted = iota
+	// PlantedIgnoreLeaving: balancers do not learn that endpoints leave.
+	PlantedIgnoreLeaving
+	// PlantedOldConfiguration: balancers keep the first configuration.
+	PlantedOldConfiguration
+	// PlantedResetUnknown: balancers reset flows that they do not know.
+	PlantedResetUnknown
+	// PlantedAnyOwner: agents take every packet for their endpoint's.
+	PlantedAnyOwner
+	// PlantedAltered: agents change packets.
+	PlantedAltered
+)
+
+// filter takes from the store's items what a planted fault hides.
+func (p Planted) filter(items []directory.Item) []directory.Item {
+	switch p {
+	case PlantedIgnoreLeaving:
+		return slices.DeleteFunc(slices.Clone(items), func(item directory.Item) bool {
+			return item.EndpointID != "" && (item.Endpoint == nil || item.Endpoint.Draining)
+		})
+	case PlantedOldConfiguration:
+		return slices.DeleteFunc(slices.Clone(items), func(item directory.Item) bool {
+			return item.Configuration != nil && item.Revision > 1
+		})
+	}
+	return items
+}
+
+// resettingBalancer resets flows that it does not know.
+type resettingBalancer struct {
+	*relay.Balancer
+	codec segment.Codec
+}
+
+func (b *resettingBalancer) Arrive(now time.Duration, packet []byte) []relay.Effect {
+	effects := b.Balancer.Arrive(now, packet)
+	unknown := slices.ContainsFunc(effects, func(effect relay.Effect) bool {
+		return effect.Kind == relay.EffectEvent && effect.Event.Kind == relay.EventLocating
+	})
+	if !unknown {
+		return effects
+	}
+	header, _ := b.codec.Decode(packet)
+	key := segment.FlowKey{Client: header.Source, Service: header.Destination}
+	return append(effects, relay.Effect{
+		Kind: relay.EffectClient, To: key.Client, Packet: b.codec.AppendReset(nil, key, header.Acknowledgment),
+	})
+}
+
+// greedyAgent gives its endpoint every packet, and says that it owns the flow.
+type greedyAgent struct{ *relay.Agent }
+
+func (a *greedyAgent) Receive(now time.Duration, from segment.Address, message relay.Message) []relay.Effect {
+	effects := a.Agent.Receive(now, from, message)
+	delivered := slices.ContainsFunc(effects, func(effect relay.Effect) bool { return effect.Kind == relay.EffectEndpoint })
+	if delivered || len(message.Packet) == 0 {
+		return effects
+	}
+	return append(effects, relay.Effect{Kind: relay.EffectEndpoint, Packet: message.Packet})
+}
+
+// alteringAgent changes the last byte of packets for its endpoint.
+type alteringAgent struct{ *relay.Agent }
+
+func (a *alteringAgent) Receive(now time.Duration, from segment.Address, message relay.Message) []relay.Effect {
+	effects := slices.Clone(a.Agent.Receive(now, from, message))
+	for index := range effects {
+		if effects[index].Kind == relay.EffectEndpoint {
+			altered := slices.Clone(effects[index].Packet)
+			altered[len(altered)-1]++
+			effects[index].Packet = altered
+		}
+	}
+	return effects
+}
--- a/bench/flownet/run.go
+++ b/bench/flownet/run.go
@@ -34,6 +34,9 @@
 	PowerLoss bool
 	// Baseline replaces the product by a stateless hash, as negative control.
 	Baseline bool
+	// Planted makes the daemons break a promise on purpose, so that a test can
+	// show that the ledger sees it.
+	Planted Planted
 	// Unbounded makes agents give all packets to their endpoints at once, for
 	// comparison.
 	Unbounded bool
@@ -43,6 +46,9 @@
 	if o.Baseline {
 		return &hashBalancer{config: config}
 	}
+	if o.Planted == PlantedResetUnknown {
+		return &resettingBalancer{relay.NewBalancer(config), config.Codec}
+	}
 	return relay.NewBalancer(config)
 }
 
@@ -53,6 +59,12 @@
 	if o.Unbounded {
 		return &unboundedAgent{relay.NewAgent(config)}
 	}
+	switch o.Planted {
+	case PlantedAnyOwner:
+		return &greedyAgent{relay.NewAgent(config)}
+	case PlantedAltered:
+		return &alteringAgent{relay.NewAgent(config)}
+	}
 	return relay.NewAgent(config)
 }
 
