--- a/bench/flownet/balancer.go
+++ b/bench/flownet/balancer.go
@@ -19,8 +19,9 @@
 
 const (
 	tickInterval = 10 * time.Millisecond
-	// stopDuration is how long a stopping process goes on serving.
-	stopDuration = 4500 * time.Millisecond
+	// balancerStop and agentStop are how long stopping processes go on serving.
+	balancerStop = 1500 * time.Millisecond
+	agentStop    = 4500 * time.Millisecond
 	// restartDelay is how long a stopped process stays away.
 	restartDelay = 300 * time.Millisecond
 	// digestInterval is how often a balancer tells others how much it knows.
--- a/bench/flownet/fault.go
+++ b/bench/flownet/fault.go
@@ -74,8 +74,8 @@
 		return
 	}
 	victim.stopping = true
-	w.net.At(w.net.Now()+stopDuration, func() { w.net.Stop(victim.id) })
-	w.net.At(w.net.Now()+stopDuration+restartDelay, victim.restart)
+	w.net.At(w.net.Now()+balancerStop, func() { w.net.Stop(victim.id) })
+	w.net.At(w.net.Now()+balancerStop+restartDelay, victim.restart)
 }
 
 func (w *world) pauseBalancer(lasts time.Duration) {
@@ -102,8 +102,8 @@
 		return
 	}
 	victim.agent.execute(victim.agent.part.Stop(w.net.Now()))
-	w.net.At(w.net.Now()+stopDuration, func() { w.net.Stop(victim.agent.id) })
-	w.net.At(w.net.Now()+stopDuration+restartDelay, victim.agent.restart)
+	w.net.At(w.net.Now()+agentStop, func() { w.net.Stop(victim.agent.id) })
+	w.net.At(w.net.Now()+agentStop+restartDelay, victim.agent.restart)
 }
 
 func (w *world) replaceEndpoint() {
--- a/internal/relaydaemon/agent.go
+++ b/internal/relaydaemon/agent.go
@@ -1,6 +1,7 @@
 package relaydaemon
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -48,4 +49,9 @@
 	addActor(group, r.executor.tick)
 }
 
-func (r *agentRole) stop() { r.executor.do(r.agent.Stop) }
+// stop lets flows end for as long as the stop may take: nobody else can carry
+// them.
+func (r *agentRole) stop() time.Duration {
+	r.executor.do(r.agent.Stop)
+	return math.MaxInt64
+}
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -88,7 +88,13 @@
 	r.peers.add(group)
 }
 
-func (r *balancerRole) stop() {}
+// fabricDelay is how long the fabric takes to notice that a balancer is not
+// ready, two probes half a second apart, and half as long again. Other balancers
+// then carry its flows. To go on for longer would keep more balancers of a zone
+// out at once while they are restarted in turn.
+const fabricDelay = 1500 * time.Millisecond
+
+func (r *balancerRole) stop() time.Duration { return fabricDelay }
 
 // follow keeps the directory current until ctx ends.
 func (r *balancerRole) follow(ctx context.Context) error {
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -33,8 +33,9 @@
 type role interface {
 	// add adds the parts of the role to a group.
 	add(group *run.Group)
-	// stop begins a planned stop.
-	stop()
+	// stop begins a planned stop and returns how long the role should go on
+	// serving.
+	stop() time.Duration
 }
 
 // Daemon is one process of the fleet.
@@ -121,10 +122,9 @@
 	case <-ended.Done():
 		return
 	}
-	delay := max(d.settings.Relay.StopTimeout-stopMargin, 0)
-	d.logger.Info("stopping", "delay", delay)
 	d.health.SetNotReady(conditionServing, "stopping")
-	d.role.stop()
+	delay := max(min(d.role.stop(), d.settings.Relay.StopTimeout-stopMargin), 0)
+	d.logger.Info("stopping", "delay", delay)
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
