--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -113,10 +113,12 @@
 func newBalancer() *relay.Balancer {
 	return relay.NewBalancer(relay.BalancerConfig{
 		Zone: ownZone, Codec: codec, AgentPort: agentPort, FlowLifetime: flowLifetime, FlowLimit: 1000,
-		Random: rand.New(rand.NewPCG(1, 2)),
+		Random: newRandom(),
 	})
 }
 
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
 func newAgent(complete bool) *relay.Agent {
 	return relay.NewAgent(relay.AgentConfig{
 		Service: service, Codec: codec, Complete: complete, FlowLifetime: flowLifetime, FlowLimit: 1000,
