End a stopping agent as soon as its endpoint has no flow

Cause: an agent is stopped once its endpoint has ended and then waited for 4.5 s for nothing; machines are priced until their processes end. Test: fails without the early end.

--- a/internal/relaydaemon/agent.go
+++ b/internal/relaydaemon/agent.go
@@ -55,3 +55,14 @@
 	r.executor.do(r.agent.Stop)
 	return math.MaxInt64
 }
+
+// idle reports whether all flows of the endpoint have ended, as they have when
+// the agent is stopped after its endpoint.
+func (r *agentRole) idle() bool {
+	idle := false
+	r.executor.do(func(time.Duration) []relay.Effect {
+		idle = r.agent.Load().Running == 0
+		return nil
+	})
+	return idle
+}
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -96,6 +96,9 @@
 
 func (r *balancerRole) stop() time.Duration { return fabricDelay }
 
+// idle is never so: the fabric may send further flows until it has noticed.
+func (r *balancerRole) idle() bool { return false }
+
 // follow keeps the directory current until ctx ends.
 func (r *balancerRole) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -36,6 +36,8 @@
 	// stop begins a planned stop and returns how long the role should go on
 	// serving.
 	stop() time.Duration
+	// idle reports whether a stopping role has nothing left to serve.
+	idle() bool
 }
 
 // Daemon is one process of the fleet.
@@ -94,6 +96,10 @@
 // stopMargin is what a planned stop leaves of its longest time.
 const stopMargin = 1500 * time.Millisecond
 
+// idleInterval is the time between looks at whether a stopping role is idle; it
+// also is the least time that a stop takes.
+const idleInterval = 300 * time.Millisecond
+
 // Run serves until ctx ends and then stops as planned: it reports that it is
 // not ready and goes on serving until the stop timeout is nearly over. It
 // returns nil after a planned stop, and the first error if a part fails.
@@ -125,11 +131,22 @@
 	d.health.SetNotReady(conditionServing, "stopping")
 	delay := max(min(d.role.stop(), d.settings.Relay.StopTimeout-stopMargin), 0)
 	d.logger.Info("stopping", "delay", delay)
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ended.Done():
+	deadline := time.NewTimer(delay)
+	defer deadline.Stop()
+	poll := time.NewTicker(idleInterval)
+	defer poll.Stop()
+	for {
+		select {
+		case <-deadline.C:
+			return
+		case <-ended.Done():
+			return
+		case <-poll.C:
+			if d.role.idle() {
+				d.logger.Info("agent is idle")
+				return
+			}
+		}
 	}
 }
 
--- a/internal/relaydaemon/daemon_test.go
+++ b/internal/relaydaemon/daemon_test.go
@@ -249,6 +249,14 @@
 		Expect(log.String()).To(ContainSubstring(`"msg":"daemon stopped"`))
 	})
 
+	It("ends a stopping agent as soon as its endpoint has no flow", func() {
+		stop, ended := start(used.agent(agentIP), nil, log)
+		Eventually(status(agentIP)).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+		stop()
+		Eventually(ended).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
+		Expect(log.String()).To(ContainSubstring(`"msg":"agent is idle"`))
+	})
+
 	It("serves its counters and histograms", func() {
 		start(used.agent(agentIP), nil, log)
 		var body []byte
