--- a/bench/flownet/flownet_test.go
+++ b/bench/flownet/flownet_test.go
@@ -79,6 +79,23 @@
 		Expect(broken).To(BeNumerically(">", 0))
 	})
 
+	DescribeTable("answers more in time after a loss of power than with the endpoints' own queues", func(shape string) {
+		for seed := uint64(1); seed <= 2; seed++ {
+			chosen := options(shape, seed)
+			chosen.Events = 0
+			chosen.PowerLoss = true
+			held := flownet.Run(chosen)
+			chosen.Unbounded = true
+			unbounded := flownet.Run(chosen)
+			Expect(held.Broken()).To(BeZero())
+			Expect(held.WorstWindow).To(BeNumerically(">", unbounded.WorstWindow+0.1))
+			Expect(held.InTarget).To(BeNumerically(">", unbounded.InTarget))
+		}
+	},
+		Entry("casablanca", "casablanca"),
+		Entry("kolkata", "kolkata"),
+	)
+
 	DescribeTable("sees planted faults", func(planted flownet.Planted, broken func(flownet.Report) int) {
 		found := 0
 		for seed := uint64(1); seed <= 4; seed++ {
--- a/cmd/vanetiller-bench/commands.go
+++ b/cmd/vanetiller-bench/commands.go
@@ -36,6 +36,7 @@
 	flags.StringVar(&values.hash, "hash", string(flownet.HashSteady), "`way` in which the fabric of the experiment platform chooses balancers: steady or modulo")
 	flags.BoolVar(&values.powerLoss, "power-loss", false, "let all machines of the experiment platform lose power once")
 	flags.BoolVar(&values.planned, "planned", false, "play only planned work in the experiment platform")
+	flags.BoolVar(&values.unbounded, "unbounded", false, "let agents of the experiment platform hold nothing back, for comparison")
 	positional, err := parseInterleaved(flags, arguments)
 	if err == nil && len(positional) != 1 {
 		err = errors.New("run needs one experiment; vanetiller-bench list names them")
--- a/cmd/vanetiller-bench/flags.go
+++ b/cmd/vanetiller-bench/flags.go
@@ -36,6 +36,7 @@
 	hash      string
 	powerLoss bool
 	planned   bool
+	unbounded bool
 }
 
 func newFlagSet(command string, values *parameters, duration time.Duration) *flag.FlagSet {
--- a/cmd/vanetiller-bench/platform.go
+++ b/cmd/vanetiller-bench/platform.go
@@ -37,7 +37,7 @@
 	report := flownet.Run(flownet.Options{
 		Shape: shape, Seed: values.seed, Duration: values.duration, Hash: flownet.Hash(values.hash),
 		Events: int(values.duration.Seconds() * platformEventRate), Load: 1,
-		PowerLoss: values.powerLoss, Planned: values.planned, Baseline: baseline != "",
+		PowerLoss: values.powerLoss, Planned: values.planned, Baseline: baseline != "", Unbounded: values.unbounded,
 	})
 	if !values.json {
 		printPlatform(report)
--- a/internal/program/options.go
+++ b/internal/program/options.go
@@ -31,11 +31,19 @@
 	flags.Usage = func() {
 		fmt.Fprintf(flags.Output(), "%s %s\n\nUsage:\n  %s -settings FILE [flags]\n\nFlags:\n", p.Name, p.Purpose, p.Name)
 		flags.PrintDefaults()
-		fmt.Fprint(flags.Output(), usageFooter)
+		fmt.Fprintf(flags.Output(), usageFooter, p.logName())
 	}
 	return flags
 }
 
+// logName returns where the log goes, as in "standard error".
+func (p Program) logName() string {
+	if p.LogToStdout {
+		return "output"
+	}
+	return "error"
+}
+
 // overrides returns the settings that were given as flags.
 func (o options) overrides(flags *flag.FlagSet) []settings.Override {
 	var given []settings.Override
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -25,7 +25,7 @@
 )
 
 const usageFooter = `
-The log goes to standard error, one JSON object a line. SIGTERM or SIGINT begins
+The log goes to standard %s, one JSON object a line. SIGTERM or SIGINT begins
 a planned stop; a second one ends the process at once. SIGHUP reads the settings
 again: the log level takes effect, other changes with the next start.
 
@@ -50,6 +50,8 @@
 	Name string
 	// Purpose tells in one sentence what a process of it does.
 	Purpose string
+	// LogToStdout makes the log go to standard output in place of standard error.
+	LogToStdout bool
 	// New opens the sockets of a process that writes its log to output.
 	New func(checked *settings.Settings, output io.Writer) (Server, error)
 }
@@ -99,7 +101,11 @@
 		fmt.Fprintf(stdout, "%s: settings are valid\n", values.settingsFile)
 		return ExitStopped
 	}
-	return p.serve(ctx, reload, checked, load, stderr)
+	log := stderr
+	if p.LogToStdout {
+		log = stdout
+	}
+	return p.serve(ctx, reload, checked, load, log, stderr)
 }
 
 func (p Program) usageError(stderr io.Writer, message string) int {
@@ -108,8 +114,8 @@
 }
 
 func (p Program) serve(ctx context.Context, reload <-chan os.Signal, checked *settings.Settings,
-	load func() (*settings.Settings, error), stderr io.Writer) int {
-	created, err := p.New(checked, stderr)
+	load func() (*settings.Settings, error), log, stderr io.Writer) int {
+	created, err := p.New(checked, log)
 	var wrong settings.Errors
 	switch {
 	case errors.As(err, &wrong):
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"github.com/vanetiller/vanetiller/internal/program"
 	"github.com/vanetiller/vanetiller/internal/settings"
@@ -95,6 +96,20 @@
 		Expect(status).NotTo(Receive())
 	})
 
+	DescribeTable("writes the log where the program wants it", func(toStdout bool) {
+		var stdout, stderr bytes.Buffer
+		logging := program.Program{Name: "p", LogToStdout: toStdout, New: func(_ *settings.Settings, log io.Writer) (program.Server, error) {
+			_, _ = io.WriteString(log, "line")
+			return nil, errors.New("cannot start")
+		}}
+		Expect(logging.Command(context.Background(), nil, []string{"-settings", file}, &stdout, &stderr)).To(Equal(program.ExitFailed))
+		Expect(stdout.String() == "line").To(Equal(toStdout))
+		Expect(stderr.String()).To(ContainSubstring("p: cannot start"))
+	},
+		Entry("standard output", true),
+		Entry("standard error", false),
+	)
+
 	It("ends with the status for wrong settings if a server cannot use them", func() {
 		var stderr bytes.Buffer
 		refusing := program.Program{Name: "p", New: func(*settings.Settings, io.Writer) (program.Server, error) {
