Leave time between watches by the share of the store's rate

Cause: each change is told to each balancer by an answer of its own; at the target ten changes a second would take 11,000 calls of the 2,000 that the store answers, and refusals would decide who learns when. After changes a balancer now leaves its share of half the rate, with jitter: 1.1 s among 1,100, 6 ms among six.

--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -44,11 +44,25 @@
 	next     string
 	watching bool
 	failures int
+	// spacing is the time to leave after changes, so that all balancers together
+	// keep to the store's rate; changed is set if the last answer had some.
+	spacing time.Duration
+	changed bool
 }
 
 // NewFollower returns a follower that keeps the machine current.
 func NewFollower(machine *Machine) *Follower { return &Follower{machine: machine} }
 
+// rateShare is the part of the store's rate that watches may take while changes
+// come in quick succession.
+const rateShare = 0.5
+
+// Share tells how many balancers watch the store, which answers rate calls a
+// second of all of them together.
+func (f *Follower) Share(balancers int, rate float64) {
+	f.spacing = time.Duration(float64(balancers) / (rate * rateShare) * float64(time.Second))
+}
+
 // Next returns the next call; random, from 0 to below 1, spreads the calls of
 // many processes.
 func (f *Follower) Next(random float64) Call {
@@ -66,7 +80,7 @@
 
 func (f *Follower) delay(random float64) time.Duration {
 	if f.failures == 0 {
-		return 0
+		return f.spacingAfterChanges(random)
 	}
 	delay := firstRetryDelay
 	for range f.failures - 1 {
@@ -75,9 +89,19 @@
 	return delay - time.Duration(random*float64(delay)/2)
 }
 
+// spacingAfterChanges keeps a burst of changes from being told to each balancer
+// one by one; an answer carries all that have come meanwhile.
+func (f *Follower) spacingAfterChanges(random float64) time.Duration {
+	if !f.changed {
+		return 0
+	}
+	return f.spacing/2 + time.Duration(random*float64(f.spacing))
+}
+
 // Listed handles a page of a listing. It reports whether the snapshot changed.
 func (f *Follower) Listed(now time.Duration, page Page) bool {
 	f.failures = 0
+	f.changed = false
 	if f.next == "" {
 		f.begun = page.At
 		f.items = f.items[:0]
@@ -98,6 +122,7 @@
 // changed.
 func (f *Follower) Watched(now time.Duration, changes Changes) bool {
 	f.failures = 0
+	f.changed = len(changes.Items) > 0
 	return f.machine.Changes(now, changes.Items, changes.Through)
 }
 
--- a/internal/directory/machine_test.go
+++ b/internal/directory/machine_test.go
@@ -202,6 +202,19 @@
 		Expect(follower.Next(0).Delay).To(BeZero())
 	})
 
+	It("leaves time after changes by its share of the store's rate, and none without changes", func() {
+		follower.Share(1100, 2000)
+		follower.Listed(0, directory.Page{At: 5})
+		Expect(follower.Next(0.5).Delay).To(BeZero())
+		follower.Watched(0, directory.Changes{Items: []directory.Item{endpointItem("a", 6, endpoint("s", false))}, Through: 6})
+		Expect(follower.Next(0.5).Delay).To(Equal(1100 * time.Millisecond))
+		follower.Watched(0, directory.Changes{Through: 6})
+		Expect(follower.Next(0.5).Delay).To(BeZero())
+		follower.Share(10, 2000)
+		follower.Watched(0, directory.Changes{Items: []directory.Item{endpointItem("a", 7, endpoint("s", true))}, Through: 7})
+		Expect(follower.Next(0.5).Delay).To(Equal(10 * time.Millisecond))
+	})
+
 	It("resumes a listing at the page that failed", func() {
 		follower.Listed(0, directory.Page{Last: "k", More: true, At: 5})
 		fail(directory.StoreThrottled)
--- a/internal/membership/transport/endpoint.go
+++ b/internal/membership/transport/endpoint.go
@@ -108,6 +108,13 @@
 	return e.machine.Members()
 }
 
+// Live returns the number of live members, this process included.
+func (e *Endpoint) Live() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.machine.Live()
+}
+
 // Run takes part until ctx ends; it then tells the others, closes the socket
 // and returns nil. It must be called once.
 func (e *Endpoint) Run(ctx context.Context) error {
--- a/internal/relaydaemon/peers.go
+++ b/internal/relaydaemon/peers.go
@@ -41,13 +41,15 @@
 	server     *http.Server
 	client     *http.Client
 	exchange   *directory.Exchange[membership.Address]
+	storeRate  float64
 }
 
 func newPeers(checked *settings.Settings, role *balancerRole) (*peers, error) {
 	given := checked.Relay.Balancer
 	created := &peers{
-		role:   role,
-		client: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		role:      role,
+		storeRate: float64(given.StoreRate),
+		client:    &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	seeds := seedsOf(given)
@@ -166,8 +168,10 @@
 	for sleep(ctx, exchangeTick) {
 		var from membership.Address
 		wanted := false
+		balancers := p.membership.Live()
 		p.role.executor.do(func(now time.Duration) []relay.Effect {
 			from, wanted = p.exchange.Next(now)
+			p.role.follower.Share(balancers, p.storeRate)
 			return nil
 		})
 		if wanted {
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -31,6 +31,9 @@
 	Listen netip.AddrPort
 	// Store is the TCP address of the platform's store.
 	Store netip.AddrPort
+	// StoreRate is how many calls a second the store answers of all balancers
+	// together.
+	StoreRate int
 	// Exchange is the UDP and TCP address under which other balancers reach
 	// this one. All of a fleet use the same port.
 	Exchange netip.AddrPort
@@ -57,6 +60,8 @@
 // The values and bounds of relay settings.
 const (
 	DefaultFlowLifetime = "60s"
+	DefaultStoreRate    = 1000
+	MaxStoreRate        = 1_000_000
 	MinFlowLifetime     = time.Second
 	MaxFlowLifetime     = time.Hour
 	maxSeeds            = 64
@@ -72,11 +77,12 @@
 }
 
 type relayBalancerDocument struct {
-	Listen   any `toml:"listen"`
-	Store    any `toml:"store"`
-	Exchange any `toml:"exchange"`
-	Seeds    any `toml:"seeds"`
-	Zones    any `toml:"zones"`
+	Listen    any `toml:"listen"`
+	Store     any `toml:"store"`
+	StoreRate any `toml:"store_rate"`
+	Exchange  any `toml:"exchange"`
+	Seeds     any `toml:"seeds"`
+	Zones     any `toml:"zones"`
 }
 
 type relayAgentDocument struct {
@@ -110,8 +116,10 @@
 
 func (c *checker) relayBalancer(raw *relayBalancerDocument, zone string) *RelayBalancer {
 	checked := &RelayBalancer{
-		Listen:   c.address("relay.balancer.listen", raw.Listen, remoteAddress),
-		Store:    c.address("relay.balancer.store", raw.Store, remoteAddress),
+		Listen: c.address("relay.balancer.listen", raw.Listen, remoteAddress),
+		Store:  c.address("relay.balancer.store", raw.Store, remoteAddress),
+		StoreRate: c.integer("relay.balancer.store_rate",
+			withDefault(raw.StoreRate, int64(DefaultStoreRate)), 1, MaxStoreRate),
 		Exchange: c.address("relay.balancer.exchange", raw.Exchange, remoteAddress),
 		Seeds:    c.seeds("relay.balancer.seeds", raw.Seeds),
 		Zones:    c.names("relay.balancer.zones", raw.Zones, membership.MaximumZones),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -77,6 +77,7 @@
 [relay.balancer]
 listen = "192.0.2.1:8100"
 store = "192.0.2.9:8000"
+store_rate = 1500
 exchange = "192.0.2.1:8166"
 seeds = ["192.0.2.2:8166"]
 zones = ["zone-1", "zone-2"]
@@ -167,7 +168,7 @@
 			Peers: endpoint("192.0.2.1:7700"), FlowLifetime: 45 * time.Second, StopTimeout: 6 * time.Second,
 			FlowLimit: settings.DefaultFlowLimit,
 			Balancer: &settings.RelayBalancer{
-				Listen: endpoint("192.0.2.1:8100"), Store: endpoint("192.0.2.9:8000"), Exchange: endpoint("192.0.2.1:8166"),
+				Listen: endpoint("192.0.2.1:8100"), Store: endpoint("192.0.2.9:8000"), StoreRate: 1500, Exchange: endpoint("192.0.2.1:8166"),
 				Seeds: []netip.AddrPort{endpoint("192.0.2.2:8166")}, Zones: []string{"zone-1", "zone-2"},
 			},
 		}))
@@ -196,9 +197,9 @@
 		Entry("no store", relayBalancerFile, "store = \"192.0.2.9:8000\"\n", "",
 			"r.toml:9: relay.balancer.store: is required"),
 		Entry("seeds that are no array", relayBalancerFile, `seeds = ["192.0.2.2:8166"]`, `seeds = "192.0.2.2:8166"`,
-			"r.toml:13: relay.balancer.seeds: must be an array of at most 64 addresses"),
+			"r.toml:14: relay.balancer.seeds: must be an array of at most 64 addresses"),
 		Entry("an own zone that is not listed", relayBalancerFile, `zones = ["zone-1", "zone-2"]`, `zones = ["zone-2"]`,
-			"r.toml:14: relay.balancer.zones: must contain the zone of this process, zone-1"),
+			"r.toml:15: relay.balancer.zones: must contain the zone of this process, zone-1"),
 		Entry("text for a truth value", relayAgentFile, "first_start = true", `first_start = "yes"`,
 			"r.toml:11: relay.agent.first_start: must be true or false"),
 		Entry("a role of the other kind beside it", relayAgentFile, "[relay.agent]", "[cluster]\n[relay.agent]",
