Tidy the offers of opening packets; try and drop further offers for copies

Cause looked for: with the budget spent, a client's copies go to the same silent agent again. Tried: offer each copy to a further endpoint, outside the budget. Kept: unused parameters and fields gone, one way to offer again.

--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -122,8 +122,7 @@
 	b.settle(known)
 	known.search = nil
 	known.state = flowPlaced
-	known.service = message.Service
-	b.moveTo(now, known, from)
+	b.moveTo(known, from)
 	known.service = message.Service
 	b.event(Event{Kind: EventLocated, Flow: key, Peer: from})
 }
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -21,7 +21,7 @@
 func (b *Balancer) arriveOpening(now time.Duration, key segment.FlowKey, header segment.Header, packet []byte) {
 	known, exists := b.flows[key]
 	if exists && known.sequence == header.Sequence && known.state != flowLocating {
-		b.repeatOffer(now, key, known, packet)
+		b.repeatOffer(now, known, packet)
 		return
 	}
 	if exists {
@@ -40,7 +40,7 @@
 	opened := &balancerFlow{sequence: header.Sequence, opened: now, touched: now, terms: termsOf(route)}
 	opened.offer = &offer{key: key, packet: slices.Clone(packet)}
 	opened.service = b.chooseService(now, route)
-	if !b.offerNext(now, key, opened) {
+	if !b.offerNext(now, opened) {
 		b.refuse(key, header, "no_candidate")
 		return
 	}
@@ -56,15 +56,25 @@
 	}
 }
 
-// repeatOffer sends a copy of an opening packet to where the first went.
-func (b *Balancer) repeatOffer(now time.Duration, key segment.FlowKey, known *balancerFlow, packet []byte) {
+// repeatOffer sends a copy of an opening packet to where the last went.
+func (b *Balancer) repeatOffer(now time.Duration, known *balancerFlow, packet []byte) {
 	known.touched = now
 	b.send(known.agent, Message{Kind: KindOffer, Service: known.service, Terms: known.terms, Packet: packet})
 }
 
+// offerFurther offers the opening packet of a flow to an endpoint that it was
+// not offered to, and waits for that. It reports whether there is one.
+func (b *Balancer) offerFurther(now time.Duration, known *balancerFlow, reason string) bool {
+	if len(known.offer.tried) >= maximumOffers || !b.offerNext(now, known) {
+		return false
+	}
+	b.event(Event{Kind: EventOfferedAgain, Flow: known.offer.key, Peer: known.agent, Reason: reason})
+	return true
+}
+
 // offerNext offers the opening packet of a flow to the best endpoint that it
 // was not offered to. It reports whether there is one.
-func (b *Balancer) offerNext(now time.Duration, key segment.FlowKey, opened *balancerFlow) bool {
+func (b *Balancer) offerNext(now time.Duration, opened *balancerFlow) bool {
 	chosen, exists := b.choose(now, opened.service, opened.offer.tried)
 	if !exists {
 		return false
@@ -74,7 +84,7 @@
 	opened.endpoint = chosen.ID
 	opened.offer.tried = append(opened.offer.tried, chosen.ID)
 	opened.offer.deadline = now + offerTimeout
-	b.count(now, opened)
+	b.count(opened)
 	b.awaitAgent(now)
 	opened.terms.Slots = chosen.Endpoint.Slots
 	b.send(opened.agent, Message{
@@ -119,7 +129,7 @@
 	// that answered first is the likely owner, and others would return the
 	// client's packets.
 	if known.agent != from {
-		b.moveTo(now, known, from)
+		b.moveTo(known, from)
 	}
 	b.settle(known)
 	known.state = flowPlaced
@@ -129,14 +139,14 @@
 }
 
 // moveTo makes another agent the believed owner of a flow.
-func (b *Balancer) moveTo(now time.Duration, known *balancerFlow, agent segment.Address) {
+func (b *Balancer) moveTo(known *balancerFlow, agent segment.Address) {
 	b.uncount(known)
 	known.agent = agent
 	known.endpoint = ""
 	if candidate, exists := b.snapshot.At(agent.IP); exists {
 		known.endpoint = candidate.ID
 		known.service = candidate.Endpoint.Service
-		b.count(now, known)
+		b.count(known)
 	}
 }
 
@@ -158,8 +168,7 @@
 // offerAgain offers an opening packet to a further endpoint. If there is none,
 // the client is refused at once.
 func (b *Balancer) offerAgain(now time.Duration, key segment.FlowKey, known *balancerFlow, reason string) {
-	if len(known.offer.tried) < maximumOffers && b.offerNext(now, key, known) {
-		b.event(Event{Kind: EventOfferedAgain, Flow: key, Peer: known.agent, Reason: reason})
+	if b.offerFurther(now, known, reason) {
 		return
 	}
 	b.forget(key, known)
@@ -174,8 +183,7 @@
 		return
 	}
 	b.silent(now, known)
-	if len(waiting.tried) < maximumOffers && b.budget.spend() && b.offerNext(now, waiting.key, known) {
-		b.event(Event{Kind: EventOfferedAgain, Flow: waiting.key, Peer: known.agent, Reason: "silence"})
+	if b.budget.spend() && b.offerFurther(now, known, "silence") {
 		return
 	}
 	// The client repeats the packet; it goes to the agent that had it last.
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -29,7 +29,6 @@
 	silences    int
 	suspicion   time.Duration
 	suspectEnds time.Duration
-	load        Load
 }
 
 func (h *health) suspected(now time.Duration) bool { return now < h.suspectEnds }
@@ -55,7 +54,7 @@
 	return known
 }
 
-func (b *Balancer) count(now time.Duration, flow *balancerFlow) {
+func (b *Balancer) count(flow *balancerFlow) {
 	if !flow.counted {
 		flow.counted = true
 		b.healthOf(flow.endpoint).outstanding++
@@ -78,9 +77,8 @@
 		return
 	}
 	known := b.healthOf(flow.endpoint)
-	known.load = load
 	if known.suspicion > 0 {
-		b.event(Event{Kind: EventRecovered, Peer: from, Flow: segment.FlowKey{}})
+		b.event(Event{Kind: EventRecovered, Peer: from})
 	}
 	known.trust()
 	if load.Refusing {
