--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -55,7 +55,7 @@
 	if err := settings.write(base + settingsExtension); err != nil {
 		return nil, err
 	}
-	process, err := start(settings.Name, f.binary, base+settingsExtension, base+logExtension)
+	process, err := Start(settings.Name, f.binary, base+settingsExtension, base+logExtension)
 	if err != nil {
 		return nil, err
 	}
--- a/bench/fleet/process.go
+++ b/bench/fleet/process.go
@@ -32,9 +32,9 @@
 
 const logFileMode = 0o600
 
-// start runs the binary with a settings file and sends its output to a log
-// file.
-func start(name, binary, settingsPath, logPath string) (*Process, error) {
+// Start runs the binary with a settings file and sends its output to a log
+// file, which is continued. It fails if the log or the binary cannot be opened.
+func Start(name, binary, settingsPath, logPath string) (*Process, error) {
 	log, err := os.OpenFile(logPath, os.O_CREATE|os.O_WRONLY|os.O_APPEND, logFileMode)
 	if err != nil {
 		return nil, errors.Wrapf(err, "log of %s", name)
--- a/bench/table/cluster.go
+++ b/bench/table/cluster.go
@@ -147,7 +147,7 @@
 func (c *cluster) ended() *daemon {
 	for _, started := range c.daemons {
 		select {
-		case <-started.ended:
+		case <-started.process.Done():
 			return started
 		default:
 		}
--- a/bench/table/daemon.go
+++ b/bench/table/daemon.go
@@ -6,14 +6,13 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/vanetiller/vanetiller/bench/fleet"
 	"github.com/vanetiller/vanetiller/internal/adminapi"
 )
 
@@ -39,8 +38,7 @@
 	client  *adminapi.Client
 
 	mutex   sync.Mutex
-	command *exec.Cmd
-	ended   chan struct{}
+	process *fleet.Process
 	paused  bool
 	// upSince is when the daemon was last disturbed no more, zero while it is.
 	upSince time.Time
@@ -77,43 +75,34 @@
 
 // start runs a process of the daemon. The log is continued.
 func (d *daemon) start() error {
-	log, err := os.OpenFile(d.path+".log", os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
+	process, err := fleet.Start(d.name, d.binary, d.path+".toml", d.path+".log")
 	if err != nil {
-		return errors.Wrap(err, d.name)
+		return err
 	}
-	command := exec.Command(d.binary, "-settings", d.path+".toml")
-	// A group of its own keeps an interrupt typed at the terminal from it.
-	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	command.Stdout, command.Stderr = log, log
-	if err := command.Start(); err != nil {
-		_ = log.Close()
-		return errors.Wrap(err, d.name)
-	}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		_ = command.Wait()
-		_ = log.Close()
-	}()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.command, d.ended, d.paused = command, ended, false
+	d.process, d.paused = process, false
 	return nil
 }
 
-// disturb ends the time in which the daemon is up, and signals its process.
-func (d *daemon) disturb(signal syscall.Signal) error {
+// pause stops the process without its noticing.
+func (d *daemon) pause() error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.upSince = time.Time{}
-	d.paused = signal == syscall.SIGSTOP
-	return errors.Wrapf(d.command.Process.Signal(signal), "signal %s", d.name)
+	d.paused = true
+	return d.process.Pause()
 }
 
 // kill ends the process at once and waits for its end.
 func (d *daemon) kill() error {
-	err := d.disturb(syscall.SIGKILL)
-	<-d.ended
+	d.mutex.Lock()
+	d.upSince = time.Time{}
+	d.paused = false
+	process := d.process
+	d.mutex.Unlock()
+	err := process.Kill()
+	<-process.Done()
 	return err
 }
 
@@ -123,21 +112,21 @@
 	defer d.mutex.Unlock()
 	d.paused = false
 	d.upSince = time.Now()
-	return errors.Wrapf(d.command.Process.Signal(syscall.SIGCONT), "signal %s", d.name)
+	return d.process.Resume()
 }
 
 // stop ends the process, as planned if it does so in time.
 func (d *daemon) stop(grace time.Duration) {
-	if d.command == nil {
+	if d.process == nil {
 		return
 	}
-	_ = d.command.Process.Signal(syscall.SIGCONT)
-	_ = d.command.Process.Signal(syscall.SIGTERM)
+	_ = d.process.Resume()
+	_ = d.process.Terminate()
 	select {
-	case <-d.ended:
+	case <-d.process.Done():
 	case <-time.After(grace):
-		_ = d.command.Process.Kill()
-		<-d.ended
+		_ = d.process.Kill()
+		<-d.process.Done()
 	}
 }
 
--- a/bench/table/events.go
+++ b/bench/table/events.go
@@ -6,7 +6,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/vanetiller/vanetiller/bench/platform"
@@ -135,7 +134,7 @@
 	}
 	d.pauses++
 	d.progress("pause %s %s", what, chosen.name)
-	if err := chosen.disturb(syscall.SIGSTOP); err != nil {
+	if err := chosen.pause(); err != nil {
 		d.progress("%v", err)
 	}
 	d.returning.Go(func() {
