--- a/bench/flownet/balancer.go
+++ b/bench/flownet/balancer.go
@@ -140,6 +140,8 @@
 	switch {
 	case received.reply != nil:
 		n.receiveReply(now, *received.reply)
+	case n.cut && received.message == nil && received.packet == nil:
+		// Neither the store nor other balancers reach it.
 	case received.digest != nil:
 		n.exchange.Heard(now, from, *received.digest)
 	case received.fetch:
@@ -195,7 +197,7 @@
 	digest := n.directory.Digest()
 	for range digestFanout {
 		other, _ := pick(n.world, n.world.balancers)
-		if other != n {
+		if other != n && !n.world.cutOff[n.ip] {
 			n.world.net.Send(n.id, other.id, simnet.Control, 60, datagram{port: peerPort, digest: &digest})
 		}
 	}
@@ -246,6 +248,9 @@
 	if _, err := decoded.UnmarshalMsg(encoded); err != nil {
 		panic("flownet: cannot decode a message: " + err.Error())
 	}
+	if w.cutOff[source.IP] || w.cutOff[to.IP] {
+		return
+	}
 	target, exists := w.nodes[to.IP]
 	if to.Port == packetPort {
 		target, exists = w.agents[to.IP], w.agents[to.IP] != 0
--- a/bench/flownet/fault.go
+++ b/bench/flownet/fault.go
@@ -33,9 +33,11 @@
 		{"route added", 0, func(w *world) { w.addRoute() }},
 		{"route dropped", 0, func(w *world) { w.dropRoute() }},
 		{"store busy", outage, func(w *world) { w.storeState(storeBusy, outage) }},
+		{"store throttles", outage, func(w *world) { w.storeState(storeThrottling, outage) }},
 		{"store silent", outage, func(w *world) { w.storeState(storeSilent, outage) }},
 		{"store slow", outage, func(w *world) { w.slowStore(outage) }},
 		{"store forgets history", time.Second, func(w *world) { w.store.compact() }},
+		{"balancer cut off", outage, func(w *world) { w.cutBalancer(outage) }},
 		{"store cut from a balancer", outage, func(w *world) { w.cutStore(outage) }},
 	}
 }
@@ -187,6 +189,19 @@
 	}
 }
 
+// cutBalancer keeps a balancer from all daemons and the store; the fabric still
+// reaches it.
+func (w *world) cutBalancer(lasts time.Duration) {
+	if victim, exists := pick(w, w.runningBalancers()); exists {
+		victim.cut = true
+		w.cutOff[victim.ip] = true
+		w.net.At(w.net.Now()+lasts, func() {
+			victim.cut = false
+			delete(w.cutOff, victim.ip)
+		})
+	}
+}
+
 // powerLoss stops every machine; all come back together, without memory.
 func (w *world) powerLoss(away time.Duration) {
 	w.disturb(away)
--- a/bench/flownet/store.go
+++ b/bench/flownet/store.go
@@ -13,6 +13,9 @@
 // listings take several calls.
 const pageSize = 5
 
+// throttledOutOf is how many calls a throttling store answers one of.
+const throttledOutOf = 4
+
 // storeCall is a call of a balancer.
 type storeCall struct {
 	listing bool
@@ -42,6 +45,7 @@
 const (
 	storeUp storeState = iota
 	storeBusy
+	storeThrottling
 	storeSilent
 )
 
@@ -86,6 +90,11 @@
 	case storeBusy:
 		s.reply(from, storeReply{number: call.number, failure: &directory.StoreError{Failure: directory.StoreUnavailable}})
 		return
+	case storeThrottling:
+		if s.world.random.IntN(throttledOutOf) > 0 {
+			s.reply(from, storeReply{number: call.number, failure: &directory.StoreError{Failure: directory.StoreThrottled}})
+			return
+		}
 	}
 	if call.listing {
 		s.reply(from, storeReply{number: call.number, page: s.page(call.after)})
--- a/bench/flownet/world.go
+++ b/bench/flownet/world.go
@@ -54,7 +54,9 @@
 	clients   []*clientHost
 	nodes     map[[4]byte]simnet.NodeID
 	agents    map[[4]byte]simnet.NodeID
-	machines  byte
+	// cutOff are the machines that no other daemon reaches.
+	cutOff   map[[4]byte]bool
+	machines byte
 	// disturbed is until when promises with a time bound do not hold.
 	disturbed time.Duration
 }
@@ -84,6 +86,7 @@
 		codec:   segmenttest.Codec{Key: options.Seed*2 + 1},
 		nodes:   make(map[[4]byte]simnet.NodeID),
 		agents:  make(map[[4]byte]simnet.NodeID),
+		cutOff:  make(map[[4]byte]bool),
 	}
 	created.ledger = newLedger(created)
 	created.fabric = newFabric(created)
