Never block on the log

Cause: a line was written while the deciding part's mutex was held, so that an output that nobody reads would have stopped the packets.

--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -43,6 +43,7 @@
 // Daemon is one process of the fleet.
 type Daemon struct {
 	settings      *settings.Settings
+	log           *logging.Async
 	logger        *log.Logger
 	health        *observability.Health
 	role          role
@@ -58,9 +59,11 @@
 	}
 	health := observability.NewHealth(conditionServing)
 	metrics := registry.New()
+	log := logging.NewAsync(output)
 	created := &Daemon{
 		settings: checked,
-		logger:   logging.New(output, checked.Log.Level, checked.Name, checked.Zone),
+		log:      log,
+		logger:   logging.New(log, checked.Log.Level, checked.Name, checked.Zone),
 		health:   health,
 	}
 	var err error
@@ -93,6 +96,9 @@
 	d.logger.Error("settings kept, since the new ones are wrong", "error", err)
 }
 
+// logPatience is how long a process that ends waits for its log to be written.
+const logPatience = 200 * time.Millisecond
+
 // stopMargin is what a planned stop leaves of its longest time.
 const stopMargin = 1500 * time.Millisecond
 
@@ -104,6 +110,7 @@
 // not ready and goes on serving until the stop timeout is nearly over. It
 // returns nil after a planned stop, and the first error if a part fails.
 func (d *Daemon) Run(ctx context.Context) error {
+	defer d.log.Close(logPatience)
 	d.logger.Info("daemon started")
 	var group run.Group
 	addActor(&group, d.observability.Run)
