Show the configuration in force as metrics

Operators could read the version in force from logs only. Gauges of version, routes and endpoints of each balancer; test with real sockets.

--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -6,14 +6,37 @@
 	"net/netip"
 	"time"
 
+	"github.com/go-kit/kit/metrics"
 	"github.com/oklog/run"
 
 	"github.com/vanetiller/vanetiller/internal/directory"
 	"github.com/vanetiller/vanetiller/internal/observability"
+	"github.com/vanetiller/vanetiller/internal/observability/registry"
 	"github.com/vanetiller/vanetiller/internal/relay"
 	"github.com/vanetiller/vanetiller/internal/settings"
 )
 
+// directoryGauges show what a balancer has in force.
+type directoryGauges struct {
+	version   metrics.Gauge
+	routes    metrics.Gauge
+	endpoints metrics.Gauge
+}
+
+func newDirectoryGauges(registered *registry.Registry) directoryGauges {
+	return directoryGauges{
+		version:   registered.Gauge("relay_configuration_version", "Version of the configuration in force, 0 before the first."),
+		routes:    registered.Gauge("relay_routes", "Routes in force."),
+		endpoints: registered.Gauge("relay_endpoints", "Endpoints known, those that are leaving or gone included."),
+	}
+}
+
+func (g directoryGauges) observe(snapshot *directory.Snapshot) {
+	g.version.Set(float64(snapshot.Version()))
+	g.routes.Set(float64(snapshot.Routes()))
+	g.endpoints.Set(float64(len(snapshot.All())))
+}
+
 // balancerRole runs a relay.Balancer and keeps its directory current.
 type balancerRole struct {
 	executor  *executor
@@ -23,11 +46,12 @@
 	follower  *directory.Follower
 	store     directory.Store
 	peers     *peers
+	gauges    directoryGauges
 	// isolated is what was reported last.
 	isolated bool
 }
 
-func newBalancerRole(surroundings Surroundings, checked *settings.Settings, health *observability.Health, journal *journal) (*balancerRole, error) {
+func newBalancerRole(surroundings Surroundings, checked *settings.Settings, health *observability.Health, journal *journal, gauges directoryGauges) (*balancerRole, error) {
 	given := checked.Relay.Balancer
 	balancer := relay.NewBalancer(relay.BalancerConfig{
 		Zone:         checked.Zone,
@@ -45,6 +69,7 @@
 		directory: machine,
 		follower:  directory.NewFollower(machine),
 		store:     surroundings.NewStore(given.Store),
+		gauges:    gauges,
 	}
 	created.executor.after = created.reportReach
 	health.SetReady(conditionAgents)
@@ -168,6 +193,7 @@
 func (r *balancerRole) install(now time.Duration) []relay.Effect {
 	snapshot := r.directory.Snapshot()
 	r.health.SetReady(conditionDirectory)
+	r.gauges.observe(snapshot)
 	r.executor.journal.logger.Info("directory changed",
 		"version", snapshot.Version(), "revision", uint64(r.directory.Complete()),
 		"routes", snapshot.Routes(), "endpoints", len(snapshot.All()))
--- a/internal/relaydaemon/daemon_test.go
+++ b/internal/relaydaemon/daemon_test.go
@@ -257,20 +257,27 @@
 		Expect(log.String()).To(ContainSubstring(`"msg":"agent is idle"`))
 	})
 
-	It("serves its counters and histograms", func() {
-		start(used.agent(agentIP), nil, log)
-		var body []byte
-		Eventually(func() error {
-			response, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", agentIP, used.healthPort))
-			if err != nil {
-				return err
+	It("serves its counters, histograms and the version in force", func() {
+		scrape := func(ip string) func() string {
+			return func() string {
+				response, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", ip, used.healthPort))
+				if err != nil {
+					return ""
+				}
+				defer response.Body.Close()
+				body, err := io.ReadAll(response.Body)
+				Expect(err).NotTo(HaveOccurred())
+				return string(body)
 			}
-			defer response.Body.Close()
-			body, err = io.ReadAll(response.Body)
-			return err
-		}).WithTimeout(10 * time.Second).Should(Succeed())
-		Expect(string(body)).To(ContainSubstring(`vanetiller_relay_events_total{kind="held"} 0`))
-		Expect(string(body)).To(ContainSubstring("vanetiller_relay_wait_seconds_bucket"))
+		}
+		start(used.agent(agentIP), nil, log)
+		start(used.balancer(balancerIP, ""), fakeStore{page: used.listing()}, log)
+		Eventually(scrape(agentIP)).WithTimeout(10 * time.Second).Should(SatisfyAll(
+			ContainSubstring(`vanetiller_relay_events_total{kind="held"} 0`),
+			ContainSubstring("vanetiller_relay_wait_seconds_bucket")))
+		Eventually(scrape(balancerIP)).WithTimeout(10 * time.Second).Should(SatisfyAll(
+			ContainSubstring("vanetiller_relay_configuration_version 4"),
+			ContainSubstring("vanetiller_relay_endpoints 1")))
 	})
 
 	It("refuses settings without a relay table", func() {
