Bound searches and drains where an address is taken over

Found by reading: (1) an agent of another service answered a search by bringing the packet back, which began the search again, at the pace of the network and twice over for two such agents; (2) a balancer told the agent at an address that its endpoint drains although another had taken the address over, and the agent believed it for good and would have returned all new flows; (3) balancers remembered by an agent were not bounded. Agents don't answer searches for other services, a search has 64 rounds at most, drains are told only of who holds the address and end after 30 s.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -75,19 +75,27 @@
 	endedRetention = 10 * time.Second
 	// sweepInterval is the time between removals of old flows.
 	sweepInterval = time.Second
+	// drainMemory is how long an agent believes that its endpoint is draining.
+	// It outlasts what any balancer may not have heard, and ends since another
+	// endpoint may come to the agent's address.
+	drainMemory = 30 * time.Second
+	// balancerLimit bounds the balancers that are remembered.
+	balancerLimit = 4096
 )
 
 // Agent decides what becomes of packets to and from one endpoint. It is not
 // safe for concurrent use.
 type Agent struct {
-	config    AgentConfig
-	started   time.Duration
-	begun     bool
-	flows     map[segment.FlowKey]*agentFlow
-	running   uint32
-	queue     queue
-	pace      pace
-	draining  bool
+	config  AgentConfig
+	started time.Duration
+	begun   bool
+	now     time.Duration
+	flows   map[segment.FlowKey]*agentFlow
+	running uint32
+	queue   queue
+	pace    pace
+	// drainEnds is until when the endpoint is believed to be draining.
+	drainEnds time.Duration
 	stopping  bool
 	balancers map[segment.Address]time.Duration
 	nextSweep time.Duration
@@ -111,10 +119,12 @@
 	return Load{Running: a.running, Waiting: uint32(len(a.queue.waiting)), Refusing: a.refusing()}
 }
 
-func (a *Agent) refusing() bool { return a.draining || a.stopping }
+// refusing reports whether the endpoint gets no new flows.
+func (a *Agent) refusing() bool { return a.stopping || a.now < a.drainEnds }
 
 func (a *Agent) begin(now time.Duration) {
 	a.effects = a.effects[:0]
+	a.now = now
 	if !a.begun {
 		a.begun = true
 		a.started = now
@@ -141,7 +151,7 @@
 // until the next call.
 func (a *Agent) Receive(now time.Duration, from segment.Address, message Message) []Effect {
 	a.begin(now)
-	a.balancers[from] = now
+	a.remember(now, from)
 	switch message.Kind {
 	case KindOffer, KindForward, KindLocate, KindProbe:
 		a.receivePacket(now, from, message)
@@ -149,12 +159,19 @@
 		a.send(from, Message{Kind: KindPong, Service: a.config.Service})
 	case KindDrain:
 		if message.Service == a.config.Service {
-			a.draining = true
+			a.drainEnds = now + drainMemory
 		}
 	}
 	return a.effects
 }
 
+// remember notes a balancer, which is told when the agent stops.
+func (a *Agent) remember(now time.Duration, balancer segment.Address) {
+	if _, known := a.balancers[balancer]; known || len(a.balancers) < balancerLimit {
+		a.balancers[balancer] = now
+	}
+}
+
 func (a *Agent) receivePacket(now time.Duration, from segment.Address, message Message) {
 	header, outcome := a.config.Codec.Decode(message.Packet)
 	if outcome != segment.Decoded {
@@ -163,7 +180,7 @@
 	}
 	key := segment.FlowKey{Client: header.Source, Service: header.Destination}
 	if message.Service != a.config.Service {
-		a.bringBack(from, key, header, message.Packet, "other_service")
+		a.refuseForeign(from, key, header, message)
 		return
 	}
 	if header.Opening() {
@@ -173,6 +190,15 @@
 	a.receiveSegment(now, from, key, header, message)
 }
 
+// refuseForeign handles a packet for an endpoint that had this address before. A
+// search goes to all and is not answered, or it would never end.
+func (a *Agent) refuseForeign(from segment.Address, key segment.FlowKey, header segment.Header, message Message) {
+	if message.Kind == KindLocate || message.Kind == KindProbe {
+		return
+	}
+	a.bringBack(from, key, header, message.Packet, "other_service")
+}
+
 // bringBack returns a packet to the balancer it came from.
 func (a *Agent) bringBack(to segment.Address, key segment.FlowKey, header segment.Header, packet []byte, reason string) {
 	kind := KindUnknown
--- a/internal/relay/agent_test.go
+++ b/internal/relay/agent_test.go
@@ -58,6 +58,14 @@
 		Expect(onlyMessage(effects).Message.Kind).To(Equal(relay.KindReturned))
 	})
 
+	It("does not answer a search for another service, which would begin the search again", func() {
+		stray := fromClient(1, segment.Acknowledge, 101, 501, "request")
+		for _, kind := range []relay.Kind{relay.KindLocate, relay.KindProbe} {
+			effects := agent.Receive(0, balancerA, relay.Message{Kind: kind, Service: otherService, Packet: stray})
+			Expect(effects).To(BeEmpty())
+		}
+	})
+
 	It("brings back an opening packet that its endpoint did not take, as the client wrote it", func() {
 		offer(0, 1, 100)
 		effects := agent.Emitted(millisecond, returned(opening(1, 100)))
@@ -104,6 +112,12 @@
 		Expect(delivered(forward(millisecond, relay.KindForward, fromClient(1, segment.Acknowledge, 108, 501, "x")))).To(HaveLen(1))
 	})
 
+	It("takes new flows again long after a drain, since another endpoint may have come", func() {
+		agent.Receive(0, balancerA, relay.Message{Kind: relay.KindDrain, Service: service})
+		Expect(delivered(offer(20*time.Second, 1, 100))).To(BeEmpty())
+		Expect(delivered(offer(time.Minute, 2, 100))).To(HaveLen(1))
+	})
+
 	It("tells balancers that it stops, and goes on with the flows it has", func() {
 		open(0, 1)
 		told := sent(agent.Stop(millisecond))
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -123,11 +123,14 @@
 }
 
 // tellLeaving tells agents that their endpoint must get no new flows, in case
-// that a balancer which does not know offers it one.
+// that a balancer which does not know offers it one. The address of an endpoint
+// that has gone may be another's already.
 func (b *Balancer) tellLeaving(previous, current *directory.Snapshot) {
 	for _, candidate := range current.All() {
 		before, existed := previous.Candidate(candidate.ID)
-		if !candidate.Draining() || existed && before.Draining() {
+		occupant, _ := current.At(candidate.Endpoint.IP)
+		told := existed && before.Draining()
+		if !candidate.Draining() || candidate.Gone || told || occupant.ID != candidate.ID {
 			continue
 		}
 		b.send(b.agentOf(candidate), Message{Kind: KindDrain, Service: candidate.Endpoint.Service})
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -161,6 +161,14 @@
 		}
 	})
 
+	It("does not tell the agent of an endpoint that took over the address of one that drained", func() {
+		known.endpoint(0, 0, func(e *directory.Endpoint) { e.Draining = true })
+		known.gone(0, 0)
+		known.endpoint(0, 8, func(e *directory.Endpoint) { e.IP = endpointAddress(0).IP })
+		starting := newBalancer()
+		Expect(sent(starting.Install(0, known.machine.Snapshot()))).To(BeEmpty())
+	})
+
 	It("uses endpoints whose entries have just lapsed if there are no others, but not for long", func() {
 		for number := range 3 {
 			known.gone(time.Second, number)
@@ -254,6 +262,15 @@
 		})
 	})
 
+	It("ends a search that agents answer with its packet again and again", func() {
+		request := fromClient(1, segment.Acknowledge, 101, 501, "request")
+		asked := len(sent(balancer.Arrive(0, request)))
+		for range 1000 {
+			asked += len(sent(balancer.Receive(millisecond, agentAddress(0), relay.Message{Kind: relay.KindUnknown, Packet: request})))
+		}
+		Expect(asked).To(BeNumerically("<", 200))
+	})
+
 	Describe("a flow of which restarted agents may be the owners", func() {
 		request := fromClient(1, segment.Acknowledge, 101, 501, "request")
 
--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -12,6 +12,8 @@
 	// searchesOfRoute is the number of searches among the services of a route
 	// after which those that it had before are asked too.
 	searchesOfRoute = 1
+	// roundLimit bounds the searches for one owner, whatever agents answer.
+	roundLimit = 64
 	// probesAtOnce bounds the endpoints that get a packet of a flow which may
 	// not be theirs, in probePeriod.
 	probesAtOnce = 2
@@ -50,6 +52,9 @@
 // locate asks all agents that may own a flow, and sends them its packet. If none
 // has said that it does, it lets some of those that do not know probe.
 func (b *Balancer) locate(now time.Duration, key segment.FlowKey, known *balancerFlow, packet []byte) {
+	if known.search.rounds >= roundLimit {
+		return
+	}
 	b.event(Event{Kind: EventLocating, Flow: key, Version: b.snapshot.Version()})
 	probing := known.search.nextProbes(now)
 	for _, candidate := range b.possibleOwners(key, known.search) {
