Ask the owner itself when what a row remembers of a flow is old

The primary asks all, is told an owner, passes the packet on, and it goes between the two until the hop limit (36 drops), again at each repetition of the caller, for ten minutes. Ruled out: load, the lease of the restarted agent (21 drops, all within three seconds), and disagreement about who is alive (all agents agreed from 56.8 s on; the packet of 65.4 s failed all the same). What a row remembers is hearsay after two leases of nothing but opening packets: it then names the owner without vouching for it. Within two leases it vouches as before, since a packet that was handed over may still be on its way. Test: fails without the change.

--- a/internal/admission/arrive.go
+++ b/internal/admission/arrive.go
@@ -44,8 +44,10 @@
 		if reused || m.obsoleteOwner(known, packet) {
 			return false
 		}
-		known.expires = now + m.config.RemoteRetention
-		m.flows[key] = known
+		if !packet.opensFlow() {
+			known.expires = now + m.config.RemoteRetention
+			m.flows[key] = known
+		}
 		m.forward(known.owner, known.handedOver && packet.opensFlow(), packet)
 	case stateFenced:
 		return m.arriveFenced(now, key, known, packet)
--- a/internal/admission/locate.go
+++ b/internal/admission/locate.go
@@ -148,7 +148,7 @@
 		if known.owner == from || !m.history.current.view.alive(known.owner) {
 			return AnswerUnknown, 0
 		}
-		if !same {
+		if !same || query.Purpose == PurposeOpen && m.hearsay(now, known) {
 			return AnswerReferred, known.owner
 		}
 		return AnswerOwned, known.owner
@@ -168,6 +168,19 @@
 	return AnswerUnknown, 0
 }
 
+// hearsay reports whether what is remembered of another row's flow is so old that
+// the owner itself must be asked: its caller still sends opening packets, none of
+// which can be on its way to the owner any more. Two rows that each took the other
+// for the owner would otherwise never let the flow open.
+func (m *Machine) hearsay(now time.Duration, known flow) bool {
+	age := now + m.config.RemoteRetention - known.expires
+	return age > hearsayLeases*m.config.LeaseDuration
+}
+
+// hearsayLeases is how many leases it takes until no packet that was handed over
+// can arrive.
+const hearsayLeases = 2
+
 // fence promises not to open the flow that another row is about to open.
 func (m *Machine) fence(now time.Duration, from table.BackendID, query Query) {
 	m.abandon(query.Flow)
--- a/internal/admission/machine_test.go
+++ b/internal/admission/machine_test.go
@@ -69,6 +69,32 @@
 		}
 	})
 
+	It("opens a flow although two rows have long taken each other for its owner", func() {
+		const port, sequence = 1000, 5
+		c, view := settledCluster(testRows(4), quiet)
+		primary := c.primaryOf(view, port)
+		var others []table.BackendID
+		for _, id := range c.rowIDs() {
+			if id != primary {
+				others = append(others, id)
+			}
+		}
+		for index := range 2 {
+			machine := c.machines[others[index]]
+			machine.flows[KeyOf(flowSource(port))] = flow{
+				state: stateRemote, sequence: sequence, owner: others[1-index],
+				expires: c.now + machine.config.RemoteRetention - 10*time.Second,
+			}
+		}
+		c.install(withRows(view, func(rows []table.Backend) { rows[0].ConnectionLimit = 500 }), 0)
+		for _, wait := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+			c.caller(view, port, sequence, true)
+			c.run(c.now + wait)
+		}
+		Expect(total(openRows(c))).To(Equal(uint32(1)))
+		Expect(c.openedTwice()).To(BeEmpty())
+	})
+
 	It("keeps a flow where it is when its slot moves, and finds it again", func() {
 		c, view := settledCluster(testRows(5), quiet)
 		for port := range uint16(100) {
