Turn to another store and other seeds when the settings are read again

Cause: SIGHUP put the log level in force and left the rest to the next start, also the store's address, which a balancer cannot do without. The store is turned to with a new listing, an answer of the former one dropped; seeds and the time of a stop take effect too, and the log tells if something waits for a start.

--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -39,6 +39,9 @@
 	return &Exchange[Peer]{machine: machine, seeds: seeds, random: random}
 }
 
+// SetSeeds replaces the seeds.
+func (e *Exchange[Peer]) SetSeeds(seeds []Peer) { e.seeds = seeds }
+
 // Heard handles the digest of a peer.
 func (e *Exchange[Peer]) Heard(now time.Duration, from Peer, digest Digest) {
 	if !slices.Contains(e.peers, from) {
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -130,14 +130,20 @@
 func (f *Follower) Failed(err error) {
 	var failed *StoreError
 	if errors.As(err, &failed) && failed.Failure == StoreCompacted {
-		f.watching = false
-		f.next = ""
-		f.failures = 0
+		f.Relist()
 		return
 	}
 	f.failures++
 }
 
+// Relist makes the next call a new listing, as of another store.
+func (f *Follower) Relist() {
+	f.watching = false
+	f.next = ""
+	f.failures = 0
+	f.changed = false
+}
+
 // Following reports whether the last call succeeded and the directory is
 // watched.
 func (f *Follower) Following() bool { return f.watching && f.failures == 0 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -27,7 +27,8 @@
 const usageFooter = `
 The log goes to standard %s, one JSON object a line. SIGTERM or SIGINT begins
 a planned stop; a second one ends the process at once. SIGHUP reads the settings
-again: the log level takes effect, other changes with the next start.
+again: the log level takes effect, and what else can; the log tells if changes
+wait for the next start.
 
 Exit status: 0 after a planned stop, -check, -version or -help; 1 if the process
 failed; 2 for wrong flags or settings.
--- a/internal/relaydaemon/agent.go
+++ b/internal/relaydaemon/agent.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"reflect"
 	"time"
 
 	"github.com/oklog/run"
@@ -14,6 +15,7 @@
 
 // agentRole runs a relay.Agent.
 type agentRole struct {
+	settings settings.Relay
 	executor *executor
 	agent    *relay.Agent
 }
@@ -26,7 +28,7 @@
 		FlowLifetime: checked.FlowLifetime,
 		FlowLimit:    checked.FlowLimit,
 	})
-	created := &agentRole{newExecutor(agent, checked.Peers.Port(), journal), agent}
+	created := &agentRole{*checked, newExecutor(agent, checked.Peers.Port(), journal), agent}
 	created.executor.endpoint = segment.AddressOf(checked.Agent.Endpoint)
 	var err error
 	created.executor.packets, err = listen(checked.Agent.Emitted, created.emitted)
@@ -66,3 +68,10 @@
 	})
 	return idle
 }
+
+// reload compares what the agent was started with; nothing of it can change.
+func (r *agentRole) reload(changed *settings.Relay) bool {
+	same := *changed
+	same.StopTimeout = r.settings.StopTimeout
+	return reflect.DeepEqual(same, r.settings)
+}
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"reflect"
 	"time"
 
 	"github.com/go-kit/kit/metrics"
@@ -39,12 +40,16 @@
 
 // balancerRole runs a relay.Balancer and keeps its directory current.
 type balancerRole struct {
+	settings  settings.Relay
+	newStore  func(netip.AddrPort) directory.Store
 	executor  *executor
 	balancer  *relay.Balancer
 	health    *observability.Health
 	directory *directory.Machine
 	follower  *directory.Follower
 	store     directory.Store
+	// storeTurn counts the stores that were turned to.
+	storeTurn int
 	peers     *peers
 	gauges    directoryGauges
 	// isolated is what was reported last.
@@ -63,6 +68,8 @@
 	})
 	machine := directory.New()
 	created := &balancerRole{
+		settings:  *checked.Relay,
+		newStore:  surroundings.NewStore,
 		executor:  newExecutor(balancer, given.Listen.Port(), journal),
 		balancer:  balancer,
 		health:    health,
@@ -124,40 +131,71 @@
 // idle is never so: the fabric may send further flows until it has noticed.
 func (r *balancerRole) idle() bool { return false }
 
+// reload turns to another store, with a new listing, and to other seeds. All else
+// that has changed takes a new start.
+func (r *balancerRole) reload(changed *settings.Relay) bool {
+	if changed.Balancer == nil {
+		return false
+	}
+	r.peers.setSeeds(changed.Balancer)
+	r.executor.do(func(time.Duration) []relay.Effect {
+		if changed.Balancer.Store != r.settings.Balancer.Store {
+			r.store = r.newStore(changed.Balancer.Store)
+			r.storeTurn++
+			r.follower.Relist()
+		}
+		return nil
+	})
+	given := *r.settings.Balancer
+	given.Store, given.Seeds = changed.Balancer.Store, changed.Balancer.Seeds
+	r.settings.Balancer, r.settings.StopTimeout = &given, changed.StopTimeout
+	return reflect.DeepEqual(*changed, r.settings)
+}
+
 // follow keeps the directory current until ctx ends.
 func (r *balancerRole) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
-		call := r.nextCall()
-		if !sleep(ctx, call.Delay) {
+		next := r.nextCall()
+		if !sleep(ctx, next.call.Delay) {
 			return nil
 		}
-		r.perform(ctx, call)
+		r.perform(ctx, next)
 	}
 	return nil
 }
 
-func (r *balancerRole) nextCall() directory.Call {
+// storeCall is a call of the store that was used when it was decided on.
+type storeCall struct {
+	call  directory.Call
+	store directory.Store
+	turn  int
+}
+
+func (r *balancerRole) nextCall() storeCall {
 	r.executor.mutex.Lock()
 	defer r.executor.mutex.Unlock()
-	return r.follower.Next(rand.Float64())
+	return storeCall{r.follower.Next(rand.Float64()), r.store, r.storeTurn}
 }
 
-func (r *balancerRole) perform(ctx context.Context, call directory.Call) {
-	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+func (r *balancerRole) perform(ctx context.Context, next storeCall) {
+	ctx, cancel := context.WithTimeout(ctx, next.call.Timeout)
 	defer cancel()
-	if call.Listing {
-		page, err := r.store.List(ctx, call.After)
-		r.conclude(err, func(now time.Duration) bool { return r.follower.Listed(now, page) })
+	if next.call.Listing {
+		page, err := next.store.List(ctx, next.call.After)
+		r.conclude(next.turn, err, func(now time.Duration) bool { return r.follower.Listed(now, page) })
 		return
 	}
-	changes, err := r.store.Watch(ctx, call.AfterRevision, call.Wait)
-	r.conclude(err, func(now time.Duration) bool { return r.follower.Watched(now, changes) })
+	changes, err := next.store.Watch(ctx, next.call.AfterRevision, next.call.Wait)
+	r.conclude(next.turn, err, func(now time.Duration) bool { return r.follower.Watched(now, changes) })
 }
 
 // conclude hands the outcome of a call to the follower and puts a changed
-// snapshot in force.
-func (r *balancerRole) conclude(err error, merge func(now time.Duration) bool) {
+// snapshot in force. An answer of a store that is no longer used is dropped.
+func (r *balancerRole) conclude(turn int, err error, merge func(now time.Duration) bool) {
 	r.executor.do(func(now time.Duration) []relay.Effect {
+		if turn != r.storeTurn {
+			return nil
+		}
 		before := r.follower.Following()
 		if err != nil {
 			r.follower.Failed(err)
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 	"io"
-	"reflect"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -38,11 +38,14 @@
 	stop() time.Duration
 	// idle reports whether a stopping role has nothing left to serve.
 	idle() bool
+	// reload puts in force what of changed settings can be without a new start,
+	// and reports whether that is all that has changed.
+	reload(changed *settings.Relay) bool
 }
 
 // Daemon is one process of the fleet.
 type Daemon struct {
-	settings      *settings.Settings
+	stopTimeout   atomic.Int64
 	log           *logging.Async
 	logger        *log.Logger
 	health        *observability.Health
@@ -61,11 +64,11 @@
 	metrics := registry.New()
 	log := logging.NewAsync(output)
 	created := &Daemon{
-		settings: checked,
-		log:      log,
-		logger:   logging.New(log, checked.Log.Level, checked.Name, checked.Zone),
-		health:   health,
+		log:    log,
+		logger: logging.New(log, checked.Log.Level, checked.Name, checked.Zone),
+		health: health,
 	}
+	created.stopTimeout.Store(int64(checked.Relay.StopTimeout))
 	var err error
 	created.observability, err = observability.NewServer(observability.ServerConfig{
 		Listen:  checked.Observability.Listen,
@@ -84,11 +87,16 @@
 	return created, errors.Wrap(err, "relay")
 }
 
-// Reload puts the log level in force; all else takes a new start.
+// Reload puts in force what can be without a new start: the log level, the time
+// of a planned stop and, for a balancer, the store and the seeds.
 func (d *Daemon) Reload(changed *settings.Settings) {
 	d.logger.SetLevel(changed.Log.Level)
-	restart := !reflect.DeepEqual(changed.Relay, d.settings.Relay)
-	d.logger.Info("settings read again", "log_level", changed.Log.Level, "changes_wait_for_start", restart)
+	complete := false
+	if changed.Relay != nil {
+		d.stopTimeout.Store(int64(changed.Relay.StopTimeout))
+		complete = d.role.reload(changed.Relay)
+	}
+	d.logger.Info("settings read again", "log_level", changed.Log.Level, "changes_wait_for_start", !complete)
 }
 
 // ReloadFailed tells that the settings could not be read again.
@@ -136,7 +144,8 @@
 		return
 	}
 	d.health.SetNotReady(conditionServing, "stopping")
-	delay := max(min(d.role.stop(), d.settings.Relay.StopTimeout-stopMargin), 0)
+	longest := time.Duration(d.stopTimeout.Load()) - stopMargin
+	delay := max(min(d.role.stop(), longest), 0)
 	d.logger.Info("stopping", "delay", delay)
 	deadline := time.NewTimer(delay)
 	defer deadline.Stop()
--- a/internal/relaydaemon/daemon_test.go
+++ b/internal/relaydaemon/daemon_test.go
@@ -280,6 +280,33 @@
 			ContainSubstring("vanetiller_relay_endpoints 1")))
 	})
 
+	It("turns to another store when the settings are read again", func() {
+		stores := map[string]directory.Store{
+			"127.0.0.1:1": fakeStore{down: true}, "127.0.0.1:2": fakeStore{page: used.listing()},
+		}
+		checked := used.balancer(balancerIP, "")
+		created, err := relaydaemon.New(relaydaemon.Surroundings{
+			Codec: codec, NewStore: func(address netip.AddrPort) directory.Store { return stores[address.String()] },
+		}, checked, log)
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- created.Run(ctx) }()
+		DeferCleanup(func() {
+			cancel()
+			Eventually(ended).WithTimeout(10 * time.Second).Should(Receive())
+		})
+		Eventually(status(balancerIP)).WithTimeout(10 * time.Second).Should(Equal(http.StatusServiceUnavailable))
+		changed := used.balancer(balancerIP, "")
+		changed.Relay.Balancer.Store = netip.MustParseAddrPort("127.0.0.1:2")
+		created.Reload(changed)
+		Eventually(status(balancerIP)).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+		Expect(log.String()).To(ContainSubstring(`"changes_wait_for_start":false`))
+		changed.Relay.FlowLimit++
+		created.Reload(changed)
+		Eventually(log.String).Should(ContainSubstring(`"changes_wait_for_start":true`))
+	})
+
 	It("refuses settings without a relay table", func() {
 		_, err := relaydaemon.New(relaydaemon.Surroundings{}, &settings.Settings{}, io.Discard)
 		Expect(err).To(MatchError(ContainSubstring("relay: is required")))
--- a/internal/relaydaemon/peers.go
+++ b/internal/relaydaemon/peers.go
@@ -92,6 +92,16 @@
 	return seeds
 }
 
+// setSeeds replaces the balancers to ask where none is known.
+func (p *peers) setSeeds(given *settings.RelayBalancer) {
+	seeds := seedsOf(given)
+	p.membership.SetSeeds(seeds)
+	p.role.executor.do(func(time.Duration) []relay.Effect {
+		p.exchange.SetSeeds(seeds)
+		return nil
+	})
+}
+
 // handle takes what the membership tells.
 func (p *peers) handle(event membership.Effect) {
 	switch event.Kind {
