--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -59,7 +59,10 @@
 	)
 
 	BeforeEach(func() {
-		server = recorder{make(chan *settings.Settings, 1), make(chan error, 1)}
+		// Goroutines of a spec may outlast it and must not share what the next
+		// one sets up.
+		own := recorder{make(chan *settings.Settings, 1), make(chan error, 1)}
+		server = own
 		file = filepath.Join(GinkgoT().TempDir(), "settings.toml")
 		Expect(os.WriteFile(file, []byte(validSettings), 0o600)).To(Succeed())
 		reload = make(chan os.Signal, 1)
@@ -69,10 +72,11 @@
 		loaded := make(chan struct{})
 		started = program.Program{Name: "p", New: func(*settings.Settings, io.Writer) (program.Server, error) {
 			close(loaded)
-			return server, nil
+			return own, nil
 		}}
+		running, ownFile, ownReload, ownStatus := started, file, reload, status
 		go func() {
-			status <- started.Command(ctx, reload, []string{"-settings", file}, io.Discard, io.Discard)
+			ownStatus <- running.Command(ctx, ownReload, []string{"-settings", ownFile}, io.Discard, io.Discard)
 		}()
 		DeferCleanup(stop)
 		Eventually(loaded).Should(BeClosed())
