Read the whole change once more: a stale peer, names, things done twice

Found: (1) a fault: an endpoint that a balancer does not know although it knows all changes since the entry was written has gone, but was taken as there from a peer that had not heard, and would have got new flows after its end; it is remembered as gone now, so that its flows are found. Test: fails without. (2) an owner's search sent the packet twice to a service that a route has and had; (3) an unused field of the balancer's reach, three ways to say 'none' in the exchange, a search begun in two places; (4) the version of the build stood in internal/daemon, which internal/program must not know: moved. Assertions of tests are unchanged.

--- a/cmd/vanetillerctl/command.go
+++ b/cmd/vanetillerctl/command.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanetiller/vanetiller/internal/adminapi"
-	"github.com/vanetiller/vanetiller/internal/daemon/version"
+	"github.com/vanetiller/vanetiller/internal/program/version"
 )
 
 // Exit statuses.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,10 +10,10 @@
 	"github.com/charmbracelet/log"
 	"github.com/oklog/run"
 
-	"github.com/vanetiller/vanetiller/internal/daemon/version"
 	"github.com/vanetiller/vanetiller/internal/logging"
 	"github.com/vanetiller/vanetiller/internal/observability"
 	"github.com/vanetiller/vanetiller/internal/observability/registry"
+	"github.com/vanetiller/vanetiller/internal/program/version"
 	"github.com/vanetiller/vanetiller/internal/settings"
 )
 
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -67,12 +67,11 @@
 
 // Next returns the peer to fetch from now, false if there is nothing to fetch.
 // Fetched or FetchFailed must follow.
-func (e *Exchange[Peer]) Next(now time.Duration) (Peer, bool) {
-	var none Peer
+func (e *Exchange[Peer]) Next(now time.Duration) (chosen Peer, wanted bool) {
 	if e.busy || now < e.next {
-		return none, false
+		return chosen, false
 	}
-	chosen, wanted := e.choose(now)
+	chosen, wanted = e.choose(now)
 	if wanted {
 		e.busy = true
 		e.next = now + fetchInterval
@@ -80,18 +79,13 @@
 	return chosen, wanted
 }
 
-func (e *Exchange[Peer]) choose(now time.Duration) (Peer, bool) {
+func (e *Exchange[Peer]) choose(now time.Duration) (chosen Peer, wanted bool) {
 	if e.behind && now-e.since >= patience {
 		return e.informed, true
 	}
-	if e.fetched {
-		var none Peer
-		return none, false
-	}
 	known := slices.Concat(e.peers, e.seeds)
-	if len(known) == 0 {
-		var none Peer
-		return none, false
+	if e.fetched || len(known) == 0 {
+		return chosen, false
 	}
 	return known[e.random.IntN(len(known))], true
 }
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -136,7 +136,8 @@
 	f.failures++
 }
 
-// Relist makes the next call a new listing, as of another store.
+// Relist makes the next call a new listing, as when the store is reached under
+// another address.
 func (f *Follower) Relist() {
 	f.watching = false
 	f.next = ""
--- a/internal/directory/machine_test.go
+++ b/internal/directory/machine_test.go
@@ -141,6 +141,22 @@
 		Expect(gone.LapsedSince(time.Minute)).To(Equal(2 * time.Second))
 	})
 
+	It("does not take an endpoint that has gone for one that is there, since another has not heard", func() {
+		stale := directory.New()
+		stale.Changes(0, []directory.Item{configurationItem(4, 2), endpointItem("a", 50, endpoint("s", false))}, 80)
+		machine.Listing(0, []directory.Item{configurationItem(4, 2)}, 100)
+		machine.Adopt(time.Second, stale.State(time.Second))
+		Expect(leaving("a")).To(BeTrue(), "its flows can be found, but it gets no new ones")
+	})
+
+	It("takes an endpoint from another that has heard of it first", func() {
+		informed := directory.New()
+		informed.Changes(0, []directory.Item{configurationItem(4, 2), endpointItem("a", 120, endpoint("s", false))}, 120)
+		machine.Listing(0, []directory.Item{configurationItem(4, 2)}, 100)
+		machine.Adopt(time.Second, informed.State(time.Second))
+		Expect(leaving("a")).To(BeFalse())
+	})
+
 	It("keeps what it knows better than the other", func() {
 		machine.Changes(0, []directory.Item{configurationItem(4, 2), endpointItem("a", 9, endpoint("s", true))}, 9)
 		stale := directory.New()
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -75,6 +75,9 @@
 	return m.advance(now, 0, changed)
 }
 
+// adoptEndpoint takes what another process says of an endpoint if it is newer. An
+// endpoint that this process does not know, though it knows all changes since the
+// entry was written, has gone: the other has not heard of that.
 func (m *Machine) adoptEndpoint(now time.Duration, described EndpointState) bool {
 	known, exists := m.endpoints[described.ID]
 	if exists && described.Revision <= known.revision {
@@ -87,6 +90,9 @@
 		gone:     described.Gone,
 		goneAt:   now - described.GoneFor,
 	}
+	if !exists && !described.Gone && described.Revision <= m.complete {
+		adopted.leave(now, m.complete)
+	}
 	m.endpoints[described.ID] = adopted
 	return true
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -13,7 +13,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/vanetiller/vanetiller/internal/daemon/version"
+	"github.com/vanetiller/vanetiller/internal/program/version"
 	"github.com/vanetiller/vanetiller/internal/settings"
 )
 
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -208,7 +208,7 @@
 		b.event(Event{Kind: EventForged, Peer: from, Reason: "not_an_agent"})
 		return b.effects
 	}
-	b.heardAgent(now)
+	b.heardAgent()
 	switch message.Kind {
 	case KindPlaced:
 		b.receivePlaced(now, from, message)
--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -37,6 +37,8 @@
 	probes int
 }
 
+func newSearch(now time.Duration) *search { return &search{begun: now, period: now} }
+
 // remember begins the search for the owner of a flow. It returns nil if there
 // are too many flows.
 func (b *Balancer) remember(now time.Duration, key segment.FlowKey) *balancerFlow {
@@ -44,7 +46,7 @@
 		b.event(Event{Kind: EventNoEndpoint, Flow: key, Reason: "flow_limit"})
 		return nil
 	}
-	known := &balancerFlow{state: flowLocating, touched: now, search: &search{begun: now, period: now}}
+	known := &balancerFlow{state: flowLocating, touched: now, search: newSearch(now)}
 	b.flows[key] = known
 	return known
 }
@@ -100,7 +102,11 @@
 		}
 	}
 	if widen || !exists {
-		services = append(services, b.snapshot.FormerServices(key.Service)...)
+		for _, service := range b.snapshot.FormerServices(key.Service) {
+			if !slices.Contains(services, service) {
+				services = append(services, service)
+			}
+		}
 	}
 	var candidates []directory.Candidate
 	for _, service := range services {
@@ -118,6 +124,7 @@
 	known.search.uncertain = append(known.search.uncertain, from)
 }
 
+// receiveOwned handles that an agent owns a flow.
 func (b *Balancer) receiveOwned(now time.Duration, from segment.Address, message Message) {
 	key := message.Flow.Key()
 	known, exists := b.flows[key]
@@ -132,6 +139,8 @@
 	b.event(Event{Kind: EventLocated, Flow: key, Peer: from})
 }
 
+// receiveUnknown handles a packet that the believed owner of its flow brought
+// back: the owner is sought.
 func (b *Balancer) receiveUnknown(now time.Duration, from segment.Address, message Message) {
 	header, outcome := b.config.Codec.Decode(message.Packet)
 	if outcome != segment.Decoded || !writtenByClient(header) {
@@ -150,7 +159,7 @@
 	b.settle(known)
 	b.uncount(known)
 	if known.search == nil {
-		known.search = &search{begun: now, period: now}
+		known.search = newSearch(now)
 	}
 	known.state = flowLocating
 	known.agent = segment.Address{}
--- a/internal/relay/reach.go
+++ b/internal/relay/reach.go
@@ -22,7 +22,6 @@
 // reach tells whether a balancer can reach any agent. One that cannot is better
 // left out by the fabric: it would lose every new flow.
 type reach struct {
-	heard time.Duration
 	// unanswered is set if an opening packet was sent and no agent was heard
 	// since; waiting is when that began.
 	unanswered bool
@@ -39,11 +38,11 @@
 func (b *Balancer) Isolated() bool { return b.reach.isolated }
 
 // heardAgent notes that some agent can be reached.
-func (b *Balancer) heardAgent(now time.Duration) {
+func (b *Balancer) heardAgent() {
 	if b.reach.isolated {
 		b.event(Event{Kind: EventReconnected})
 	}
-	b.reach = reach{heard: now, turn: b.reach.turn}
+	b.reach = reach{turn: b.reach.turn}
 }
 
 // awaitAgent notes that an agent should answer.
