--- a/internal/adminapi/logstore.go
+++ b/internal/adminapi/logstore.go
@@ -112,7 +112,19 @@
 	return nil
 }
 
-// Snapshot returns the encoded state, as a log needs it to drop its entries.
+// Follow replaces the table by a newer one of the configuration service. It fails
+// for one that is not newer or not valid.
+func (s *LogStore) Follow(record changelog.Record, newer *table.Table) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err := s.state.Follow(record, newer); err != nil {
+		return err
+	}
+	s.config.Changed(s.state.Table())
+	return nil
+}
+
+// Snapshot returns the encoded state, for another process to install.
 func (s *LogStore) Snapshot() ([]byte, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -32,11 +32,8 @@
 	Zone string
 	// Zones names all zones, in the same order everywhere.
 	Zones []string
-	// Seeds are the daemons to ask at the start, the same everywhere. The
-	// first founds the log.
-	Seeds []netip.AddrPort
-	// Voters is the number of voters aimed at.
-	Voters int
+	// Seeds are the daemons to ask at the start.
+	Seeds  []netip.AddrPort
 	Limits changelog.Limits
 	// Changed is called, one at a time and in the order of versions, with
 	// each table that shall come into force. It may call InForce.
@@ -60,8 +57,5 @@
 			return errors.Errorf("cluster seed %s: must be an IPv4 address with port %d", seed, c.Listen.Port())
 		}
 	}
-	if c.Voters < 1 {
-		return errors.New("cluster: the number of voters must be positive")
-	}
 	return nil
 }
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -7,31 +7,10 @@
 
 	"github.com/tinylib/msgp/msgp"
 
-	"github.com/vanetiller/vanetiller/internal/adminapi/replicated"
-	"github.com/vanetiller/vanetiller/internal/agreement"
 	"github.com/vanetiller/vanetiller/internal/dissemination"
 	"github.com/vanetiller/vanetiller/internal/membership"
 )
 
-// sender is the replicated.Transport of one identity of the process.
-type sender struct {
-	node *Node
-	from agreement.ProcessID
-}
-
-// Send implements replicated.Transport.
-func (s sender) Send(to agreement.ProcessID, message replicated.Message) {
-	n := s.node
-	directed := &Directed{From: s.from.Start, To: to.Start, Message: message}
-	address := addressOf(to, portOf(n.address)).AddrPort()
-	encoded := encode(&Datagram{Directed: directed})
-	if len(encoded) <= maximumDatagram {
-		n.socket.send(address, encoded)
-		return
-	}
-	n.socket.call(address, encode(&Request{Directed: directed}))
-}
-
 func encode(message msgp.Marshaler) []byte {
 	encoded, err := message.MarshalMsg(nil)
 	if err != nil {
@@ -45,8 +24,7 @@
 	address, isIPv4 := membership.AddressOf(from)
 	var datagram Datagram
 	rest, err := datagram.UnmarshalMsg(encoded)
-	// All daemons of a fleet use the same port: in the log, machines are known
-	// by their addresses without it.
+	// All daemons of a fleet use the same port.
 	if !isIPv4 || from.Port() != portOf(n.address) || err != nil || len(rest) > 0 || len(encoded) > maximumDatagram {
 		n.config.Metrics.Malformed.Add(1)
 		return
@@ -56,8 +34,6 @@
 		n.acceptMembership(address, *datagram.Membership)
 	case datagram.Dissemination != nil:
 		n.acceptSpread(address, *datagram.Dissemination)
-	case datagram.Directed != nil:
-		n.acceptDirected(address, *datagram.Directed)
 	case datagram.Liveness != nil:
 		n.acceptLiveness(address, *datagram.Liveness)
 	}
@@ -77,16 +53,6 @@
 	n.attach()
 }
 
-// acceptDirected hands a message to the voter if it is meant for its identity.
-func (n *Node) acceptDirected(from membership.Address, directed Directed) {
-	current := n.voter.Load()
-	if directed.To != current.id.Start {
-		return
-	}
-	sent := processOf(membership.Identity{Address: from, Incarnation: membership.Incarnation(directed.From)})
-	current.replica.Receive(sent, directed.Message)
-}
-
 // executeMembership carries out effects. The mutex must be held.
 func (n *Node) executeMembership(effects []membership.Effect) {
 	for _, effect := range effects {
@@ -102,35 +68,20 @@
 	}
 }
 
-// hearAttachment takes in what came with a message of another daemon: its
-// status, and behind it the hint. The mutex must be held.
+// hearAttachment takes in the status that came with a message of another
+// daemon. The mutex must be held.
 func (n *Node) hearAttachment(from membership.Address, attachment []byte) {
 	var status dissemination.Status
-	var hint Hint
-	rest, err := status.UnmarshalMsg(attachment)
-	if err == nil {
-		_, err = hint.UnmarshalMsg(rest)
-	}
-	if err != nil {
+	if _, err := status.UnmarshalMsg(attachment); err != nil {
 		n.config.Metrics.Malformed.Add(1)
 		return
 	}
 	n.heard.hear(from, status)
 	n.spread.Heard(n.now(), from, attachment)
-	n.founding.hear(from, hint.Term > 0 || status.Held > 0)
-	if hint.Term > n.hint.Term {
-		n.hint = hint
-	}
 }
 
 // attach renews what the messages of membership carry. The mutex must be held.
-func (n *Node) attach() {
-	attachment, err := n.hint.MarshalMsg(n.spread.Attachment())
-	if err != nil {
-		panic("cluster: cannot encode a hint: " + err.Error())
-	}
-	n.members.SetAttachment(attachment)
-}
+func (n *Node) attach() { n.members.SetAttachment(n.spread.Attachment()) }
 
 // executeSpread carries out effects. The mutex must be held.
 func (n *Node) executeSpread(effects []dissemination.Effect) {
@@ -138,10 +89,8 @@
 		switch effect.Kind {
 		case dissemination.EffectSend:
 			n.socket.send(effect.To.AddrPort(), encode(&Datagram{Dissemination: &effect.Message}))
-		case dissemination.EffectApply:
-			n.tasks.add(task{delta: &effect.Delta})
 		case dissemination.EffectFetch:
-			n.tasks.add(task{fetch: &fetchTask{from: effect.To, version: effect.Version}})
+			n.fetches.add(fetchTask{from: effect.To, version: effect.Version})
 		case dissemination.EffectSurveyed:
 			n.concludeInquiry(effect.Survey)
 		}
--- a/internal/cluster/message_gen.go
+++ b/internal/cluster/message_gen.go
@@ -17,8 +17,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	if dc.IsNil() {
@@ -55,43 +55,6 @@
 			return
 		}
 	}
-	if dc.IsNil() {
-		err = dc.ReadNil()
-		if err != nil {
-			err = msgp.WrapError(err, "Directed")
-			return
-		}
-		z.Directed = nil
-	} else {
-		if z.Directed == nil {
-			z.Directed = new(Directed)
-		}
-		var zb0002 uint32
-		zb0002, err = dc.ReadArrayHeader()
-		if err != nil {
-			err = msgp.WrapError(err, "Directed")
-			return
-		}
-		if zb0002 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0002}
-			return
-		}
-		z.Directed.From, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err, "Directed", "From")
-			return
-		}
-		z.Directed.To, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err, "Directed", "To")
-			return
-		}
-		err = z.Directed.Message.DecodeMsg(dc)
-		if err != nil {
-			err = msgp.WrapError(err, "Directed", "Message")
-			return
-		}
-	}
 	if dc.IsNil() {
 		err = dc.ReadNil()
 		if err != nil {
@@ -114,8 +77,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Datagram) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -143,33 +106,6 @@
 			return
 		}
 	}
-	if z.Directed == nil {
-		err = en.WriteNil()
-		if err != nil {
-			return
-		}
-	} else {
-		// array header, size 3
-		err = en.Append(0x93)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Directed.From)
-		if err != nil {
-			err = msgp.WrapError(err, "Directed", "From")
-			return
-		}
-		err = en.WriteUint64(z.Directed.To)
-		if err != nil {
-			err = msgp.WrapError(err, "Directed", "To")
-			return
-		}
-		err = z.Directed.Message.EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Directed", "Message")
-			return
-		}
-	}
 	if z.Liveness == nil {
 		err = en.WriteNil()
 		if err != nil {
@@ -188,8 +124,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Datagram) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 3
+	o = append(o, 0x93)
 	if z.Membership == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -208,19 +144,6 @@
 			return
 		}
 	}
-	if z.Directed == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendUint64(o, z.Directed.From)
-		o = msgp.AppendUint64(o, z.Directed.To)
-		o, err = z.Directed.Message.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Directed", "Message")
-			return
-		}
-	}
 	if z.Liveness == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -241,8 +164,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	if msgp.IsNil(bts) {
@@ -277,42 +200,6 @@
 			return
 		}
 	}
-	if msgp.IsNil(bts) {
-		bts, err = msgp.ReadNilBytes(bts)
-		if err != nil {
-			return
-		}
-		z.Directed = nil
-	} else {
-		if z.Directed == nil {
-			z.Directed = new(Directed)
-		}
-		var zb0002 uint32
-		zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Directed")
-			return
-		}
-		if zb0002 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0002}
-			return
-		}
-		z.Directed.From, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Directed", "From")
-			return
-		}
-		z.Directed.To, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Directed", "To")
-			return
-		}
-		bts, err = z.Directed.Message.UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Directed", "Message")
-			return
-		}
-	}
 	if msgp.IsNil(bts) {
 		bts, err = msgp.ReadNilBytes(bts)
 		if err != nil {
@@ -346,11 +233,6 @@
 	} else {
 		s += z.Dissemination.Msgsize()
 	}
-	if z.Directed == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + msgp.Uint64Size + msgp.Uint64Size + z.Directed.Message.Msgsize()
-	}
 	if z.Liveness == nil {
 		s += msgp.NilSize
 	} else {
@@ -359,113 +241,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Directed) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.From, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	z.To, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "To")
-		return
-	}
-	err = z.Message.DecodeMsg(dc)
-	if err != nil {
-		err = msgp.WrapError(err, "Message")
-		return
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Directed) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	err = en.WriteUint64(z.To)
-	if err != nil {
-		err = msgp.WrapError(err, "To")
-		return
-	}
-	err = z.Message.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Message")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Directed) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
-	o = msgp.AppendUint64(o, z.From)
-	o = msgp.AppendUint64(o, z.To)
-	o, err = z.Message.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Message")
-		return
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Directed) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.From, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	z.To, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "To")
-		return
-	}
-	bts, err = z.Message.UnmarshalMsg(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Message")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Directed) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + z.Message.Msgsize()
-	return
-}
-
 // DecodeMsg implements msgp.Decodable
 func (z *FetchAnswer) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -484,54 +259,6 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "d":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Deltas")
-				return
-			}
-			if cap(z.Deltas) >= int(zb0002) {
-				z.Deltas = (z.Deltas)[:zb0002]
-			} else {
-				z.Deltas = make([]FetchedDelta, zb0002)
-			}
-			for za0001 := range z.Deltas {
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Deltas", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Deltas", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "v":
-						err = z.Deltas[za0001].Version.DecodeMsg(dc)
-						if err != nil {
-							err = msgp.WrapError(err, "Deltas", za0001, "Version")
-							return
-						}
-					case "p":
-						z.Deltas[za0001].Payload, err = dc.ReadBytes(z.Deltas[za0001].Payload)
-						if err != nil {
-							err = msgp.WrapError(err, "Deltas", za0001, "Payload")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Deltas", za0001)
-							return
-						}
-					}
-				}
-			}
 		case "s":
 			z.State, err = dc.ReadBytes(z.State)
 			if err != nil {
@@ -551,42 +278,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *FetchAnswer) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "d"
-	err = en.Append(0x82, 0xa1, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Deltas)))
-	if err != nil {
-		err = msgp.WrapError(err, "Deltas")
-		return
-	}
-	for za0001 := range z.Deltas {
-		// map header, size 2
-		// write "v"
-		err = en.Append(0x82, 0xa1, 0x76)
-		if err != nil {
-			return
-		}
-		err = z.Deltas[za0001].Version.EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Deltas", za0001, "Version")
-			return
-		}
-		// write "p"
-		err = en.Append(0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteBytes(z.Deltas[za0001].Payload)
-		if err != nil {
-			err = msgp.WrapError(err, "Deltas", za0001, "Payload")
-			return
-		}
-	}
+	// map header, size 1
 	// write "s"
-	err = en.Append(0xa1, 0x73)
+	err = en.Append(0x81, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -601,25 +295,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FetchAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "d"
-	o = append(o, 0x82, 0xa1, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Deltas)))
-	for za0001 := range z.Deltas {
-		// map header, size 2
-		// string "v"
-		o = append(o, 0x82, 0xa1, 0x76)
-		o, err = z.Deltas[za0001].Version.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Deltas", za0001, "Version")
-			return
-		}
-		// string "p"
-		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendBytes(o, z.Deltas[za0001].Payload)
-	}
+	// map header, size 1
 	// string "s"
-	o = append(o, 0xa1, 0x73)
+	o = append(o, 0x81, 0xa1, 0x73)
 	o = msgp.AppendBytes(o, z.State)
 	return
 }
@@ -642,54 +320,6 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "d":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Deltas")
-				return
-			}
-			if cap(z.Deltas) >= int(zb0002) {
-				z.Deltas = (z.Deltas)[:zb0002]
-			} else {
-				z.Deltas = make([]FetchedDelta, zb0002)
-			}
-			for za0001 := range z.Deltas {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Deltas", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Deltas", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "v":
-						bts, err = z.Deltas[za0001].Version.UnmarshalMsg(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Deltas", za0001, "Version")
-							return
-						}
-					case "p":
-						z.Deltas[za0001].Payload, bts, err = msgp.ReadBytesBytes(bts, z.Deltas[za0001].Payload)
-						if err != nil {
-							err = msgp.WrapError(err, "Deltas", za0001, "Payload")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Deltas", za0001)
-							return
-						}
-					}
-				}
-			}
 		case "s":
 			z.State, bts, err = msgp.ReadBytesBytes(bts, z.State)
 			if err != nil {
@@ -710,11 +340,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FetchAnswer) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Deltas {
-		s += 1 + 2 + z.Deltas[za0001].Version.Msgsize() + 2 + msgp.BytesPrefixSize + len(z.Deltas[za0001].Payload)
-	}
-	s += 2 + msgp.BytesPrefixSize + len(z.State)
+	s = 1 + 2 + msgp.BytesPrefixSize + len(z.State)
 	return
 }
 
@@ -742,12 +368,6 @@
 				err = msgp.WrapError(err, "Version")
 				return
 			}
-		case "w":
-			z.Whole, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Whole")
-				return
-			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -761,9 +381,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *FetchRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 1
 	// write "v"
-	err = en.Append(0x82, 0xa1, 0x76)
+	err = en.Append(0x81, 0xa1, 0x76)
 	if err != nil {
 		return
 	}
@@ -772,33 +392,20 @@
 		err = msgp.WrapError(err, "Version")
 		return
 	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Whole)
-	if err != nil {
-		err = msgp.WrapError(err, "Whole")
-		return
-	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *FetchRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 1
 	// string "v"
-	o = append(o, 0x82, 0xa1, 0x76)
+	o = append(o, 0x81, 0xa1, 0x76)
 	o, err = z.Version.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Version")
 		return
 	}
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendBool(o, z.Whole)
 	return
 }
 
@@ -826,12 +433,6 @@
 				err = msgp.WrapError(err, "Version")
 				return
 			}
-		case "w":
-			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Whole")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -846,587 +447,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FetchRequest) Msgsize() (s int) {
-	s = 1 + 2 + z.Version.Msgsize() + 2 + msgp.BoolSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *FetchedDelta) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "v":
-			err = z.Version.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-		case "p":
-			z.Payload, err = dc.ReadBytes(z.Payload)
-			if err != nil {
-				err = msgp.WrapError(err, "Payload")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *FetchedDelta) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "v"
-	err = en.Append(0x82, 0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = z.Version.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Payload)
-	if err != nil {
-		err = msgp.WrapError(err, "Payload")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *FetchedDelta) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "v"
-	o = append(o, 0x82, 0xa1, 0x76)
-	o, err = z.Version.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendBytes(o, z.Payload)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *FetchedDelta) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "v":
-			bts, err = z.Version.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-		case "p":
-			z.Payload, bts, err = msgp.ReadBytesBytes(bts, z.Payload)
-			if err != nil {
-				err = msgp.WrapError(err, "Payload")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *FetchedDelta) Msgsize() (s int) {
-	s = 1 + 2 + z.Version.Msgsize() + 2 + msgp.BytesPrefixSize + len(z.Payload)
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Hint) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	err = z.Term.DecodeMsg(dc)
-	if err != nil {
-		err = msgp.WrapError(err, "Term")
-		return
-	}
-	err = z.Leader.DecodeMsg(dc)
-	if err != nil {
-		err = msgp.WrapError(err, "Leader")
-		return
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Hint) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
-	if err != nil {
-		return
-	}
-	err = z.Term.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Term")
-		return
-	}
-	err = z.Leader.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Leader")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Hint) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o, err = z.Term.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Term")
-		return
-	}
-	o, err = z.Leader.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Leader")
-		return
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Hint) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
-		return
-	}
-	bts, err = z.Term.UnmarshalMsg(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Term")
-		return
-	}
-	bts, err = z.Leader.UnmarshalMsg(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Leader")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Hint) Msgsize() (s int) {
-	s = 1 + z.Term.Msgsize() + z.Leader.Msgsize()
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Request) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "d":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "Directed")
-					return
-				}
-				z.Directed = nil
-			} else {
-				if z.Directed == nil {
-					z.Directed = new(Directed)
-				}
-				var zb0002 uint32
-				zb0002, err = dc.ReadArrayHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Directed")
-					return
-				}
-				if zb0002 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0002}
-					return
-				}
-				z.Directed.From, err = dc.ReadUint64()
-				if err != nil {
-					err = msgp.WrapError(err, "Directed", "From")
-					return
-				}
-				z.Directed.To, err = dc.ReadUint64()
-				if err != nil {
-					err = msgp.WrapError(err, "Directed", "To")
-					return
-				}
-				err = z.Directed.Message.DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Directed", "Message")
-					return
-				}
-			}
-		case "f":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "Fetch")
-					return
-				}
-				z.Fetch = nil
-			} else {
-				if z.Fetch == nil {
-					z.Fetch = new(FetchRequest)
-				}
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Fetch")
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Fetch")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "v":
-						err = z.Fetch.Version.DecodeMsg(dc)
-						if err != nil {
-							err = msgp.WrapError(err, "Fetch", "Version")
-							return
-						}
-					case "w":
-						z.Fetch.Whole, err = dc.ReadBool()
-						if err != nil {
-							err = msgp.WrapError(err, "Fetch", "Whole")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Fetch")
-							return
-						}
-					}
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Request) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "d"
-	err = en.Append(0x82, 0xa1, 0x64)
-	if err != nil {
-		return
-	}
-	if z.Directed == nil {
-		err = en.WriteNil()
-		if err != nil {
-			return
-		}
-	} else {
-		// array header, size 3
-		err = en.Append(0x93)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Directed.From)
-		if err != nil {
-			err = msgp.WrapError(err, "Directed", "From")
-			return
-		}
-		err = en.WriteUint64(z.Directed.To)
-		if err != nil {
-			err = msgp.WrapError(err, "Directed", "To")
-			return
-		}
-		err = z.Directed.Message.EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Directed", "Message")
-			return
-		}
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	if z.Fetch == nil {
-		err = en.WriteNil()
-		if err != nil {
-			return
-		}
-	} else {
-		// map header, size 2
-		// write "v"
-		err = en.Append(0x82, 0xa1, 0x76)
-		if err != nil {
-			return
-		}
-		err = z.Fetch.Version.EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Fetch", "Version")
-			return
-		}
-		// write "w"
-		err = en.Append(0xa1, 0x77)
-		if err != nil {
-			return
-		}
-		err = en.WriteBool(z.Fetch.Whole)
-		if err != nil {
-			err = msgp.WrapError(err, "Fetch", "Whole")
-			return
-		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Request) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "d"
-	o = append(o, 0x82, 0xa1, 0x64)
-	if z.Directed == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendUint64(o, z.Directed.From)
-		o = msgp.AppendUint64(o, z.Directed.To)
-		o, err = z.Directed.Message.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Directed", "Message")
-			return
-		}
-	}
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	if z.Fetch == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		// map header, size 2
-		// string "v"
-		o = append(o, 0x82, 0xa1, 0x76)
-		o, err = z.Fetch.Version.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Fetch", "Version")
-			return
-		}
-		// string "w"
-		o = append(o, 0xa1, 0x77)
-		o = msgp.AppendBool(o, z.Fetch.Whole)
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Request) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "d":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.Directed = nil
-			} else {
-				if z.Directed == nil {
-					z.Directed = new(Directed)
-				}
-				var zb0002 uint32
-				zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Directed")
-					return
-				}
-				if zb0002 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0002}
-					return
-				}
-				z.Directed.From, bts, err = msgp.ReadUint64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Directed", "From")
-					return
-				}
-				z.Directed.To, bts, err = msgp.ReadUint64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Directed", "To")
-					return
-				}
-				bts, err = z.Directed.Message.UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Directed", "Message")
-					return
-				}
-			}
-		case "f":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.Fetch = nil
-			} else {
-				if z.Fetch == nil {
-					z.Fetch = new(FetchRequest)
-				}
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Fetch")
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Fetch")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "v":
-						bts, err = z.Fetch.Version.UnmarshalMsg(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Fetch", "Version")
-							return
-						}
-					case "w":
-						z.Fetch.Whole, bts, err = msgp.ReadBoolBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Fetch", "Whole")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Fetch")
-							return
-						}
-					}
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Request) Msgsize() (s int) {
-	s = 1 + 2
-	if z.Directed == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + msgp.Uint64Size + msgp.Uint64Size + z.Directed.Message.Msgsize()
-	}
-	s += 2
-	if z.Fetch == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 2 + z.Fetch.Version.Msgsize() + 2 + msgp.BoolSize
-	}
+	s = 1 + 2 + z.Version.Msgsize()
 	return
 }
--- a/internal/cluster/metrics.go
+++ b/internal/cluster/metrics.go
@@ -35,11 +35,6 @@
 	Malformed metrics.Counter
 	// Members is the number of members by StateLabel.
 	Members metrics.Gauge
-	// Voters is the number of voters known to this process, zero on one that
-	// does not vote.
-	Voters metrics.Gauge
-	// Leads is 1 while this process leads the log, otherwise 0.
-	Leads metrics.Gauge
 	// HeldVersion is the newest version of the table that this process holds.
 	HeldVersion metrics.Gauge
 }
@@ -51,7 +46,7 @@
 			*counter = discard.NewCounter()
 		}
 	}
-	for _, gauge := range []*metrics.Gauge{&m.Members, &m.Voters, &m.Leads, &m.HeldVersion} {
+	for _, gauge := range []*metrics.Gauge{&m.Members, &m.HeldVersion} {
 		if *gauge == nil {
 			*gauge = discard.NewGauge()
 		}
@@ -80,18 +75,6 @@
 	}
 }
 
-func (m *Metrics) observeLog(view logView) {
-	voters, leads := 0.0, 0.0
-	if view.votes {
-		voters = float64(view.voters)
-	}
-	if view.leads {
-		leads = 1
-	}
-	m.Voters.Set(voters)
-	m.Leads.Set(leads)
-}
-
 func stateText(member membership.Member) string {
 	if isLive(member) && !member.Reachable {
 		return stateUnreachable
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -7,15 +7,12 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/vanetiller/vanetiller/internal/adminapi"
-	"github.com/vanetiller/vanetiller/internal/agreement"
-	"github.com/vanetiller/vanetiller/internal/changelog"
 	"github.com/vanetiller/vanetiller/internal/cluster/liveness"
 	"github.com/vanetiller/vanetiller/internal/dissemination"
 	"github.com/vanetiller/vanetiller/internal/membership"
@@ -37,31 +34,24 @@
 	config  Config
 	zones   zones
 	address membership.Address
+	seeds   []membership.Address
 	socket  *socket
 	started time.Time
 	store   *Store
-	tasks   *queue[task]
+	fetches *queue[fetchTask]
 	told    *queue[liveness.Effect]
-	// wake tells that the log has led to a newer version.
-	wake  chan struct{}
-	voter atomic.Pointer[voter]
 
-	// mutex may be held while a Replica is called, not the other way round.
 	mutex   sync.Mutex
 	members *membership.Machine
 	spread  *dissemination.Machine
 	agents  *liveness.Machine
+	// self is the identity that the parts were told of. Membership takes
+	// another incarnation if this process was taken for failed.
+	self membership.Identity
 	// changed tells that the members must be told to the other parts, which
 	// happens at nextTelling anyway.
 	changed     bool
 	nextTelling time.Duration
-	// running are the processes that the log was told of.
-	running  []agreement.Member
-	founding *founding
-	hint     Hint
-	// behindSince is when the log first was ahead of the table held.
-	behindSince time.Duration
-	behind      bool
 	inquiries   []inquiry
 	heard       statusList
 	names       nameList
@@ -94,9 +84,8 @@
 		zones:   numbered,
 		address: address,
 		started: time.Now(),
-		tasks:   newQueue[task](),
+		fetches: newQueue[fetchTask](),
 		told:    newQueue[liveness.Effect](),
-		wake:    make(chan struct{}, 1),
 	}
 	if err := created.newMachines(self); err != nil {
 		return nil, err
@@ -123,12 +112,12 @@
 	if err != nil {
 		return err
 	}
-	seeds := make([]membership.Address, len(n.config.Seeds))
-	for index, seed := range n.config.Seeds {
-		seeds[index], _ = membership.AddressOf(seed)
+	n.self = self
+	for _, seed := range n.config.Seeds {
+		address, _ := membership.AddressOf(seed)
+		n.seeds = append(n.seeds, address)
 	}
-	n.members.SetSeeds(seeds)
-	n.founding = newFounding(self.Address, seeds)
+	n.members.SetSeeds(n.seeds)
 	return nil
 }
 
@@ -138,38 +127,18 @@
 
 func (n *Node) newStore() {
 	n.store = &Store{node: n, LogStore: adminapi.NewLogStore(adminapi.LogStoreConfig{
-		Limits:   n.config.Limits,
-		Proposer: n,
-		Fleet:    n,
-		Changed:  n.config.Changed,
+		Limits:  n.config.Limits,
+		Fleet:   n,
+		Changed: n.config.Changed,
 	})}
-	n.voter.Store(n.newVoter(processOf(n.members.Self())))
 }
 
-func (n *Node) newVoter(id agreement.ProcessID) *voter {
-	return newVoter(n.config, id, sender{n, id}, n.now, n.wakeUp)
-}
-
-// Store returns the table, and takes changes of it.
+// Store returns the table.
 func (n *Node) Store() *Store { return n.store }
 
 // Address returns the address of the node.
 func (n *Node) Address() netip.AddrPort { return n.config.Listen }
 
-// Leads reports whether this process leads the log.
-func (n *Node) Leads() bool { return n.voter.Load().machine.observed().leads }
-
-// ImportedRevision returns the platform's revision that was imported last, as
-// far as this process has followed the log. A leader has followed it.
-func (n *Node) ImportedRevision() changelog.Revision {
-	return n.voter.Load().state.importedRevision()
-}
-
-// Propose implements adminapi.Proposer.
-func (n *Node) Propose(ctx context.Context, id changelog.ChangeID, payload []byte) adminapi.Decision {
-	return n.voter.Load().replica.Propose(ctx, id, payload)
-}
-
 // InForce tells that this process forwards by a version.
 func (n *Node) InForce(version table.Version) {
 	n.mutex.Lock()
@@ -183,8 +152,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.tick(ctx) })
-	group.Go(func() error { return n.takePart(ctx) })
-	group.Go(func() error { return n.putInForce(ctx) })
+	group.Go(func() error { return n.fetchTables(ctx) })
 	group.Go(func() error { return n.tellAgents(ctx) })
 	group.Go(func() error { return n.socket.receive(n.accept) })
 	group.Go(func() error { return n.socket.serve(ctx, n.answer) })
@@ -193,13 +161,6 @@
 
 func (n *Node) now() time.Duration { return time.Since(n.started) }
 
-func (n *Node) wakeUp() {
-	select {
-	case n.wake <- struct{}{}:
-	default:
-	}
-}
-
 func (n *Node) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -213,8 +174,6 @@
 			return nil
 		case <-ticker.C:
 			n.advance()
-		case <-n.wake:
-			n.publish()
 		case <-count.C:
 			n.observe()
 		}
@@ -233,6 +192,7 @@
 	defer n.mutex.Unlock()
 	now := n.now()
 	n.executeMembership(n.members.Tick(now))
+	n.followIdentity()
 	n.executeSpread(n.spread.Tick(now))
 	n.executeLiveness(n.agents.Tick(now))
 	if n.changed || now >= n.nextTelling {
@@ -240,17 +200,6 @@
 		n.nextTelling = now + tellingInterval
 		n.tellMembers()
 	}
-	n.followLeader()
-	n.foundIfDue(now)
-	n.publishLog(now)
-	n.attach()
-}
-
-// publish passes on what the log has led to.
-func (n *Node) publish() {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	n.publishLog(n.now())
 	n.attach()
 }
 
@@ -260,55 +209,17 @@
 	held := n.spread.Status().Held
 	n.mutex.Unlock()
 	n.config.Metrics.observeMembers(members)
-	n.config.Metrics.observeLog(n.voter.Load().machine.observed())
 	n.config.Metrics.HeldVersion.Set(float64(held))
 }
 
-// takePart runs the voter and puts another in its place when this process has
-// taken another incarnation.
-func (n *Node) takePart(ctx context.Context) error {
-	for ctx.Err() == nil {
-		current := n.voter.Load()
-		running, stop := context.WithCancel(ctx)
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			_ = current.run(running)
-		}()
-		n.awaitReplacement(ctx, current.id)
-		stop()
-		<-ended
-	}
-	return nil
-}
-
-// awaitReplacement returns once this process has another identity than the
-// given one, or ctx ends.
-func (n *Node) awaitReplacement(ctx context.Context, id agreement.ProcessID) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if n.replaceVoter(id) {
-			return
-		}
-	}
-}
-
-func (n *Node) replaceVoter(id agreement.ProcessID) bool {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	taken := processOf(n.members.Self())
-	if taken == id {
-		return false
+// followIdentity tells the parts if this process has taken another incarnation.
+// The mutex must be held.
+func (n *Node) followIdentity() {
+	taken := n.members.Self()
+	if taken == n.self {
+		return
 	}
-	n.voter.Store(n.newVoter(taken))
-	n.agents.SetSelf(n.members.Self())
-	n.running = nil
+	n.self = taken
+	n.agents.SetSelf(taken)
 	n.changed = true
-	return true
 }
--- a/internal/cluster/socket.go
+++ b/internal/cluster/socket.go
@@ -27,9 +27,6 @@
 	streamTimeout = 10 * time.Second
 	// maximumStreams bounds the connections accepted at a time.
 	maximumStreams = 32
-	// maximumCalls bounds the messages that are sent over connections at a
-	// time, each to another process.
-	maximumCalls = 64
 )
 
 // socket is the address of a Node. It is safe for concurrent use.
@@ -40,13 +37,6 @@
 	logger   *log.Logger
 	metrics  Metrics
 	accepted chan struct{}
-	// closing ends with the socket.
-	closing context.Context
-	cancel  context.CancelFunc
-
-	mutex sync.Mutex
-	// calls are the addresses that a message is being sent to.
-	calls map[netip.AddrPort]bool
 }
 
 // newSocket binds the address. It fails if UDP or TCP is in use there.
@@ -60,22 +50,17 @@
 		_ = packets.Close()
 		return nil, errors.Wrapf(err, "cluster: listen on %s", address)
 	}
-	closing, cancel := context.WithCancel(context.Background())
 	return &socket{
-		closing:  closing,
-		cancel:   cancel,
 		address:  address,
 		packets:  packets,
 		listener: listener,
 		logger:   logger,
 		metrics:  metrics,
 		accepted: make(chan struct{}, maximumStreams),
-		calls:    make(map[netip.AddrPort]bool),
 	}, nil
 }
 
 func (s *socket) close() {
-	s.cancel()
 	_ = s.packets.Close()
 	_ = s.listener.Close()
 }
@@ -106,36 +91,6 @@
 	}
 }
 
-// call sends a message over a connection, without waiting. It is dropped if
-// another one is on its way to the address: whoever sends it repeats it.
-func (s *socket) call(to netip.AddrPort, encoded []byte) {
-	if !s.beginCall(to) {
-		return
-	}
-	go func() {
-		defer s.endCall(to)
-		if _, err := s.exchange(s.closing, to, encoded); err != nil {
-			s.logger.Debug("cluster message not sent", "to", to, "error", err)
-		}
-	}()
-}
-
-func (s *socket) beginCall(to netip.AddrPort) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.calls[to] || len(s.calls) >= maximumCalls {
-		return false
-	}
-	s.calls[to] = true
-	return true
-}
-
-func (s *socket) endCall(to netip.AddrPort) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	delete(s.calls, to)
-}
-
 // exchange sends a request over a connection and returns the answer. The
 // connection comes from the own address, by which the receiver knows it.
 func (s *socket) exchange(ctx context.Context, to netip.AddrPort, request []byte) ([]byte, error) {
--- /dev/null
+++ b/internal/cluster/store.go
@@ -0,0 +1,85 @@
+// This file holds the table of a Node.
+
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/adminapi"
+	"github.com/vanetiller/vanetiller/internal/changelog"
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+// serviceAuthor is the author of tables of the configuration service in the
+// history.
+const serviceAuthor = "platform"
+
+// readOnly is why the fleet takes no changes: nothing that its daemons agree on
+// among themselves would outlast them.
+const readOnly = "the configuration service holds the table, and changes are made there; use a dry run to see what one would do"
+
+// Store is the newest table of the configuration service that any daemon of the
+// fleet has told this one of. It is an adminapi.Store that takes no changes.
+type Store struct {
+	*adminapi.LogStore
+	node *Node
+}
+
+// follow takes in a table of the configuration service. It reports whether it is
+// newer than the one held.
+func (s *Store) follow(newer *table.Table) (bool, error) {
+	if newer.Version <= s.version() {
+		return false, nil
+	}
+	record := changelog.Record{
+		ID:   changelog.ChangeID(fmt.Sprintf("platform-version-%d", newer.Version)),
+		Who:  serviceAuthor,
+		When: time.Now().UnixNano(),
+		Why:  fmt.Sprintf("version %d of the configuration service", newer.Version),
+	}
+	if err := s.Follow(record, newer); err != nil {
+		return false, err
+	}
+	return true, nil
+}
+
+// version returns the version of the table.
+func (s *Store) version() table.Version { return s.Table().Table.Version }
+
+// Submit implements adminapi.Store: it refuses every change.
+func (s *Store) Submit(_ context.Context, change *changelog.Change) adminapi.Submission {
+	refusal := changelog.Refusal{Row: "table", Column: "change", Rule: readOnly}
+	return adminapi.Submission{
+		Decided: true,
+		Outcome: changelog.Outcome{ID: change.ID, Version: s.version(), Refusal: &refusal},
+	}
+}
+
+// Members implements adminapi.Store. A survey makes up for the daemons of
+// which this process has heard nothing lately.
+func (s *Store) Members() []adminapi.Member { return s.node.surveyedMembers() }
+
+// Reached implements adminapi.Store by a survey of the daemons that run. Of a
+// zone with many members behind, only some are named.
+func (s *Store) Reached(version table.Version) adminapi.ReachAnswer {
+	answer := adminapi.ReachAnswer{Version: version, NotReached: []string{}}
+	answer.Accepted = version != 0 && version <= s.version()
+	surveyed, done := s.node.survey(version)
+	if !done {
+		answer.NotReached = append(answer.NotReached, "unknown: the survey had no result")
+		return answer
+	}
+	for _, zone := range surveyed.Zones {
+		answer.Reached += zone.Reached
+		for _, missing := range zone.Missing {
+			answer.NotReached = append(answer.NotReached, s.node.nameOf(missing))
+		}
+		if unnamed := zone.Behind - len(zone.Missing); unnamed > 0 {
+			answer.NotReached = append(answer.NotReached,
+				fmt.Sprintf("%d more in zone %s", unnamed, s.node.zones.name(zone.Zone)))
+		}
+	}
+	return answer
+}
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"net/netip"
 	"slices"
 	"time"
@@ -57,7 +56,7 @@
 // seedsWith returns the seeds of the settings and those machines that are
 // none.
 func (n *Node) seedsWith(listed []Name) []membership.Address {
-	seeds := slices.Clone(n.founding.seeds)
+	seeds := slices.Clone(n.seeds)
 	for _, machine := range listed {
 		address, isIPv4 := membership.AddressOf(netip.AddrPortFrom(machine.Address, n.config.Listen.Port()))
 		if isIPv4 && !slices.Contains(seeds, address) {
@@ -217,40 +216,3 @@
 	}
 	return n.names.of(address)
 }
-
-// Store is the table of the fleet, and takes changes of it. It is an
-// adminapi.Store.
-type Store struct {
-	*adminapi.LogStore
-	node *Node
-}
-
-// version returns the version of the table.
-func (s *Store) version() table.Version { return s.Table().Table.Version }
-
-// Members implements adminapi.Store. A survey makes up for the daemons of
-// which this process has heard nothing lately.
-func (s *Store) Members() []adminapi.Member { return s.node.surveyedMembers() }
-
-// Reached implements adminapi.Store by a survey of the daemons that run. Of a
-// zone with many members behind, only some are named.
-func (s *Store) Reached(version table.Version) adminapi.ReachAnswer {
-	answer := adminapi.ReachAnswer{Version: version, NotReached: []string{}}
-	answer.Accepted = version != 0 && version <= s.version()
-	surveyed, done := s.node.survey(version)
-	if !done {
-		answer.NotReached = append(answer.NotReached, "unknown: the survey had no result")
-		return answer
-	}
-	for _, zone := range surveyed.Zones {
-		answer.Reached += zone.Reached
-		for _, missing := range zone.Missing {
-			answer.NotReached = append(answer.NotReached, s.node.nameOf(missing))
-		}
-		if unnamed := zone.Behind - len(zone.Missing); unnamed > 0 {
-			answer.NotReached = append(answer.NotReached,
-				fmt.Sprintf("%d more in zone %s", unnamed, s.node.zones.name(zone.Zone)))
-		}
-	}
-	return answer
-}
--- a/internal/cluster/identity.go
+++ b/internal/cluster/zones.go
@@ -1,5 +1,4 @@
-// This file converts between the identities of packages membership and
-// agreement, and between names and numbers of zones.
+// This file converts between names and numbers of zones.
 
 package cluster
 
@@ -9,28 +8,9 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/vanetiller/vanetiller/internal/agreement"
 	"github.com/vanetiller/vanetiller/internal/membership"
 )
 
-// portBits is the number of bits of the port in a membership.Address.
-const portBits = 16
-
-// processOf returns the identity of a member in the log: its machine is its
-// IPv4 address, its start the incarnation.
-func processOf(member membership.Identity) agreement.ProcessID {
-	return agreement.ProcessID{
-		Machine: uint32(member.Address >> portBits),
-		Start:   uint64(member.Incarnation),
-	}
-}
-
-// addressOf returns where a process of the log is reached. All daemons of a
-// fleet use the same port.
-func addressOf(process agreement.ProcessID, port uint16) membership.Address {
-	return membership.Address(process.Machine)<<portBits | membership.Address(port)
-}
-
 // portOf returns the port of an address.
 func portOf(address membership.Address) uint16 { return uint16(address) }
 
--- a/internal/daemon/balancer.go
+++ b/internal/daemon/balancer.go
@@ -28,7 +28,7 @@
 	front         *balancer.Balancer
 	control       *control.Server
 	source        *tableSource
-	configuration runner
+	configuration *platform.Poller[platform.Configuration]
 	machines      *platform.Poller[platform.Machines]
 	metrics       balancerGauges
 	// forwarding is the lookup table in force, of which the next one takes
@@ -38,11 +38,6 @@
 	administration *administration
 }
 
-// runner is a part that runs until its context ends.
-type runner interface {
-	Run(ctx context.Context) error
-}
-
 // balancerGauges show which table is in force.
 type balancerGauges struct {
 	tableVersion    metrics.Gauge
@@ -107,8 +102,10 @@
 		return err
 	}
 	pollerMetrics := newPollerMetrics(shared)
-	b.addConfigurationPoller(platform.PollerConfig[platform.Configuration]{
+	b.configuration = platform.NewPoller(platform.PollerConfig[platform.Configuration]{
 		Fetch:    client.Configuration,
+		Deliver:  b.deliver,
+		Confirm:  b.control.Confirm,
 		Interval: source.PollInterval,
 		Logger:   shared.logger.With("service", "configuration"),
 		Metrics:  pollerMetrics.of("configuration"),
@@ -123,37 +120,20 @@
 	return nil
 }
 
-// addConfigurationPoller lets each balancer on its own poll. In a cluster only
-// the leader of the log does, and that the platform has nothing newer does not
-// confirm the table, which other daemons may have changed.
-func (b *balancerRole) addConfigurationPoller(config platform.PollerConfig[platform.Configuration]) {
-	if b.source.node == nil {
-		config.Deliver = b.deliver
-		config.Confirm = b.control.Confirm
-		b.configuration = platform.NewPoller(config)
-		return
-	}
-	b.configuration = &clusterImporter{
-		log:    b.source.node,
-		submit: b.source.importRevision,
-		newPoller: func(deliver func(platform.Configuration)) *platform.Poller[platform.Configuration] {
-			config.Deliver = deliver
-			return platform.NewPoller(config)
-		},
-	}
-}
-
 // deliver hands a configuration to the control server, which ignores a table
-// older than the one it holds and calls apply. With the administration API,
-// the control server gets the tables that the changes lead to.
+// older than the one it holds and calls apply. In a fleet, and with the
+// administration API, it gets the tables that the source holds.
 func (b *balancerRole) deliver(configuration platform.Configuration) {
 	b.logger.Info("table received",
 		"revision", uint64(configuration.Revision), "version", uint64(configuration.Table.Version))
-	if b.source.store != nil {
+	switch {
+	case b.source.node != nil:
+		b.source.followRevision(configuration)
+	case b.source.store != nil:
 		b.source.importRevision(context.Background(), configuration)
-		return
+	default:
+		b.control.Publish(configuration.Table)
 	}
-	b.control.Publish(configuration.Table)
 }
 
 // apply puts a table, without the rows that must get no new flows, in force.
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -40,11 +40,8 @@
 	return cluster.Metrics{
 		Bytes: shared.metrics.Counter("cluster_bytes_total",
 			"Bytes exchanged with other balancers, headers of datagrams included.", cluster.DirectionLabel),
-		Malformed: shared.metrics.Counter("cluster_malformed_total", "Messages of other balancers that could not be read."),
-		Members:   shared.metrics.Gauge("cluster_members", "Balancers of the fleet, by state.", cluster.StateLabel),
-		Voters: shared.metrics.Gauge("cluster_voters",
-			"Voters on changes of the table, 0 on a balancer that does not vote."),
-		Leads:       shared.metrics.Gauge("cluster_leads", "1 on the balancer that leads the log of changes."),
+		Malformed:   shared.metrics.Counter("cluster_malformed_total", "Messages of other balancers that could not be read."),
+		Members:     shared.metrics.Gauge("cluster_members", "Balancers of the fleet, by state.", cluster.StateLabel),
 		HeldVersion: shared.metrics.Gauge("cluster_held_version", "Newest version of the table that is held."),
 	}
 }
--- a/internal/daemon/source.go
+++ b/internal/daemon/source.go
@@ -1,5 +1,6 @@
 // This file implements where the table of a balancer comes from: the platform
-// alone, changes that this process holds, or changes that the fleet agrees on.
+// alone, the platform and other balancers, or the platform and changes that this
+// process holds.
 
 package daemon
 
@@ -21,13 +22,13 @@
 // platformAuthor is the author of imported revisions in the history.
 const platformAuthor = "platform"
 
-// tableSource holds the table that the changes of operators and of the
-// platform lead to.
+// tableSource holds the table that balancers or operators share, if they do.
 type tableSource struct {
 	logger *log.Logger
 	// store is nil if the platform's tables are put in force as they are.
 	store adminapi.Store
-	// node is nil for a balancer on its own; changes then end with it.
+	// node is nil for a balancer on its own; changes then end with it. A fleet
+	// takes none.
 	node *cluster.Node
 	// inForce is told which version this process forwards by.
 	inForce func(table.Version)
@@ -55,10 +56,22 @@
 	return created, nil
 }
 
-// importRevision makes the platform's revision a change of the table, and
-// returns whether that is decided. Cells that the platform has not altered
-// since the revision before keep what operators have set.
-func (s *tableSource) importRevision(ctx context.Context, configuration platform.Configuration) bool {
+// followRevision hands the platform's table to the fleet.
+func (s *tableSource) followRevision(configuration platform.Configuration) {
+	revision := uint64(configuration.Revision)
+	newer, err := s.node.Follow(configuration.Table)
+	switch {
+	case err != nil:
+		s.logger.Warn("platform revision refused", "revision", revision, "reason", err)
+	case newer:
+		s.logger.Info("platform revision followed", "revision", revision, "version", uint64(configuration.Table.Version))
+	}
+}
+
+// importRevision makes the platform's revision a change of the table. Cells that
+// the platform has not altered since the revision before keep what operators have
+// set.
+func (s *tableSource) importRevision(ctx context.Context, configuration platform.Configuration) {
 	revision := uint64(configuration.Revision)
 	submitted := s.store.Submit(ctx, &changelog.Change{
 		ID:   changelog.ChangeID(fmt.Sprintf("platform-revision-%d", revision)),
@@ -80,5 +93,4 @@
 	default:
 		s.logger.Warn("platform revision refused", "revision", revision, "reason", submitted.Outcome.Refusal.CellError())
 	}
-	return submitted.Decided
 }
--- a/internal/settings/cluster.go
+++ b/internal/settings/cluster.go
@@ -7,19 +7,8 @@
 	"slices"
 )
 
-// DefaultVoters is the number of voters if the file gives none: enough for a
-// log to outlive the loss of any zone of a large fleet. In a smaller fleet
-// every balancer votes.
-const DefaultVoters = 33
-
-// The bounds of the numbers of a cluster.
-const (
-	MinVoters = 3
-	MaxVoters = 63
-	// MaxZones is the number of zones that messages between balancers can
-	// tell apart.
-	MaxZones = 32
-)
+// MaxZones is the number of zones that messages between balancers can tell apart.
+const MaxZones = 32
 
 func (c *checker) cluster(raw *clusterDocument, zone string) *Cluster {
 	checked := &Cluster{
@@ -27,7 +16,6 @@
 		Listen: c.address("cluster.listen", raw.Listen, remoteAddress),
 		Seeds:  c.addresses("cluster.seeds", raw.Seeds, remoteAddress),
 		Zones:  c.names("cluster.zones", raw.Zones, MaxZones),
-		Voters: c.integer("cluster.voters", withDefault(raw.Voters, int64(DefaultVoters)), MinVoters, MaxVoters),
 	}
 	c.checkSeedPorts(checked.Listen, checked.Seeds)
 	if zone != "" && len(checked.Zones) > 0 && !slices.Contains(checked.Zones, zone) {
@@ -36,9 +24,9 @@
 	return checked
 }
 
-// checkSeedPorts refuses seeds with another port. Balancers know each other in
-// the log by their IPv4 addresses alone, which must therefore be enough to
-// reach them.
+// checkSeedPorts refuses seeds with another port. All balancers of a fleet use the
+// same port: it tells their messages from others', and machines of the platform's
+// list, which have none, are asked at it.
 func (c *checker) checkSeedPorts(listen netip.AddrPort, seeds []netip.AddrPort) {
 	for _, seed := range seeds {
 		if listen.IsValid() && seed.IsValid() && seed.Port() != listen.Port() {
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -60,7 +60,6 @@
 	Listen any `toml:"listen"`
 	Seeds  any `toml:"seeds"`
 	Zones  any `toml:"zones"`
-	Voters any `toml:"voters"`
 }
 
 type agentDocument struct {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -103,13 +103,10 @@
 	// Listen is the UDP and TCP address under which other balancers reach
 	// this one. All of a fleet use the same port.
 	Listen netip.AddrPort
-	// Seeds are the balancers to ask at the start, the same everywhere. The
-	// first of them founds the log of table changes.
+	// Seeds are the balancers to ask at the start.
 	Seeds []netip.AddrPort
 	// Zones are the names of all zones, in the same order everywhere.
 	Zones []string
-	// Voters is how many balancers shall agree on changes of the table.
-	Voters int
 }
 
 // Agent holds the settings of the agent role.
