Ask the store no more often than a change's time in force needs

Ruled out: the waits of idle watches (26 balancers x 48 s / 2.5 s = 500 of 2,384 calls). Weighed: few balancers that watch for the others; a watcher whose call hangs would hold up those that rely on it for longer than a drain may take.

Change: `relay.balancer.apply_timeout` (from the platform's bound) tells how long a change may take. A watch waits for it less 0.5 s; after three answers with changes in quick succession one follows each fifth of it; a peer's word is waited for a third.

--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// patience is how long a process that is behind waits for the store to tell
-	// it, before it asks a peer.
-	patience = 400 * time.Millisecond
 	// fetchInterval is the least time between two fetches.
 	fetchInterval = 250 * time.Millisecond
 	// rememberedPeers bounds the peers that are remembered.
@@ -22,6 +19,7 @@
 // deterministic.
 type Exchange[Peer comparable] struct {
 	machine *Machine
+	timing  Timing
 	random  *rand.Rand
 	seeds   []Peer
 	peers   []Peer
@@ -35,8 +33,8 @@
 }
 
 // NewExchange returns an exchange that first asks the seeds.
-func NewExchange[Peer comparable](machine *Machine, seeds []Peer, random *rand.Rand) *Exchange[Peer] {
-	return &Exchange[Peer]{machine: machine, seeds: seeds, random: random}
+func NewExchange[Peer comparable](machine *Machine, timing Timing, seeds []Peer, random *rand.Rand) *Exchange[Peer] {
+	return &Exchange[Peer]{machine: machine, timing: timing, seeds: seeds, random: random}
 }
 
 // SetSeeds replaces the seeds.
@@ -80,7 +78,7 @@
 }
 
 func (e *Exchange[Peer]) choose(now time.Duration) (chosen Peer, wanted bool) {
-	if e.behind && now-e.since >= patience {
+	if e.behind && now-e.since >= e.timing.patience() {
 		return e.informed, true
 	}
 	known := slices.Concat(e.peers, e.seeds)
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -20,6 +20,9 @@
 	FlowLifetime time.Duration
 	// FlowLimit is the largest number of flows remembered.
 	FlowLimit int
+	// ApplyTimeout is the time in which a change of the configuration has to be
+	// in force.
+	ApplyTimeout time.Duration
 	// Random breaks ties. The balancer alone may use it.
 	Random *rand.Rand
 }
@@ -31,9 +34,9 @@
 	offerTimeout = 45 * time.Millisecond
 	// maximumOffers bounds the endpoints that one opening packet is offered to.
 	maximumOffers = 6
-	// confirmationTimeout is how long after the last answer of the store a
-	// missing route is still believed to be missing.
-	confirmationTimeout = 4 * time.Second
+	// confirmationMargin is how much longer than ApplyTimeout after the last
+	// answer of the store a missing route is still believed to be missing.
+	confirmationMargin = time.Second
 	// closingRetention is how long a flow is remembered after its client has
 	// closed it.
 	closingRetention = 5 * time.Second
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -96,7 +96,7 @@
 // refuseUnrouted resets a flow to an address that has no route, unless the
 // directory may be out of date.
 func (b *Balancer) refuseUnrouted(now time.Duration, key segment.FlowKey, header segment.Header) {
-	if now-b.confirmed > confirmationTimeout {
+	if now-b.confirmed > b.config.ApplyTimeout+confirmationMargin {
 		b.event(Event{Kind: EventNoRoute, Flow: key, Version: b.snapshot.Version(), Reason: "unconfirmed"})
 		return
 	}
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -64,6 +64,7 @@
 		AgentPort:    given.Listen.Port(),
 		FlowLifetime: checked.Relay.FlowLifetime,
 		FlowLimit:    checked.Relay.FlowLimit,
+		ApplyTimeout: given.ApplyTimeout,
 		Random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	machine := directory.New()
@@ -74,7 +75,7 @@
 		balancer:  balancer,
 		health:    health,
 		directory: machine,
-		follower:  directory.NewFollower(machine),
+		follower:  directory.NewFollower(machine, directory.Timing{ApplyTimeout: given.ApplyTimeout}),
 		store:     surroundings.NewStore(given.Store),
 		gauges:    gauges,
 	}
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -34,6 +34,9 @@
 	// StoreRate is how many calls a second the store answers of all balancers
 	// together.
 	StoreRate int
+	// ApplyTimeout is the time in which a change that the store has taken has to
+	// be in force.
+	ApplyTimeout time.Duration
 	// Exchange is the UDP and TCP address under which other balancers reach
 	// this one. All of a fleet use the same port.
 	Exchange netip.AddrPort
@@ -61,6 +64,9 @@
 const (
 	DefaultFlowLifetime = "60s"
 	DefaultStoreRate    = 1000
+	DefaultApplyTimeout = "3s"
+	MinApplyTimeout     = 500 * time.Millisecond
+	MaxApplyTimeout     = 30 * time.Second
 	MaxStoreRate        = 1_000_000
 	MinFlowLifetime     = time.Second
 	MaxFlowLifetime     = time.Hour
@@ -77,12 +83,13 @@
 }
 
 type relayBalancerDocument struct {
-	Listen    any `toml:"listen"`
-	Store     any `toml:"store"`
-	StoreRate any `toml:"store_rate"`
-	Exchange  any `toml:"exchange"`
-	Seeds     any `toml:"seeds"`
-	Zones     any `toml:"zones"`
+	Listen       any `toml:"listen"`
+	Store        any `toml:"store"`
+	StoreRate    any `toml:"store_rate"`
+	ApplyTimeout any `toml:"apply_timeout"`
+	Exchange     any `toml:"exchange"`
+	Seeds        any `toml:"seeds"`
+	Zones        any `toml:"zones"`
 }
 
 type relayAgentDocument struct {
@@ -120,6 +127,8 @@
 		Store:  c.address("relay.balancer.store", raw.Store, remoteAddress),
 		StoreRate: c.integer("relay.balancer.store_rate",
 			withDefault(raw.StoreRate, int64(DefaultStoreRate)), 1, MaxStoreRate),
+		ApplyTimeout: c.duration("relay.balancer.apply_timeout",
+			withDefault(raw.ApplyTimeout, DefaultApplyTimeout), MinApplyTimeout, MaxApplyTimeout),
 		Exchange: c.address("relay.balancer.exchange", raw.Exchange, remoteAddress),
 		Seeds:    c.seeds("relay.balancer.seeds", raw.Seeds),
 		Zones:    c.names("relay.balancer.zones", raw.Zones, membership.MaximumZones),
