Doubt the store when most entries of a service lapse at once

Cause: in an outage of the store with lapsing leases ("silent lapse") all entries go, and come back one by one with the endpoints' heartbeats.

Ruled out: the power loss of three balancers in the same window (9 to 12 s): the requests were held at agents, and no offer was silent before 11 s.

Change: if at least two entries, and more than half as many as are there, lapsed within 1.5 s, their endpoints get new flows as the others do, unless another has come to their address. One entry that lapses alone is still taken for an endpoint that has left.

Tests: "spreads flows over all endpoints while their entries return one by one" (failed first), "takes one entry that lapses alone", "another endpoint has come to its address".

--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -178,6 +178,42 @@
 		Expect(resets(balancer.Arrive(3*time.Second, opening(2, 100)))).To(HaveLen(1))
 	})
 
+	It("spreads flows over all endpoints while their entries return one by one after an outage of the store", func() {
+		for number := range 3 {
+			known.gone(time.Second, number)
+		}
+		known.endpoint(time.Second, 1, nil)
+		install(time.Second)
+		offered := make(map[segment.Address]int)
+		for number := range 30 {
+			offered[onlyMessage(balancer.Arrive(time.Second, opening(number, 100))).To]++
+		}
+		Expect(offered).To(Equal(map[segment.Address]int{agentAddress(0): 10, agentAddress(1): 10, agentAddress(2): 10}))
+		now := 2600 * time.Millisecond
+		for number := range 20 {
+			Expect(onlyMessage(balancer.Arrive(now, opening(100+number, 100))).To).To(Equal(agentAddress(1)), "but not for long")
+		}
+	})
+
+	It("takes one entry that lapses alone for an endpoint that has left", func() {
+		known.gone(time.Second, 0)
+		install(time.Second)
+		for number := range 20 {
+			Expect(onlyMessage(balancer.Arrive(time.Second, opening(number, 100))).To).NotTo(Equal(agentAddress(0)))
+		}
+	})
+
+	It("does not take a lapsed entry for one that may return if another endpoint has come to its address", func() {
+		for number := range 3 {
+			known.gone(time.Second, number)
+		}
+		known.endpoint(time.Second, 7, func(e *directory.Endpoint) { e.IP = endpointAddress(0).IP; e.Service = "other" })
+		install(time.Second)
+		for number := range 20 {
+			Expect(onlyMessage(balancer.Arrive(time.Second, opening(number, 100))).To).NotTo(Equal(agentAddress(0)))
+		}
+	})
+
 	It("never gives an endpoint that drained a new flow, even if there are no others", func() {
 		for number := range 3 {
 			known.endpoint(0, number, func(e *directory.Endpoint) { e.Draining = true })
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -104,10 +104,11 @@
 // for its size, among those not tried. Endpoints that are suspected are taken
 // only if there are no others.
 func (b *Balancer) choose(now time.Duration, service string, tried []directory.EndpointID) (directory.Candidate, bool) {
-	usable := func(c directory.Candidate) bool { return !c.Leaving }
+	massLapse := b.massLapse(now, service)
+	usable := func(c directory.Candidate) bool { return !c.Leaving || massLapse && b.mayReturn(now, c) }
 	trusted := func(c directory.Candidate) bool { return usable(c) && !b.healthOf(c.ID).suspected(now) }
-	lapsed := func(c directory.Candidate) bool { return c.LapsedSince(now) < lapseTolerance }
-	for _, accepts := range []func(directory.Candidate) bool{trusted, usable, lapsed} {
+	mayReturn := func(c directory.Candidate) bool { return b.mayReturn(now, c) }
+	for _, accepts := range []func(directory.Candidate) bool{trusted, usable, mayReturn} {
 		chosen, exists := b.leastLoaded(now, service, tried, accepts)
 		if exists {
 			return chosen, true
@@ -116,9 +117,43 @@
 	return directory.Candidate{}, false
 }
 
-// lapseTolerance is how long after its entry has gone without notice an
-// endpoint may still get new flows if its service has no other.
-const lapseTolerance = 1500 * time.Millisecond
+const (
+	// lapseTolerance is how long after its entry has gone without notice an
+	// endpoint may still get new flows.
+	lapseTolerance = 1500 * time.Millisecond
+	// massLapseRatio is how many entries must have lapsed for each that is there
+	// to doubt the store rather than the endpoints.
+	massLapseRatio = 0.5
+	// massLapseMinimum is how many it must be at least.
+	massLapseMinimum = 2
+)
+
+// massLapse reports whether so many entries of a service have lapsed at once
+// that the store rather than the endpoints must have failed, as after an outage
+// in which no endpoint could renew its entry. The few that were first to come back
+// would else get all flows (as the panic threshold of Envoy's load balancing).
+func (b *Balancer) massLapse(now time.Duration, service string) bool {
+	present, lapsed := 0, 0
+	for _, candidate := range b.snapshot.Candidates(service) {
+		switch {
+		case !candidate.Leaving:
+			present++
+		case b.mayReturn(now, candidate):
+			lapsed++
+		}
+	}
+	return lapsed >= massLapseMinimum && float64(lapsed) > massLapseRatio*float64(present)
+}
+
+// mayReturn reports whether the entry of an endpoint has lapsed so recently that
+// the endpoint may still be there. If another has come to its address, it is not.
+func (b *Balancer) mayReturn(now time.Duration, candidate directory.Candidate) bool {
+	if candidate.LapsedSince(now) >= lapseTolerance {
+		return false
+	}
+	occupant, _ := b.snapshot.At(candidate.Endpoint.IP)
+	return occupant.ID == candidate.ID
+}
 
 func (b *Balancer) leastLoaded(now time.Duration, service string, tried []directory.EndpointID, accepts func(directory.Candidate) bool) (directory.Candidate, bool) {
 	var best directory.Candidate
