Search for owners of flows without their packets, within a budget

Cause: after all machines lost power, clients go on with flows that died. Each of their packets was sent whole to every address an endpoint ever had: up to 120 messages of up to 1.3 KB for one packet, 400 searches a second.

Ruled out: the agents (up from 36.3 s on, and answering the larger balancers), the listing of the store (followed by all at 36.5 s), the exchange of the directory (at most 46 fetches in four seconds).

Change: a search is a question of some 90 bytes; the balancer holds up to four packets and forwards them once the owner has answered. One search in 100 ms for a flow, 2,000 messages a second for a balancer; an address is asked once, whatever number of endpoints it has had.

--- a/bench/flownet/planted.go
+++ b/bench/flownet/planted.go
@@ -69,6 +69,10 @@
 
 func (a *greedyAgent) Receive(now time.Duration, from segment.Address, message relay.Message) []relay.Effect {
 	effects := a.Agent.Receive(now, from, message)
+	if message.Kind == relay.KindLocate {
+		claim := relay.Message{Kind: relay.KindOwned, Service: message.Service, Flow: message.Flow}
+		return append(effects, relay.Effect{Kind: relay.EffectPeer, To: from, Message: claim})
+	}
 	delivered := slices.ContainsFunc(effects, func(effect relay.Effect) bool { return effect.Kind == relay.EffectEndpoint })
 	if delivered || len(message.Packet) == 0 {
 		return effects
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -153,8 +153,10 @@
 	a.begin(now)
 	a.remember(now, from)
 	switch message.Kind {
-	case KindOffer, KindForward, KindLocate, KindProbe:
+	case KindOffer, KindForward, KindProbe:
 		a.receivePacket(now, from, message)
+	case KindLocate:
+		a.receiveLocate(now, from, message)
 	case KindPing:
 		a.send(from, Message{Kind: KindPong, Service: a.config.Service})
 	case KindDrain:
@@ -191,9 +193,9 @@
 }
 
 // refuseForeign handles a packet for an endpoint that had this address before. A
-// search goes to all and is not answered, or it would never end.
+// probe is part of a search and is not answered, or the search would never end.
 func (a *Agent) refuseForeign(from segment.Address, key segment.FlowKey, header segment.Header, message Message) {
-	if message.Kind == KindLocate || message.Kind == KindProbe {
+	if message.Kind == KindProbe {
 		return
 	}
 	a.bringBack(from, key, header, message.Packet, "other_service")
@@ -246,17 +248,36 @@
 		a.receiveOwned(now, from, key, known, header, message)
 		return
 	}
-	mayOwn := known == nil && !a.complete(now) && len(a.flows) < a.config.FlowLimit
 	switch {
-	case mayOwn && message.Kind == KindLocate:
-		a.send(from, Message{Kind: KindUncertain, Service: a.config.Service, Flow: FlowOf(key)})
-	case mayOwn:
+	case a.mayOwn(now, known):
 		a.probe(now, from, key, message.Packet)
 	case message.Kind == KindForward:
 		a.bringBack(from, key, header, message.Packet, "not_owned")
 	}
 }
 
+// mayOwn reports whether the endpoint may hold a flow that this agent does not
+// know, since the agent was restarted.
+func (a *Agent) mayOwn(now time.Duration, known *agentFlow) bool {
+	return known == nil && !a.complete(now) && len(a.flows) < a.config.FlowLimit
+}
+
+// receiveLocate answers whether this agent owns a flow. It does not answer if it
+// does not, since all agents are asked.
+func (a *Agent) receiveLocate(now time.Duration, from segment.Address, message Message) {
+	if message.Service != a.config.Service {
+		return
+	}
+	known := a.flows[message.Flow.Key()]
+	header := segment.Header{Flags: message.Flags, Acknowledgment: message.Acknowledgment}
+	switch {
+	case known != nil && a.owns(known, header):
+		a.send(from, Message{Kind: KindOwned, Service: a.config.Service, Flow: message.Flow})
+	case a.mayOwn(now, known):
+		a.send(from, Message{Kind: KindUncertain, Service: a.config.Service, Flow: message.Flow})
+	}
+}
+
 // owns reports whether a client's packet belongs to a flow of this endpoint.
 func (a *Agent) owns(known *agentFlow, header segment.Header) bool {
 	switch known.state {
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -88,6 +88,7 @@
 	health    map[directory.EndpointID]*health
 	sharing   map[segment.Address]*sharing
 	budget    budget
+	searches  searchBudget
 	reach     reach
 	nextSweep time.Duration
 	effects   []Effect
@@ -102,6 +103,7 @@
 		health:   make(map[directory.EndpointID]*health),
 		sharing:  make(map[segment.Address]*sharing),
 		budget:   newBudget(),
+		searches: searchBudget{tokens: searchBurst},
 	}
 }
 
@@ -187,7 +189,7 @@
 	known.touched = now
 	switch known.state {
 	case flowLocating:
-		b.locate(now, key, known, packet)
+		b.locate(now, key, known, header, packet)
 	default:
 		b.send(known.agent, Message{Kind: KindForward, Service: known.service, Packet: packet})
 		b.noteClosing(known, header)
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -114,7 +114,7 @@
 	return relay.NewBalancer(relay.BalancerConfig{
 		Zone: ownZone, Codec: codec, AgentPort: agentPort, FlowLifetime: flowLifetime, FlowLimit: 1000,
 		ApplyTimeout: 3 * time.Second,
-		Random: newRandom(),
+		Random:       newRandom(),
 	})
 }
 
--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -12,8 +12,15 @@
 	// searchesOfRoute is the number of searches among the services of a route
 	// after which those that it had before are asked too.
 	searchesOfRoute = 1
-	// roundLimit bounds the searches for one owner, whatever agents answer.
-	roundLimit = 64
+	// roundLimit bounds the searches for one owner, whatever agents answer, and
+	// searchInterval is the least time between two of them.
+	roundLimit     = 64
+	searchInterval = 100 * time.Millisecond
+	// searchRate bounds the messages a second that a balancer sends to find
+	// owners, and searchBurst those at once, so that flows whose endpoints have
+	// died do not take the network from others. Clients repeat their packets.
+	searchRate  = 2000
+	searchBurst = 1000
 	// probesAtOnce bounds the endpoints that get a packet of a flow which may
 	// not be theirs, in probePeriod.
 	probesAtOnce = 2
@@ -27,6 +34,9 @@
 type search struct {
 	rounds int
 	begun  time.Duration
+	asked  time.Duration
+	// held are packets for the owner; the client repeats others.
+	held [][]byte
 	// uncertain are restarted agents that may own the flow, in the order of
 	// their answers; those before the index probed have been probed.
 	uncertain []segment.Address
@@ -39,6 +49,14 @@
 
 func newSearch(now time.Duration) *search { return &search{begun: now, period: now} }
 
+// hold keeps a packet for the owner, unless it is a copy.
+func (s *search) hold(packet []byte) {
+	copied := slices.ContainsFunc(s.held, func(held []byte) bool { return slices.Equal(held, packet) })
+	if !copied && len(s.held) < heldPackets {
+		s.held = append(s.held, slices.Clone(packet))
+	}
+}
+
 // remember begins the search for the owner of a flow. It returns nil if there
 // are too many flows.
 func (b *Balancer) remember(now time.Duration, key segment.FlowKey) *balancerFlow {
@@ -51,22 +69,35 @@
 	return known
 }
 
-// locate asks all agents that may own a flow, and sends them its packet. If none
-// has said that it does, it lets some of those that do not know probe.
-func (b *Balancer) locate(now time.Duration, key segment.FlowKey, known *balancerFlow, packet []byte) {
-	if known.search.rounds >= roundLimit {
+// locate holds a packet of a flow and asks all agents that may own the flow. If
+// none has said that it does, it lets some of those that do not know probe.
+func (b *Balancer) locate(now time.Duration, key segment.FlowKey, known *balancerFlow, header segment.Header, packet []byte) {
+	sought := known.search
+	sought.hold(packet)
+	if sought.rounds >= roundLimit || sought.rounds > 0 && now-sought.asked < searchInterval {
+		return
+	}
+	asked := b.possibleOwners(key, sought)
+	if !b.searches.spend(now, len(asked)) {
+		b.event(Event{Kind: EventLocating, Flow: key, Version: b.snapshot.Version(), Reason: "limited"})
 		return
 	}
 	b.event(Event{Kind: EventLocating, Flow: key, Version: b.snapshot.Version()})
-	probing := known.search.nextProbes(now)
-	for _, candidate := range b.possibleOwners(key, known.search) {
-		kind := KindLocate
-		if slices.Contains(probing, b.agentOf(candidate)) {
-			kind = KindProbe
+	question := Message{
+		Kind: KindLocate, Flow: FlowOf(key), Acknowledgment: header.Acknowledgment, Flags: header.Flags,
+	}
+	probing := sought.nextProbes(now)
+	for _, candidate := range asked {
+		to := b.agentOf(candidate)
+		message := question
+		if slices.Contains(probing, to) {
+			message = Message{Kind: KindProbe, Packet: packet}
 		}
-		b.send(b.agentOf(candidate), Message{Kind: kind, Service: candidate.Endpoint.Service, Packet: packet})
+		message.Service = candidate.Endpoint.Service
+		b.send(to, message)
 	}
-	known.search.rounds++
+	sought.asked = now
+	sought.rounds++
 }
 
 // nextProbes returns the agents that shall probe now.
@@ -92,8 +123,19 @@
 func (b *Balancer) possibleOwners(key segment.FlowKey, sought *search) []directory.Candidate {
 	widen := sought.rounds >= searchesOfRoute
 	if widen && len(b.snapshot.All()) <= locateLimit {
-		return b.snapshot.All()
+		return b.reachable(b.snapshot.All())
 	}
+	var candidates []directory.Candidate
+	for _, service := range b.servicesOf(key, widen) {
+		candidates = append(candidates, b.snapshot.Candidates(service)...)
+	}
+	candidates = b.reachable(candidates)
+	return candidates[:min(len(candidates), locateLimit)]
+}
+
+// servicesOf returns the services of the flow's route. With widen, and for an
+// address without a route, it adds those that the address had before.
+func (b *Balancer) servicesOf(key segment.FlowKey, widen bool) []string {
 	var services []string
 	route, exists := b.snapshot.Route(key.Service)
 	if exists {
@@ -101,18 +143,29 @@
 			services = append(services, share.Service)
 		}
 	}
-	if widen || !exists {
-		for _, service := range b.snapshot.FormerServices(key.Service) {
-			if !slices.Contains(services, service) {
-				services = append(services, service)
-			}
-		}
+	if !widen && exists {
+		return services
 	}
-	var candidates []directory.Candidate
-	for _, service := range services {
-		candidates = append(candidates, b.snapshot.Candidates(service)...)
+	for _, service := range b.snapshot.FormerServices(key.Service) {
+		if !slices.Contains(services, service) {
+			services = append(services, service)
+		}
 	}
-	return candidates[:min(len(candidates), locateLimit)]
+	return services
+}
+
+// reachable returns the candidates without those whose address is another's by
+// now: one agent answers for all that an address has had of its service. Of an
+// address whose endpoints have all gone, one of each service is kept, since it is
+// not known which was the last.
+func (b *Balancer) reachable(candidates []directory.Candidate) []directory.Candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(c directory.Candidate) bool {
+		occupant, _ := b.snapshot.At(c.Endpoint.IP)
+		if occupant.ID == c.ID {
+			return false
+		}
+		return !occupant.Gone || occupant.Endpoint.Service == c.Endpoint.Service
+	})
 }
 
 // receiveUncertain handles that a restarted agent may own a flow.
@@ -132,11 +185,25 @@
 		return
 	}
 	b.settle(known)
+	sought := known.search
 	known.search = nil
 	known.state = flowPlaced
 	b.moveTo(known, from)
 	known.service = message.Service
 	b.event(Event{Kind: EventLocated, Flow: key, Peer: from})
+	if sought != nil {
+		b.forwardHeld(known, sought.held)
+	}
+}
+
+// forwardHeld sends the owner of a flow the packets that waited for it.
+func (b *Balancer) forwardHeld(known *balancerFlow, held [][]byte) {
+	for _, packet := range held {
+		b.send(known.agent, Message{Kind: KindForward, Service: known.service, Packet: packet})
+		if header, outcome := b.config.Codec.Decode(packet); outcome == segment.Decoded {
+			b.noteClosing(known, header)
+		}
+	}
 }
 
 // receiveUnknown handles a packet that the believed owner of its flow brought
@@ -163,5 +230,5 @@
 	}
 	known.state = flowLocating
 	known.agent = segment.Address{}
-	b.locate(now, key, known, message.Packet)
+	b.locate(now, key, known, header, message.Packet)
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -9,6 +9,7 @@
 //go:generate go tool msgp -tests=false
 //msgp:limit arrays:4096
 //msgp:tuple Message Load Terms
+//msgp:shim segment.Flags as:uint8 using:uint8/segment.Flags
 
 // MaximumMessage bounds an encoded message in bytes.
 const MaximumMessage = 2048
@@ -23,7 +24,8 @@
 	// KindForward carries a packet of a flow that the agent is believed to
 	// own.
 	KindForward
-	// KindLocate carries a packet of a flow whose owner is not known.
+	// KindLocate asks whether the agent owns a flow, of which the client has
+	// acknowledged Acknowledgment.
 	KindLocate
 	// KindProbe carries a packet that the agent shall hand to its endpoint even
 	// if it does not know the flow, provided that it was restarted.
@@ -105,6 +107,10 @@
 	// Sequence is the client's initial sequence number, in messages about an
 	// opening packet.
 	Sequence uint32
+	// Acknowledgment and Flags are those of the client's packet whose owner is
+	// sought.
+	Acknowledgment uint32
+	Flags          segment.Flags
 	// Terms are set in offers.
 	Terms Terms
 	// Load is set in messages of agents.
--- a/internal/relay/message_gen.go
+++ b/internal/relay/message_gen.go
@@ -4,6 +4,7 @@
 
 import (
 	"github.com/tinylib/msgp/msgp"
+	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
 // Size limits for msgp deserialization
@@ -226,8 +227,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	{
@@ -254,23 +255,37 @@
 		err = msgp.WrapError(err, "Sequence")
 		return
 	}
+	z.Acknowledgment, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Acknowledgment")
+		return
+	}
+	{
+		var zb0003 uint8
+		zb0003, err = dc.ReadUint8()
+		if err != nil {
+			err = msgp.WrapError(err, "Flags")
+			return
+		}
+		z.Flags = segment.Flags(zb0003)
+	}
 	err = z.Terms.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
 		return
 	}
-	var zb0003 uint32
-	zb0003, err = dc.ReadArrayHeader()
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Load")
 		return
 	}
-	if zb0003 > zdc5d9100limitArrays {
+	if zb0004 > zdc5d9100limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0003 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+	if zb0004 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0004}
 		return
 	}
 	z.Load.Running, err = dc.ReadUint32()
@@ -301,8 +316,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Message) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
+	// array header, size 9
+	err = en.Append(0x99)
 	if err != nil {
 		return
 	}
@@ -326,6 +341,16 @@
 		err = msgp.WrapError(err, "Sequence")
 		return
 	}
+	err = en.WriteUint32(z.Acknowledgment)
+	if err != nil {
+		err = msgp.WrapError(err, "Acknowledgment")
+		return
+	}
+	err = en.WriteUint8(uint8(z.Flags))
+	if err != nil {
+		err = msgp.WrapError(err, "Flags")
+		return
+	}
 	err = z.Terms.EncodeMsg(en)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -362,12 +387,14 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendUint8(o, uint8(z.Kind))
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendBytes(o, (z.Flow)[:])
 	o = msgp.AppendUint32(o, z.Sequence)
+	o = msgp.AppendUint32(o, z.Acknowledgment)
+	o = msgp.AppendUint8(o, uint8(z.Flags))
 	o, err = z.Terms.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -390,8 +417,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	{
@@ -418,19 +445,33 @@
 		err = msgp.WrapError(err, "Sequence")
 		return
 	}
+	z.Acknowledgment, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Acknowledgment")
+		return
+	}
+	{
+		var zb0003 uint8
+		zb0003, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Flags")
+			return
+		}
+		z.Flags = segment.Flags(zb0003)
+	}
 	bts, err = z.Terms.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
 		return
 	}
-	var zb0003 uint32
-	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Load")
 		return
 	}
-	if zb0003 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+	if zb0004 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0004}
 		return
 	}
 	z.Load.Running, bts, err = msgp.ReadUint32Bytes(bts)
@@ -448,34 +489,34 @@
 		err = msgp.WrapError(err, "Load", "Refusing")
 		return
 	}
-	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadBytesHeader(bts)
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Packet")
 		return
 	}
-	if zb0004 > zdc5d9100limitArrays {
+	if zb0005 > zdc5d9100limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if z.Packet == nil || uint32(cap(z.Packet)) < zb0004 {
-		z.Packet = make([]byte, zb0004)
+	if z.Packet == nil || uint32(cap(z.Packet)) < zb0005 {
+		z.Packet = make([]byte, zb0005)
 	} else {
-		z.Packet = z.Packet[:zb0004]
+		z.Packet = z.Packet[:zb0005]
 	}
-	if uint32(len(bts)) < zb0004 {
+	if uint32(len(bts)) < zb0005 {
 		err = msgp.ErrShortBytes
 		return
 	}
-	copy(z.Packet, bts[:zb0004])
-	bts = bts[zb0004:]
+	copy(z.Packet, bts[:zb0005])
+	bts = bts[zb0005:]
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Message) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize)) + msgp.Uint32Size + z.Terms.Msgsize() + 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Packet)
+	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + z.Terms.Msgsize() + 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Packet)
 	return
 }
 
