Take the time of leaving endpoints from the settings

Cause: reading. How long lapsed endpoints may still get flows was 1.5 s whatever the deployment allows, and news of drains were asked for at the pace of the configuration's bound alone. A deployment with a shorter bound for drains would have broken it.

Change: `relay.balancer.drain_timeout`, from the platform's bound; lapsed endpoints are tolerated for half of it, and the store is asked at the pace of the shorter bound.

--- a/bench/flownet/balancer.go
+++ b/bench/flownet/balancer.go
@@ -28,8 +28,10 @@
 	digestInterval = time.Second
 	// digestFanout is how many others it tells.
 	digestFanout = 2
-	// applyTimeout is the time in which a change has to be in force.
+	// applyTimeout is the time in which a change has to be in force, and
+	// drainTimeout that after which a leaving endpoint must get no new flow.
 	applyTimeout = 3 * time.Second
+	drainTimeout = 3 * time.Second
 	// fetchTimeout is how long it waits for the directory of another.
 	fetchTimeout = 800 * time.Millisecond
 )
@@ -81,8 +83,8 @@
 	w := n.world
 	n.part = w.options.newBalancer(relay.BalancerConfig{
 		Zone: w.zoneName(n.zone), Codec: w.codec, AgentPort: packetPort, FlowLifetime: time.Minute, FlowLimit: 100_000,
-		ApplyTimeout: applyTimeout,
-		Random:       rand.New(rand.NewPCG(w.random.Uint64(), 1)),
+		ApplyTimeout: applyTimeout, DrainTimeout: drainTimeout,
+		Random: rand.New(rand.NewPCG(w.random.Uint64(), 1)),
 	})
 	n.directory = directory.New()
 	n.follower = directory.NewFollower(n.directory, timing)
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -23,6 +23,9 @@
 	// ApplyTimeout is the time in which a change of the configuration has to be
 	// in force.
 	ApplyTimeout time.Duration
+	// DrainTimeout is the time after which an endpoint that is known to be
+	// leaving must get no new flow.
+	DrainTimeout time.Duration
 	// Random breaks ties. The balancer alone may use it.
 	Random *rand.Rand
 }
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -113,8 +113,8 @@
 func newBalancer() *relay.Balancer {
 	return relay.NewBalancer(relay.BalancerConfig{
 		Zone: ownZone, Codec: codec, AgentPort: agentPort, FlowLifetime: flowLifetime, FlowLimit: 1000,
-		ApplyTimeout: 3 * time.Second,
-		Random:       newRandom(),
+		ApplyTimeout: 3 * time.Second, DrainTimeout: 3 * time.Second,
+		Random: newRandom(),
 	})
 }
 
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -118,9 +118,10 @@
 }
 
 const (
-	// lapseTolerance is how long after its entry has gone without notice an
-	// endpoint may still get new flows.
-	lapseTolerance = 1500 * time.Millisecond
+	// lapseTolerance is the part of DrainTimeout for which an endpoint whose entry
+	// has gone without notice may still get new flows. The rest is for the time
+	// until the balancer learns of it.
+	lapseTolerance = 0.5
 	// massLapseRatio is how many entries must have lapsed for each that is there
 	// to doubt the store rather than the endpoints.
 	massLapseRatio = 0.5
@@ -148,7 +149,8 @@
 // mayReturn reports whether the entry of an endpoint has lapsed so recently that
 // the endpoint may still be there. If another has come to its address, it is not.
 func (b *Balancer) mayReturn(now time.Duration, candidate directory.Candidate) bool {
-	if candidate.LapsedSince(now) >= lapseTolerance {
+	tolerated := time.Duration(lapseTolerance * float64(b.config.DrainTimeout))
+	if candidate.LapsedSince(now) >= tolerated {
 		return false
 	}
 	occupant, _ := b.snapshot.At(candidate.Endpoint.IP)
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -65,6 +65,7 @@
 		FlowLifetime: checked.Relay.FlowLifetime,
 		FlowLimit:    checked.Relay.FlowLimit,
 		ApplyTimeout: given.ApplyTimeout,
+		DrainTimeout: given.DrainTimeout,
 		Random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	machine := directory.New()
@@ -75,7 +76,7 @@
 		balancer:  balancer,
 		health:    health,
 		directory: machine,
-		follower:  directory.NewFollower(machine, directory.Timing{ApplyTimeout: given.ApplyTimeout}),
+		follower:  directory.NewFollower(machine, timingOf(given)),
 		store:     surroundings.NewStore(given.Store),
 		gauges:    gauges,
 	}
@@ -95,6 +96,11 @@
 	return created, err
 }
 
+// timingOf returns how much time the news of the store have.
+func timingOf(given *settings.RelayBalancer) directory.Timing {
+	return directory.Timing{ApplyTimeout: min(given.ApplyTimeout, given.DrainTimeout)}
+}
+
 // reportReach makes the fabric leave a balancer out that reaches no agent.
 func (r *balancerRole) reportReach() {
 	isolated := r.balancer.Isolated()
--- a/internal/relaydaemon/peers.go
+++ b/internal/relaydaemon/peers.go
@@ -53,7 +53,7 @@
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	seeds := seedsOf(given)
-	created.exchange = directory.NewExchange(role.directory, directory.Timing{ApplyTimeout: given.ApplyTimeout}, seeds, random)
+	created.exchange = directory.NewExchange(role.directory, timingOf(given), seeds, random)
 	var err error
 	created.membership, err = transport.New(transport.Config{
 		Listen:     given.Exchange,
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -37,6 +37,9 @@
 	// ApplyTimeout is the time in which a change that the store has taken has to
 	// be in force.
 	ApplyTimeout time.Duration
+	// DrainTimeout is the time after which an endpoint that the store tells to be
+	// leaving must get no new flow.
+	DrainTimeout time.Duration
 	// Exchange is the UDP and TCP address under which other balancers reach
 	// this one. All of a fleet use the same port.
 	Exchange netip.AddrPort
@@ -65,8 +68,9 @@
 	DefaultFlowLifetime = "60s"
 	DefaultStoreRate    = 1000
 	DefaultApplyTimeout = "3s"
-	MinApplyTimeout     = 500 * time.Millisecond
-	MaxApplyTimeout     = 30 * time.Second
+	DefaultDrainTimeout = "3s"
+	MinChangeTimeout    = 500 * time.Millisecond
+	MaxChangeTimeout    = 30 * time.Second
 	MaxStoreRate        = 1_000_000
 	MinFlowLifetime     = time.Second
 	MaxFlowLifetime     = time.Hour
@@ -87,6 +91,7 @@
 	Store        any `toml:"store"`
 	StoreRate    any `toml:"store_rate"`
 	ApplyTimeout any `toml:"apply_timeout"`
+	DrainTimeout any `toml:"drain_timeout"`
 	Exchange     any `toml:"exchange"`
 	Seeds        any `toml:"seeds"`
 	Zones        any `toml:"zones"`
@@ -128,7 +133,9 @@
 		StoreRate: c.integer("relay.balancer.store_rate",
 			withDefault(raw.StoreRate, int64(DefaultStoreRate)), 1, MaxStoreRate),
 		ApplyTimeout: c.duration("relay.balancer.apply_timeout",
-			withDefault(raw.ApplyTimeout, DefaultApplyTimeout), MinApplyTimeout, MaxApplyTimeout),
+			withDefault(raw.ApplyTimeout, DefaultApplyTimeout), MinChangeTimeout, MaxChangeTimeout),
+		DrainTimeout: c.duration("relay.balancer.drain_timeout",
+			withDefault(raw.DrainTimeout, DefaultDrainTimeout), MinChangeTimeout, MaxChangeTimeout),
 		Exchange: c.address("relay.balancer.exchange", raw.Exchange, remoteAddress),
 		Seeds:    c.seeds("relay.balancer.seeds", raw.Seeds),
 		Zones:    c.names("relay.balancer.zones", raw.Zones, membership.MaximumZones),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -81,6 +81,7 @@
 seeds = ["192.0.2.2:8166"]
 zones = ["zone-1", "zone-2"]
 apply_timeout = "5s"
+drain_timeout = "4s"
 `
 
 const relayAgentFile = `name = "agent-1"
@@ -165,7 +166,7 @@
 			Peers: endpoint("192.0.2.1:7700"), FlowLifetime: 45 * time.Second, StopTimeout: 6 * time.Second,
 			FlowLimit: settings.DefaultFlowLimit,
 			Balancer: &settings.RelayBalancer{
-				Listen: endpoint("192.0.2.1:8100"), Store: endpoint("192.0.2.9:8000"), StoreRate: 1500, ApplyTimeout: 5 * time.Second, Exchange: endpoint("192.0.2.1:8166"),
+				Listen: endpoint("192.0.2.1:8100"), Store: endpoint("192.0.2.9:8000"), StoreRate: 1500, ApplyTimeout: 5 * time.Second, DrainTimeout: 4 * time.Second, Exchange: endpoint("192.0.2.1:8166"),
 				Seeds: []netip.AddrPort{endpoint("192.0.2.2:8166")}, Zones: []string{"zone-1", "zone-2"},
 			},
 		}))
