Tell a peer only what it does not know, after the store has answered

Cause: every balancer asked a seed for its whole directory 0.1 s after its start, whatever the store told it meanwhile.

Change: who asks sends its digest and gets what that does not show, endpoints that have gone always; the first fetch waits for the listing, for a failed call, or 0.5 s. A store call that ends with the process is no longer logged as a lost store.

--- a/bench/flownet/balancer.go
+++ b/bench/flownet/balancer.go
@@ -127,6 +127,7 @@
 	default:
 		if uint64(timer-timeoutTimer) == n.number {
 			n.follower.Failed(&directory.StoreError{Failure: directory.StoreUnreachable})
+			n.exchange.StoreFailed()
 			n.nextCall()
 		}
 	}
@@ -151,8 +152,8 @@
 		// Neither the store nor other balancers reach it.
 	case received.digest != nil:
 		n.exchange.Heard(now, from, *received.digest)
-	case received.fetch:
-		state := n.directory.State(now)
+	case received.fetch != nil:
+		state := n.directory.StateAfter(now, *received.fetch)
 		n.world.net.Send(n.id, from, simnet.Control, 1000, datagram{port: peerPort, state: &state})
 	case received.state != nil:
 		n.adopt(now, *received.state)
@@ -174,6 +175,7 @@
 	switch {
 	case reply.failure != nil:
 		n.follower.Failed(reply.failure)
+		n.exchange.StoreFailed()
 	case n.call.Listing:
 		changed = n.follower.Listed(now, reply.page)
 	default:
@@ -218,7 +220,8 @@
 	}
 	if from, wanted := n.exchange.Next(now); wanted {
 		n.fetching = now
-		n.world.net.Send(n.id, from, simnet.Control, 60, datagram{port: peerPort, fetch: true})
+		known := n.directory.Digest()
+		n.world.net.Send(n.id, from, simnet.Control, 60, datagram{port: peerPort, fetch: &known})
 	}
 }
 
--- a/bench/flownet/world.go
+++ b/bench/flownet/world.go
@@ -33,7 +33,7 @@
 	call    *storeCall
 	reply   *storeReply
 	digest  *directory.Digest
-	fetch   bool
+	fetch   *directory.Digest
 	state   *directory.State
 }
 
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -9,6 +9,9 @@
 const (
 	// fetchInterval is the least time between two fetches.
 	fetchInterval = 250 * time.Millisecond
+	// startPatience is how long the store has to tell a process that has started,
+	// before it asks a peer for everything.
+	startPatience = 500 * time.Millisecond
 	// rememberedPeers bounds the peers that are remembered.
 	rememberedPeers = 16
 )
@@ -23,6 +26,11 @@
 	random  *rand.Rand
 	seeds   []Peer
 	peers   []Peer
+	// begun is when a fetch was first considered.
+	begun    time.Duration
+	hasBegun bool
+	// storeFailed is set once a call of the store has failed.
+	storeFailed bool
 	// fetched is set after the first successful fetch.
 	fetched  bool
 	behind   bool
@@ -40,6 +48,10 @@
 // SetSeeds replaces the seeds.
 func (e *Exchange[Peer]) SetSeeds(seeds []Peer) { e.seeds = seeds }
 
+// StoreFailed tells that a call of the store has failed: a process that has
+// started need not wait for it.
+func (e *Exchange[Peer]) StoreFailed() { e.storeFailed = true }
+
 // Heard handles the digest of a peer.
 func (e *Exchange[Peer]) Heard(now time.Duration, from Peer, digest Digest) {
 	if !slices.Contains(e.peers, from) {
@@ -82,12 +94,23 @@
 		return e.informed, true
 	}
 	known := slices.Concat(e.peers, e.seeds)
-	if e.fetched || len(known) == 0 {
+	if e.fetched || len(known) == 0 || !e.mayBegin(now) {
 		return chosen, false
 	}
 	return known[e.random.IntN(len(known))], true
 }
 
+// mayBegin reports whether it is time for the first fetch. Once the store has told
+// what there is, a peer has little to add; all of it, asked for by all processes that
+// start together, would take the network from flows.
+func (e *Exchange[Peer]) mayBegin(now time.Duration) bool {
+	if !e.hasBegun {
+		e.hasBegun = true
+		e.begun = now
+	}
+	return e.machine.Complete() > 0 || e.storeFailed || now-e.begun >= startPatience
+}
+
 // Fetched handles the state of a peer. It reports whether the snapshot changed.
 func (e *Exchange[Peer]) Fetched(now time.Duration, state State) bool {
 	e.busy = false
--- a/internal/directory/exchange_test.go
+++ b/internal/directory/exchange_test.go
@@ -20,6 +20,7 @@
 
 	BeforeEach(func() {
 		machine = directory.New()
+		machine.Listing(0, []directory.Item{configurationItem(1, 1)}, 1)
 		exchange = directory.NewExchange(machine, timing, []string{"seed"}, rand.New(rand.NewPCG(1, 1)))
 	})
 
@@ -58,6 +59,23 @@
 		Expect(fetch(time.Minute)).To(BeEmpty())
 	})
 
+	It("leaves the store some time to answer first, unless that fails", func() {
+		for _, fails := range []bool{false, true} {
+			starting := directory.NewExchange(directory.New(), timing, []string{"seed"}, rand.New(rand.NewPCG(1, 1)))
+			_, wanted := starting.Next(time.Second)
+			Expect(wanted).To(BeFalse())
+			if fails {
+				starting.StoreFailed()
+			}
+			_, wanted = starting.Next(1400 * time.Millisecond)
+			Expect(wanted).To(Equal(fails))
+			if !fails {
+				_, wanted = starting.Next(1500 * time.Millisecond)
+				Expect(wanted).To(BeTrue())
+			}
+		}
+	})
+
 	It("asks peers that it hears of too, and forgets those that are lost", func() {
 		exchange = directory.NewExchange[string](machine, timing, nil, rand.New(rand.NewPCG(1, 1)))
 		Expect(fetch(0)).To(BeEmpty())
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -18,10 +18,14 @@
 	return d.Version > other.Version || d.Complete > other.Complete
 }
 
-// State is everything that a process knows, for another.
+// State is what a process knows and another does not.
 type State struct {
-	// Complete is the revision up to which all changes are in it.
-	Complete      Revision
+	// Complete is the revision up to which all changes are in it, given what the
+	// other knew.
+	Complete Revision
+	// Version is that of the newest configuration known.
+	Version uint64
+	// Configuration is nil if the other has that version, or none is known.
 	Configuration *Configuration
 	// ConfigurationRevision is the revision of Configuration.
 	ConfigurationRevision Revision
@@ -44,31 +48,45 @@
 }
 
 // State returns everything that is known.
-func (m *Machine) State(now time.Duration) State {
-	state := State{Complete: max(m.complete, m.adopted), Endpoints: make([]EndpointState, 0, len(m.endpoints))}
-	if m.configuration != nil {
+func (m *Machine) State(now time.Duration) State { return m.StateAfter(now, Digest{}) }
+
+// StateAfter returns what is known beyond what a digest shows, to be adopted by the
+// process whose digest it is. Endpoints that have gone are always in it, since the
+// store tells of them only when they go.
+func (m *Machine) StateAfter(now time.Duration, known Digest) State {
+	state := State{Complete: m.Digest().Complete, Version: m.snapshot.Version()}
+	if m.configuration != nil && state.Version > known.Version {
 		state.Configuration = m.configuration.Configuration
 		state.ConfigurationRevision = m.configuration.Revision
 	}
-	for id, known := range m.endpoints {
-		described := EndpointState{ID: id, Revision: known.revision, Endpoint: known.endpoint, Gone: known.gone}
-		described.Endpoint.Warming = max(known.warmAt-now, 0)
-		if known.gone {
-			described.GoneFor = now - known.goneAt
+	for id, each := range m.endpoints {
+		if !each.gone && each.revision <= known.Complete {
+			continue
 		}
-		state.Endpoints = append(state.Endpoints, described)
+		state.Endpoints = append(state.Endpoints, each.describe(now, id))
 	}
 	return state
 }
 
+func (h *held) describe(now time.Duration, id EndpointID) EndpointState {
+	described := EndpointState{ID: id, Revision: h.revision, Endpoint: h.endpoint, Gone: h.gone}
+	described.Endpoint.Warming = max(h.warmAt-now, 0)
+	if h.gone {
+		described.GoneFor = now - h.goneAt
+	}
+	return described
+}
+
 // Adopt merges what another process knows. It reports whether the snapshot
 // changed.
 func (m *Machine) Adopt(now time.Duration, state State) bool {
 	changed := false
 	if state.Configuration != nil {
-		m.adopted = max(m.adopted, state.Complete)
 		changed = m.mergeConfiguration(Item{Revision: state.ConfigurationRevision, Configuration: state.Configuration})
 	}
+	if m.configuration != nil && m.configuration.Configuration.Version >= state.Version {
+		m.adopted = max(m.adopted, state.Complete)
+	}
 	for _, described := range state.Endpoints {
 		changed = m.adoptEndpoint(now, described) || changed
 	}
--- a/internal/directory/state_gen.go
+++ b/internal/directory/state_gen.go
@@ -269,8 +269,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	err = z.Complete.DecodeMsg(dc)
@@ -278,6 +278,11 @@
 		err = msgp.WrapError(err, "Complete")
 		return
 	}
+	z.Version, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	if dc.IsNil() {
 		err = dc.ReadNil()
 		if err != nil {
@@ -327,8 +332,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *State) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -337,6 +342,11 @@
 		err = msgp.WrapError(err, "Complete")
 		return
 	}
+	err = en.WriteUint64(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	if z.Configuration == nil {
 		err = en.WriteNil()
 		if err != nil {
@@ -372,13 +382,14 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o, err = z.Complete.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Complete")
 		return
 	}
+	o = msgp.AppendUint64(o, z.Version)
 	if z.Configuration == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -412,8 +423,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	bts, err = z.Complete.UnmarshalMsg(bts)
@@ -421,6 +432,11 @@
 		err = msgp.WrapError(err, "Complete")
 		return
 	}
+	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	if msgp.IsNil(bts) {
 		bts, err = msgp.ReadNilBytes(bts)
 		if err != nil {
@@ -470,7 +486,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *State) Msgsize() (s int) {
-	s = 1 + z.Complete.Msgsize()
+	s = 1 + z.Complete.Msgsize() + msgp.Uint64Size
 	if z.Configuration == nil {
 		s += msgp.NilSize
 	} else {
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -184,21 +184,23 @@
 	return storeCall{r.follower.Next(rand.Float64()), r.store, r.storeTurn}
 }
 
-func (r *balancerRole) perform(ctx context.Context, next storeCall) {
-	ctx, cancel := context.WithTimeout(ctx, next.call.Timeout)
+func (r *balancerRole) perform(running context.Context, next storeCall) {
+	ctx, cancel := context.WithTimeout(running, next.call.Timeout)
 	defer cancel()
 	if next.call.Listing {
 		page, err := next.store.List(ctx, next.call.After)
-		r.conclude(next.turn, err, func(now time.Duration) bool { return r.follower.Listed(now, page) })
+		r.conclude(running, next.turn, err, func(now time.Duration) bool { return r.follower.Listed(now, page) })
 		return
 	}
 	changes, err := next.store.Watch(ctx, next.call.AfterRevision, next.call.Wait)
-	r.conclude(next.turn, err, func(now time.Duration) bool { return r.follower.Watched(now, changes) })
+	r.conclude(running, next.turn, err, func(now time.Duration) bool { return r.follower.Watched(now, changes) })
 }
 
 // conclude hands the outcome of a call to the follower and puts a changed
-// snapshot in force. An answer of a store that is no longer used is dropped.
-func (r *balancerRole) conclude(turn int, err error, merge func(now time.Duration) bool) {
+// snapshot in force. An answer of a store that is no longer used is dropped. A call
+// that fails since the process ends is no loss of the store.
+func (r *balancerRole) conclude(running context.Context, turn int, err error, merge func(now time.Duration) bool) {
+	stopped := running.Err() != nil
 	r.executor.do(func(now time.Duration) []relay.Effect {
 		if turn != r.storeTurn {
 			return nil
@@ -206,7 +208,8 @@
 		before := r.follower.Following()
 		if err != nil {
 			r.follower.Failed(err)
-			r.reportLoss(before, err)
+			r.peers.exchange.StoreFailed()
+			r.reportLoss(before && !stopped, err)
 			return nil
 		}
 		changed := merge(now)
--- a/internal/relaydaemon/peers.go
+++ b/internal/relaydaemon/peers.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"slices"
+	"strconv"
 	"time"
 
 	kithttp "github.com/go-kit/kit/transport/http"
@@ -24,6 +26,9 @@
 const (
 	// directoryPath is where a balancer gives its directory to others.
 	directoryPath = "/v1/directory"
+	// parameterVersion and parameterComplete are the digest of who asks.
+	parameterVersion  = "version"
+	parameterComplete = "complete"
 	// exchangeTick is how often a balancer considers a fetch from a peer.
 	exchangeTick = 100 * time.Millisecond
 	// fetchTimeout bounds a fetch from a peer.
@@ -134,15 +139,23 @@
 func (p *peers) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+directoryPath, kithttp.NewServer(
-		func(context.Context, any) (any, error) { return p.state(), nil },
-		kithttp.NopRequestDecoder, encodeState))
+		func(_ context.Context, known any) (any, error) { return p.stateAfter(known.(directory.Digest)), nil },
+		decodeDigest, encodeState))
 	return mux
 }
 
-func (p *peers) state() directory.State {
+// decodeDigest reads what the asking balancer knows; what is missing is zero.
+func decodeDigest(_ context.Context, request *http.Request) (any, error) {
+	query := request.URL.Query()
+	version, _ := strconv.ParseUint(query.Get(parameterVersion), 10, 64)
+	complete, _ := strconv.ParseUint(query.Get(parameterComplete), 10, 64)
+	return directory.Digest{Version: version, Complete: directory.Revision(complete)}, nil
+}
+
+func (p *peers) stateAfter(known directory.Digest) directory.State {
 	var state directory.State
 	p.role.executor.do(func(now time.Duration) []relay.Effect {
-		state = p.role.directory.State(now)
+		state = p.role.directory.StateAfter(now, known)
 		return nil
 	})
 	return state
@@ -177,15 +190,17 @@
 func (p *peers) follow(ctx context.Context) error {
 	for sleep(ctx, exchangeTick) {
 		var from membership.Address
+		var known directory.Digest
 		wanted := false
 		balancers := p.membership.Live()
 		p.role.executor.do(func(now time.Duration) []relay.Effect {
 			from, wanted = p.exchange.Next(now)
+			known = p.role.directory.Digest()
 			p.role.follower.Share(balancers, p.storeRate)
 			return nil
 		})
 		if wanted {
-			state, err := p.fetch(ctx, from.AddrPort())
+			state, err := p.fetch(ctx, from.AddrPort(), known)
 			p.conclude(from, state, err)
 		}
 	}
@@ -205,9 +220,14 @@
 	})
 }
 
-func (p *peers) fetch(ctx context.Context, from netip.AddrPort) (directory.State, error) {
+func (p *peers) fetch(ctx context.Context, from netip.AddrPort, known directory.Digest) (directory.State, error) {
 	var state directory.State
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+directoryPath, nil)
+	query := url.Values{
+		parameterVersion:  {strconv.FormatUint(known.Version, 10)},
+		parameterComplete: {strconv.FormatUint(uint64(known.Complete), 10)},
+	}
+	target := url.URL{Scheme: "http", Host: from.String(), Path: directoryPath, RawQuery: query.Encode()}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
 		return state, errors.Wrap(err, "directory of a peer")
 	}
