Run real processes of the relay under faults from outside

Change: `vanetiller-bench soak`: five balancers and an agent beside each of seven endpoints, a TCP proxy before each balancer's store, a stand-in of the store with its failures (`platform/platformtest`), clients, endpoints and routers, twenty kinds of faults by seed, and a ledger of eight promises. `fleet.Build` builds any program.

Weighed: a proxy for the datagrams between daemons as well; agents are reached at the addresses of endpoints that the store tells, so that a proxy would have to stand at these and the daemons' own sockets elsewhere. Left; the emulator loses and cuts these.

Tests: the ledger sees each broken promise, and none where rules do not hold; links in each mode; the schedule by seed; routers; a stand-in endpoint; codec and store stand-in against the product's own client.

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -23,7 +23,7 @@
 }
 
 const (
-	daemonPackage     = "github.com/vanetiller/vanetiller/cmd/vanetillerd"
+	programsPath      = "github.com/vanetiller/vanetiller/cmd/"
 	daemonName        = "vanetillerd"
 	directoryMode     = 0o700
 	settingsExtension = ".toml"
@@ -33,18 +33,25 @@
 // New builds the daemon into a directory, which also takes settings and logs.
 // It fails when the build does; the error holds the compiler's output.
 func New(ctx context.Context, directory string) (*Fleet, error) {
-	if err := os.MkdirAll(directory, directoryMode); err != nil {
-		return nil, errors.Wrap(err, "fleet directory")
-	}
-	binary := filepath.Join(directory, daemonName)
-	build := exec.CommandContext(ctx, "go", "build", "-o", binary, daemonPackage)
-	output, err := build.CombinedOutput()
+	binary, err := Build(ctx, directory, daemonName)
 	if err != nil {
-		return nil, errors.Wrapf(err, "build daemon: %s", output)
+		return nil, err
 	}
 	return &Fleet{directory: directory, binary: binary}, nil
 }
 
+// Build builds a program of this repository into a directory, which is made if it
+// does not exist, and returns its path. The error holds the compiler's output.
+func Build(ctx context.Context, directory, program string) (string, error) {
+	if err := os.MkdirAll(directory, directoryMode); err != nil {
+		return "", errors.Wrap(err, "fleet directory")
+	}
+	binary := filepath.Join(directory, program)
+	build := exec.CommandContext(ctx, "go", "build", "-o", binary, programsPath+program)
+	output, err := build.CombinedOutput()
+	return binary, errors.Wrapf(err, "build %s: %s", program, output)
+}
+
 // Directory holds the binary, settings and logs.
 func (f *Fleet) Directory() string { return f.directory }
 
--- a/bench/fleet/process.go
+++ b/bench/fleet/process.go
@@ -109,5 +109,8 @@
 // Pause stops the process without its noticing.
 func (p *Process) Pause() error { return p.signal(syscall.SIGSTOP) }
 
+// Reload tells the process that its settings have changed.
+func (p *Process) Reload() error { return p.signal(syscall.SIGHUP) }
+
 // Resume continues a paused process.
 func (p *Process) Resume() error { return p.signal(syscall.SIGCONT) }
--- /dev/null
+++ b/bench/soak/fabric.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+const (
+	// probeInterval is the time between two probes of a balancer, and probeTimeout
+	// how long one may take.
+	probeInterval = 500 * time.Millisecond
+	probeTimeout  = 400 * time.Millisecond
+	// missedProbes is how many probes a balancer misses before it is left out.
+	missedProbes = 2
+)
+
+// fabric stands in for the platform's routers: it hashes flows over the balancers of
+// the client's zone that are in (highest random weight, Thaler and Ravishankar 1998).
+type fabric struct {
+	network network
+	client  *http.Client
+
+	mutex  sync.Mutex
+	missed []int
+}
+
+func newFabric(w network, balancers int) *fabric {
+	return &fabric{network: w, client: &http.Client{Timeout: probeTimeout}, missed: make([]int, balancers)}
+}
+
+// probe asks all balancers, again and again, until ctx ends.
+func (f *fabric) probe(ctx context.Context) {
+	for {
+		for number := range f.missed {
+			go f.probeOne(ctx, number)
+		}
+		if !pause(ctx, probeInterval) {
+			return
+		}
+	}
+}
+
+func (f *fabric) probeOne(ctx context.Context, number int) {
+	target := "http://" + f.network.addrPort(netBalancers, number, healthPort).String() + "/healthz"
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
+	if err != nil {
+		return
+	}
+	ready := false
+	if response, failed := f.client.Do(request); failed == nil {
+		ready = response.StatusCode == http.StatusOK
+		_ = response.Body.Close()
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if ready {
+		f.missed[number] = 0
+		return
+	}
+	f.missed[number]++
+}
+
+// ready returns how many balancers are in.
+func (f *fabric) ready() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	count := 0
+	for _, missed := range f.missed {
+		if missed < missedProbes {
+			count++
+		}
+	}
+	return count
+}
+
+// route returns where a packet of a flow from a zone goes. If fewer than half of the
+// zone's balancers are in, all of them are used, and if none is, all that are in.
+func (f *fabric) route(zone int, key segment.FlowKey) (netip.AddrPort, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var own, ownIn, in []int
+	for number, missed := range f.missed {
+		if missed < missedProbes {
+			in = append(in, number)
+		}
+		if number%zoneCount != zone {
+			continue
+		}
+		own = append(own, number)
+		if missed < missedProbes {
+			ownIn = append(ownIn, number)
+		}
+	}
+	candidates := ownIn
+	switch {
+	case len(ownIn) == 0 && len(in) > 0:
+		candidates = in
+	case 2*len(ownIn) < len(own):
+		candidates = own
+	}
+	chosen, weight := -1, uint64(0)
+	for _, number := range candidates {
+		if scored := mix(key.Hash() ^ uint64(number+1)*0x9e3779b97f4a7c15); chosen < 0 || scored > weight {
+			chosen, weight = number, scored
+		}
+	}
+	return f.network.addrPort(netBalancers, max(chosen, 0), packetPort), chosen >= 0
+}
+
+// mix is the finaliser of MurmurHash3.
+func mix(value uint64) uint64 {
+	value ^= value >> 33
+	value *= 0xff51afd7ed558ccd
+	value ^= value >> 33
+	value *= 0xc4ceb9fe1a85ec53
+	return value ^ value>>33
+}
--- /dev/null
+++ b/bench/soak/link.go
@@ -0,0 +1,177 @@
+package soak
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// LinkMode is how a link treats the bytes of its connections.
+type LinkMode uint8
+
+// The modes of a link.
+const (
+	// LinkUp: bytes pass.
+	LinkUp LinkMode = iota
+	// LinkDelayed: bytes pass late.
+	LinkDelayed
+	// LinkDeaf: bytes from the server do not pass; those to it do.
+	LinkDeaf
+	// LinkMute: bytes to the server do not pass; those from it do.
+	LinkMute
+	// LinkSilent: no bytes pass, and new connections get no answer.
+	LinkSilent
+)
+
+// linkDelay is how late the bytes of a delayed link are.
+const linkDelay = 150 * time.Millisecond
+
+// Link is a TCP proxy before one server. It is safe for concurrent use.
+type Link struct {
+	listener net.Listener
+	server   netip.AddrPort
+
+	mutex       sync.Mutex
+	mode        LinkMode
+	changed     chan struct{}
+	connections map[net.Conn]bool
+}
+
+// NewLink listens at an address. It fails if the address cannot be bound.
+func NewLink(listen, server netip.AddrPort) (*Link, error) {
+	listener, err := net.Listen("tcp4", listen.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "link")
+	}
+	created := &Link{
+		listener: listener, server: server, changed: make(chan struct{}), connections: make(map[net.Conn]bool),
+	}
+	return created, nil
+}
+
+// Run accepts connections until ctx ends, and closes all then.
+func (l *Link) Run(ctx context.Context) {
+	stopped := context.AfterFunc(ctx, func() {
+		_ = l.listener.Close()
+		l.Reset()
+	})
+	defer stopped()
+	var carrying sync.WaitGroup
+	defer carrying.Wait()
+	for {
+		connection, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		carrying.Go(func() { l.carry(ctx, connection) })
+	}
+}
+
+// SetMode changes how all connections are treated from now on.
+func (l *Link) SetMode(mode LinkMode) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.mode = mode
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// Reset resets all connections.
+func (l *Link) Reset() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for connection := range l.connections {
+		if tcp, isTCP := connection.(*net.TCPConn); isTCP {
+			_ = tcp.SetLinger(0)
+		}
+		_ = connection.Close()
+	}
+}
+
+func (l *Link) carry(ctx context.Context, client net.Conn) {
+	defer l.drop(client)
+	l.keep(client)
+	if !l.pass(ctx, func(mode LinkMode) bool { return mode != LinkSilent }) {
+		return
+	}
+	server, err := net.DialTimeout("tcp4", l.server.String(), time.Second)
+	if err != nil {
+		return
+	}
+	defer l.drop(server)
+	l.keep(server)
+	var copying sync.WaitGroup
+	copying.Go(func() {
+		l.copy(ctx, server, client, func(mode LinkMode) bool { return mode != LinkMute && mode != LinkSilent })
+	})
+	copying.Go(func() {
+		l.copy(ctx, client, server, func(mode LinkMode) bool { return mode != LinkDeaf && mode != LinkSilent })
+	})
+	copying.Wait()
+}
+
+func (l *Link) keep(connection net.Conn) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.connections[connection] = true
+}
+
+func (l *Link) drop(connection net.Conn) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.connections, connection)
+	_ = connection.Close()
+}
+
+// copy carries bytes in one direction until an end closes, and then closes both.
+func (l *Link) copy(ctx context.Context, to io.WriteCloser, from io.ReadCloser, passes func(LinkMode) bool) {
+	defer to.Close()
+	defer from.Close()
+	buffer := make([]byte, 32<<10)
+	for {
+		count, err := from.Read(buffer)
+		if count > 0 && l.pass(ctx, passes) {
+			if _, failed := to.Write(buffer[:count]); failed != nil {
+				return
+			}
+		}
+		if err != nil || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// pass waits until bytes may pass, and for the delay of the link. It returns false
+// when ctx ends.
+func (l *Link) pass(ctx context.Context, passes func(LinkMode) bool) bool {
+	for {
+		l.mutex.Lock()
+		mode, changed := l.mode, l.changed
+		l.mutex.Unlock()
+		if passes(mode) {
+			return mode != LinkDelayed || pause(ctx, linkDelay)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// pause waits and reports whether ctx is still live.
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/cmd/vanetiller-bench/main.go
+++ b/cmd/vanetiller-bench/main.go
@@ -22,6 +22,7 @@
 Usage:
   vanetiller-bench demo [flags]             the whole path in less than a minute
   vanetiller-bench run [flags] EXPERIMENT   one experiment; flags may follow the name
+  vanetiller-bench soak [flags]             real processes under random faults from outside
   vanetiller-bench list                     the experiments and shapes
   vanetiller-bench hollow [flags]           a large fleet in virtual time
   vanetiller-bench members [flags]          the membership of a large fleet in virtual time
@@ -48,6 +49,8 @@
 		return demo(ctx, arguments[1:])
 	case "run":
 		return run(ctx, arguments[1:])
+	case "soak":
+		return soakCommand(ctx, arguments[1:])
 	case "list":
 		return list()
 	case "hollow":
--- /dev/null
+++ b/cmd/vanetiller-bench/soak.go
@@ -0,0 +1,98 @@
+// This file implements the command soak.
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/bench/soak"
+)
+
+const (
+	defaultSoakDuration = 40 * time.Second
+	// soakFaultRate is the number of faults a second of a schedule.
+	soakFaultRate = 0.5
+)
+
+// soakParameters are the values of the flags of soak.
+type soakParameters struct {
+	seed      uint64
+	runs      int
+	duration  time.Duration
+	directory string
+	quiet     bool
+}
+
+func soakCommand(ctx context.Context, arguments []string) int {
+	var values soakParameters
+	flags := flag.NewFlagSet("soak", flag.ContinueOnError)
+	flags.SetOutput(os.Stderr)
+	flags.Uint64Var(&values.seed, "seed", uint64(time.Now().UnixNano())%1_000_000, "`number` that determines the faults of the first run; the next runs take the next numbers")
+	flags.IntVar(&values.runs, "runs", 1, "`number` of runs")
+	flags.DurationVar(&values.duration, "duration", defaultSoakDuration, "`time` in which faults begin")
+	flags.StringVar(&values.directory, "directory", "", "`path` for the program, settings and logs (default: a temporary directory that is removed when every promise was kept)")
+	flags.BoolVar(&values.quiet, "quiet", false, "print no line for each fault")
+	err := flags.Parse(arguments)
+	if err == nil && (flags.NArg() > 0 || values.runs < 1 || values.duration < 0) {
+		err = errors.New("soak takes flags only; -runs must be positive and -duration not negative")
+	}
+	if err != nil {
+		return usageError(err)
+	}
+	status := exitKept
+	for run := range values.runs {
+		status = max(status, soakOnce(ctx, values, values.seed+uint64(run)))
+	}
+	return status
+}
+
+// soakOnce plays one run and prints its report as a line of JSON.
+func soakOnce(ctx context.Context, values soakParameters, seed uint64) int {
+	directory, err := soakDirectory(values, seed)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "vanetiller-bench:", err)
+		return exitBroken
+	}
+	progress := io.Writer(os.Stderr)
+	if values.quiet {
+		progress = io.Discard
+	}
+	report, err := soak.Run(ctx, soak.Options{
+		Seed: seed, Duration: values.duration, Faults: int(values.duration.Seconds() * soakFaultRate),
+		Directory: directory, Progress: progress,
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "vanetiller-bench:", err)
+		return exitBroken
+	}
+	encoded, err := json.Marshal(report)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "vanetiller-bench:", err)
+		return exitBroken
+	}
+	fmt.Println(string(encoded))
+	if report.Broken.Total() > 0 {
+		fmt.Fprintln(os.Stderr, "logs are in", directory)
+		return exitBroken
+	}
+	if values.directory == "" {
+		return removeDirectory(directory)
+	}
+	return exitKept
+}
+
+func soakDirectory(values soakParameters, seed uint64) (string, error) {
+	if values.directory == "" {
+		return os.MkdirTemp("", "vanetiller-soak-")
+	}
+	return filepath.Abs(filepath.Join(values.directory, fmt.Sprint("seed-", seed)))
+}
