Explain a request from its identifier

Cause: the users ask to get from a request's id to its cause with logs alone. Our logs named flows only, and of routine decisions two lines a second: a request whose endpoint crashed had no line at all.

Routine lines are bounded to 100 a second in place of 2.

--- a/cmd/vanetillerctl/command.go
+++ b/cmd/vanetillerctl/command.go
@@ -139,6 +139,8 @@
 		return members, rest, nil
 	case "token":
 		return createToken, rest, nil
+	case "explain":
+		return explain, rest, nil
 	}
 	return nil, nil, wrongUsage("unknown command %q", words[0])
 }
--- a/cmd/vanetillerctl/main.go
+++ b/cmd/vanetillerctl/main.go
@@ -1,5 +1,5 @@
 // Command vanetillerctl shows and changes the configuration table through the
-// administration API, and checks tables in files.
+// administration API, checks tables in files, and explains requests from logs.
 package main
 
 import (
--- a/cmd/vanetillerctl/options.go
+++ b/cmd/vanetillerctl/options.go
@@ -40,6 +40,9 @@
   vanetillerctl [flags] members                  print the processes that forward
   vanetillerctl token NAME ROLE [TEAM]           print a new token and its entry for
                                                  the tokens file
+  vanetillerctl [flags] explain REQUEST FILE...  print what processes did with a request,
+                                                 from their logs; REQUEST is its identifier
+                                                 or its client's address and port
 
 ROW is SERVICE/NAME or the identifier of a row. Flags may also come after the
 command. A file is CSV if its name ends in .csv, and else JSON.
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -355,7 +355,7 @@
 		return
 	}
 	if known.state == stateOpen {
-		a.lost(key, header)
+		a.lost(key, known, header)
 	}
 	a.forget(now, key)
 	a.flows[key] = &agentFlow{state: stateDenied, touched: now}
@@ -372,8 +372,8 @@
 
 // lost resets a flow that the endpoint held and does not know any more, since
 // it was restarted.
-func (a *Agent) lost(key segment.FlowKey, header segment.Header) {
-	a.event(Event{Kind: EventEndpointLostFlow, Flow: key})
+func (a *Agent) lost(key segment.FlowKey, known *agentFlow, header segment.Header) {
+	a.event(Event{Kind: EventEndpointLostFlow, Flow: key, Request: known.work.request})
 	a.effects = append(a.effects, Effect{
 		Kind:   EffectClient,
 		To:     key.Client,
--- a/internal/relay/agent_test.go
+++ b/internal/relay/agent_test.go
@@ -359,6 +359,34 @@
 			Expect(given(respond(403*millisecond, 5))).To(Equal([]int{11}))
 		})
 
+		It("names the request in its decisions, if a packet shows its identifier", func() {
+			named := func(effects []relay.Effect, kind relay.EventKind) string {
+				for _, effect := range ofKind(effects, relay.EffectEvent) {
+					if effect.Event.Kind == kind {
+						return effect.Event.Request
+					}
+				}
+				return "no such event"
+			}
+			fresh := newAgent(true)
+			fresh.Receive(0, balancerA, relay.Message{Kind: relay.KindOffer, Service: service, Terms: terms, Packet: opening(9, 100)})
+			fresh.Emitted(0, fromEndpoint(9, segment.Synchronize|segment.Acknowledge, 500, 101, ""))
+			given := fresh.Receive(0, balancerA, relay.Message{
+				Kind: relay.KindForward, Service: service, Packet: fromClient(9, segment.Acknowledge, 101, 501, "id=q9 GET"),
+			})
+			Expect(named(given, relay.EventGiven)).To(Equal("q9"))
+			handshake(millisecond, 10)
+			first := fromClient(10, segment.Acknowledge, 101, 501, "id=q10 GET")
+			Expect(named(forward(2*millisecond, relay.KindForward, first), relay.EventHeld)).To(Equal("q10"))
+			Expect(named(respond(3*millisecond, 0), relay.EventAdmitted)).To(Equal("q10"))
+			Expect(named(respond(4*millisecond, 10), relay.EventAnswered)).To(Equal("q10"))
+			Expect(named(agent.Emitted(5*millisecond, returned(first)), relay.EventEndpointLostFlow)).To(Equal("q10"))
+			handshake(6*millisecond, 11)
+			open(6*millisecond, 12)
+			forward(7*millisecond, relay.KindForward, fromClient(11, segment.Acknowledge, 101, 501, "id=q11 GET"))
+			Expect(named(respond(3*time.Second, 1), relay.EventExpired)).To(Equal("q11"))
+		})
+
 		It("does not serve requests whose clients have given up", func() {
 			refill(20*millisecond, 30*millisecond)
 			handshake(40*millisecond, 10)
--- a/internal/relay/effect.go
+++ b/internal/relay/effect.go
@@ -80,19 +80,25 @@
 	EventReconnected
 	// EventHeld: a request waits for its endpoint.
 	EventHeld
+	// EventGiven: a request was given to its endpoint at once.
+	EventGiven
+	// EventExpired: a request that waited was dropped, since its client has given up.
+	EventExpired
 	eventKindCount
 )
 
 var eventNames = []string{
 	"malformed", "forged", "placed", "answered", "admitted", "offered_again", "locating", "located", "no_route",
 	"no_endpoint", "not_ready", "suspected", "recovered", "endpoint_lost_flow", "not_owned", "probed",
-	"returned", "isolated", "reconnected", "held",
+	"returned", "isolated", "reconnected", "held", "given", "expired",
 }
 
 // Event is one decision with what decided it.
 type Event struct {
 	Kind EventKind
 	Flow segment.FlowKey
+	// Request is the identifier of the request, if a packet has shown one.
+	Request string
 	// Peer is the daemon concerned, if any.
 	Peer segment.Address
 	// Version is the version of the configuration that decided, if any.
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -28,6 +28,8 @@
 // work is the progress of the request of a flow.
 type work struct {
 	terms Terms
+	// request is the identifier of the request, if its first packet showed one.
+	request string
 	// asked is when the client began with the request, as far as the agent can
 	// tell: when its flow was offered or, in a flow that is kept, the request
 	// came.
@@ -113,16 +115,23 @@
 // clients give up.
 type queue struct{ waiting []waiting }
 
-// next removes and returns what shall be served next, and those whose clients
-// have given up. It returns false if there is nothing to serve.
-func (q *queue) next(now time.Duration, working float64) (waiting, bool) {
+// expire removes and returns the requests whose clients have given up.
+func (q *queue) expire(now time.Duration, working float64) []waiting {
+	var expired []waiting
 	q.waiting = slices.DeleteFunc(q.waiting, func(w waiting) bool {
-		hopeless := w.flow.work.hope(now, working) == hopeNone
-		if hopeless {
-			w.flow.work.held = nil
+		if w.flow.work.hope(now, working) != hopeNone {
+			return false
 		}
-		return hopeless
+		w.flow.work.held = nil
+		expired = append(expired, w)
+		return true
 	})
+	return expired
+}
+
+// next removes and returns what shall be served next. It returns false if there is
+// nothing to serve.
+func (q *queue) next(now time.Duration, working float64) (waiting, bool) {
 	if len(q.waiting) == 0 {
 		return waiting{}, false
 	}
@@ -170,10 +179,13 @@
 		return true
 	case known.work.occupies:
 	case a.pace.full():
+		known.work.request = a.config.Codec.RequestID(packet)
 		a.hold(now, key, known, packet)
 		return false
 	default:
+		known.work.request = a.config.Codec.RequestID(packet)
 		a.occupy(now, known)
+		a.event(Event{Kind: EventGiven, Flow: key, Request: known.work.request, Peer: known.balancer})
 	}
 	known.work.sent = end
 	return true
@@ -185,7 +197,7 @@
 	}
 	known.work.held = [][]byte{slices.Clone(packet)}
 	a.queue.waiting = append(a.queue.waiting, waiting{key, known})
-	a.event(Event{Kind: EventHeld, Flow: key, Peer: known.balancer})
+	a.event(Event{Kind: EventHeld, Flow: key, Request: known.work.request, Peer: known.balancer})
 }
 
 // holdMore keeps a further packet of a request that waits, unless it is a copy.
@@ -208,7 +220,7 @@
 func (a *Agent) responded(now time.Duration, key segment.FlowKey, known *agentFlow) {
 	if known.work.occupies {
 		a.pace.measure(now - known.work.since)
-		a.event(Event{Kind: EventAnswered, Flow: key, Elapsed: now - known.work.since})
+		a.event(Event{Kind: EventAnswered, Flow: key, Request: known.work.request, Elapsed: now - known.work.since})
 	}
 	a.release(now, known)
 }
@@ -228,13 +240,19 @@
 }
 
 func (a *Agent) admitWaiting(now time.Duration) {
+	for _, expired := range a.queue.expire(now, a.pace.working) {
+		request := &expired.flow.work
+		a.event(Event{Kind: EventExpired, Flow: expired.key, Request: request.request, Elapsed: now - request.asked})
+	}
 	for !a.pace.full() {
 		next, exists := a.queue.next(now, a.pace.working)
 		if !exists {
 			return
 		}
 		work := &next.flow.work
-		a.event(Event{Kind: EventAdmitted, Flow: next.key, Peer: next.flow.balancer, Elapsed: now - work.asked})
+		a.event(Event{
+			Kind: EventAdmitted, Flow: next.key, Request: work.request, Peer: next.flow.balancer, Elapsed: now - work.asked,
+		})
 		held := work.held
 		work.held = nil
 		a.occupy(now, next.flow)
--- a/internal/relaydaemon/journal.go
+++ b/internal/relaydaemon/journal.go
@@ -18,8 +18,8 @@
 const (
 	eventsPerSecond  = 50
 	eventsBurst      = 200
-	routinePerSecond = 2
-	routineBurst     = 5
+	routinePerSecond = 100
+	routineBurst     = 200
 )
 
 // secondsBuckets are the upper bounds of the buckets of latency histograms.
@@ -69,7 +69,7 @@
 
 // isRoutine reports whether an event is part of every flow that goes well.
 func isRoutine(kind relay.EventKind) bool {
-	return kind == relay.EventPlaced || kind == relay.EventAnswered
+	return kind == relay.EventPlaced || kind == relay.EventGiven || kind == relay.EventAnswered
 }
 
 func (j *journal) record(event relay.Event) {
@@ -98,6 +98,9 @@
 	if !event.Flow.Client.IsZero() {
 		fields = append(fields, "client", event.Flow.Client, "service", event.Flow.Service)
 	}
+	if event.Request != "" {
+		fields = append(fields, "request", event.Request)
+	}
 	if !event.Peer.IsZero() {
 		fields = append(fields, "peer", event.Peer)
 	}
--- a/internal/segment/segment.go
+++ b/internal/segment/segment.go
@@ -127,6 +127,9 @@
 type Codec interface {
 	// Decode reads the head of a packet.
 	Decode(packet []byte) (Header, Outcome)
+	// RequestID returns the identifier of the request whose first packet this is, as
+	// far as its data show one, else an empty text.
+	RequestID(packet []byte) string
 	// ClearReturned removes, in place, the mark of a packet that an endpoint
 	// did not take, so that it can be offered to another endpoint.
 	ClearReturned(packet []byte)
--- a/internal/segment/segmenttest/codec.go
+++ b/internal/segment/segmenttest/codec.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/binary"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -80,6 +81,19 @@
 	}, segment.Decoded
 }
 
+// requestMark stands before the identifier of a request, which ends at a blank.
+const requestMark = "id="
+
+// RequestID implements segment.Codec.
+func (c Codec) RequestID(packet []byte) string {
+	marked, found := strings.CutPrefix(string(c.Data(packet)), requestMark)
+	if !found {
+		return ""
+	}
+	id, _, _ := strings.Cut(marked, " ")
+	return id
+}
+
 // ClearReturned implements segment.Codec.
 func (Codec) ClearReturned(packet []byte) { packet[offsetFlags] &= sealedFlags }
 
