--- a/cmd/vanetiller-relay/main.go
+++ b/cmd/vanetiller-relay/main.go
@@ -4,11 +4,18 @@
 package main
 
 import (
+	"runtime/debug"
+
 	"github.com/vanetiller/vanetiller/internal/relaydaemon"
 	"github.com/vanetiller/vanetiller/platform"
 )
 
+// collectorPercent makes the garbage collector run when the heap has grown by a
+// quarter: memory is dear on the platform's machines, and the live heap small.
+const collectorPercent = 25
+
 func main() {
+	debug.SetGCPercent(collectorPercent)
 	relaydaemon.Program(relaydaemon.Surroundings{
 		Codec:    platform.PacketCodec{},
 		NewStore: platform.NewStore,
