--- /dev/null
+++ b/internal/relay/emitted.go
@@ -0,0 +1,114 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+// Emitted handles a packet that the endpoint wrote or did not take. The
+// returned effects are valid until the next call.
+func (a *Agent) Emitted(now time.Duration, packet []byte) []Effect {
+	a.begin(now)
+	header, outcome := a.config.Codec.Decode(packet)
+	if outcome != segment.Decoded {
+		a.event(Event{Kind: EventMalformed, Reason: outcome.String()})
+		return a.effects
+	}
+	if header.Flags.Has(segment.Returned) {
+		a.emittedReturned(now, header, packet)
+		return a.effects
+	}
+	a.emittedOwn(now, header, packet)
+	return a.effects
+}
+
+// emittedReturned handles a client's packet that the endpoint did not take.
+func (a *Agent) emittedReturned(now time.Duration, header segment.Header, packet []byte) {
+	key := segment.FlowKey{Client: header.Source, Service: header.Destination}
+	known, exists := a.flows[key]
+	a.config.Codec.ClearReturned(packet)
+	if header.Opening() {
+		a.returnedOpening(now, key, known, header, packet)
+		return
+	}
+	if !exists {
+		return
+	}
+	if known.state == stateOpen {
+		a.lost(key, known, header)
+	}
+	a.forget(now, key)
+	a.flows[key] = &agentFlow{state: stateDenied, touched: now}
+}
+
+func (a *Agent) returnedOpening(now time.Duration, key segment.FlowKey, known *agentFlow, header segment.Header, packet []byte) {
+	if known == nil || known.state != stateOffered || known.sequence != header.Sequence {
+		return
+	}
+	balancer := known.balancer
+	a.forget(now, key)
+	a.bringBack(balancer, key, header, packet, "endpoint")
+}
+
+// lost resets a flow that the endpoint held and does not know any more, since
+// it was restarted.
+func (a *Agent) lost(key segment.FlowKey, known *agentFlow, header segment.Header) {
+	a.event(Event{Kind: EventEndpointLostFlow, Flow: key, Request: known.work.request})
+	a.effects = append(a.effects, Effect{
+		Kind:   EffectClient,
+		To:     key.Client,
+		Packet: a.config.Codec.AppendReset(nil, key, header.Acknowledgment),
+	})
+}
+
+// emittedOwn handles a packet that the endpoint wrote.
+func (a *Agent) emittedOwn(now time.Duration, header segment.Header, packet []byte) {
+	key := segment.FlowKey{Client: header.Destination, Service: header.Source}
+	known, exists := a.flows[key]
+	if !exists || !known.running() && known.state != stateEnded {
+		known = a.adopt(now, key, header)
+	}
+	known.touched = now
+	switch {
+	case header.Flags.Has(segment.Synchronize):
+		a.answer(key, known, header)
+	case header.Flags.Has(segment.Finish), header.Flags.Has(segment.Reset):
+		a.end(now, known)
+	case header.Length > 0:
+		a.responded(now, key, known)
+	}
+	a.effects = append(a.effects, Effect{Kind: EffectClient, To: key.Client, Packet: packet})
+}
+
+// adopt remembers a flow that the endpoint turns out to hold.
+func (a *Agent) adopt(now time.Duration, key segment.FlowKey, header segment.Header) *agentFlow {
+	known := &agentFlow{state: stateOpen, touched: now}
+	if previous := a.flows[key]; previous != nil {
+		known.balancer = previous.balancer
+	}
+	if header.Flags.Has(segment.Synchronize) {
+		known.state = stateOffered
+	}
+	a.flows[key] = known
+	a.running++
+	if !known.balancer.IsZero() && known.state == stateOpen {
+		a.send(known.balancer, Message{Kind: KindOwned, Service: a.config.Service, Flow: FlowOf(key), Load: a.Load()})
+	}
+	return known
+}
+
+func (a *Agent) answer(key segment.FlowKey, known *agentFlow, header segment.Header) {
+	known.answer = header.Sequence
+	known.answered = true
+	if known.state != stateOffered {
+		return
+	}
+	known.state = stateAnswered
+	if known.balancer.IsZero() {
+		return
+	}
+	a.send(known.balancer, Message{
+		Kind: KindPlaced, Service: a.config.Service, Flow: FlowOf(key), Sequence: known.sequence, Load: a.Load(),
+	})
+}
