Leave endpoints out that do not answer requests

Their slots fill, clients give up after 1.2 s, and new flows come again. `longestWork` of 4 s freed slots too late to matter.

Change: the agent returns new flows while a request hangs (12 times the mean time to answer, 0.3 s at least, after its last packet), and for a second and more after that; trials then, trust after five answers.

Tests: five specs of the agent (returned, last resort, probation, longer ejection, long uploads) and one of the balancer, which failed first by asking for ever.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -94,6 +94,7 @@
 	running uint32
 	queue   queue
 	pace    pace
+	outlier outlier
 	// drainEnds is until when the endpoint is believed to be draining.
 	drainEnds time.Duration
 	stopping  bool
@@ -116,7 +117,8 @@
 
 // Load returns how busy the endpoint is.
 func (a *Agent) Load() Load {
-	return Load{Running: a.running, Waiting: uint32(len(a.queue.waiting)), Refusing: a.refusing()}
+	refusing := a.refusing() || a.outlier.ejected(a.now)
+	return Load{Running: a.running, Waiting: uint32(len(a.queue.waiting)), Refusing: refusing}
 }
 
 // refusing reports whether the endpoint gets no new flows.
@@ -213,6 +215,15 @@
 	a.event(Event{Kind: event, Flow: key, Peer: to, Reason: reason})
 }
 
+// returnUnlessLast returns an opening packet which this endpoint shall get only if no
+// other takes it.
+func (a *Agent) returnUnlessLast(to segment.Address, key segment.FlowKey, header segment.Header, packet []byte) {
+	a.send(to, Message{
+		Kind: KindReturned, Service: a.config.Service, Sequence: header.Sequence, LastResort: true, Packet: packet,
+	})
+	a.event(Event{Kind: EventReturned, Flow: key, Peer: to, Reason: "stuck"})
+}
+
 func (a *Agent) receiveOpening(now time.Duration, from segment.Address, key segment.FlowKey, header segment.Header, message Message) {
 	known, exists := a.flows[key]
 	if exists && known.sequence == header.Sequence && known.state <= stateOpen {
@@ -232,6 +243,10 @@
 		a.bringBack(from, key, header, message.Packet, "overload")
 		return
 	}
+	if !message.LastResort && !a.outlier.admits(now, a.pace.working) {
+		a.returnUnlessLast(from, key, header, message.Packet)
+		return
+	}
 	a.forget(now, key)
 	a.flows[key] = &agentFlow{
 		state: stateOffered, sequence: header.Sequence, balancer: from, touched: now,
--- a/internal/relay/agent_test.go
+++ b/internal/relay/agent_test.go
@@ -398,6 +398,76 @@
 		})
 	})
 
+	Describe("with an endpoint that leaves requests without an answer", func() {
+		const (
+			stuckAt = 400 * millisecond
+			quick   = 20 * millisecond
+		)
+		answered := func(at time.Duration, number int) {
+			open(at, number)
+			agent.Emitted(at+quick, fromEndpoint(number, segment.Acknowledge, 501, 108, "answer"))
+		}
+		// returnedAsLast reports whether an opening packet is returned for want of trust.
+		returnedAsLast := func(at time.Duration, number int) bool {
+			messages := sent(offer(at, number, 100))
+			return len(messages) == 1 && messages[0].Message.Kind == relay.KindReturned && messages[0].Message.LastResort
+		}
+		close := func(at time.Duration, number int) {
+			forward(at, relay.KindForward, fromClient(number, segment.Acknowledge|segment.Finish, 108, 501, ""))
+		}
+
+		BeforeEach(func() {
+			answered(0, 1)
+			open(30*millisecond, 2)
+		})
+
+		It("returns new flows, which it takes only if nobody else does", func() {
+			Expect(returnedAsLast(100*millisecond, 3)).To(BeFalse(), "not before it is sure")
+			Expect(returnedAsLast(stuckAt, 4)).To(BeTrue())
+			Expect(agent.Load().Refusing).To(BeTrue())
+			effects := agent.Receive(stuckAt, balancerA, relay.Message{
+				Kind: relay.KindOffer, Service: service, Terms: terms, LastResort: true, Packet: opening(4, 100),
+			})
+			Expect(delivered(effects)).To(HaveLen(1))
+		})
+
+		It("lets the endpoint prove itself with a few flows after a second, and trusts it then", func() {
+			Expect(returnedAsLast(stuckAt, 3)).To(BeTrue())
+			close(stuckAt, 2)
+			Expect(returnedAsLast(stuckAt+900*millisecond, 4)).To(BeTrue())
+			now := stuckAt + 2*time.Second
+			for number := 10; number < 15; number++ {
+				answered(now, number)
+				Expect(returnedAsLast(now+quick, 100+number)).To(Equal(number < 14), "one trial at a time")
+				now += 250 * millisecond
+			}
+			Expect(returnedAsLast(now, 50)).To(BeFalse())
+			Expect(returnedAsLast(now, 51)).To(BeFalse())
+		})
+
+		It("leaves the endpoint out for longer if a trial fails", func() {
+			Expect(returnedAsLast(stuckAt, 3)).To(BeTrue())
+			close(stuckAt, 2)
+			trial := stuckAt + 1100*millisecond
+			open(trial, 4)
+			Expect(returnedAsLast(trial+stuckAt, 5)).To(BeTrue())
+			close(trial+stuckAt, 4)
+			Expect(returnedAsLast(trial+stuckAt+1900*millisecond, 6)).To(BeTrue())
+			Expect(returnedAsLast(trial+stuckAt+2100*millisecond, 7)).To(BeFalse())
+		})
+
+		It("does not take a long upload for a request without an answer", func() {
+			agent = newAgent(true)
+			answered(0, 1)
+			open(30*millisecond, 2)
+			for step := range 20 {
+				at := time.Duration(30+100*(step+1)) * millisecond
+				forward(at, relay.KindForward, fromClient(2, segment.Acknowledge, uint32(108+4*step), 501, "more"))
+			}
+			Expect(returnedAsLast(2050*millisecond, 3)).To(BeFalse())
+		})
+	})
+
 	It("forgets flows that have ended", func() {
 		open(0, 1)
 		forward(0, relay.KindForward, fromClient(1, segment.Acknowledge|segment.Finish, 108, 501, ""))
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -251,6 +251,23 @@
 		Expect(toVictim).To(BeNumerically("<=", 25))
 	})
 
+	It("offers a flow last to endpoints that take it only if no other does", func() {
+		bring := func(from segment.Address, last bool) []relay.Effect {
+			return balancer.Receive(millisecond, from, relay.Message{
+				Kind: relay.KindReturned, Service: service, Sequence: 100, LastResort: last, Packet: opening(1, 100),
+			})
+		}
+		first := onlyMessage(balancer.Arrive(0, opening(1, 100)))
+		second := onlyMessage(bring(first.To, true))
+		Expect(second.Message.LastResort).To(BeFalse())
+		third := onlyMessage(bring(second.To, false))
+		last := onlyMessage(bring(third.To, false))
+		Expect(last.To).To(Equal(first.To))
+		Expect(last.Message.LastResort).To(BeTrue())
+		Expect(last.Message.Packet).To(Equal(opening(1, 100)))
+		Expect(resets(bring(first.To, true))).To(HaveLen(1), "it is asked once")
+	})
+
 	Describe("a flow that it does not know", func() {
 		request := fromClient(1, segment.Acknowledge, 101, 501, "request")
 
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -111,6 +111,9 @@
 	// sought.
 	Acknowledgment uint32
 	Flags          segment.Flags
+	// LastResort tells in an offer that no other endpoint takes the flow, and in a
+	// return that the endpoint would take it then.
+	LastResort bool
 	// Terms are set in offers.
 	Terms Terms
 	// Load is set in messages of agents.
--- a/internal/relay/message_gen.go
+++ b/internal/relay/message_gen.go
@@ -227,8 +227,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	{
@@ -269,6 +269,11 @@
 		}
 		z.Flags = segment.Flags(zb0003)
 	}
+	z.LastResort, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "LastResort")
+		return
+	}
 	err = z.Terms.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -316,8 +321,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Message) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 9
-	err = en.Append(0x99)
+	// array header, size 10
+	err = en.Append(0x9a)
 	if err != nil {
 		return
 	}
@@ -351,6 +356,11 @@
 		err = msgp.WrapError(err, "Flags")
 		return
 	}
+	err = en.WriteBool(z.LastResort)
+	if err != nil {
+		err = msgp.WrapError(err, "LastResort")
+		return
+	}
 	err = z.Terms.EncodeMsg(en)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -387,14 +397,15 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendUint8(o, uint8(z.Kind))
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendBytes(o, (z.Flow)[:])
 	o = msgp.AppendUint32(o, z.Sequence)
 	o = msgp.AppendUint32(o, z.Acknowledgment)
 	o = msgp.AppendUint8(o, uint8(z.Flags))
+	o = msgp.AppendBool(o, z.LastResort)
 	o, err = z.Terms.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -417,8 +428,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	{
@@ -459,6 +470,11 @@
 		}
 		z.Flags = segment.Flags(zb0003)
 	}
+	z.LastResort, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LastResort")
+		return
+	}
 	bts, err = z.Terms.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -516,7 +532,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Message) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + z.Terms.Msgsize() + 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Packet)
+	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize + z.Terms.Msgsize() + 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Packet)
 	return
 }
 
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -14,7 +14,11 @@
 	packet   []byte
 	deadline time.Duration
 	tried    []directory.EndpointID
-	done     bool
+	// lastResort is an agent that takes the flow if no other does, zero if there is
+	// none; one is asked once.
+	lastResort      segment.Address
+	lastResortAsked bool
+	done            bool
 }
 
 // arriveOpening handles a packet that opens a flow, or a copy of it.
@@ -162,19 +166,42 @@
 		return
 	}
 	b.heard(now, known, from, message.Load)
+	if message.LastResort {
+		known.offer.lastResort = from
+	}
 	b.offerAgain(now, key, known, "returned")
 }
 
 // offerAgain offers an opening packet to a further endpoint. If there is none,
 // the client is refused at once.
 func (b *Balancer) offerAgain(now time.Duration, key segment.FlowKey, known *balancerFlow, reason string) {
-	if b.offerFurther(now, known, reason) {
+	if b.offerFurther(now, known, reason) || b.offerLastResort(now, known) {
 		return
 	}
 	b.forget(key, known)
 	b.refuse(key, segment.Header{}, "all_returned")
 }
 
+// offerLastResort offers the opening packet of a flow to an endpoint that takes it
+// since no other does. It reports whether there is one.
+func (b *Balancer) offerLastResort(now time.Duration, known *balancerFlow) bool {
+	agent := known.offer.lastResort
+	if agent.IsZero() || known.offer.lastResortAsked {
+		return false
+	}
+	known.offer.lastResortAsked = true
+	b.moveTo(known, agent)
+	if candidate, exists := b.snapshot.At(agent.IP); exists {
+		known.terms.Slots = candidate.Endpoint.Slots
+	}
+	known.offer.deadline = now + offerTimeout
+	b.event(Event{Kind: EventOfferedAgain, Flow: known.offer.key, Peer: agent, Reason: "last_resort"})
+	b.send(agent, Message{
+		Kind: KindOffer, Service: known.service, Terms: known.terms, LastResort: true, Packet: known.offer.packet,
+	})
+	return true
+}
+
 // offerExpired handles an opening packet that an agent has not answered.
 func (b *Balancer) offerExpired(now time.Duration, waiting *offer) {
 	known, exists := b.flows[waiting.key]
@@ -183,7 +210,7 @@
 		return
 	}
 	b.silent(now, known)
-	if b.budget.spend() && b.offerFurther(now, known, "silence") {
+	if b.budget.spend() && (b.offerFurther(now, known, "silence") || b.offerLastResort(now, known)) {
 		return
 	}
 	// The client repeats the packet; it goes to the agent that had it last.
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -34,8 +34,10 @@
 	// tell: when its flow was offered or, in a flow that is kept, the request
 	// came.
 	asked time.Duration
-	// since is when the request was admitted.
+	// since is when the request was admitted, and fed when the endpoint was given
+	// the last new data of it.
 	since time.Duration
+	fed   time.Duration
 	// sent is the sequence number after all data that the endpoint was given.
 	sent uint32
 	// occupies is set from the admission of a request until the endpoint
@@ -188,6 +190,7 @@
 		a.event(Event{Kind: EventGiven, Flow: key, Request: known.work.request, Peer: known.balancer})
 	}
 	known.work.sent = end
+	known.work.fed = now
 	return true
 }
 
@@ -214,12 +217,16 @@
 	known.work.served = true
 	known.work.since = now
 	a.pace.occupied++
+	if a.pace.slots > 0 {
+		a.outlier.took(known)
+	}
 }
 
 // responded notes that the endpoint has begun to answer.
 func (a *Agent) responded(now time.Duration, key segment.FlowKey, known *agentFlow) {
 	if known.work.occupies {
 		a.pace.measure(now - known.work.since)
+		a.outlier.answered()
 		a.event(Event{Kind: EventAnswered, Flow: key, Request: known.work.request, Elapsed: now - known.work.since})
 	}
 	a.release(now, known)
@@ -235,6 +242,7 @@
 	if known.work.occupies {
 		known.work.occupies = false
 		a.pace.occupied--
+		a.outlier.released(known)
 	}
 	a.admitWaiting(now)
 }
@@ -256,6 +264,7 @@
 		held := work.held
 		work.held = nil
 		a.occupy(now, next.flow)
+		work.fed = now
 		for _, packet := range held {
 			a.giveHeld(work, packet)
 		}
