Measure answers whose flow ends before them

Packet by packet, an endpoint's packet with the end of its side of the flow reaches the agent before the answer's data (or is the answer's only packet). The agent released the request without measuring it: `relay_answer_seconds` and the mean time to answer, by which the queue orders and refuses and hung requests are told, came from 5 requests in 100, mostly downloads.

Ruled out: the log's bound (no line was omitted), clients that end their side first (they do so after the answer).

Change: the end of the endpoint's side is taken for the answer's beginning, as are data.

Test: "takes an answer for one that comes with the end of its flow, or after it" (failed first).

--- a/internal/relay/agent_test.go
+++ b/internal/relay/agent_test.go
@@ -387,6 +387,16 @@
 			Expect(named(respond(3*time.Second, 1), relay.EventExpired)).To(Equal("q11"))
 		})
 
+		It("takes an answer for one that comes with the end of its flow, or after it", func() {
+			effects := agent.Emitted(50*millisecond, fromEndpoint(0, segment.Acknowledge|segment.Finish, 501, 108, "answer"))
+			Expect(events(effects)).To(ContainElement(relay.EventAnswered))
+			Expect(agent.Load().Running).To(Equal(uint32(2)))
+			effects = agent.Emitted(50*millisecond, fromEndpoint(1, segment.Acknowledge|segment.Finish, 507, 108, ""))
+			Expect(events(effects)).To(ContainElement(relay.EventAnswered))
+			effects = agent.Emitted(51*millisecond, fromEndpoint(1, segment.Acknowledge, 501, 108, "answer"))
+			Expect(events(effects)).NotTo(ContainElement(relay.EventAnswered), "once")
+		})
+
 		It("does not serve requests whose clients have given up", func() {
 			refill(20*millisecond, 30*millisecond)
 			handshake(40*millisecond, 10)
--- a/internal/relay/emitted.go
+++ b/internal/relay/emitted.go
@@ -70,14 +70,17 @@
 		known = a.adopt(now, key, header)
 	}
 	known.touched = now
-	switch {
-	case header.Flags.Has(segment.Synchronize):
+	if header.Flags.Has(segment.Synchronize) {
 		a.answer(key, known, header)
-	case header.Flags.Has(segment.Finish), header.Flags.Has(segment.Reset):
-		a.end(now, known)
-	case header.Length > 0:
+	}
+	// An endpoint may end its side of the flow with the answer or, in another packet,
+	// before it.
+	if header.Length > 0 || header.Flags.Has(segment.Finish) {
 		a.responded(now, key, known)
 	}
+	if header.Flags.Has(segment.Finish) || header.Flags.Has(segment.Reset) {
+		a.end(now, known)
+	}
 	a.effects = append(a.effects, Effect{Kind: EffectClient, To: key.Client, Packet: packet})
 }
 
