Use one return and a library's token bucket in the relay

`returnUnlessLast` was `bringBack` with one field more, and `searchBudget` a token bucket beside golang.org/x/time/rate, which the log already uses.

Change: one `bringBack`; the searches' bound is a rate.Limiter that is given the time, so that the balancer stays deterministic. No behaviour changes; the tests keep their assertions.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -205,24 +205,20 @@
 
 // bringBack returns a packet to the balancer it came from.
 func (a *Agent) bringBack(to segment.Address, key segment.FlowKey, header segment.Header, packet []byte, reason string) {
-	kind := KindUnknown
+	message := Message{Kind: KindUnknown, Service: a.config.Service, Sequence: header.Sequence, Packet: packet}
 	event := EventNotOwned
 	if header.Opening() {
-		kind = KindReturned
+		message.Kind = KindReturned
+		message.LastResort = reason == reasonStuck
 		event = EventReturned
 	}
-	a.send(to, Message{Kind: kind, Service: a.config.Service, Sequence: header.Sequence, Packet: packet})
+	a.send(to, message)
 	a.event(Event{Kind: event, Flow: key, Peer: to, Reason: reason})
 }
 
-// returnUnlessLast returns an opening packet which this endpoint shall get only if no
-// other takes it.
-func (a *Agent) returnUnlessLast(to segment.Address, key segment.FlowKey, header segment.Header, packet []byte) {
-	a.send(to, Message{
-		Kind: KindReturned, Service: a.config.Service, Sequence: header.Sequence, LastResort: true, Packet: packet,
-	})
-	a.event(Event{Kind: EventReturned, Flow: key, Peer: to, Reason: "stuck"})
-}
+// reasonStuck is the reason of the return of an opening packet which this endpoint
+// shall get only if no other takes it.
+const reasonStuck = "stuck"
 
 func (a *Agent) receiveOpening(now time.Duration, from segment.Address, key segment.FlowKey, header segment.Header, message Message) {
 	known, exists := a.flows[key]
@@ -244,7 +240,7 @@
 		return
 	}
 	if !message.LastResort && !a.outlier.admits(now, a.pace.working) {
-		a.returnUnlessLast(from, key, header, message.Packet)
+		a.bringBack(from, key, header, message.Packet, reasonStuck)
 		return
 	}
 	a.forget(now, key)
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/vanetiller/vanetiller/internal/directory"
 	"github.com/vanetiller/vanetiller/internal/segment"
 )
@@ -91,7 +93,7 @@
 	health    map[directory.EndpointID]*health
 	sharing   map[segment.Address]*sharing
 	budget    budget
-	searches  searchBudget
+	searches  *rate.Limiter
 	reach     reach
 	nextSweep time.Duration
 	effects   []Effect
@@ -106,7 +108,7 @@
 		health:   make(map[directory.EndpointID]*health),
 		sharing:  make(map[segment.Address]*sharing),
 		budget:   newBudget(),
-		searches: searchBudget{tokens: searchBurst},
+		searches: rate.NewLimiter(searchRate, searchBurst),
 	}
 }
 
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -1,7 +1,5 @@
 package relay
 
-import "time"
-
 // budget bounds the further offers that are made for silence, as retry budgets
 // do, so that they cannot double an overload.
 type budget struct{ tokens float64 }
@@ -23,20 +21,3 @@
 	b.tokens--
 	return true
 }
-
-// searchBudget is a token bucket for the messages that find owners of flows.
-type searchBudget struct {
-	tokens float64
-	earned time.Duration
-}
-
-// spend takes tokens and reports whether there were enough.
-func (b *searchBudget) spend(now time.Duration, messages int) bool {
-	b.tokens = min(b.tokens+(now-b.earned).Seconds()*searchRate, searchBurst)
-	b.earned = now
-	if b.tokens < float64(messages) {
-		return false
-	}
-	b.tokens -= float64(messages)
-	return true
-}
--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -78,7 +78,7 @@
 		return
 	}
 	asked := b.possibleOwners(key, sought)
-	if !b.searches.spend(now, len(asked)) {
+	if !b.searches.AllowN(time.Unix(0, int64(now)), len(asked)) {
 		b.event(Event{Kind: EventLocating, Flow: key, Version: b.snapshot.Version(), Reason: "limited"})
 		return
 	}
