Take an endpoint for gone once another has come to its address

The entry written last is the one that is there; what was started before it writes no more.

Also, for the proof that nobody holds a flow: a directory tells how far back it knows of endpoints that have left, and which services addresses had; a peer that has not heard from the store for long tells all that it believes to be there, since what has left meanwhile was hidden from a process that had just started.

--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -31,7 +31,10 @@
 	// it told what it knows.
 	adopted Revision
 	// former are the services that earlier configurations gave addresses.
-	former   map[segment.Address][]string
+	former map[segment.Address][]string
+	// since is when the knowledge of endpoints that leave begins, never if it has
+	// not begun.
+	since    time.Duration
 	snapshot *Snapshot
 }
 
@@ -40,7 +43,26 @@
 
 // New returns a machine that knows nothing.
 func New() *Machine {
-	return &Machine{endpoints: make(map[EndpointID]*held), snapshot: newSnapshot(nil, nil, nil)}
+	return &Machine{
+		endpoints: make(map[EndpointID]*held),
+		since:     never,
+		snapshot:  newSnapshot(nil, nil, nil, never),
+	}
+}
+
+// knownFor returns for how long endpoints that leave have been remembered.
+func (m *Machine) knownFor(now time.Duration) time.Duration {
+	return min(max(now-m.since, 0), Retention)
+}
+
+// reachBack notes that endpoints which have left since a time are known. It reports
+// whether that is news.
+func (m *Machine) reachBack(since time.Duration) bool {
+	if since >= m.since {
+		return false
+	}
+	m.since = since
+	return true
 }
 
 // Snapshot returns the current view.
@@ -72,6 +94,7 @@
 			changed = true
 		}
 	}
+	changed = m.reachBack(now) || changed
 	return m.advance(now, begun, changed)
 }
 
@@ -134,17 +157,25 @@
 		if slices.Equal(present[route.Address()], route.Shares) {
 			continue
 		}
-		former[route.Address()] = withServices(former[route.Address()], route.Shares)
+		former[route.Address()] = withServices(former[route.Address()], servicesOf(route.Shares))
 	}
 	m.former = former
 }
 
-// withServices returns the services with those of shares at the end.
-func withServices(services []string, shares []Share) []string {
-	merged := slices.Clone(services)
+func servicesOf(shares []Share) []string {
+	services := make([]string, 0, len(shares))
 	for _, share := range shares {
-		merged = slices.DeleteFunc(merged, func(known string) bool { return known == share.Service })
-		merged = append(merged, share.Service)
+		services = append(services, share.Service)
+	}
+	return services
+}
+
+// withServices returns the services with later ones at the end.
+func withServices(services, later []string) []string {
+	merged := slices.Clone(services)
+	for _, service := range later {
+		merged = slices.DeleteFunc(merged, func(known string) bool { return known == service })
+		merged = append(merged, service)
 	}
 	return merged[max(len(merged)-formerServices, 0):]
 }
@@ -187,13 +218,15 @@
 }
 
 func (m *Machine) rebuild() {
+	latest := m.latestAt()
 	candidates := make([]Candidate, 0, len(m.endpoints))
 	for id, known := range m.endpoints {
+		gone := known.gone || latest[known.endpoint.IP] != known
 		candidates = append(candidates, Candidate{
 			ID:       id,
 			Endpoint: known.endpoint,
-			Leaving:  known.gone || known.endpoint.Draining,
-			Gone:     known.gone,
+			Leaving:  gone || known.endpoint.Draining,
+			Gone:     gone,
 			GoneAt:   known.goneAt,
 			WarmAt:   known.warmAt,
 		})
@@ -202,5 +235,19 @@
 	if m.configuration != nil {
 		configuration = m.configuration.Configuration
 	}
-	m.snapshot = newSnapshot(configuration, m.former, candidates)
+	m.snapshot = newSnapshot(configuration, m.former, candidates, m.since)
+}
+
+// latestAt returns, by address, the entry that was written last of those that are
+// there. An endpoint that has been started again has a new entry, while that of the
+// one before, which writes no more, takes some time to lapse.
+func (m *Machine) latestAt() map[[4]byte]*held {
+	latest := make(map[[4]byte]*held, len(m.endpoints))
+	for _, known := range m.endpoints {
+		other := latest[known.endpoint.IP]
+		if !known.gone && (other == nil || other.revision < known.revision) {
+			latest[known.endpoint.IP] = known
+		}
+	}
+	return latest
 }
--- a/internal/directory/machine_test.go
+++ b/internal/directory/machine_test.go
@@ -157,6 +157,44 @@
 		Expect(leaving("a")).To(BeFalse())
 	})
 
+	It("knows of endpoints that have left since its first listing, or since that of another which told it", func() {
+		Expect(machine.Snapshot().Since()).To(BeNumerically(">", time.Hour))
+		older := directory.New()
+		older.Listing(0, []directory.Item{configurationItem(4, 2)}, 10)
+		machine.Listing(20*time.Second, []directory.Item{configurationItem(4, 2)}, 10)
+		Expect(machine.Snapshot().Since()).To(Equal(20 * time.Second))
+		Expect(machine.Adopt(21*time.Second, older.State(21*time.Second))).To(BeTrue())
+		Expect(machine.Snapshot().Since()).To(BeZero())
+		Expect(older.State(time.Hour).KnownFor).To(Equal(directory.Retention), "it forgets them then")
+	})
+
+	It("learns from another which has not heard for long what has left meanwhile", func() {
+		stale := directory.New()
+		stale.Listing(0, []directory.Item{configurationItem(4, 2), endpointItem("a", 5, endpoint("s", false))}, 10)
+		machine.Listing(0, []directory.Item{configurationItem(4, 2)}, 100)
+		machine.Adopt(time.Second, stale.StateAfter(time.Second, machine.Digest()))
+		Expect(leaving("a")).To(BeTrue(), "its flows can be found")
+	})
+
+	It("learns from another which services addresses have had", func() {
+		route := directory.Route{IP: [4]byte{198, 51, 100, 1}, Port: 443, Shares: []directory.Share{{Service: "before", Weight: 1}}}
+		older := directory.New()
+		older.Changes(0, []directory.Item{{Revision: 1, Configuration: &directory.Configuration{Version: 1, Routes: []directory.Route{route}}}}, 1)
+		older.Changes(0, []directory.Item{{Revision: 2, Configuration: &directory.Configuration{Version: 2}}}, 2)
+		Expect(machine.Adopt(0, older.State(0))).To(BeTrue())
+		Expect(machine.Snapshot().FormerServices(route.Address())).To(Equal([]string{"before"}))
+	})
+
+	It("takes an endpoint for gone once another has come to its address, though its entry has not lapsed", func() {
+		machine.Changes(0, []directory.Item{endpointItem("z-first", 1, endpoint("s", false)), endpointItem("a-second", 2, endpoint("s", false))}, 2)
+		Expect(leaving("z-first")).To(BeTrue())
+		Expect(leaving("a-second")).To(BeFalse())
+		machine.Changes(0, []directory.Item{endpointItem("m-third", 3, endpoint("s", false))}, 3)
+		Expect(leaving("a-second")).To(BeTrue())
+		found, _ := machine.Snapshot().At([4]byte{10, 0, 0, 1})
+		Expect(found.ID).To(Equal(directory.EndpointID("m-third")))
+	})
+
 	It("keeps what it knows better than the other", func() {
 		machine.Changes(0, []directory.Item{configurationItem(4, 2), endpointItem("a", 9, endpoint("s", true))}, 9)
 		stale := directory.New()
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -46,11 +46,16 @@
 	byIP     map[[4]byte]Candidate
 	all      []Candidate
 	former   map[segment.Address][]string
+	since    time.Duration
 }
 
 // Version returns the version of the configuration, 0 if there is none.
 func (s *Snapshot) Version() uint64 { return s.version }
 
+// Since returns when the knowledge of endpoints that leave begins: all that have left
+// later are known. It is the longest duration before the first listing.
+func (s *Snapshot) Since() time.Duration { return s.since }
+
 // Route returns the route of an address that clients connect to.
 func (s *Snapshot) Route(address segment.Address) (*Route, bool) {
 	route, exists := s.routes[address]
@@ -85,7 +90,7 @@
 // identifiers. The result must not be changed.
 func (s *Snapshot) All() []Candidate { return s.all }
 
-func newSnapshot(configuration *Configuration, former map[segment.Address][]string, candidates []Candidate) *Snapshot {
+func newSnapshot(configuration *Configuration, former map[segment.Address][]string, candidates []Candidate, since time.Duration) *Snapshot {
 	built := &Snapshot{
 		routes:   make(map[segment.Address]*Route),
 		services: make(map[string][]Candidate),
@@ -93,6 +98,7 @@
 		byIP:     make(map[[4]byte]Candidate, len(candidates)),
 		all:      candidates,
 		former:   former,
+		since:    since,
 	}
 	if configuration != nil {
 		built.version = configuration.Version
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -1,10 +1,16 @@
 package directory
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
 
 //go:generate go tool msgp -tests=false
 //msgp:limit arrays:65536
-//msgp:tuple Digest State EndpointState
+//msgp:tuple Digest State EndpointState FormerRoute
 
 // Digest tells how much a process knows. It is small enough to travel with
 // every message between balancers.
@@ -30,6 +36,19 @@
 	// ConfigurationRevision is the revision of Configuration.
 	ConfigurationRevision Revision
 	Endpoints             []EndpointState
+	// Former are the services that addresses had in earlier configurations.
+	Former []FormerRoute
+	// KnownFor is how far back it reaches: endpoints that have left since are in
+	// it.
+	KnownFor time.Duration
+}
+
+// FormerRoute tells which services an address had in earlier configurations, the
+// latest ones last.
+type FormerRoute struct {
+	IP       [4]byte
+	Port     uint16
+	Services []string
 }
 
 // EndpointState is what a process knows of an endpoint.
@@ -52,15 +71,22 @@
 
 // StateAfter returns what is known beyond what a digest shows, to be adopted by the
 // process whose digest it is. Endpoints that have gone are always in it, since the
-// store tells of them only when they go.
+// store tells of them only when they go. So are, if the other knows later changes,
+// those that are believed to be there: the store may have told it that they are not.
 func (m *Machine) StateAfter(now time.Duration, known Digest) State {
-	state := State{Complete: m.Digest().Complete, Version: m.snapshot.Version()}
+	state := State{
+		Complete: m.Digest().Complete,
+		Version:  m.snapshot.Version(),
+		Former:   describeFormer(m.former),
+		KnownFor: m.knownFor(now),
+	}
+	upToDate := state.Complete >= known.Complete
 	if m.configuration != nil && state.Version > known.Version {
 		state.Configuration = m.configuration.Configuration
 		state.ConfigurationRevision = m.configuration.Revision
 	}
 	for id, each := range m.endpoints {
-		if !each.gone && each.revision <= known.Complete {
+		if upToDate && !each.gone && each.revision <= known.Complete {
 			continue
 		}
 		state.Endpoints = append(state.Endpoints, each.describe(now, id))
@@ -90,9 +116,39 @@
 	for _, described := range state.Endpoints {
 		changed = m.adoptEndpoint(now, described) || changed
 	}
+	changed = m.adoptFormer(state.Former) || changed
+	if state.KnownFor > 0 {
+		changed = m.reachBack(now-state.KnownFor) || changed
+	}
 	return m.advance(now, 0, changed)
 }
 
+// adoptFormer merges the former services that another process knows. It reports
+// whether there are new ones. Snapshots share the map, so it is replaced.
+func (m *Machine) adoptFormer(described []FormerRoute) bool {
+	merged := maps.Clone(m.former)
+	if merged == nil {
+		merged = make(map[segment.Address][]string)
+	}
+	for _, route := range described {
+		address := segment.Address{IP: route.IP, Port: route.Port}
+		merged[address] = withServices(route.Services, merged[address])
+	}
+	if maps.EqualFunc(merged, m.former, slices.Equal) {
+		return false
+	}
+	m.former = merged
+	return true
+}
+
+func describeFormer(former map[segment.Address][]string) []FormerRoute {
+	var described []FormerRoute
+	for address, services := range former {
+		described = append(described, FormerRoute{IP: address.IP, Port: address.Port, Services: services})
+	}
+	return described
+}
+
 // adoptEndpoint takes what another process says of an endpoint if it is newer. An
 // endpoint that this process does not know, though it knows all changes since the
 // entry was written, has gone: the other has not heard of that.
--- a/internal/directory/state_gen.go
+++ b/internal/directory/state_gen.go
@@ -257,6 +257,160 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *FormerRoute) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > ze2bed3a0limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	err = dc.ReadExactBytes((z.IP)[:])
+	if err != nil {
+		err = msgp.WrapError(err, "IP")
+		return
+	}
+	z.Port, err = dc.ReadUint16()
+	if err != nil {
+		err = msgp.WrapError(err, "Port")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Services")
+		return
+	}
+	if zb0002 > ze2bed3a0limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Services) >= int(zb0002) {
+		z.Services = (z.Services)[:zb0002]
+	} else {
+		z.Services = make([]string, zb0002)
+	}
+	for za0002 := range z.Services {
+		z.Services[za0002], err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Services", za0002)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *FormerRoute) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes((z.IP)[:])
+	if err != nil {
+		err = msgp.WrapError(err, "IP")
+		return
+	}
+	err = en.WriteUint16(z.Port)
+	if err != nil {
+		err = msgp.WrapError(err, "Port")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Services)))
+	if err != nil {
+		err = msgp.WrapError(err, "Services")
+		return
+	}
+	for za0002 := range z.Services {
+		err = en.WriteString(z.Services[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Services", za0002)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *FormerRoute) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendBytes(o, (z.IP)[:])
+	o = msgp.AppendUint16(o, z.Port)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
+	for za0002 := range z.Services {
+		o = msgp.AppendString(o, z.Services[za0002])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *FormerRoute) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	bts, err = msgp.ReadExactBytes(bts, (z.IP)[:])
+	if err != nil {
+		err = msgp.WrapError(err, "IP")
+		return
+	}
+	z.Port, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Port")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Services")
+		return
+	}
+	if zb0002 > ze2bed3a0limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Services) >= int(zb0002) {
+		z.Services = (z.Services)[:zb0002]
+	} else {
+		z.Services = make([]string, zb0002)
+	}
+	for za0002 := range z.Services {
+		z.Services[za0002], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Services", za0002)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *FormerRoute) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize + (4 * (msgp.ByteSize)) + msgp.Uint16Size + msgp.ArrayHeaderSize
+	for za0002 := range z.Services {
+		s += msgp.StringPrefixSize + len(z.Services[za0002])
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *State) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -269,8 +423,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	err = z.Complete.DecodeMsg(dc)
@@ -327,13 +481,40 @@
 			return
 		}
 	}
+	var zb0003 uint32
+	zb0003, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Former")
+		return
+	}
+	if zb0003 > ze2bed3a0limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Former) >= int(zb0003) {
+		z.Former = (z.Former)[:zb0003]
+	} else {
+		z.Former = make([]FormerRoute, zb0003)
+	}
+	for za0002 := range z.Former {
+		err = z.Former[za0002].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Former", za0002)
+			return
+		}
+	}
+	z.KnownFor, err = dc.ReadDuration()
+	if err != nil {
+		err = msgp.WrapError(err, "KnownFor")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *State) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 7
+	err = en.Append(0x97)
 	if err != nil {
 		return
 	}
@@ -376,14 +557,31 @@
 			return
 		}
 	}
+	err = en.WriteArrayHeader(uint32(len(z.Former)))
+	if err != nil {
+		err = msgp.WrapError(err, "Former")
+		return
+	}
+	for za0002 := range z.Former {
+		err = z.Former[za0002].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Former", za0002)
+			return
+		}
+	}
+	err = en.WriteDuration(z.KnownFor)
+	if err != nil {
+		err = msgp.WrapError(err, "KnownFor")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 7
+	o = append(o, 0x97)
 	o, err = z.Complete.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Complete")
@@ -412,6 +610,15 @@
 			return
 		}
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Former)))
+	for za0002 := range z.Former {
+		o, err = z.Former[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Former", za0002)
+			return
+		}
+	}
+	o = msgp.AppendDuration(o, z.KnownFor)
 	return
 }
 
@@ -423,8 +630,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	bts, err = z.Complete.UnmarshalMsg(bts)
@@ -480,6 +687,33 @@
 			return
 		}
 	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Former")
+		return
+	}
+	if zb0003 > ze2bed3a0limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Former) >= int(zb0003) {
+		z.Former = (z.Former)[:zb0003]
+	} else {
+		z.Former = make([]FormerRoute, zb0003)
+	}
+	for za0002 := range z.Former {
+		bts, err = z.Former[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Former", za0002)
+			return
+		}
+	}
+	z.KnownFor, bts, err = msgp.ReadDurationBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "KnownFor")
+		return
+	}
 	o = bts
 	return
 }
@@ -496,5 +730,10 @@
 	for za0001 := range z.Endpoints {
 		s += z.Endpoints[za0001].Msgsize()
 	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Former {
+		s += z.Former[za0002].Msgsize()
+	}
+	s += msgp.DurationSize
 	return
 }
