--- a/bench/flownet/balancer.go
+++ b/bench/flownet/balancer.go
@@ -47,6 +47,7 @@
 	Confirm(now time.Duration)
 	Tick(now time.Duration) []relay.Effect
 	Isolated() bool
+	Current(now, through time.Duration) []relay.Effect
 }
 
 // balancerNode is one machine with a balancer.
@@ -59,12 +60,17 @@
 	part      balancerPart
 	directory *directory.Machine
 	follower  *directory.Follower
-	exchange  *directory.Exchange[simnet.NodeID]
-	fetching  time.Duration
-	call      directory.Call
-	number    uint64
-	stopping  bool
-	removed   bool
+	confirmer *directory.Confirmer
+	// confirming is the confirmer's call that is under way, and confirmed when it
+	// was sent.
+	confirming directory.Call
+	confirmed  time.Duration
+	exchange   *directory.Exchange[simnet.NodeID]
+	fetching   time.Duration
+	call       directory.Call
+	number     uint64
+	stopping   bool
+	removed    bool
 	// cut is set while the store cannot be reached.
 	cut bool
 }
@@ -88,6 +94,8 @@
 	})
 	n.directory = directory.New()
 	n.follower = directory.NewFollower(n.directory, timing)
+	n.confirmer = directory.NewConfirmer(n.directory)
+	n.confirmed = 0
 	n.exchange = directory.NewExchange(n.directory, timing, w.seeds(n), rand.New(rand.NewPCG(w.random.Uint64(), 2)))
 	n.fetching = 0
 	n.stopping = false
@@ -119,6 +127,7 @@
 	case tickTimer:
 		n.execute(n.part.Tick(now))
 		n.fetchNext(now)
+		n.confirmNext(now)
 		n.world.net.Schedule(n.id, tickInterval, tickTimer)
 	case callTimer:
 		n.sendCall()
@@ -146,6 +155,8 @@
 // Receive implements simnet.Handler.
 func (n *balancerNode) Receive(now time.Duration, from simnet.NodeID, received datagram) {
 	switch {
+	case received.reply != nil && received.reply.confirming:
+		n.receiveConfirmation(now, *received.reply)
 	case received.reply != nil:
 		n.receiveReply(now, *received.reply)
 	case n.cut && received.message == nil && received.packet == nil:
@@ -244,6 +255,8 @@
 			n.world.sendToClient(n.id, effect.To, effect.Packet)
 		case relay.EffectEvent:
 			n.world.ledger.decided(effect.Event)
+		case relay.EffectConfirm:
+			n.wantConfirmation()
 		}
 	}
 }
--- a/bench/flownet/baseline.go
+++ b/bench/flownet/baseline.go
@@ -56,9 +56,12 @@
 	return nil
 }
 
-func (b *hashBalancer) Confirm(time.Duration)             {}
-func (b *hashBalancer) Tick(time.Duration) []relay.Effect { return nil }
-func (b *hashBalancer) Isolated() bool                    { return false }
+func (b *hashBalancer) Confirm(time.Duration) {}
+
+// Current implements balancerPart.
+func (b *hashBalancer) Current(time.Duration, time.Duration) []relay.Effect { return nil }
+func (b *hashBalancer) Tick(time.Duration) []relay.Effect                   { return nil }
+func (b *hashBalancer) Isolated() bool                                      { return false }
 
 // hashAgent gives its endpoint every packet.
 type hashAgent struct{ config relay.AgentConfig }
--- a/bench/flownet/flownet_test.go
+++ b/bench/flownet/flownet_test.go
@@ -68,6 +68,21 @@
 		Entry("kolkata", "kolkata"),
 	)
 
+	DescribeTable("needs every part of the proof that nobody holds a flow", func(planted flownet.Planted) {
+		broken := 0
+		for seed := uint64(1); seed <= 12 && broken == 0; seed++ {
+			for _, shape := range flownet.Shapes() {
+				chosen := options(shape.Name, seed)
+				chosen.Planted = planted
+				broken += flownet.Run(chosen).ResetOpen
+			}
+		}
+		Expect(broken).To(BeNumerically(">", 0))
+	},
+		Entry("that the directory is current", flownet.PlantedUnconfirmed),
+		Entry("that restarted agents ask their endpoints", flownet.PlantedHastyDenial),
+	)
+
 	It("breaks promises with a stateless hash, so that the checks are shown to see them", func() {
 		broken := 0
 		for seed := uint64(1); seed <= 3; seed++ {
--- a/bench/flownet/planted.go
+++ b/bench/flownet/planted.go
@@ -26,6 +26,11 @@
 	PlantedAnyOwner
 	// PlantedAltered: agents change packets.
 	PlantedAltered
+	// PlantedUnconfirmed: balancers take their directory for current without asking
+	// the store.
+	PlantedUnconfirmed
+	// PlantedHastyDenial: restarted agents deny flows that they do not know.
+	PlantedHastyDenial
 )
 
 // filter takes from the store's items what a planted fault hides.
@@ -94,3 +99,16 @@
 	}
 	return effects
 }
+
+// hastyAgent denies flows that it does not know though it was restarted.
+type hastyAgent struct{ *relay.Agent }
+
+func (a *hastyAgent) Receive(now time.Duration, from segment.Address, message relay.Message) []relay.Effect {
+	effects := a.Agent.Receive(now, from, message)
+	for index := range effects {
+		if effects[index].Message.Kind == relay.KindUncertain {
+			effects[index].Message.Kind = relay.KindDenied
+		}
+	}
+	return effects
+}
--- a/bench/flownet/run.go
+++ b/bench/flownet/run.go
@@ -64,6 +64,8 @@
 		return &greedyAgent{relay.NewAgent(config)}
 	case PlantedAltered:
 		return &alteringAgent{relay.NewAgent(config)}
+	case PlantedHastyDenial:
+		return &hastyAgent{relay.NewAgent(config)}
 	}
 	return relay.NewAgent(config)
 }
--- a/bench/flownet/store.go
+++ b/bench/flownet/store.go
@@ -23,14 +23,17 @@
 	since   directory.Revision
 	wait    time.Duration
 	number  uint64
+	// confirming is set in calls of the confirmer, which have no number.
+	confirming bool
 }
 
 // storeReply answers a call; failure is nil unless it failed.
 type storeReply struct {
-	number  uint64
-	page    directory.Page
-	changes directory.Changes
-	failure *directory.StoreError
+	number     uint64
+	confirming bool
+	page       directory.Page
+	changes    directory.Changes
+	failure    *directory.StoreError
 }
 
 type watcher struct {
@@ -88,26 +91,27 @@
 	case storeSilent:
 		return
 	case storeBusy:
-		s.reply(from, storeReply{number: call.number, failure: &directory.StoreError{Failure: directory.StoreUnavailable}})
+		s.reply(from, call, storeReply{failure: &directory.StoreError{Failure: directory.StoreUnavailable}})
 		return
 	case storeThrottling:
 		if s.world.random.IntN(throttledOutOf) > 0 {
-			s.reply(from, storeReply{number: call.number, failure: &directory.StoreError{Failure: directory.StoreThrottled}})
+			s.reply(from, call, storeReply{failure: &directory.StoreError{Failure: directory.StoreThrottled}})
 			return
 		}
 	}
 	if call.listing {
-		s.reply(from, storeReply{number: call.number, page: s.page(call.after)})
+		s.reply(from, call, storeReply{page: s.page(call.after)})
 		return
 	}
 	if call.since < s.oldest {
-		s.reply(from, storeReply{number: call.number, failure: &directory.StoreError{Failure: directory.StoreCompacted}})
+		s.reply(from, call, storeReply{failure: &directory.StoreError{Failure: directory.StoreCompacted}})
 		return
 	}
 	s.watch(from, call)
 }
 
-func (s *store) reply(to simnet.NodeID, reply storeReply) {
+func (s *store) reply(to simnet.NodeID, call storeCall, reply storeReply) {
+	reply.number, reply.confirming = call.number, call.confirming
 	s.world.net.Send(s.id, to, simnet.Control, 200, datagram{port: peerPort, reply: &reply})
 }
 
@@ -148,7 +152,7 @@
 			changes.Items = append(changes.Items, item)
 		}
 	}
-	s.reply(waiting.node, storeReply{number: waiting.call.number, changes: changes})
+	s.reply(waiting.node, waiting.call, storeReply{changes: changes})
 }
 
 // put changes an item and tells those who watch.
@@ -173,8 +177,8 @@
 	s.oldest = s.revision
 	for _, waiting := range s.watchers {
 		waiting.closed = true
-		s.reply(waiting.node, storeReply{
-			number: waiting.call.number, failure: &directory.StoreError{Failure: directory.StoreUnreachable},
+		s.reply(waiting.node, waiting.call, storeReply{
+			failure: &directory.StoreError{Failure: directory.StoreUnreachable},
 		})
 	}
 	s.watchers = nil
--- /dev/null
+++ b/internal/directory/confirmer.go
@@ -0,0 +1,99 @@
+package directory
+
+import "time"
+
+const (
+	// confirmInterval is the least time between two confirmations.
+	confirmInterval = 60 * time.Millisecond
+	// confirmRateShare is the part of the store's rate that the confirmations of all
+	// balancers together may take.
+	confirmRateShare = 0.25
+	// confirmWait is how long a watch for what is missing waits. The store has it.
+	confirmWait = time.Millisecond
+	// keyAfterAll comes after every key, so that a listing after it has nothing but
+	// the revision of the store.
+	keyAfterAll = "~"
+)
+
+// Confirmer decides which calls prove that the directory has all changes that the
+// store accepted before a time. An answer to a watch proves that only for the time at
+// which the store gave it, and the next may be seconds away. It is deterministic.
+type Confirmer struct {
+	machine  *Machine
+	interval time.Duration
+	wanted   bool
+	busy     bool
+	next     time.Duration
+	// begun is when the present call, or the first of two, began.
+	begun time.Duration
+	// target is the revision that the directory has to reach; it is zero until the
+	// store has told it.
+	target Revision
+}
+
+// NewConfirmer returns a confirmer of what a machine knows.
+func NewConfirmer(machine *Machine) *Confirmer {
+	return &Confirmer{machine: machine, interval: confirmInterval}
+}
+
+// Share tells how many balancers there are and how many calls a second the store
+// answers of all of them together.
+func (c *Confirmer) Share(balancers int, rate float64) {
+	c.interval = max(confirmInterval, secondsOf(float64(balancers)/(rate*confirmRateShare)))
+}
+
+func secondsOf(count float64) time.Duration { return time.Duration(count * float64(time.Second)) }
+
+// Want asks for a confirmation that is begun from now on.
+func (c *Confirmer) Want() { c.wanted = true }
+
+// Wanted reports whether a confirmation was asked for that has not begun.
+func (c *Confirmer) Wanted() bool { return c.wanted }
+
+// Next returns the call to make now, false if there is none. An answer or Failed must
+// follow.
+func (c *Confirmer) Next(now time.Duration) (Call, bool) {
+	if c.busy {
+		return Call{}, false
+	}
+	if c.target > 0 {
+		c.busy = true
+		return Call{AfterRevision: c.machine.Complete(), Wait: confirmWait, Timeout: callTimeout}, true
+	}
+	if !c.wanted || now < c.next || c.machine.Complete() == 0 {
+		return Call{}, false
+	}
+	c.wanted = false
+	c.busy = true
+	c.begun = now
+	c.next = now + c.interval
+	return Call{Listing: true, After: keyAfterAll, Timeout: callTimeout}, true
+}
+
+// Listed handles the revision of the store. It returns the time for which the
+// directory is confirmed, false if changes are missing.
+func (c *Confirmer) Listed(page Page) (time.Duration, bool) {
+	c.busy = false
+	if page.At > c.machine.Complete() {
+		c.target = page.At
+		return 0, false
+	}
+	return c.begun, true
+}
+
+// Watched handles the changes that were missing. It reports whether the snapshot
+// changed, and returns the time for which the directory is confirmed, false if it is
+// not.
+func (c *Confirmer) Watched(now time.Duration, changes Changes) (changed bool, confirmed time.Duration, current bool) {
+	changed = c.machine.Changes(now, changes.Items, changes.Through)
+	current = c.machine.Complete() >= c.target
+	c.busy = false
+	c.target = 0
+	return changed, c.begun, current
+}
+
+// Failed handles a failed call. The confirmation is given up; who needs it asks again.
+func (c *Confirmer) Failed() {
+	c.busy = false
+	c.target = 0
+}
--- /dev/null
+++ b/internal/directory/confirmer_test.go
@@ -0,0 +1,96 @@
+package directory_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+)
+
+var _ = Describe("Confirmer", func() {
+	const millisecond = time.Millisecond
+	var (
+		machine   *directory.Machine
+		confirmer *directory.Confirmer
+	)
+
+	BeforeEach(func() {
+		machine = directory.New()
+		machine.Listing(0, nil, 10)
+		confirmer = directory.NewConfirmer(machine)
+	})
+
+	begin := func(now time.Duration) directory.Call {
+		GinkgoHelper()
+		confirmer.Want()
+		call, wanted := confirmer.Next(now)
+		Expect(wanted).To(BeTrue())
+		return call
+	}
+
+	It("calls the store only if it is asked to", func() {
+		_, wanted := confirmer.Next(0)
+		Expect(wanted).To(BeFalse())
+	})
+
+	It("confirms the directory for the time at which it asked, if the store has nothing newer", func() {
+		Expect(begin(5 * millisecond).Listing).To(BeTrue())
+		confirmed, current := confirmer.Listed(directory.Page{At: 10})
+		Expect(current).To(BeTrue())
+		Expect(confirmed).To(Equal(5 * millisecond))
+	})
+
+	It("fetches what is missing before it confirms", func() {
+		begin(5 * millisecond)
+		_, current := confirmer.Listed(directory.Page{At: 12})
+		Expect(current).To(BeFalse())
+		call, wanted := confirmer.Next(9 * millisecond)
+		Expect(wanted).To(BeTrue())
+		Expect(call).To(And(HaveField("Listing", false), HaveField("AfterRevision", directory.Revision(10))))
+		items := []directory.Item{endpointItem("a", 12, endpoint("s", false))}
+		changed, confirmed, current := confirmer.Watched(12*millisecond, directory.Changes{Items: items, Through: 12})
+		Expect(changed).To(BeTrue())
+		Expect(current).To(BeTrue())
+		Expect(confirmed).To(Equal(5 * millisecond))
+	})
+
+	It("does not confirm if a watch that hears nothing answers less than the store has", func() {
+		begin(0)
+		confirmer.Listed(directory.Page{At: 12})
+		confirmer.Next(millisecond)
+		_, _, current := confirmer.Watched(2*millisecond, directory.Changes{Through: 11})
+		Expect(current).To(BeFalse())
+	})
+
+	It("asks again after a failure only if it is asked to, and not too often", func() {
+		begin(0)
+		confirmer.Failed()
+		_, wanted := confirmer.Next(time.Second)
+		Expect(wanted).To(BeFalse())
+		begin(time.Second)
+		confirmer.Listed(directory.Page{At: 10})
+		confirmer.Want()
+		_, wanted = confirmer.Next(time.Second + millisecond)
+		Expect(wanted).To(BeFalse())
+		_, wanted = confirmer.Next(time.Second + 60*millisecond)
+		Expect(wanted).To(BeTrue())
+	})
+
+	It("keeps all balancers together to a part of the store's rate", func() {
+		confirmer.Share(1100, 2000)
+		begin(0)
+		confirmer.Listed(directory.Page{At: 10})
+		confirmer.Want()
+		_, wanted := confirmer.Next(2 * time.Second)
+		Expect(wanted).To(BeFalse())
+	})
+
+	It("confirms nothing before the first listing", func() {
+		confirmer = directory.NewConfirmer(directory.New())
+		confirmer.Want()
+		_, wanted := confirmer.Next(0)
+		Expect(wanted).To(BeFalse())
+	})
+})
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -15,7 +15,7 @@
 
 //go:generate go tool msgp -tests=false
 //msgp:limit arrays:65536
-//msgp:ignore Candidate Snapshot Machine held Item Page Changes StoreError Follower Call Exchange Timing pacer
+//msgp:ignore Candidate Snapshot Machine held Item Page Changes StoreError Follower Confirmer Call Exchange Timing pacer
 //msgp:tuple Share Route Configuration Endpoint
 
 // Revision orders the changes of the store. It rises with every change.
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -93,7 +93,7 @@
 // Share tells how many balancers watch the store, which answers rate calls a
 // second of all of them together.
 func (f *Follower) Share(balancers int, rate float64) {
-	f.spacing = time.Duration(float64(balancers) / (rate * rateShare) * float64(time.Second))
+	f.spacing = secondsOf(float64(balancers) / (rate * rateShare))
 }
 
 // Next returns the next call; random, from 0 to below 1, spreads the calls of
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -49,8 +49,10 @@
 	// answered is set once answer is known.
 	answered bool
 	balancer segment.Address
-	touched  time.Duration
-	work     work
+	// forwarded is set in stateProbed if the balancer took this agent for the owner.
+	forwarded bool
+	touched   time.Duration
+	work      work
 }
 
 // running reports whether the endpoint has the flow and it has not ended.
@@ -159,6 +161,8 @@
 		a.receivePacket(now, from, message)
 	case KindLocate:
 		a.receiveLocate(now, from, message)
+	case KindVerify:
+		a.receiveVerify(now, from, message)
 	case KindPing:
 		a.send(from, Message{Kind: KindPong, Service: a.config.Service})
 	case KindDrain:
@@ -261,12 +265,28 @@
 	}
 	switch {
 	case a.mayOwn(now, known):
-		a.probe(now, from, key, message.Packet)
+		a.probe(now, from, key, header, message)
 	case message.Kind == KindForward:
 		a.bringBack(from, key, header, message.Packet, "not_owned")
+	case known != nil && known.state == stateProbed:
+		known.balancer = from
+		a.deliver(message.Packet)
+	case a.disowns(now, known):
+		a.deny(now, from, key)
 	}
 }
 
+// disowns reports whether it is certain that the endpoint does not hold a flow, of
+// which a packet has come that is not owned.
+func (a *Agent) disowns(now time.Duration, known *agentFlow) bool {
+	return a.complete(now) || known != nil && known.state != stateProbed
+}
+
+// deny tells a balancer that the endpoint does not hold a flow.
+func (a *Agent) deny(now time.Duration, to segment.Address, key segment.FlowKey) {
+	a.send(to, Message{Kind: KindDenied, Service: a.config.Service, Flow: FlowOf(key), Age: now - a.started})
+}
+
 // mayOwn reports whether the endpoint may hold a flow that this agent does not
 // know, since the agent was restarted.
 func (a *Agent) mayOwn(now time.Duration, known *agentFlow) bool {
@@ -285,7 +305,28 @@
 	case known != nil && a.owns(known, header):
 		a.send(from, Message{Kind: KindOwned, Service: a.config.Service, Flow: message.Flow})
 	case a.mayOwn(now, known):
-		a.send(from, Message{Kind: KindUncertain, Service: a.config.Service, Flow: message.Flow})
+		a.sendUncertain(now, from, message)
+	}
+}
+
+func (a *Agent) sendUncertain(now time.Duration, to segment.Address, question Message) {
+	a.send(to, Message{Kind: KindUncertain, Service: a.config.Service, Flow: question.Flow, Age: now - a.started})
+}
+
+// receiveVerify answers whether the endpoint holds a flow. Of an endpoint of another
+// service, which had this address before, nothing is left.
+func (a *Agent) receiveVerify(now time.Duration, from segment.Address, message Message) {
+	key := message.Flow.Key()
+	known := a.flows[key]
+	header := segment.Header{Flags: message.Flags, Acknowledgment: message.Acknowledgment}
+	foreign := message.Service != a.config.Service
+	switch {
+	case !foreign && known != nil && a.owns(known, header):
+		a.send(from, Message{Kind: KindOwned, Service: a.config.Service, Flow: message.Flow})
+	case foreign || a.disowns(now, known):
+		a.deny(now, from, key)
+	default:
+		a.sendUncertain(now, from, message)
 	}
 }
 
@@ -312,6 +353,7 @@
 func (a *Agent) receiveOwned(now time.Duration, from segment.Address, key segment.FlowKey, known *agentFlow, header segment.Header, message Message) {
 	known.touched = now
 	known.balancer = from
+	known.work.learn(message.Terms)
 	if known.state == stateAnswered {
 		known.state = stateOpen
 	}
@@ -330,10 +372,17 @@
 // probe lets the endpoint tell whether it holds a flow that this agent does not
 // know, since the agent was restarted. It happens once for each flow: if a
 // balancer takes this agent for the owner or has found no other.
-func (a *Agent) probe(now time.Duration, from segment.Address, key segment.FlowKey, packet []byte) {
-	a.flows[key] = &agentFlow{state: stateProbed, balancer: from, touched: now}
+func (a *Agent) probe(now time.Duration, from segment.Address, key segment.FlowKey, header segment.Header, message Message) {
+	a.flows[key] = &agentFlow{
+		state: stateProbed, balancer: from, forwarded: message.Kind == KindForward, touched: now,
+		work: work{
+			terms: message.Terms, asked: now, since: now, fed: now,
+			request: a.config.Codec.RequestID(message.Packet), given: header.Length > 0,
+			sent: header.Sequence + uint32(header.Length),
+		},
+	}
 	a.event(Event{Kind: EventProbed, Flow: key, Peer: from})
-	a.deliver(packet)
+	a.deliver(message.Packet)
 }
 
 func (a *Agent) end(now time.Duration, known *agentFlow) {
--- a/internal/relay/agent_test.go
+++ b/internal/relay/agent_test.go
@@ -202,6 +202,80 @@
 		})
 	})
 
+	Describe("asked to verify that nobody holds a flow", func() {
+		request := fromClient(1, segment.Acknowledge, 101, 501, "request")
+
+		verify := func(now time.Duration, ofService string) relay.Message {
+			GinkgoHelper()
+			asked := question(request)
+			asked.Kind, asked.Service = relay.KindVerify, ofService
+			return onlyMessage(agent.Receive(now, balancerB, asked)).Message
+		}
+
+		It("says that it owns the flow", func() {
+			open(0, 1)
+			Expect(verify(millisecond, service).Kind).To(Equal(relay.KindOwned))
+		})
+
+		It("denies it if it has known all flows of its endpoint, and tells how long it has been there", func() {
+			agent.Tick(0)
+			denied := verify(3*time.Second, service)
+			Expect(denied.Kind).To(Equal(relay.KindDenied))
+			Expect(denied.Flow).To(Equal(relay.FlowOf(keyOf(1))))
+			Expect(denied.Age).To(Equal(3 * time.Second))
+		})
+
+		It("denies it if its client chose another endpoint, also after a restart", func() {
+			agent = newAgent(false)
+			offer(0, 1, 100)
+			answer(0, 1, 900)
+			Expect(verify(millisecond, service).Kind).To(Equal(relay.KindDenied))
+		})
+
+		It("denies it for an endpoint of another service, which had its address before", func() {
+			agent = newAgent(false)
+			Expect(verify(0, otherService).Kind).To(Equal(relay.KindDenied))
+		})
+
+		It("does not know after a restart, until its endpoint has told", func() {
+			agent = newAgent(false)
+			agent.Tick(0)
+			Expect(verify(time.Second, service)).To(And(HaveField("Kind", relay.KindUncertain), HaveField("Age", time.Second)))
+			Expect(delivered(forward(time.Second, relay.KindProbe, request))).To(HaveLen(1))
+			Expect(verify(time.Second, service).Kind).To(Equal(relay.KindUncertain))
+			Expect(delivered(forward(time.Second, relay.KindProbe, request))).To(HaveLen(1), "the endpoint may not have been there")
+			told := onlyMessage(agent.Emitted(time.Second, returned(request)))
+			Expect(told.To).To(Equal(balancerB))
+			Expect(told.Message.Kind).To(Equal(relay.KindDenied))
+			Expect(verify(time.Second, service).Kind).To(Equal(relay.KindDenied))
+		})
+
+		It("brings a packet back that its endpoint does not take, if it was taken for the owner", func() {
+			agent = newAgent(false)
+			forward(0, relay.KindForward, request)
+			told := onlyMessage(agent.Emitted(0, returned(request)))
+			Expect(told.Message.Kind).To(Equal(relay.KindUnknown))
+			Expect(told.Message.Packet).To(Equal(request))
+		})
+
+		It("counts what it gave its endpoint as a probe as given once, for a flow that turns out to be its own", func() {
+			agent = newAgent(false)
+			forward(0, relay.KindProbe, request)
+			agent.Emitted(millisecond, fromEndpoint(1, segment.Acknowledge, 501, 108, ""))
+			Expect(events(forward(2*millisecond, relay.KindForward, request))).NotTo(ContainElement(relay.EventGiven))
+			answered := agent.Emitted(40*millisecond, fromEndpoint(1, segment.Acknowledge, 501, 108, "answer"))
+			Expect(events(answered)).To(ContainElement(relay.EventAnswered))
+			next := fromClient(1, segment.Acknowledge, 108, 507, "next")
+			Expect(events(forward(50*millisecond, relay.KindForward, next))).To(ContainElement(relay.EventGiven))
+		})
+
+		It("does not take a copy of a request that its endpoint has acknowledged for a new one", func() {
+			agent = newAgent(false)
+			agent.Emitted(0, fromEndpoint(1, segment.Acknowledge, 501, 108, "answer"))
+			Expect(events(forward(millisecond, relay.KindForward, request))).NotTo(ContainElement(relay.EventGiven))
+		})
+	})
+
 	It("is never made to probe if it was there before its endpoint", func() {
 		stray := fromClient(1, segment.Acknowledge, 101, 501, "request")
 		Expect(delivered(forward(0, relay.KindProbe, stray))).To(BeEmpty())
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -61,6 +61,8 @@
 	flowLocating
 	// flowClosing: the client has closed its end.
 	flowClosing
+	// flowOwnerless: no endpoint holds the flow; its client was told.
+	flowOwnerless
 )
 
 // balancerFlow is what a balancer remembers of a flow. It is a cache: the
@@ -88,15 +90,20 @@
 	snapshot  *directory.Snapshot
 	ready     bool
 	confirmed time.Duration
-	flows     map[segment.FlowKey]*balancerFlow
-	offers    []*offer
-	health    map[directory.EndpointID]*health
-	sharing   map[segment.Address]*sharing
-	budget    budget
-	searches  *rate.Limiter
-	reach     reach
-	nextSweep time.Duration
-	effects   []Effect
+	// current is the time before which everything is known that the store had
+	// accepted.
+	current time.Duration
+	flows   map[segment.FlowKey]*balancerFlow
+	offers  []*offer
+	// verifications are searches that are due to be verified.
+	verifications []*search
+	health        map[directory.EndpointID]*health
+	sharing       map[segment.Address]*sharing
+	budget        budget
+	searches      *rate.Limiter
+	reach         reach
+	nextSweep     time.Duration
+	effects       []Effect
 }
 
 // NewBalancer returns a balancer without a directory.
@@ -195,6 +202,8 @@
 	switch known.state {
 	case flowLocating:
 		b.locate(now, key, known, header, packet)
+	case flowOwnerless:
+		b.reset(key, header)
 	default:
 		b.send(known.agent, Message{Kind: KindForward, Service: known.service, Packet: packet})
 		b.noteClosing(known, header)
@@ -227,7 +236,9 @@
 	case KindOwned:
 		b.receiveOwned(now, from, message)
 	case KindUncertain:
-		b.receiveUncertain(from, message)
+		b.receiveUncertain(now, from, message)
+	case KindDenied:
+		b.receiveDenied(now, from, message)
 	case KindUnknown:
 		b.receiveUnknown(now, from, message)
 	case KindLeaving:
@@ -251,6 +262,9 @@
 			next = min(next, waiting.deadline)
 		}
 	}
+	for _, sought := range b.verifications {
+		next = min(next, sought.verifyAt)
+	}
 	return next
 }
 
@@ -263,6 +277,7 @@
 			b.offerExpired(now, waiting)
 		}
 	}
+	b.verifyDue(now)
 	b.watchReach(now)
 	if now >= b.nextSweep {
 		b.nextSweep = now + sweepInterval
@@ -275,7 +290,7 @@
 	for key, known := range b.flows {
 		retention := b.config.FlowLifetime
 		switch known.state {
-		case flowClosing, flowOffering, flowLocating:
+		case flowClosing, flowOffering, flowLocating, flowOwnerless:
 			retention = closingRetention
 		}
 		if now-known.touched > retention {
--- a/internal/relay/effect.go
+++ b/internal/relay/effect.go
@@ -20,6 +20,9 @@
 	EffectEndpoint
 	// EffectEvent: Event happened; it can be logged and counted.
 	EffectEvent
+	// EffectConfirm: the directory has to be confirmed as of now or later, which
+	// Current tells.
+	EffectConfirm
 )
 
 // Effect is one thing that the caller has to do. Packets share memory with the
@@ -84,13 +87,17 @@
 	EventGiven
 	// EventExpired: a request that waited was dropped, since its client has given up.
 	EventExpired
+	// EventDenied: the endpoint of this agent turned out not to hold a flow.
+	EventDenied
+	// EventOwnerless: a flow was reset since no endpoint holds it.
+	EventOwnerless
 	eventKindCount
 )
 
 var eventNames = []string{
 	"malformed", "forged", "placed", "answered", "admitted", "offered_again", "locating", "located", "no_route",
 	"no_endpoint", "not_ready", "suspected", "recovered", "endpoint_lost_flow", "not_owned", "probed",
-	"returned", "isolated", "reconnected", "held", "given", "expired",
+	"returned", "isolated", "reconnected", "held", "given", "expired", "denied", "ownerless",
 }
 
 // Event is one decision with what decided it.
--- a/internal/relay/emitted.go
+++ b/internal/relay/emitted.go
@@ -35,11 +35,25 @@
 	if !exists {
 		return
 	}
-	if known.state == stateOpen {
-		a.lost(key, known, header)
-	}
+	before := known.state
 	a.forget(now, key)
 	a.flows[key] = &agentFlow{state: stateDenied, touched: now}
+	switch before {
+	case stateOpen:
+		a.lost(key, known, header)
+	case stateProbed:
+		a.probedInVain(now, key, known, header, packet)
+	}
+}
+
+// probedInVain tells the balancer of a flow that the endpoint does not hold it.
+func (a *Agent) probedInVain(now time.Duration, key segment.FlowKey, known *agentFlow, header segment.Header, packet []byte) {
+	if known.forwarded {
+		a.bringBack(known.balancer, key, header, packet, "not_held")
+		return
+	}
+	a.event(Event{Kind: EventDenied, Flow: key, Peer: known.balancer})
+	a.deny(now, known.balancer, key)
 }
 
 func (a *Agent) returnedOpening(now time.Duration, key segment.FlowKey, known *agentFlow, header segment.Header, packet []byte) {
@@ -86,15 +100,20 @@
 
 // adopt remembers a flow that the endpoint turns out to hold.
 func (a *Agent) adopt(now time.Duration, key segment.FlowKey, header segment.Header) *agentFlow {
-	known := &agentFlow{state: stateOpen, touched: now}
+	known := &agentFlow{state: stateOpen, touched: now, work: work{sent: header.Acknowledgment}}
 	if previous := a.flows[key]; previous != nil {
 		known.balancer = previous.balancer
+		known.work = previous.work
 	}
 	if header.Flags.Has(segment.Synchronize) {
 		known.state = stateOffered
 	}
 	a.flows[key] = known
 	a.running++
+	if known.work.given {
+		known.work.given = false
+		a.occupy(known.work.since, known)
+	}
 	if !known.balancer.IsZero() && known.state == stateOpen {
 		a.send(known.balancer, Message{Kind: KindOwned, Service: a.config.Service, Flow: FlowOf(key), Load: a.Load()})
 	}
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -97,6 +97,9 @@
 	f.machine.Changes(now, []directory.Item{{EndpointID: id, Revision: f.revision}}, f.revision)
 }
 
+// follow makes the directory reach back to a time.
+func (f *fleet) follow(since time.Duration) { f.machine.Listing(since, nil, 0) }
+
 func (f *fleet) configure(shares ...directory.Share) {
 	f.revision++
 	f.version++
--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -32,6 +32,7 @@
 
 // search is the search for the owner of a flow.
 type search struct {
+	key    segment.FlowKey
 	rounds int
 	begun  time.Duration
 	asked  time.Duration
@@ -45,9 +46,19 @@
 	// number.
 	period time.Duration
 	probes int
+	// header is that of the client's latest packet.
+	header segment.Header
+	// verifyAt is when it is verified that no endpoint holds the flow, and
+	// verified how often that was begun.
+	verifyAt time.Duration
+	verified int
+	// replies are what agents have answered, by their addresses.
+	replies map[segment.Address]reply
 }
 
-func newSearch(now time.Duration) *search { return &search{begun: now, period: now} }
+func newSearch(now time.Duration, key segment.FlowKey) *search {
+	return &search{key: key, begun: now, period: now, replies: make(map[segment.Address]reply)}
+}
 
 // hold keeps a packet for the owner, unless it is a copy.
 func (s *search) hold(packet []byte) {
@@ -64,7 +75,7 @@
 		b.event(Event{Kind: EventNoEndpoint, Flow: key, Reason: "flow_limit"})
 		return nil
 	}
-	known := &balancerFlow{state: flowLocating, touched: now, search: newSearch(now)}
+	known := &balancerFlow{state: flowLocating, touched: now, search: newSearch(now, key)}
 	b.flows[key] = known
 	return known
 }
@@ -74,10 +85,11 @@
 func (b *Balancer) locate(now time.Duration, key segment.FlowKey, known *balancerFlow, header segment.Header, packet []byte) {
 	sought := known.search
 	sought.hold(packet)
+	sought.header = header
 	if sought.rounds >= roundLimit || sought.rounds > 0 && now-sought.asked < searchInterval {
 		return
 	}
-	asked := b.possibleOwners(key, sought)
+	asked := b.ownersAmong(key, sought.rounds >= searchesOfRoute)
 	if !b.searches.AllowN(time.Unix(0, int64(now)), len(asked)) {
 		b.event(Event{Kind: EventLocating, Flow: key, Version: b.snapshot.Version(), Reason: "limited"})
 		return
@@ -98,6 +110,9 @@
 	}
 	sought.asked = now
 	sought.rounds++
+	if sought.rounds == 1 {
+		b.verifyAfter(now, sought)
+	}
 }
 
 // nextProbes returns the agents that shall probe now.
@@ -116,12 +131,11 @@
 	return chosen
 }
 
-// possibleOwners returns the endpoints, leaving ones included, of the services
-// that the flow's route has, and after a search among these was in vain also of
-// those that it had before, since the configuration may have changed under the
-// flow. All endpoints are asked in a small fleet.
-func (b *Balancer) possibleOwners(key segment.FlowKey, sought *search) []directory.Candidate {
-	widen := sought.rounds >= searchesOfRoute
+// ownersAmong returns the endpoints, leaving ones included, of the services that the
+// flow's route has. With widen, which is for after a search among these in vain, it
+// returns also those of services that the route had before, since the configuration
+// may have changed under the flow: in a small fleet, all endpoints.
+func (b *Balancer) ownersAmong(key segment.FlowKey, widen bool) []directory.Candidate {
 	if widen && len(b.snapshot.All()) <= locateLimit {
 		return b.reachable(b.snapshot.All())
 	}
@@ -169,12 +183,15 @@
 }
 
 // receiveUncertain handles that a restarted agent may own a flow.
-func (b *Balancer) receiveUncertain(from segment.Address, message Message) {
+func (b *Balancer) receiveUncertain(now time.Duration, from segment.Address, message Message) {
 	known, exists := b.flows[message.Flow.Key()]
-	if !exists || known.search == nil || slices.Contains(known.search.uncertain, from) {
+	if !exists || known.search == nil {
 		return
 	}
-	known.search.uncertain = append(known.search.uncertain, from)
+	if !slices.Contains(known.search.uncertain, from) {
+		known.search.uncertain = append(known.search.uncertain, from)
+	}
+	b.replied(now, known, from, reply{began: now - message.Age})
 }
 
 // receiveOwned handles that an agent owns a flow.
@@ -190,16 +207,30 @@
 	known.state = flowPlaced
 	b.moveTo(known, from)
 	known.service = message.Service
+	known.terms = b.termsAt(key, from)
 	b.event(Event{Kind: EventLocated, Flow: key, Peer: from})
 	if sought != nil {
 		b.forwardHeld(known, sought.held)
 	}
 }
 
+// termsAt returns the terms of a flow that was opened before, for the agent that may
+// own it: it may have been restarted.
+func (b *Balancer) termsAt(key segment.FlowKey, agent segment.Address) Terms {
+	route, routed := b.snapshot.Route(key.Service)
+	candidate, exists := b.snapshot.At(agent.IP)
+	if !routed || !exists {
+		return Terms{}
+	}
+	terms := termsOf(route)
+	terms.Slots = candidate.Endpoint.Slots
+	return terms
+}
+
 // forwardHeld sends the owner of a flow the packets that waited for it.
 func (b *Balancer) forwardHeld(known *balancerFlow, held [][]byte) {
 	for _, packet := range held {
-		b.send(known.agent, Message{Kind: KindForward, Service: known.service, Packet: packet})
+		b.send(known.agent, Message{Kind: KindForward, Service: known.service, Terms: known.terms, Packet: packet})
 		if header, outcome := b.config.Codec.Decode(packet); outcome == segment.Decoded {
 			b.noteClosing(known, header)
 		}
@@ -226,7 +257,7 @@
 	b.settle(known)
 	b.uncount(known)
 	if known.search == nil {
-		known.search = newSearch(now)
+		known.search = newSearch(now, key)
 	}
 	known.state = flowLocating
 	known.agent = segment.Address{}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"github.com/vanetiller/vanetiller/internal/segment"
 )
@@ -28,7 +29,8 @@
 	// acknowledged Acknowledgment.
 	KindLocate
 	// KindProbe carries a packet that the agent shall hand to its endpoint even
-	// if it does not know the flow, provided that it was restarted.
+	// if it does not know the flow, provided that it was restarted. Any other
+	// agent denies the flow.
 	KindProbe
 	// KindPlaced tells that the endpoint has answered an opening packet.
 	KindPlaced
@@ -49,6 +51,10 @@
 	KindLeaving
 	// KindDrain tells the agent that its endpoint must get no new flows.
 	KindDrain
+	// KindVerify asks as KindLocate does, and wants an answer in any case.
+	KindVerify
+	// KindDenied tells that the agent's endpoint does not hold a flow.
+	KindDenied
 )
 
 // Flow is the encoded form of a segment.FlowKey.
@@ -114,6 +120,8 @@
 	// LastResort tells in an offer that no other endpoint takes the flow, and in a
 	// return that the endpoint would take it then.
 	LastResort bool
+	// Age is how long the agent has been there, in KindUncertain and KindDenied.
+	Age time.Duration
 	// Terms are set in offers.
 	Terms Terms
 	// Load is set in messages of agents.
--- a/internal/relay/message_gen.go
+++ b/internal/relay/message_gen.go
@@ -227,8 +227,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	{
@@ -274,6 +274,11 @@
 		err = msgp.WrapError(err, "LastResort")
 		return
 	}
+	z.Age, err = dc.ReadDuration()
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	err = z.Terms.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -321,8 +326,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Message) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 10
-	err = en.Append(0x9a)
+	// array header, size 11
+	err = en.Append(0x9b)
 	if err != nil {
 		return
 	}
@@ -361,6 +366,11 @@
 		err = msgp.WrapError(err, "LastResort")
 		return
 	}
+	err = en.WriteDuration(z.Age)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	err = z.Terms.EncodeMsg(en)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -397,8 +407,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendUint8(o, uint8(z.Kind))
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendBytes(o, (z.Flow)[:])
@@ -406,6 +416,7 @@
 	o = msgp.AppendUint32(o, z.Acknowledgment)
 	o = msgp.AppendUint8(o, uint8(z.Flags))
 	o = msgp.AppendBool(o, z.LastResort)
+	o = msgp.AppendDuration(o, z.Age)
 	o, err = z.Terms.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -428,8 +439,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	{
@@ -475,6 +486,11 @@
 		err = msgp.WrapError(err, "LastResort")
 		return
 	}
+	z.Age, bts, err = msgp.ReadDurationBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	bts, err = z.Terms.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -532,7 +548,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Message) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize + z.Terms.Msgsize() + 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Packet)
+	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize + msgp.DurationSize + z.Terms.Msgsize() + 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Packet)
 	return
 }
 
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -45,10 +45,20 @@
 	occupies bool
 	// served is set once a request of the flow was admitted.
 	served bool
+	// given is set if the endpoint was given a request before it was known to hold
+	// the flow.
+	given bool
 	// held are the packets of a request that waits.
 	held [][]byte
 }
 
+// learn takes terms for a flow that was opened before this agent was started.
+func (w *work) learn(terms Terms) {
+	if w.terms == (Terms{}) {
+		w.terms = terms
+	}
+}
+
 // pace is what an agent measures of its endpoint.
 type pace struct {
 	slots uint32
--- /dev/null
+++ b/internal/relay/verify.go
@@ -0,0 +1,176 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+const (
+	// verifyDelay is how long the owner of a flow has to answer a search, before all
+	// agents are asked to deny the flow. Few answers come later.
+	verifyDelay = 10 * time.Millisecond
+	// verifyInterval is the time between two rounds of that, and verifyRounds their
+	// largest number; an agent that starts together with others needs some.
+	verifyInterval = 100 * time.Millisecond
+	verifyRounds   = 16
+	// restartSpread is how much older than the directory of a balancer agents may be
+	// that were started together with it.
+	restartSpread = 3 * time.Second
+)
+
+// reply is what an agent has answered to a search.
+type reply struct {
+	// denied is set if its endpoint does not hold the flow; otherwise the agent does
+	// not know, and probed is set once it was made to ask its endpoint.
+	denied bool
+	probed bool
+	// began is when the agent was started.
+	began time.Duration
+}
+
+// verifyAfter makes the search be verified if the owner does not answer soon.
+func (b *Balancer) verifyAfter(now time.Duration, sought *search) {
+	sought.verifyAt = now + verifyDelay
+	b.verifications = append(b.verifications, sought)
+}
+
+// verifyDue asks agents about the flows whose owners have not answered.
+func (b *Balancer) verifyDue(now time.Duration) {
+	b.verifications = slices.DeleteFunc(b.verifications, func(sought *search) bool {
+		known, exists := b.flows[sought.key]
+		return !exists || known.search != sought || sought.verified >= verifyRounds
+	})
+	for _, sought := range b.verifications {
+		if now >= sought.verifyAt {
+			b.verify(now, sought)
+		}
+	}
+}
+
+// verify asks those agents that have not denied a flow whether its owner is among
+// them. They are probed as soon as that is known to break nothing.
+func (b *Balancer) verify(now time.Duration, sought *search) {
+	sought.verifyAt = now + verifyInterval
+	sought.verified++
+	asked := slices.DeleteFunc(b.everyOwner(sought), func(candidate directory.Candidate) bool {
+		return sought.replies[b.agentOf(candidate)].denied
+	})
+	if !b.searches.AllowN(time.Unix(0, int64(now)), len(asked)) {
+		b.event(Event{Kind: EventLocating, Flow: sought.key, Version: b.snapshot.Version(), Reason: "limited"})
+		return
+	}
+	for _, candidate := range asked {
+		b.send(b.agentOf(candidate), b.verification(sought, candidate))
+	}
+	if b.current < sought.begun {
+		b.effects = append(b.effects, Effect{Kind: EffectConfirm})
+	}
+}
+
+// Current tells that the directory has everything which the store had accepted before
+// a time: flows that were open by then are held by endpoints that are known. The
+// returned effects are valid until the next call.
+func (b *Balancer) Current(now, through time.Duration) []Effect {
+	b.effects = b.effects[:0]
+	b.current = max(b.current, through)
+	for _, sought := range b.verifications {
+		if known, exists := b.flows[sought.key]; exists && known.search == sought {
+			b.conclude(now, known)
+		}
+	}
+	return b.effects
+}
+
+// verification is the question to one agent. One that has been made to ask its
+// endpoint, which has not answered, asks again.
+func (b *Balancer) verification(sought *search, candidate directory.Candidate) Message {
+	service := candidate.Endpoint.Service
+	if sought.replies[b.agentOf(candidate)].probed {
+		return Message{Kind: KindProbe, Service: service, Terms: b.termsAt(sought.key, b.agentOf(candidate)), Packet: sought.held[0]}
+	}
+	return Message{
+		Kind: KindVerify, Service: service, Flow: FlowOf(sought.key),
+		Acknowledgment: sought.header.Acknowledgment, Flags: sought.header.Flags,
+	}
+}
+
+// everyOwner returns all endpoints that may hold a flow.
+func (b *Balancer) everyOwner(sought *search) []directory.Candidate {
+	return b.ownersAmong(sought.key, true)
+}
+
+// receiveDenied handles that an agent's endpoint does not hold a flow.
+func (b *Balancer) receiveDenied(now time.Duration, from segment.Address, message Message) {
+	known, exists := b.flows[message.Flow.Key()]
+	if exists && known.search != nil {
+		b.replied(now, known, from, reply{denied: true, began: now - message.Age})
+	}
+}
+
+// replied notes the answer of an agent to a search.
+func (b *Balancer) replied(now time.Duration, known *balancerFlow, from segment.Address, answer reply) {
+	answer.probed = known.search.replies[from].probed
+	known.search.replies[from] = answer
+	b.conclude(now, known)
+}
+
+// conclude resets a flow that no endpoint holds. Once all agents have answered that may
+// own it, it makes those ask their endpoints that do not know.
+func (b *Balancer) conclude(now time.Duration, known *balancerFlow) {
+	sought := known.search
+	if sought.verified == 0 || b.current < sought.begun {
+		return
+	}
+	var unsure []directory.Candidate
+	for _, candidate := range b.everyOwner(sought) {
+		answered, exists := sought.replies[b.agentOf(candidate)]
+		if !exists || !b.reachesBack(now, answered.began) {
+			return
+		}
+		if !answered.denied {
+			unsure = append(unsure, candidate)
+		}
+	}
+	if len(unsure) == 0 {
+		b.declareOwnerless(known)
+		return
+	}
+	b.probeAll(sought, unsure)
+}
+
+// reachesBack reports whether the directory reaches back far enough to know every
+// endpoint that may hold a flow, one that has left and serves on included: for as
+// long as flows last or, since there was nothing before it, to when the agents were
+// started. If all agents are as young as the directory, everything was started anew.
+func (b *Balancer) reachesBack(now, agentBegan time.Duration) bool {
+	since := b.snapshot.Since()
+	return now-since >= b.config.FlowLifetime || agentBegan+restartSpread >= since
+}
+
+// probeAll makes agents ask their endpoints. The owner is among them, so that its
+// flow is found by its own endpoint at the same time as others see a packet of it.
+func (b *Balancer) probeAll(sought *search, unsure []directory.Candidate) {
+	for _, candidate := range unsure {
+		agent := b.agentOf(candidate)
+		answered := sought.replies[agent]
+		if answered.probed {
+			continue
+		}
+		answered.probed = true
+		sought.replies[agent] = answered
+		b.send(agent, b.verification(sought, candidate))
+	}
+}
+
+// declareOwnerless resets a flow that no endpoint holds, so that its client need not
+// wait for its time-out.
+func (b *Balancer) declareOwnerless(known *balancerFlow) {
+	sought := known.search
+	known.search = nil
+	known.state = flowOwnerless
+	b.event(Event{Kind: EventOwnerless, Flow: sought.key, Version: b.snapshot.Version()})
+	b.reset(sought.key, sought.header)
+}
--- /dev/null
+++ b/internal/relay/verify_test.go
@@ -0,0 +1,202 @@
+package relay_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/relay"
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+var _ = Describe("Balancer, with a flow whose owner does not answer", func() {
+	const millisecond = time.Millisecond
+	// asked is when the client's packet comes, and agentAge how long agents have been
+	// there then.
+	const asked = 20 * time.Second
+	request := fromClient(1, segment.Acknowledge, 101, 501, "request")
+
+	var (
+		balancer *relay.Balancer
+		known    *fleet
+		agentAge time.Duration
+	)
+
+	install := func() { balancer.Install(asked, known.machine.Snapshot()) }
+
+	BeforeEach(func() {
+		balancer = newBalancer()
+		known = newFleet()
+		known.configure(directory.Share{Service: service, Weight: 1})
+		for number := range 3 {
+			known.endpoint(0, number, nil)
+		}
+		known.follow(0)
+		install()
+		agentAge = asked
+	})
+
+	answer := func(kind relay.Kind, now time.Duration, number int) []relay.Effect {
+		return balancer.Receive(now, agentAddress(number), relay.Message{
+			Kind: kind, Service: service, Flow: relay.FlowOf(keyOf(1)), Age: agentAge,
+		})
+	}
+	// verify lets the client's packet come and the search be verified.
+	verify := func() []relay.Effect {
+		balancer.Arrive(asked, request)
+		return balancer.Tick(asked + 10*millisecond)
+	}
+	current := func(through time.Duration) []relay.Effect {
+		return balancer.Current(asked+12*millisecond, through)
+	}
+	kindsTo := func(effects []relay.Effect) map[byte]relay.Kind {
+		kinds := make(map[byte]relay.Kind)
+		for _, each := range sent(effects) {
+			kinds[each.To.IP[3]] = each.Message.Kind
+		}
+		return kinds
+	}
+
+	It("asks all agents for an answer in any case, and for a confirmation of the directory", func() {
+		effects := verify()
+		Expect(kindsTo(effects)).To(Equal(map[byte]relay.Kind{0: relay.KindVerify, 1: relay.KindVerify, 2: relay.KindVerify}))
+		Expect(ofKind(effects, relay.EffectConfirm)).To(HaveLen(1))
+	})
+
+	It("asks nobody again if the owner has answered", func() {
+		balancer.Arrive(asked, request)
+		answer(relay.KindOwned, asked+millisecond, 1)
+		Expect(sent(balancer.Tick(asked + 10*millisecond))).To(BeEmpty())
+	})
+
+	It("resets the flow as soon as all have denied it and the directory is confirmed, whichever comes last", func() {
+		verify()
+		current(asked)
+		answer(relay.KindDenied, asked+13*millisecond, 0)
+		Expect(resets(answer(relay.KindDenied, asked+13*millisecond, 1))).To(BeEmpty())
+		found := resets(answer(relay.KindDenied, asked+13*millisecond, 2))
+		Expect(found).To(HaveLen(1))
+		Expect(found[0].Sequence).To(Equal(uint32(501)))
+
+		balancer = newBalancer()
+		install()
+		verify()
+		for number := range 3 {
+			Expect(resets(answer(relay.KindDenied, asked+11*millisecond, number))).To(BeEmpty())
+		}
+		Expect(resets(current(asked))).To(HaveLen(1))
+	})
+
+	It("resets a further packet of the flow at once, and asks nobody", func() {
+		verify()
+		current(asked)
+		for number := range 3 {
+			answer(relay.KindDenied, asked+13*millisecond, number)
+		}
+		effects := balancer.Arrive(asked+20*millisecond, request)
+		Expect(resets(effects)).To(HaveLen(1))
+		Expect(sent(effects)).To(BeEmpty())
+	})
+
+	It("resets nothing while the directory is confirmed only for a time before the packet", func() {
+		verify()
+		for number := range 3 {
+			answer(relay.KindDenied, asked+11*millisecond, number)
+		}
+		Expect(resets(current(asked - millisecond))).To(BeEmpty())
+	})
+
+	It("resets nothing if an endpoint that it has just learned of has not denied the flow", func() {
+		verify()
+		for number := range 3 {
+			answer(relay.KindDenied, asked+11*millisecond, number)
+		}
+		known.endpoint(asked, 3, nil)
+		install()
+		Expect(resets(current(asked))).To(BeEmpty())
+		again := balancer.Tick(asked + 110*millisecond)
+		Expect(kindsTo(again)).To(Equal(map[byte]relay.Kind{3: relay.KindVerify}), "only that one")
+		Expect(resets(answer(relay.KindDenied, asked+111*millisecond, 3))).To(HaveLen(1))
+	})
+
+	It("needs the denial of endpoints that are leaving or gone, and of other services", func() {
+		known.endpoint(0, 1, func(e *directory.Endpoint) { e.Draining = true })
+		known.gone(0, 2)
+		known.endpoint(0, 4, func(e *directory.Endpoint) { e.Service = otherService })
+		install()
+		Expect(kindsTo(verify())).To(HaveLen(4))
+		current(asked)
+		for number := range 3 {
+			Expect(resets(answer(relay.KindDenied, asked+13*millisecond, number))).To(BeEmpty())
+		}
+		Expect(resets(answer(relay.KindDenied, asked+13*millisecond, 4))).To(HaveLen(1))
+	})
+
+	It("resets nothing if agents are older than what it knows of endpoints that have left, however long it waits", func() {
+		balancer = newBalancer()
+		known.machine = directory.New()
+		known.configure(directory.Share{Service: service, Weight: 1})
+		for number := range 3 {
+			known.endpoint(asked, number, nil)
+		}
+		known.follow(asked - time.Second)
+		install()
+		verify()
+		current(asked)
+		for number := range 3 {
+			Expect(resets(answer(relay.KindDenied, asked+13*millisecond, number))).To(BeEmpty())
+		}
+		for now := asked + 20*millisecond; now < asked+30*time.Second; now += 200 * millisecond {
+			balancer.Tick(now)
+			Expect(resets(balancer.Current(now, now))).To(BeEmpty())
+		}
+	})
+
+	It("resets the flow if agents are as young as what it knows, since all were started together", func() {
+		known.machine = directory.New()
+		known.configure(directory.Share{Service: service, Weight: 1})
+		for number := range 3 {
+			known.endpoint(asked, number, nil)
+		}
+		known.follow(asked - time.Second)
+		balancer = newBalancer()
+		install()
+		agentAge = 2 * time.Second
+		verify()
+		current(asked)
+		answer(relay.KindDenied, asked+13*millisecond, 0)
+		answer(relay.KindDenied, asked+13*millisecond, 1)
+		Expect(resets(answer(relay.KindDenied, asked+13*millisecond, 2))).To(HaveLen(1))
+	})
+
+	It("lets all agents that do not know ask their endpoints, once all have answered", func() {
+		verify()
+		current(asked)
+		Expect(sent(answer(relay.KindUncertain, asked+13*millisecond, 0))).To(BeEmpty())
+		Expect(sent(answer(relay.KindDenied, asked+13*millisecond, 1))).To(BeEmpty())
+		effects := answer(relay.KindUncertain, asked+14*millisecond, 2)
+		Expect(kindsTo(effects)).To(Equal(map[byte]relay.Kind{0: relay.KindProbe, 2: relay.KindProbe}))
+		for _, each := range sent(effects) {
+			Expect(each.Message.Packet).To(Equal(request))
+			Expect(each.Message.Terms.Timeout).To(Equal(uint32(2000)), "the agent may know no terms")
+		}
+		Expect(resets(answer(relay.KindDenied, asked+16*millisecond, 0))).To(BeEmpty())
+		Expect(resets(answer(relay.KindDenied, asked+16*millisecond, 2))).To(HaveLen(1))
+	})
+
+	It("asks again those that do not answer, for some time, and never resets the flow then", func() {
+		verify()
+		current(asked)
+		answer(relay.KindDenied, asked+13*millisecond, 0)
+		answer(relay.KindDenied, asked+13*millisecond, 1)
+		rounds := 0
+		for now := asked + 20*millisecond; now < asked+10*time.Second; now += 10 * millisecond {
+			effects := balancer.Tick(now)
+			Expect(resets(effects)).To(BeEmpty())
+			rounds += len(sent(effects))
+		}
+		Expect(rounds).To(And(BeNumerically(">", 5), BeNumerically("<", 30)))
+	})
+})
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -47,7 +47,10 @@
 	health    *observability.Health
 	directory *directory.Machine
 	follower  *directory.Follower
-	store     directory.Store
+	confirmer *directory.Confirmer
+	// confirmations wakes confirm; what is wanted is in the confirmer.
+	confirmations chan struct{}
+	store         directory.Store
 	// storeTurn counts the stores that were turned to.
 	storeTurn int
 	peers     *peers
@@ -77,9 +80,13 @@
 		health:    health,
 		directory: machine,
 		follower:  directory.NewFollower(machine, timingOf(given)),
+		confirmer: directory.NewConfirmer(machine),
 		store:     surroundings.NewStore(given.Store),
 		gauges:    gauges,
+
+		confirmations: make(chan struct{}, 1),
 	}
+	created.executor.confirm = created.wantConfirmation
 	created.executor.after = created.reportReach
 	health.SetReady(conditionAgents)
 	health.SetNotReady(conditionDirectory, "routes and endpoints are not known yet")
@@ -124,6 +131,7 @@
 	addActor(group, r.executor.peers.run)
 	addActor(group, r.executor.tick)
 	addActor(group, r.follow)
+	addActor(group, r.confirm)
 	r.peers.add(group)
 }
 
--- a/internal/relaydaemon/executor.go
+++ b/internal/relaydaemon/executor.go
@@ -35,6 +35,8 @@
 	encoded  []byte
 	timer    *time.Timer
 	armed    time.Duration
+	// confirm, if set, asks for a confirmation of the directory.
+	confirm func()
 	// after, if set, is called after each input.
 	after func()
 }
@@ -74,6 +76,8 @@
 			e.packets.send(e.endpoint, effect.Packet)
 		case relay.EffectEvent:
 			e.journal.record(effect.Event)
+		case relay.EffectConfirm:
+			e.confirm()
 		}
 	}
 }
--- a/internal/relaydaemon/peers.go
+++ b/internal/relaydaemon/peers.go
@@ -197,6 +197,7 @@
 			from, wanted = p.exchange.Next(now)
 			known = p.role.directory.Digest()
 			p.role.follower.Share(balancers, p.storeRate)
+			p.role.confirmer.Share(balancers, p.storeRate)
 			return nil
 		})
 		if wanted {
