Give endpoints that answer slowly fewer new flows

Change: agents tell the mean time to an answer in every message; a balancer multiplies the utilisation of an endpoint that takes over 1.5 times the median of its service by the ratio, and pings the agent of such a one every 0.3 s for news.

Ruled out: agents returning flows by their own latency objective (they do not know what is usual; under general overload each flow would visit all).

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -120,9 +120,12 @@
 // Load returns how busy the endpoint is.
 func (a *Agent) Load() Load {
 	refusing := a.refusing() || a.outlier.ejected(a.now)
-	return Load{Running: a.running, Waiting: uint32(len(a.queue.waiting)), Refusing: refusing}
+	pace := uint32(a.pace.working * microsecondsInSecond)
+	return Load{Running: a.running, Waiting: uint32(len(a.queue.waiting)), Refusing: refusing, Pace: pace}
 }
 
+const microsecondsInSecond = 1e6
+
 // refusing reports whether the endpoint gets no new flows.
 func (a *Agent) refusing() bool { return a.stopping || a.now < a.drainEnds }
 
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -98,12 +98,14 @@
 	// verifications are searches that are due to be verified.
 	verifications []*search
 	health        map[directory.EndpointID]*health
-	sharing       map[segment.Address]*sharing
-	budget        budget
-	searches      *rate.Limiter
-	reach         reach
-	nextSweep     time.Duration
-	effects       []Effect
+	// paces is room for the paces of a service.
+	paces     []uint32
+	sharing   map[segment.Address]*sharing
+	budget    budget
+	searches  *rate.Limiter
+	reach     reach
+	nextSweep time.Duration
+	effects   []Effect
 }
 
 // NewBalancer returns a balancer without a directory.
@@ -228,6 +230,7 @@
 		return b.effects
 	}
 	b.heardAgent()
+	b.notePace(now, from, message.Load)
 	switch message.Kind {
 	case KindPlaced:
 		b.receivePlaced(now, from, message)
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -83,6 +83,58 @@
 		Expect(counts[agentAddress(0)]).To(BeNumerically("~", 9, 1))
 	})
 
+	// tell lets an agent tell how long its endpoint takes for answers.
+	tell := func(now time.Duration, number int, pace time.Duration) {
+		load := relay.Load{Pace: uint32(pace.Microseconds())}
+		balancer.Receive(now, agentAddress(number), relay.Message{Kind: relay.KindPong, Service: service, Load: load})
+	}
+	// offered counts the flows offered by endpoint, among count that stay open.
+	offered := func(now time.Duration, count int) map[byte]int {
+		counted := make(map[byte]int)
+		for number := range count {
+			for _, each := range sent(balancer.Arrive(now, opening(number, 1))) {
+				if each.Message.Kind == relay.KindOffer {
+					counted[each.To.IP[3]]++
+				}
+			}
+		}
+		return counted
+	}
+
+	It("gives an endpoint that takes longer for answers than others fewer flows in proportion", func() {
+		for number, pace := range []time.Duration{40, 45, 200} {
+			tell(0, number, pace*millisecond)
+		}
+		counted := offered(millisecond, 110)
+		Expect(counted[2]).To(BeNumerically("~", 10, 3))
+		Expect(counted[0]).To(BeNumerically("~", 50, 3))
+	})
+
+	It("takes small differences between endpoints for chance", func() {
+		for number, pace := range []time.Duration{40, 50, 55} {
+			tell(0, number, pace*millisecond)
+		}
+		Expect(offered(millisecond, 90)).To(Equal(map[byte]int{0: 30, 1: 30, 2: 30}))
+	})
+
+	It("asks the agent of a slow endpoint now and then whether it still is, and believes it", func() {
+		for number, pace := range []time.Duration{40, 40, 400} {
+			tell(0, number, pace*millisecond)
+		}
+		pings := 0
+		for number := range 100 {
+			for _, each := range sent(balancer.Arrive(time.Duration(number)*10*millisecond, opening(number, 1))) {
+				if each.Message.Kind == relay.KindPing {
+					Expect(each.To).To(Equal(agentAddress(2)))
+					pings++
+				}
+			}
+		}
+		Expect(pings).To(BeNumerically("~", 3, 1))
+		tell(time.Second, 2, 40*millisecond)
+		Expect(offered(time.Second, 130)[2]).To(BeNumerically(">", 30))
+	})
+
 	It("keeps the weights of a route within one flow", func() {
 		known.endpoint(0, 7, func(e *directory.Endpoint) { e.Service = otherService })
 		known.configure(directory.Share{Service: service, Weight: 90}, directory.Share{Service: otherService, Weight: 10})
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -88,6 +88,9 @@
 	Waiting uint32
 	// Refusing is set if the endpoint gets no new flows.
 	Refusing bool
+	// Pace is the mean time that the endpoint took for its last answers, in
+	// microseconds; 0 means that this is not known.
+	Pace uint32
 }
 
 // Terms tell an agent what a flow needs and what its endpoint can do.
--- a/internal/relay/message_gen.go
+++ b/internal/relay/message_gen.go
@@ -120,8 +120,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Running, err = dc.ReadUint32()
@@ -139,13 +139,18 @@
 		err = msgp.WrapError(err, "Refusing")
 		return
 	}
+	z.Pace, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Pace")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Load) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+func (z *Load) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -164,17 +169,23 @@
 		err = msgp.WrapError(err, "Refusing")
 		return
 	}
+	err = en.WriteUint32(z.Pace)
+	if err != nil {
+		err = msgp.WrapError(err, "Pace")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Load) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint32(o, z.Running)
 	o = msgp.AppendUint32(o, z.Waiting)
 	o = msgp.AppendBool(o, z.Refusing)
+	o = msgp.AppendUint32(o, z.Pace)
 	return
 }
 
@@ -186,8 +197,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Running, bts, err = msgp.ReadUint32Bytes(bts)
@@ -205,13 +216,18 @@
 		err = msgp.WrapError(err, "Refusing")
 		return
 	}
+	z.Pace, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pace")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Load) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize
+func (z *Load) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.Uint32Size
 	return
 }
 
@@ -284,35 +300,11 @@
 		err = msgp.WrapError(err, "Terms")
 		return
 	}
-	var zb0004 uint32
-	zb0004, err = dc.ReadArrayHeader()
+	err = z.Load.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Load")
 		return
 	}
-	if zb0004 > zdc5d9100limitArrays {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	if zb0004 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0004}
-		return
-	}
-	z.Load.Running, err = dc.ReadUint32()
-	if err != nil {
-		err = msgp.WrapError(err, "Load", "Running")
-		return
-	}
-	z.Load.Waiting, err = dc.ReadUint32()
-	if err != nil {
-		err = msgp.WrapError(err, "Load", "Waiting")
-		return
-	}
-	z.Load.Refusing, err = dc.ReadBool()
-	if err != nil {
-		err = msgp.WrapError(err, "Load", "Refusing")
-		return
-	}
 	z.Packet, err = dc.ReadBytesLimit(z.Packet, zdc5d9100limitArrays)
 	if err == nil && z.Packet == nil {
 		z.Packet = []byte{}
@@ -376,24 +368,9 @@
 		err = msgp.WrapError(err, "Terms")
 		return
 	}
-	// array header, size 3
-	err = en.Append(0x93)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(z.Load.Running)
-	if err != nil {
-		err = msgp.WrapError(err, "Load", "Running")
-		return
-	}
-	err = en.WriteUint32(z.Load.Waiting)
+	err = z.Load.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Load", "Waiting")
-		return
-	}
-	err = en.WriteBool(z.Load.Refusing)
-	if err != nil {
-		err = msgp.WrapError(err, "Load", "Refusing")
+		err = msgp.WrapError(err, "Load")
 		return
 	}
 	err = en.WriteBytes(z.Packet)
@@ -422,11 +399,11 @@
 		err = msgp.WrapError(err, "Terms")
 		return
 	}
-	// array header, size 3
-	o = append(o, 0x93)
-	o = msgp.AppendUint32(o, z.Load.Running)
-	o = msgp.AppendUint32(o, z.Load.Waiting)
-	o = msgp.AppendBool(o, z.Load.Refusing)
+	o, err = z.Load.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Load")
+		return
+	}
 	o = msgp.AppendBytes(o, z.Packet)
 	return
 }
@@ -496,59 +473,39 @@
 		err = msgp.WrapError(err, "Terms")
 		return
 	}
-	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	bts, err = z.Load.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Load")
 		return
 	}
-	if zb0004 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0004}
-		return
-	}
-	z.Load.Running, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Load", "Running")
-		return
-	}
-	z.Load.Waiting, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Load", "Waiting")
-		return
-	}
-	z.Load.Refusing, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Load", "Refusing")
-		return
-	}
-	var zb0005 uint32
-	zb0005, bts, err = msgp.ReadBytesHeader(bts)
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Packet")
 		return
 	}
-	if zb0005 > zdc5d9100limitArrays {
+	if zb0004 > zdc5d9100limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if z.Packet == nil || uint32(cap(z.Packet)) < zb0005 {
-		z.Packet = make([]byte, zb0005)
+	if z.Packet == nil || uint32(cap(z.Packet)) < zb0004 {
+		z.Packet = make([]byte, zb0004)
 	} else {
-		z.Packet = z.Packet[:zb0005]
+		z.Packet = z.Packet[:zb0004]
 	}
-	if uint32(len(bts)) < zb0005 {
+	if uint32(len(bts)) < zb0004 {
 		err = msgp.ErrShortBytes
 		return
 	}
-	copy(z.Packet, bts[:zb0005])
-	bts = bts[zb0005:]
+	copy(z.Packet, bts[:zb0004])
+	bts = bts[zb0004:]
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Message) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize + msgp.DurationSize + z.Terms.Msgsize() + 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Packet)
+	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize + msgp.DurationSize + z.Terms.Msgsize() + z.Load.Msgsize() + msgp.BytesPrefixSize + len(z.Packet)
 	return
 }
 
--- /dev/null
+++ b/internal/relay/pace.go
@@ -0,0 +1,68 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+const (
+	// slowRatio is how many times as long as usual an endpoint takes for answers when
+	// it counts as slow. Less is chance.
+	slowRatio = 1.5
+	// paceRefresh is how old what is known of a slow endpoint may be. It gets few new
+	// flows, with which its agent would tell more.
+	paceRefresh = 300 * time.Millisecond
+)
+
+// notePace notes how long an endpoint takes for answers, as its agent tells. Flows that
+// are kept open for many requests say little about that by their number.
+func (b *Balancer) notePace(now time.Duration, from segment.Address, load Load) {
+	candidate, exists := b.snapshot.At(from.IP)
+	if !exists || load.Pace == 0 {
+		return
+	}
+	known := b.healthOf(candidate.ID)
+	known.pace = load.Pace
+	known.told = now
+}
+
+// usualPace returns the median time to an answer of the endpoints of a service, 0 if
+// none is known.
+func (b *Balancer) usualPace(service string) uint32 {
+	b.paces = b.paces[:0]
+	for _, candidate := range b.snapshot.Candidates(service) {
+		if known, exists := b.health[candidate.ID]; exists && known.pace > 0 && !candidate.Leaving {
+			b.paces = append(b.paces, known.pace)
+		}
+	}
+	if len(b.paces) == 0 {
+		return 0
+	}
+	slices.Sort(b.paces)
+	return b.paces[(len(b.paces)-1)/2]
+}
+
+// slowness is how many times as long as usual the endpoint takes for answers, 1 if
+// that is within chance or not known.
+func (h *health) slowness(usual uint32) float64 {
+	if usual == 0 {
+		return 1
+	}
+	ratio := float64(h.pace) / float64(usual)
+	if ratio < slowRatio {
+		return 1
+	}
+	return ratio
+}
+
+// refreshPace asks the agent of a slow endpoint how long answers take now.
+func (b *Balancer) refreshPace(now time.Duration, candidate directory.Candidate, known *health) {
+	if now-known.told < paceRefresh {
+		return
+	}
+	known.told = now
+	b.send(b.agentOf(candidate), Message{Kind: KindPing, Service: candidate.Endpoint.Service})
+}
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -29,6 +29,10 @@
 	silences    int
 	suspicion   time.Duration
 	suspectEnds time.Duration
+	// pace is what the agent told last of the time to an answer, told when that
+	// was, or when it was asked.
+	pace uint32
+	told time.Duration
 }
 
 func (h *health) suspected(now time.Duration) bool { return now < h.suspectEnds }
@@ -162,11 +166,12 @@
 	found := false
 	leastScore := 0.0
 	ties := 0
+	usual := b.usualPace(service)
 	for _, candidate := range b.snapshot.Candidates(service) {
 		if !accepts(candidate) || slices.Contains(tried, candidate.ID) {
 			continue
 		}
-		score := b.score(now, candidate)
+		score := b.score(now, candidate, usual)
 		switch {
 		case !found || score < leastScore:
 			best, found, leastScore, ties = candidate, true, score, 1
@@ -184,13 +189,20 @@
 // decides only between equals.
 const zoneBonus = 0.01
 
-// score is the utilisation that the endpoint would have with one more flow.
-func (b *Balancer) score(now time.Duration, candidate directory.Candidate) float64 {
+// score is the utilisation that the endpoint would have with one more flow, given
+// the pace that is usual for its service.
+func (b *Balancer) score(now time.Duration, candidate directory.Candidate, usual uint32) float64 {
 	slots := float64(max(candidate.Endpoint.Slots, 1))
-	score := float64(b.healthOf(candidate.ID).outstanding+1) / slots
+	known := b.healthOf(candidate.ID)
+	score := float64(known.outstanding+1) / slots
+	slowness := known.slowness(usual)
+	if slowness > 1 {
+		b.refreshPace(now, candidate, known)
+	}
 	if now < candidate.WarmAt {
-		score *= warmingFactor
+		slowness = max(slowness, warmingFactor)
 	}
+	score *= slowness
 	if candidate.Endpoint.Zone == b.config.Zone {
 		score -= zoneBonus
 	}
