Make agents ask their endpoints at once after everything was restarted

Change: if most agents were found not to know the flows of their endpoints, and all are as young as the directory, the first round already makes them ask: 22 messages. A confirmation is asked for once all have denied.

--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -89,6 +89,10 @@
 	if sought.rounds >= roundLimit || sought.rounds > 0 && now-sought.asked < searchInterval {
 		return
 	}
+	if sought.rounds == 0 && b.probesFirst(now, sought) {
+		b.probeFirst(now, sought)
+		return
+	}
 	asked := b.ownersAmong(key, sought.rounds >= searchesOfRoute)
 	if !b.searches.AllowN(time.Unix(0, int64(now)), len(asked)) {
 		b.event(Event{Kind: EventLocating, Flow: key, Version: b.snapshot.Version(), Reason: "limited"})
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -65,9 +65,6 @@
 	for _, candidate := range asked {
 		b.send(b.agentOf(candidate), b.verification(sought, candidate))
 	}
-	if b.current < sought.begun {
-		b.effects = append(b.effects, Effect{Kind: EffectConfirm})
-	}
 }
 
 // Current tells that the directory has everything which the store had accepted before
@@ -114,6 +111,11 @@
 func (b *Balancer) replied(now time.Duration, known *balancerFlow, from segment.Address, answer reply) {
 	answer.probed = known.search.replies[from].probed
 	known.search.replies[from] = answer
+	if candidate, exists := b.snapshot.At(from.IP); exists && !answer.probed {
+		told := b.healthOf(candidate.ID)
+		told.unsure = !answer.denied
+		told.began = answer.began
+	}
 	b.conclude(now, known)
 }
 
@@ -121,7 +123,7 @@
 // own it, it makes those ask their endpoints that do not know.
 func (b *Balancer) conclude(now time.Duration, known *balancerFlow) {
 	sought := known.search
-	if sought.verified == 0 || b.current < sought.begun {
+	if sought.verified == 0 {
 		return
 	}
 	var unsure []directory.Candidate
@@ -134,11 +136,14 @@
 			unsure = append(unsure, candidate)
 		}
 	}
-	if len(unsure) == 0 {
+	switch {
+	case len(unsure) > 0:
+		b.probeAll(sought, unsure)
+	case b.current < sought.begun:
+		b.effects = append(b.effects, Effect{Kind: EffectConfirm})
+	default:
 		b.declareOwnerless(known)
-		return
 	}
-	b.probeAll(sought, unsure)
 }
 
 // reachesBack reports whether the directory reaches back far enough to know every
@@ -165,6 +170,40 @@
 	}
 }
 
+// probesFirst reports whether all agents are made to ask their endpoints at once,
+// without a search before. That is so after everything was restarted: hardly an agent
+// knows the flows of its endpoint then, and searches would only add to the rush.
+func (b *Balancer) probesFirst(now time.Duration, sought *search) bool {
+	owners := b.everyOwner(sought)
+	unsure := 0
+	for _, candidate := range owners {
+		told, exists := b.health[candidate.ID]
+		if !exists || told.began == 0 || !b.reachesBack(now, told.began) {
+			return false
+		}
+		if told.unsure {
+			unsure++
+		}
+	}
+	return unsure > len(owners)/2
+}
+
+// probeFirst makes all agents that may own a flow ask their endpoints.
+func (b *Balancer) probeFirst(now time.Duration, sought *search) {
+	owners := b.everyOwner(sought)
+	if !b.searches.AllowN(time.Unix(0, int64(now)), len(owners)) {
+		b.event(Event{Kind: EventLocating, Flow: sought.key, Version: b.snapshot.Version(), Reason: "limited"})
+		return
+	}
+	b.event(Event{Kind: EventLocating, Flow: sought.key, Version: b.snapshot.Version(), Reason: "probing"})
+	b.probeAll(sought, owners)
+	sought.asked = now
+	sought.rounds++
+	sought.verified++
+	sought.verifyAt = now + verifyInterval
+	b.verifications = append(b.verifications, sought)
+}
+
 // declareOwnerless resets a flow that no endpoint holds, so that its client need not
 // wait for its time-out.
 func (b *Balancer) declareOwnerless(known *balancerFlow) {
