Leave searches among many agents to one of them

Change: a balancer asks one agent, which asks the others: the owner answers the balancer, the others that agent, which tells once all have. Among 16 agents or more already the first round is left to it, without probes; probes are left to it from four on. An agent that does not answer is replaced by another after 0.1 s, then the balancer asks itself. Probes come first only while most searches find no owner.

--- a/bench/flownet/flownet_test.go
+++ b/bench/flownet/flownet_test.go
@@ -53,6 +53,7 @@
 		Entry("casablanca, modulo hash", "casablanca", flownet.HashModulo),
 		Entry("kolkata, steady hash", "kolkata", flownet.HashSteady),
 		Entry("kolkata, modulo hash", "kolkata", flownet.HashModulo),
+		Entry("sahel, modulo hash", "sahel", flownet.HashModulo),
 	)
 
 	DescribeTable("loses next to nothing to planned work", func(shape string) {
@@ -66,6 +67,7 @@
 	},
 		Entry("casablanca", "casablanca"),
 		Entry("kolkata", "kolkata"),
+		Entry("sahel", "sahel"),
 	)
 
 	DescribeTable("needs every part of the proof that nobody holds a flow", func(planted flownet.Planted) {
--- a/bench/flownet/shape.go
+++ b/bench/flownet/shape.go
@@ -55,8 +55,8 @@
 	return segment.Address{IP: [4]byte{198, 51, 100, number}, Port: 443}
 }
 
-// Shapes lists the shapes of the two users.
-func Shapes() []Shape { return []Shape{casablanca(), kolkata()} }
+// Shapes lists the shapes of the users.
+func Shapes() []Shape { return []Shape{casablanca(), kolkata(), sahel()} }
 
 // ShapeNamed returns the shape of that name. It fails for an unknown name.
 func ShapeNamed(name string) (Shape, error) {
@@ -130,6 +130,36 @@
 	}
 }
 
+// sahel has streams that stay open for many seconds, and so many endpoints that
+// balancers leave searches to agents.
+func sahel() Shape {
+	return Shape{
+		Name:      "sahel",
+		Zones:     []string{"sahel-1", "sahel-2", "sahel-3", "sahel-4"},
+		ZoneDelay: 1400 * time.Microsecond,
+		Balancers: 6,
+		Services: []Service{
+			{Name: "ledger", Endpoints: 16, Slots: 5, Queue: 20},
+			{Name: "intake", Endpoints: 4, Slots: 5, Queue: 20},
+		},
+		Classes: []Class{
+			{
+				Name: "stream", Service: "ledger", Address: routeAddress(1), PerSecond: 30, Work: 40 * time.Millisecond,
+				Pieces: 12, Pause: 400 * time.Millisecond, Answer: 2, Target: 6 * time.Second, Timeout: 10 * time.Second,
+				Repeatable: true, Priority: 2,
+			},
+			{
+				Name: "tap", Service: "ledger", Address: routeAddress(2), PerSecond: 83, Work: 52 * time.Millisecond,
+				Answer: 1, Target: 250 * time.Millisecond, Timeout: 2500 * time.Millisecond, Priority: 1,
+			},
+			{
+				Name: "upload", Service: "intake", Address: routeAddress(3), PerSecond: 10, Work: 5 * time.Millisecond,
+				Pieces: 10, Pause: 30 * time.Millisecond, Answer: 1, Target: time.Second, Timeout: 5 * time.Second, Priority: 2,
+			},
+		},
+	}
+}
+
 // routes returns the routes at the start.
 func (s Shape) routes() []directory.Route {
 	var routes []directory.Route
--- a/internal/directory/confirmer.go
+++ b/internal/directory/confirmer.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// confirmInterval is the least time between two confirmations.
-	confirmInterval = 60 * time.Millisecond
+	// confirmInterval is the least time between two confirmations. Each costs a call.
+	confirmInterval = 120 * time.Millisecond
 	// confirmRateShare is the part of the store's rate that the confirmations of all
 	// balancers together may take.
 	confirmRateShare = 0.25
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -49,7 +49,9 @@
 	// answered is set once answer is known.
 	answered bool
 	balancer segment.Address
-	// forwarded is set in stateProbed if the balancer took this agent for the owner.
+	// prober is the daemon that wants to know, in stateProbed, if the endpoint does not
+	// hold the flow, and forwarded is set if it took this agent for the owner.
+	prober    segment.Address
 	forwarded bool
 	touched   time.Duration
 	work      work
@@ -97,6 +99,7 @@
 	queue   queue
 	pace    pace
 	outlier outlier
+	surveys map[segment.FlowKey]*survey
 	// drainEnds is until when the endpoint is believed to be draining.
 	drainEnds time.Duration
 	stopping  bool
@@ -110,6 +113,7 @@
 	return &Agent{
 		config:    config,
 		flows:     make(map[segment.FlowKey]*agentFlow),
+		surveys:   make(map[segment.FlowKey]*survey),
 		balancers: make(map[segment.Address]time.Duration),
 	}
 }
@@ -158,7 +162,14 @@
 // until the next call.
 func (a *Agent) Receive(now time.Duration, from segment.Address, message Message) []Effect {
 	a.begin(now)
-	a.remember(now, from)
+	switch message.Kind {
+	case KindDenied, KindUncertain:
+		a.receiveNotOwned(from, message)
+		return a.effects
+	case KindSurvey:
+		a.receiveSurvey(now, from, message)
+	}
+	a.remember(now, a.balancerOf(from, message))
 	switch message.Kind {
 	case KindOffer, KindForward, KindProbe:
 		a.receivePacket(now, from, message)
@@ -176,6 +187,15 @@
 	return a.effects
 }
 
+// balancerOf returns the balancer that a message came from, or for which another agent
+// sent it.
+func (a *Agent) balancerOf(from segment.Address, message Message) segment.Address {
+	if replyTo := message.ReplyTo.Address(); !replyTo.IsZero() {
+		return replyTo
+	}
+	return from
+}
+
 // remember notes a balancer, which is told when the agent stops.
 func (a *Agent) remember(now time.Duration, balancer segment.Address) {
 	if _, known := a.balancers[balancer]; known || len(a.balancers) < balancerLimit {
@@ -272,7 +292,7 @@
 	case message.Kind == KindForward:
 		a.bringBack(from, key, header, message.Packet, "not_owned")
 	case known != nil && known.state == stateProbed:
-		known.balancer = from
+		known.balancer, known.prober = a.balancerOf(from, message), from
 		a.deliver(message.Packet)
 	case a.disowns(now, known):
 		a.deny(now, from, key)
@@ -325,7 +345,7 @@
 	foreign := message.Service != a.config.Service
 	switch {
 	case !foreign && known != nil && a.owns(known, header):
-		a.send(from, Message{Kind: KindOwned, Service: a.config.Service, Flow: message.Flow})
+		a.send(a.balancerOf(from, message), Message{Kind: KindOwned, Service: a.config.Service, Flow: message.Flow})
 	case foreign || a.disowns(now, known):
 		a.deny(now, from, key)
 	default:
@@ -355,13 +375,13 @@
 
 func (a *Agent) receiveOwned(now time.Duration, from segment.Address, key segment.FlowKey, known *agentFlow, header segment.Header, message Message) {
 	known.touched = now
-	known.balancer = from
+	known.balancer = a.balancerOf(from, message)
 	known.work.learn(message.Terms)
 	if known.state == stateAnswered {
 		known.state = stateOpen
 	}
 	if message.Kind != KindForward {
-		a.send(from, Message{Kind: KindOwned, Service: a.config.Service, Flow: FlowOf(key), Load: a.Load()})
+		a.send(known.balancer, Message{Kind: KindOwned, Service: a.config.Service, Flow: FlowOf(key), Load: a.Load()})
 	}
 	if header.Flags.Has(segment.Finish) || header.Flags.Has(segment.Reset) {
 		a.end(now, known)
@@ -377,7 +397,8 @@
 // balancer takes this agent for the owner or has found no other.
 func (a *Agent) probe(now time.Duration, from segment.Address, key segment.FlowKey, header segment.Header, message Message) {
 	a.flows[key] = &agentFlow{
-		state: stateProbed, balancer: from, forwarded: message.Kind == KindForward, touched: now,
+		state: stateProbed, balancer: a.balancerOf(from, message), prober: from,
+		forwarded: message.Kind == KindForward, touched: now,
 		work: work{
 			terms: message.Terms, asked: now, since: now, fed: now,
 			request: a.config.Codec.RequestID(message.Packet), given: header.Length > 0,
@@ -421,6 +442,7 @@
 func (a *Agent) Tick(now time.Duration) []Effect {
 	a.begin(now)
 	a.expire(now)
+	a.expireSurveys(now)
 	if now < a.nextSweep {
 		return a.effects
 	}
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -97,7 +97,9 @@
 	offers  []*offer
 	// verifications are searches that are due to be verified.
 	verifications []*search
-	health        map[directory.EndpointID]*health
+	// ownerless is the share of the last searches that found no owner.
+	ownerless float64
+	health    map[directory.EndpointID]*health
 	// paces is room for the paces of a service.
 	paces     []uint32
 	sharing   map[segment.Address]*sharing
@@ -118,6 +120,8 @@
 		sharing:  make(map[segment.Address]*sharing),
 		budget:   newBudget(),
 		searches: rate.NewLimiter(searchRate, searchBurst),
+
+		ownerless: mostlyOwnerless,
 	}
 }
 
@@ -242,6 +246,8 @@
 		b.receiveUncertain(now, from, message)
 	case KindDenied:
 		b.receiveDenied(now, from, message)
+	case KindSurveyed:
+		b.receiveSurveyed(now, from, message)
 	case KindUnknown:
 		b.receiveUnknown(now, from, message)
 	case KindLeaving:
--- a/internal/relay/emitted.go
+++ b/internal/relay/emitted.go
@@ -49,11 +49,11 @@
 // probedInVain tells the balancer of a flow that the endpoint does not hold it.
 func (a *Agent) probedInVain(now time.Duration, key segment.FlowKey, known *agentFlow, header segment.Header, packet []byte) {
 	if known.forwarded {
-		a.bringBack(known.balancer, key, header, packet, "not_held")
+		a.bringBack(known.prober, key, header, packet, "not_held")
 		return
 	}
-	a.event(Event{Kind: EventDenied, Flow: key, Peer: known.balancer})
-	a.deny(now, known.balancer, key)
+	a.event(Event{Kind: EventDenied, Flow: key, Peer: known.prober})
+	a.deny(now, known.prober, key)
 }
 
 func (a *Agent) returnedOpening(now time.Duration, key segment.FlowKey, known *agentFlow, header segment.Header, packet []byte) {
--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -54,6 +54,9 @@
 	verified int
 	// replies are what agents have answered, by their addresses.
 	replies map[segment.Address]reply
+	// surveyor is the agent that asks those in surveyed for this balancer.
+	surveyor segment.Address
+	surveyed []directory.Candidate
 }
 
 func newSearch(now time.Duration, key segment.FlowKey) *search {
@@ -93,6 +96,9 @@
 		b.probeFirst(now, sought)
 		return
 	}
+	if sought.rounds == 0 && b.surveyFirst(now, sought) {
+		return
+	}
 	asked := b.ownersAmong(key, sought.rounds >= searchesOfRoute)
 	if !b.searches.AllowN(time.Unix(0, int64(now)), len(asked)) {
 		b.event(Event{Kind: EventLocating, Flow: key, Version: b.snapshot.Version(), Reason: "limited"})
@@ -214,6 +220,7 @@
 	known.terms = b.termsAt(key, from)
 	b.event(Event{Kind: EventLocated, Flow: key, Peer: from})
 	if sought != nil {
+		b.noteOutcome(false)
 		b.forwardHeld(known, sought.held)
 	}
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -9,7 +9,7 @@
 
 //go:generate go tool msgp -tests=false
 //msgp:limit arrays:4096
-//msgp:tuple Message Load Terms
+//msgp:tuple Message Load Terms Target
 //msgp:shim segment.Flags as:uint8 using:uint8/segment.Flags
 
 // MaximumMessage bounds an encoded message in bytes.
@@ -55,6 +55,12 @@
 	KindVerify
 	// KindDenied tells that the agent's endpoint does not hold a flow.
 	KindDenied
+	// KindSurvey makes an agent ask the agents in Targets, and itself, for the owner of
+	// the flow of a packet: as KindProbe does if Probing is set, else as KindVerify.
+	KindSurvey
+	// KindSurveyed tells that no agent of a survey owns the flow. Age is that of the
+	// oldest, and Unsure is set if some do not know.
+	KindSurveyed
 )
 
 // Flow is the encoded form of a segment.FlowKey.
@@ -80,6 +86,35 @@
 	}
 }
 
+// FlowEnd is the encoded form of a segment.Address, empty for none.
+type FlowEnd []byte
+
+// FlowEndOf encodes an address.
+func FlowEndOf(address segment.Address) FlowEnd {
+	return binary.BigEndian.AppendUint16(append(FlowEnd(nil), address.IP[:]...), address.Port)
+}
+
+const flowEndSize = 6
+
+// Address decodes the address. It is zero for none.
+func (e FlowEnd) Address() segment.Address {
+	if len(e) != flowEndSize {
+		return segment.Address{}
+	}
+	return segment.Address{IP: [4]byte(e[:4]), Port: binary.BigEndian.Uint16(e[4:])}
+}
+
+// Target is an agent that a survey asks, and the service that its endpoint is taken
+// for.
+type Target struct {
+	IP      [4]byte
+	Port    uint16
+	Service string
+}
+
+// Address returns the address of the agent.
+func (t Target) Address() segment.Address { return segment.Address{IP: t.IP, Port: t.Port} }
+
 // Load is how busy an agent's endpoint is.
 type Load struct {
 	// Running is the number of flows that are open or about to be.
@@ -125,6 +160,13 @@
 	LastResort bool
 	// Age is how long the agent has been there, in KindUncertain and KindDenied.
 	Age time.Duration
+	// ReplyTo is set in what another agent asks for a balancer: the owner answers
+	// there, the others the sender.
+	ReplyTo FlowEnd
+	// Targets and Probing are set in KindSurvey, Unsure in KindSurveyed.
+	Targets []Target
+	Probing bool
+	Unsure  bool
 	// Terms are set in offers.
 	Terms Terms
 	// Load is set in messages of agents.
--- a/internal/relay/message_gen.go
+++ b/internal/relay/message_gen.go
@@ -56,6 +56,75 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *FlowEnd) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 []byte
+		zb0001, err = dc.ReadBytesLimit([]byte((*z)), 4096)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = FlowEnd(zb0001)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z FlowEnd) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteBytes([]byte(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z FlowEnd) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendBytes(o, []byte(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *FlowEnd) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 []byte
+		var zb0002 uint32
+		zb0002, bts, err = msgp.ReadBytesHeader(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		if zb0002 > zdc5d9100limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		zb0001 = []byte((*z))
+		if zb0001 == nil || uint32(cap(zb0001)) < zb0002 {
+			zb0001 = make([]byte, zb0002)
+		} else {
+			zb0001 = zb0001[:zb0002]
+		}
+		if uint32(len(bts)) < zb0002 {
+			err = msgp.ErrShortBytes
+			return
+		}
+		copy(zb0001, bts[:zb0002])
+		bts = bts[zb0002:]
+		(*z) = FlowEnd(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z FlowEnd) Msgsize() (s int) {
+	s = msgp.BytesPrefixSize + len([]byte(z))
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Kind) DecodeMsg(dc *msgp.Reader) (err error) {
 	{
@@ -243,8 +312,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 15 {
+		err = msgp.ArrayError{Wanted: 15, Got: zb0001}
 		return
 	}
 	{
@@ -295,6 +364,47 @@
 		err = msgp.WrapError(err, "Age")
 		return
 	}
+	{
+		var zb0004 []byte
+		zb0004, err = dc.ReadBytesLimit([]byte(z.ReplyTo), 4096)
+		if err != nil {
+			err = msgp.WrapError(err, "ReplyTo")
+			return
+		}
+		z.ReplyTo = FlowEnd(zb0004)
+	}
+	var zb0005 uint32
+	zb0005, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Targets")
+		return
+	}
+	if zb0005 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Targets) >= int(zb0005) {
+		z.Targets = (z.Targets)[:zb0005]
+	} else {
+		z.Targets = make([]Target, zb0005)
+	}
+	for za0002 := range z.Targets {
+		err = z.Targets[za0002].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0002)
+			return
+		}
+	}
+	z.Probing, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Probing")
+		return
+	}
+	z.Unsure, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Unsure")
+		return
+	}
 	err = z.Terms.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -318,8 +428,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Message) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 11
-	err = en.Append(0x9b)
+	// array header, size 15
+	err = en.Append(0x9f)
 	if err != nil {
 		return
 	}
@@ -363,6 +473,33 @@
 		err = msgp.WrapError(err, "Age")
 		return
 	}
+	err = en.WriteBytes([]byte(z.ReplyTo))
+	if err != nil {
+		err = msgp.WrapError(err, "ReplyTo")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Targets)))
+	if err != nil {
+		err = msgp.WrapError(err, "Targets")
+		return
+	}
+	for za0002 := range z.Targets {
+		err = z.Targets[za0002].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0002)
+			return
+		}
+	}
+	err = en.WriteBool(z.Probing)
+	if err != nil {
+		err = msgp.WrapError(err, "Probing")
+		return
+	}
+	err = en.WriteBool(z.Unsure)
+	if err != nil {
+		err = msgp.WrapError(err, "Unsure")
+		return
+	}
 	err = z.Terms.EncodeMsg(en)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -384,8 +521,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 15
+	o = append(o, 0x9f)
 	o = msgp.AppendUint8(o, uint8(z.Kind))
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendBytes(o, (z.Flow)[:])
@@ -394,6 +531,17 @@
 	o = msgp.AppendUint8(o, uint8(z.Flags))
 	o = msgp.AppendBool(o, z.LastResort)
 	o = msgp.AppendDuration(o, z.Age)
+	o = msgp.AppendBytes(o, []byte(z.ReplyTo))
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Targets)))
+	for za0002 := range z.Targets {
+		o, err = z.Targets[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0002)
+			return
+		}
+	}
+	o = msgp.AppendBool(o, z.Probing)
+	o = msgp.AppendBool(o, z.Unsure)
 	o, err = z.Terms.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -416,8 +564,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 15 {
+		err = msgp.ArrayError{Wanted: 15, Got: zb0001}
 		return
 	}
 	{
@@ -468,6 +616,64 @@
 		err = msgp.WrapError(err, "Age")
 		return
 	}
+	{
+		var zb0004 []byte
+		var zb0005 uint32
+		zb0005, bts, err = msgp.ReadBytesHeader(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "ReplyTo")
+			return
+		}
+		if zb0005 > zdc5d9100limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		zb0004 = []byte(z.ReplyTo)
+		if zb0004 == nil || uint32(cap(zb0004)) < zb0005 {
+			zb0004 = make([]byte, zb0005)
+		} else {
+			zb0004 = zb0004[:zb0005]
+		}
+		if uint32(len(bts)) < zb0005 {
+			err = msgp.ErrShortBytes
+			return
+		}
+		copy(zb0004, bts[:zb0005])
+		bts = bts[zb0005:]
+		z.ReplyTo = FlowEnd(zb0004)
+	}
+	var zb0006 uint32
+	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Targets")
+		return
+	}
+	if zb0006 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Targets) >= int(zb0006) {
+		z.Targets = (z.Targets)[:zb0006]
+	} else {
+		z.Targets = make([]Target, zb0006)
+	}
+	for za0002 := range z.Targets {
+		bts, err = z.Targets[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0002)
+			return
+		}
+	}
+	z.Probing, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Probing")
+		return
+	}
+	z.Unsure, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Unsure")
+		return
+	}
 	bts, err = z.Terms.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -478,34 +684,145 @@
 		err = msgp.WrapError(err, "Load")
 		return
 	}
-	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadBytesHeader(bts)
+	var zb0007 uint32
+	zb0007, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Packet")
 		return
 	}
-	if zb0004 > zdc5d9100limitArrays {
+	if zb0007 > zdc5d9100limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if z.Packet == nil || uint32(cap(z.Packet)) < zb0004 {
-		z.Packet = make([]byte, zb0004)
+	if z.Packet == nil || uint32(cap(z.Packet)) < zb0007 {
+		z.Packet = make([]byte, zb0007)
 	} else {
-		z.Packet = z.Packet[:zb0004]
+		z.Packet = z.Packet[:zb0007]
 	}
-	if uint32(len(bts)) < zb0004 {
+	if uint32(len(bts)) < zb0007 {
 		err = msgp.ErrShortBytes
 		return
 	}
-	copy(z.Packet, bts[:zb0004])
-	bts = bts[zb0004:]
+	copy(z.Packet, bts[:zb0007])
+	bts = bts[zb0007:]
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Message) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize + msgp.DurationSize + z.Terms.Msgsize() + z.Load.Msgsize() + msgp.BytesPrefixSize + len(z.Packet)
+	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize + msgp.DurationSize + msgp.BytesPrefixSize + len([]byte(z.ReplyTo)) + msgp.ArrayHeaderSize
+	for za0002 := range z.Targets {
+		s += z.Targets[za0002].Msgsize()
+	}
+	s += msgp.BoolSize + msgp.BoolSize + z.Terms.Msgsize() + z.Load.Msgsize() + msgp.BytesPrefixSize + len(z.Packet)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Target) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	err = dc.ReadExactBytes((z.IP)[:])
+	if err != nil {
+		err = msgp.WrapError(err, "IP")
+		return
+	}
+	z.Port, err = dc.ReadUint16()
+	if err != nil {
+		err = msgp.WrapError(err, "Port")
+		return
+	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Target) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes((z.IP)[:])
+	if err != nil {
+		err = msgp.WrapError(err, "IP")
+		return
+	}
+	err = en.WriteUint16(z.Port)
+	if err != nil {
+		err = msgp.WrapError(err, "Port")
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Target) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendBytes(o, (z.IP)[:])
+	o = msgp.AppendUint16(o, z.Port)
+	o = msgp.AppendString(o, z.Service)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Target) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	bts, err = msgp.ReadExactBytes(bts, (z.IP)[:])
+	if err != nil {
+		err = msgp.WrapError(err, "IP")
+		return
+	}
+	z.Port, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Port")
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Target) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize + (4 * (msgp.ByteSize)) + msgp.Uint16Size + msgp.StringPrefixSize + len(z.Service)
 	return
 }
 
