Go on asking peers while a balancer knows nothing

One asked a peer that had just started too, took its empty answer for its first fetch and waited 1.3 s to be told that others were ahead; another spent 0.8 s on a seed without power.

Change: only an answer that makes the directory usable ends the asking; a balancer without a directory fetches at once from a peer that has one; a connection has 0.25 s.

--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -90,7 +90,7 @@
 }
 
 func (e *Exchange[Peer]) choose(now time.Duration) (chosen Peer, wanted bool) {
-	if e.behind && now-e.since >= e.timing.patience() {
+	if e.behind && (now-e.since >= e.timing.patience() || !e.machine.Ready()) {
 		return e.informed, true
 	}
 	known := slices.Concat(e.peers, e.seeds)
@@ -114,9 +114,11 @@
 // Fetched handles the state of a peer. It reports whether the snapshot changed.
 func (e *Exchange[Peer]) Fetched(now time.Duration, state State) bool {
 	e.busy = false
-	e.fetched = true
 	e.behind = false
-	return e.machine.Adopt(now, state)
+	changed := e.machine.Adopt(now, state)
+	// A peer that has just been started itself may have had nothing to tell.
+	e.fetched = e.fetched || e.machine.Ready()
+	return changed
 }
 
 // FetchFailed tells that a peer did not answer.
--- a/internal/directory/exchange_test.go
+++ b/internal/directory/exchange_test.go
@@ -76,6 +76,24 @@
 		}
 	})
 
+	It("goes on asking while it knows nothing, if a peer had nothing to tell", func() {
+		starting := directory.NewExchange(directory.New(), timing, []string{"seed"}, rand.New(rand.NewPCG(1, 1)))
+		starting.StoreFailed()
+		_, wanted := starting.Next(0)
+		Expect(wanted).To(BeTrue())
+		Expect(starting.Fetched(0, directory.State{})).To(BeFalse())
+		_, wanted = starting.Next(250 * time.Millisecond)
+		Expect(wanted).To(BeTrue())
+	})
+
+	It("fetches from a peer that knows something at once while it knows nothing itself", func() {
+		starting := directory.NewExchange[string](directory.New(), timing, nil, rand.New(rand.NewPCG(1, 1)))
+		starting.Heard(0, "peer", newer)
+		peer, wanted := starting.Next(0)
+		Expect(wanted).To(BeTrue())
+		Expect(peer).To(Equal("peer"))
+	})
+
 	It("asks peers that it hears of too, and forgets those that are lost", func() {
 		exchange = directory.NewExchange[string](machine, timing, nil, rand.New(rand.NewPCG(1, 1)))
 		Expect(fetch(0)).To(BeEmpty())
--- a/internal/relaydaemon/peers.go
+++ b/internal/relaydaemon/peers.go
@@ -31,8 +31,10 @@
 	parameterComplete = "complete"
 	// exchangeTick is how often a balancer considers a fetch from a peer.
 	exchangeTick = 100 * time.Millisecond
-	// fetchTimeout bounds a fetch from a peer.
-	fetchTimeout = 800 * time.Millisecond
+	// fetchTimeout bounds a fetch from a peer, and connectTimeout the connection to it:
+	// a machine without power says nothing.
+	fetchTimeout   = 800 * time.Millisecond
+	connectTimeout = 250 * time.Millisecond
 	// maximumState bounds the directory of a peer, in bytes.
 	maximumState = 16 << 20
 )
@@ -54,7 +56,10 @@
 	created := &peers{
 		role:      role,
 		storeRate: float64(given.StoreRate),
-		client:    &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		client: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{
+			DisableKeepAlives: true,
+			DialContext:       (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		}},
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	seeds := seedsOf(given)
