Let a peer confirm the directory where the store does not answer

Change: it asks another balancer, which confirms its own directory by the store and answers with what the asker does not know. That directory is as current as the store's answer, which came after the question.

A spec of real processes, one of them without a store, fails without the change.

--- a/internal/directory/confirmer.go
+++ b/internal/directory/confirmer.go
@@ -60,14 +60,23 @@
 		c.busy = true
 		return Call{AfterRevision: c.machine.Complete(), Wait: confirmWait, Timeout: callTimeout}, true
 	}
-	if !c.wanted || now < c.next || c.machine.Complete() == 0 {
+	if c.machine.Complete() == 0 || !c.Begin(now) {
 		return Call{}, false
 	}
-	c.wanted = false
 	c.busy = true
+	return Call{Listing: true, After: keyAfterAll, Timeout: callTimeout}, true
+}
+
+// Begin begins a confirmation without a call of the store, as by a peer where the store
+// has never answered. It reports whether one is wanted and may begin.
+func (c *Confirmer) Begin(now time.Duration) bool {
+	if c.busy || !c.wanted || now < c.next {
+		return false
+	}
+	c.wanted = false
 	c.begun = now
 	c.next = now + c.interval
-	return Call{Listing: true, After: keyAfterAll, Timeout: callTimeout}, true
+	return true
 }
 
 // Listed handles the revision of the store. It returns the time for which the
--- a/internal/directory/confirmer_test.go
+++ b/internal/directory/confirmer_test.go
@@ -87,10 +87,15 @@
 		Expect(wanted).To(BeFalse())
 	})
 
-	It("confirms nothing before the first listing", func() {
+	It("makes no call before the first listing, but lets a peer confirm, no more often", func() {
 		confirmer = directory.NewConfirmer(directory.New())
+		Expect(confirmer.Begin(0)).To(BeFalse(), "nobody wants it")
 		confirmer.Want()
 		_, wanted := confirmer.Next(0)
 		Expect(wanted).To(BeFalse())
+		Expect(confirmer.Begin(0)).To(BeTrue())
+		confirmer.Want()
+		Expect(confirmer.Begin(millisecond)).To(BeFalse())
+		Expect(confirmer.Begin(120 * millisecond)).To(BeTrue())
 	})
 })
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -70,6 +70,15 @@
 	e.informed = from
 }
 
+// Any returns a peer, false if none is known.
+func (e *Exchange[Peer]) Any() (Peer, bool) {
+	if len(e.peers) == 0 {
+		var none Peer
+		return none, false
+	}
+	return e.peers[e.random.IntN(len(e.peers))], true
+}
+
 // Lost forgets a peer that has failed or left.
 func (e *Exchange[Peer]) Lost(peer Peer) {
 	e.peers = slices.DeleteFunc(e.peers, func(known Peer) bool { return known == peer })
--- a/internal/relaydaemon/confirm.go
+++ b/internal/relaydaemon/confirm.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/vanetiller/vanetiller/internal/directory"
 	"github.com/vanetiller/vanetiller/internal/relay"
 )
@@ -11,6 +13,9 @@
 // confirmPoll is how often a wanted confirmation is considered that may not begin yet.
 const confirmPoll = 20 * time.Millisecond
 
+// errUnconfirmed tells that the store had changes which did not come.
+var errUnconfirmed = errors.New("the directory could not be confirmed")
+
 // wantConfirmation asks for a confirmation of the directory. It is called by the
 // executor, which holds its lock.
 func (r *balancerRole) wantConfirmation() {
@@ -21,7 +26,7 @@
 	}
 }
 
-// confirm makes the calls that confirm the directory until ctx ends.
+// confirm confirms the directory whenever that is wanted, until ctx ends.
 func (r *balancerRole) confirm(ctx context.Context) error {
 	for {
 		select {
@@ -29,65 +34,112 @@
 			return nil
 		case <-r.confirmations:
 		}
-		for r.confirmNext(ctx) && sleep(ctx, confirmPoll) {
+		for r.confirmWanted(ctx) && sleep(ctx, confirmPoll) {
 		}
 	}
 }
 
-// confirmNext makes the next calls, if they may begin. It reports whether a
-// confirmation is still wanted.
-func (r *balancerRole) confirmNext(ctx context.Context) bool {
+// confirmWanted confirms the directory by the store, or else by a peer, if a
+// confirmation may begin. It reports whether one is still wanted.
+func (r *balancerRole) confirmWanted(ctx context.Context) bool {
+	begun := time.Duration(0)
+	storeKnown, byPeer := false, false
+	r.executor.do(func(now time.Duration) []relay.Effect {
+		begun = now
+		storeKnown = r.directory.Complete() > 0
+		byPeer = !storeKnown && r.confirmer.Begin(now)
+		return nil
+	})
+	through, err := begun, errNotNow
+	if storeKnown {
+		through, err = r.confirmByStore(ctx, r.confirmer)
+		byPeer = err != nil && !errors.Is(err, errNotNow)
+	}
+	if byPeer {
+		through, err = begun, r.peers.confirmByPeer(ctx)
+	}
+	wanted := false
+	r.executor.do(func(now time.Duration) []relay.Effect {
+		wanted = r.confirmer.Wanted()
+		if err != nil {
+			return nil
+		}
+		return r.balancer.Current(now, through)
+	})
+	return wanted
+}
+
+// errNotNow tells that no confirmation is wanted, or that it is too early for one.
+var errNotNow = errors.New("no confirmation now")
+
+// confirmByStore makes the calls of a confirmer. It returns the time for which the
+// directory is confirmed.
+func (r *balancerRole) confirmByStore(ctx context.Context, confirmer *directory.Confirmer) (time.Duration, error) {
 	for {
 		var next storeCall
-		wanted, pending := false, false
+		wanted := false
 		r.executor.do(func(now time.Duration) []relay.Effect {
 			var call directory.Call
-			call, wanted = r.confirmer.Next(now)
-			pending = r.confirmer.Wanted()
+			call, wanted = confirmer.Next(now)
 			next = storeCall{call, r.store, r.storeTurn}
 			return nil
 		})
 		if !wanted {
-			return pending
+			return 0, errNotNow
+		}
+		through, complete, err := r.performConfirmation(ctx, confirmer, next)
+		if err != nil || complete {
+			return through, err
 		}
-		r.performConfirmation(ctx, next)
 	}
 }
 
-func (r *balancerRole) performConfirmation(running context.Context, next storeCall) {
+// performConfirmation makes one call of a confirmer. It reports whether no further one
+// is needed.
+func (r *balancerRole) performConfirmation(running context.Context, confirmer *directory.Confirmer, next storeCall) (through time.Duration, complete bool, err error) {
 	ctx, cancel := context.WithTimeout(running, next.call.Timeout)
 	defer cancel()
 	if next.call.Listing {
 		page, err := next.store.List(ctx, next.call.After)
-		r.concludeConfirmation(next.turn, err, func(now time.Duration) []relay.Effect {
-			through, current := r.confirmer.Listed(page)
-			return r.currentThrough(now, through, current)
+		err = r.concludeConfirmation(confirmer, next.turn, err, func(time.Duration) []relay.Effect {
+			through, complete = confirmer.Listed(page)
+			return nil
 		})
-		return
+		return through, complete, err
 	}
 	changes, err := next.store.Watch(ctx, next.call.AfterRevision, next.call.Wait)
-	r.concludeConfirmation(next.turn, err, func(now time.Duration) []relay.Effect {
-		changed, through, current := r.confirmer.Watched(now, changes)
-		r.executor.execute(r.installIf(changed, now))
-		return r.currentThrough(now, through, current)
+	err = r.concludeConfirmation(confirmer, next.turn, err, func(now time.Duration) []relay.Effect {
+		changed := false
+		changed, through, complete = confirmer.Watched(now, changes)
+		return r.installIf(changed, now)
 	})
+	if err == nil && !complete {
+		err = errUnconfirmed
+	}
+	return through, complete, err
 }
 
 // concludeConfirmation hands the outcome of a call to the confirmer. An answer of a
 // store that is no longer used is dropped.
-func (r *balancerRole) concludeConfirmation(turn int, err error, merge func(now time.Duration) []relay.Effect) {
+func (r *balancerRole) concludeConfirmation(confirmer *directory.Confirmer, turn int, err error, merge func(now time.Duration) []relay.Effect) error {
 	r.executor.do(func(now time.Duration) []relay.Effect {
-		if err != nil || turn != r.storeTurn {
-			r.confirmer.Failed()
+		if err == nil && turn != r.storeTurn {
+			err = errUnconfirmed
+		}
+		if err != nil {
+			confirmer.Failed()
 			return nil
 		}
 		return merge(now)
 	})
+	return err
 }
 
-func (r *balancerRole) currentThrough(now, through time.Duration, current bool) []relay.Effect {
-	if !current {
-		return nil
-	}
-	return r.balancer.Current(now, through)
+// confirmForPeer confirms the directory for another balancer, which the store does not
+// answer.
+func (r *balancerRole) confirmForPeer(ctx context.Context) error {
+	confirmer := directory.NewConfirmer(r.directory)
+	confirmer.Want()
+	_, err := r.confirmByStore(ctx, confirmer)
+	return err
 }
--- a/internal/relaydaemon/daemon_test.go
+++ b/internal/relaydaemon/daemon_test.go
@@ -239,6 +239,33 @@
 		Expect(log.String()).To(ContainSubstring(`"msg":"directory fetched"`))
 	})
 
+	It("resets a flow that nobody holds, also where the store does not answer and a peer confirms the directory", func() {
+		client := udp(clientIP, used.packetPort)
+		start(used.agent(agentIP), nil, log)
+		start(used.balancer(balancerIP, ""), fakeStore{page: used.listing()}, log)
+		informed := used
+		informed.healthPort = freePort()
+		seed := fmt.Sprintf("%q", fmt.Sprintf("%s:%d", balancerIP, used.exchangePort))
+		start(informed.balancer(otherIP, seed), fakeStore{down: true}, log)
+		Eventually(status(agentIP)).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+		for port, ip := range []string{balancerIP, otherIP} {
+			health := used
+			if ip == otherIP {
+				health = informed
+			}
+			Eventually(func() int { return health.health(ip) }).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+			caller := segment.Address{IP: [4]byte{127, 0, 1, 4}, Port: uint16(6000 + port)}
+			stray := codec.Encode(segment.Header{
+				Source: caller, Destination: route, Flags: segment.Acknowledge, Sequence: 10, Acknowledgment: 71,
+			}, []byte("request"))
+			_, err := client.WriteToUDP(stray, &net.UDPAddr{IP: net.ParseIP(ip), Port: used.packetPort})
+			Expect(err).NotTo(HaveOccurred())
+			answered, _ := codec.Decode(receive(client))
+			Expect(answered.Flags.Has(segment.Reset)).To(BeTrue(), ip)
+			Expect(answered.Destination).To(Equal(caller))
+		}
+	})
+
 	It("goes on serving for a while after a stop has begun, not ready", func() {
 		stop, ended := start(used.balancer(balancerIP, ""), fakeStore{page: used.listing()}, log)
 		Eventually(status(balancerIP)).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
--- a/internal/relaydaemon/peers.go
+++ b/internal/relaydaemon/peers.go
@@ -29,6 +29,8 @@
 	// parameterVersion and parameterComplete are the digest of who asks.
 	parameterVersion  = "version"
 	parameterComplete = "complete"
+	// parameterConfirm asks for a directory that the store has confirmed since.
+	parameterConfirm = "confirm"
 	// exchangeTick is how often a balancer considers a fetch from a peer.
 	exchangeTick = 100 * time.Millisecond
 	// fetchTimeout bounds a fetch from a peer, and connectTimeout the connection to it:
@@ -144,17 +146,35 @@
 func (p *peers) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+directoryPath, kithttp.NewServer(
-		func(_ context.Context, known any) (any, error) { return p.stateAfter(known.(directory.Digest)), nil },
-		decodeDigest, encodeState))
+		func(ctx context.Context, asked any) (any, error) { return p.answer(ctx, asked.(directoryRequest)) },
+		decodeRequest, encodeState))
 	return mux
 }
 
-// decodeDigest reads what the asking balancer knows; what is missing is zero.
-func decodeDigest(_ context.Context, request *http.Request) (any, error) {
+// directoryRequest is what another balancer asks.
+type directoryRequest struct {
+	known   directory.Digest
+	confirm bool
+}
+
+// decodeRequest reads what the asking balancer knows; what is missing is zero.
+func decodeRequest(_ context.Context, request *http.Request) (any, error) {
 	query := request.URL.Query()
 	version, _ := strconv.ParseUint(query.Get(parameterVersion), 10, 64)
 	complete, _ := strconv.ParseUint(query.Get(parameterComplete), 10, 64)
-	return directory.Digest{Version: version, Complete: directory.Revision(complete)}, nil
+	return directoryRequest{
+		known:   directory.Digest{Version: version, Complete: directory.Revision(complete)},
+		confirm: query.Has(parameterConfirm),
+	}, nil
+}
+
+func (p *peers) answer(ctx context.Context, asked directoryRequest) (directory.State, error) {
+	if asked.confirm {
+		if err := p.role.confirmForPeer(ctx); err != nil {
+			return directory.State{}, err
+		}
+	}
+	return p.stateAfter(asked.known), nil
 }
 
 func (p *peers) stateAfter(known directory.Digest) directory.State {
@@ -206,13 +226,36 @@
 			return nil
 		})
 		if wanted {
-			state, err := p.fetch(ctx, from.AddrPort(), known)
+			state, err := p.fetch(ctx, from.AddrPort(), directoryRequest{known: known})
 			p.conclude(from, state, err)
 		}
 	}
 	return nil
 }
 
+// confirmByPeer lets another balancer confirm the directory, and takes what it knows.
+func (p *peers) confirmByPeer(ctx context.Context) error {
+	var from membership.Address
+	var known directory.Digest
+	exists := false
+	p.role.executor.do(func(time.Duration) []relay.Effect {
+		from, exists = p.exchange.Any()
+		known = p.role.directory.Digest()
+		return nil
+	})
+	if !exists {
+		return errUnconfirmed
+	}
+	state, err := p.fetch(ctx, from.AddrPort(), directoryRequest{known: known, confirm: true})
+	if err != nil {
+		return err
+	}
+	p.role.executor.do(func(now time.Duration) []relay.Effect {
+		return p.role.installIf(p.role.directory.Adopt(now, state), now)
+	})
+	return nil
+}
+
 func (p *peers) conclude(from membership.Address, state directory.State, err error) {
 	p.role.executor.do(func(now time.Duration) []relay.Effect {
 		if err != nil {
@@ -226,11 +269,14 @@
 	})
 }
 
-func (p *peers) fetch(ctx context.Context, from netip.AddrPort, known directory.Digest) (directory.State, error) {
+func (p *peers) fetch(ctx context.Context, from netip.AddrPort, asked directoryRequest) (directory.State, error) {
 	var state directory.State
 	query := url.Values{
-		parameterVersion:  {strconv.FormatUint(known.Version, 10)},
-		parameterComplete: {strconv.FormatUint(uint64(known.Complete), 10)},
+		parameterVersion:  {strconv.FormatUint(asked.known.Version, 10)},
+		parameterComplete: {strconv.FormatUint(uint64(asked.known.Complete), 10)},
+	}
+	if asked.confirm {
+		query.Set(parameterConfirm, "")
 	}
 	target := url.URL{Scheme: "http", Host: from.String(), Path: directoryPath, RawQuery: query.Encode()}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
