Close gaps in the proof that nobody holds a flow

- a fleet with more endpoints than are asked, or a directory with none, passed for a set in which all had denied the flow;
- the answer to a survey could be taken for that to a later one of the same agent, which asked more agents: surveys have numbers now;
- an agent disowned a flow whose endpoint had sent over 64 MB, since the client's acknowledgment is compared with the endpoint's first number: that moves along now.

The specs for each fail on the code before.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -43,7 +43,8 @@
 // agentFlow is what an agent remembers of a flow.
 type agentFlow struct {
 	state agentFlowState
-	// sequence is the client's initial sequence number, answer the endpoint's.
+	// sequence is the client's initial sequence number, answer the endpoint's or, once
+	// that has sent much, a later one.
 	sequence uint32
 	answer   uint32
 	// answered is set once answer is known.
@@ -57,6 +58,14 @@
 	work      work
 }
 
+// follow keeps what the client may acknowledge within openWindow, however much the
+// endpoint sends.
+func (f *agentFlow) follow(sequence uint32) {
+	if sent := sequence - f.answer; f.answered && f.state != stateAnswered && sent > openWindow/2 && sent < openWindow {
+		f.answer = sequence - openWindow/2
+	}
+}
+
 // running reports whether the endpoint has the flow and it has not ended.
 func (f *agentFlow) running() bool { return f.state <= stateOpen }
 
--- a/internal/relay/agent_test.go
+++ b/internal/relay/agent_test.go
@@ -120,6 +120,17 @@
 		Expect(delivered(forward(2*millisecond, relay.KindForward, more))).To(HaveLen(1))
 	})
 
+	It("owns a flow however much its endpoint has sent", func() {
+		open(0, 1)
+		sequence := uint32(501)
+		for range 20 {
+			sequence += 1 << 24
+			agent.Emitted(0, fromEndpoint(1, segment.Acknowledge, sequence, 108, "data"))
+			late := fromClient(1, segment.Acknowledge, 108, sequence-1000, "")
+			Expect(onlyMessage(locate(0, late)).Message.Kind).To(Equal(relay.KindOwned))
+		}
+	})
+
 	It("does not answer a search for a flow whose client chose another endpoint", func() {
 		offer(0, 1, 100)
 		answer(0, 1, 500)
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -97,6 +97,8 @@
 	offers  []*offer
 	// verifications are searches that are due to be verified.
 	verifications []*search
+	// surveys counts the questions that were left to agents.
+	surveys uint32
 	// ownerless is the share of the last searches that found no owner.
 	ownerless float64
 	health    map[directory.EndpointID]*health
--- a/internal/relay/emitted.go
+++ b/internal/relay/emitted.go
@@ -87,6 +87,7 @@
 	if header.Flags.Has(segment.Synchronize) {
 		a.answer(key, known, header)
 	}
+	known.follow(header.Sequence)
 	// An endpoint may end its side of the flow with the answer or, in another packet,
 	// before it.
 	if header.Length > 0 || header.Flags.Has(segment.Finish) {
--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -54,9 +54,11 @@
 	verified int
 	// replies are what agents have answered, by their addresses.
 	replies map[segment.Address]reply
-	// surveyor is the agent that asks those in surveyed for this balancer.
+	// surveyor is the agent that asks those in surveyed for this balancer, and survey
+	// the number of that question.
 	surveyor segment.Address
 	surveyed []directory.Candidate
+	survey   uint32
 }
 
 func newSearch(now time.Duration, key segment.FlowKey) *search {
@@ -99,7 +101,7 @@
 	if sought.rounds == 0 && b.surveyFirst(now, sought) {
 		return
 	}
-	asked := b.ownersAmong(key, sought.rounds >= searchesOfRoute)
+	asked, _ := b.ownersAmong(key, sought.rounds >= searchesOfRoute)
 	if !b.searches.AllowN(time.Unix(0, int64(now)), len(asked)) {
 		b.event(Event{Kind: EventLocating, Flow: key, Version: b.snapshot.Version(), Reason: "limited"})
 		return
@@ -144,17 +146,20 @@
 // ownersAmong returns the endpoints, leaving ones included, of the services that the
 // flow's route has. With widen, which is for after a search among these in vain, it
 // returns also those of services that the route had before, since the configuration
-// may have changed under the flow: in a small fleet, all endpoints.
-func (b *Balancer) ownersAmong(key segment.FlowKey, widen bool) []directory.Candidate {
+// may have changed under the flow: in a small fleet, all endpoints. It reports whether
+// the result has all that may hold the flow, given widen; there may be too many to ask.
+func (b *Balancer) ownersAmong(key segment.FlowKey, widen bool) (owners []directory.Candidate, all bool) {
 	if widen && len(b.snapshot.All()) <= locateLimit {
-		return b.reachable(b.snapshot.All())
+		owners = b.reachable(b.snapshot.All())
+		return owners, len(owners) > 0
 	}
 	var candidates []directory.Candidate
 	for _, service := range b.servicesOf(key, widen) {
 		candidates = append(candidates, b.snapshot.Candidates(service)...)
 	}
 	candidates = b.reachable(candidates)
-	return candidates[:min(len(candidates), locateLimit)]
+	all = widen && len(candidates) > 0 && len(candidates) <= locateLimit
+	return candidates[:min(len(candidates), locateLimit)], all
 }
 
 // servicesOf returns the services of the flow's route. With widen, and for an
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -149,7 +149,7 @@
 	// Flow is set in messages about a flow that carry no packet.
 	Flow Flow
 	// Sequence is the client's initial sequence number, in messages about an
-	// opening packet.
+	// opening packet, and the number of a survey.
 	Sequence uint32
 	// Acknowledgment and Flags are those of the client's packet whose owner is
 	// sought.
--- a/internal/relay/survey.go
+++ b/internal/relay/survey.go
@@ -19,6 +19,7 @@
 // all flows to find.
 type survey struct {
 	balancer segment.Address
+	number   uint32
 	// pending are the agents that have not answered, and unsure is set if one has that
 	// does not know.
 	pending map[segment.Address]bool
@@ -36,7 +37,9 @@
 		a.event(Event{Kind: EventMalformed, Peer: from, Reason: "survey"})
 		return
 	}
-	begun := &survey{balancer: from, pending: make(map[segment.Address]bool), ends: now + surveyLifetime}
+	begun := &survey{
+		balancer: from, number: message.Sequence, pending: make(map[segment.Address]bool), ends: now + surveyLifetime,
+	}
 	for _, target := range message.Targets {
 		begun.pending[target.Address()] = true
 	}
@@ -74,7 +77,8 @@
 	}
 	delete(a.surveys, message.Flow.Key())
 	a.send(known.balancer, Message{
-		Kind: KindSurveyed, Service: a.config.Service, Flow: message.Flow, Age: known.oldest, Unsure: known.unsure,
+		Kind: KindSurveyed, Service: a.config.Service, Flow: message.Flow, Sequence: known.number,
+		Age: known.oldest, Unsure: known.unsure,
 	})
 }
 
--- a/internal/relay/survey_test.go
+++ b/internal/relay/survey_test.go
@@ -19,7 +19,8 @@
 	// survey makes the agent ask agents 1 and 2.
 	survey := func(now time.Duration, probing bool) []relay.Effect {
 		message := relay.Message{
-			Kind: relay.KindSurvey, Service: service, Flow: relay.FlowOf(keyOf(1)), Probing: probing, Packet: surveyRequest,
+			Kind: relay.KindSurvey, Service: service, Flow: relay.FlowOf(keyOf(1)), Sequence: 5, Probing: probing,
+			Packet: surveyRequest,
 		}
 		for _, number := range []int{1, 2} {
 			to := agentAddress(number)
@@ -68,6 +69,7 @@
 		Expect(told.Message.Kind).To(Equal(relay.KindSurveyed))
 		Expect(told.Message.Age).To(Equal(7 * time.Second))
 		Expect(told.Message.Unsure).To(BeFalse())
+		Expect(told.Message.Sequence).To(Equal(uint32(5)), "the number of the survey")
 	})
 
 	It("tells the balancer if some do not know", func() {
@@ -119,7 +121,7 @@
 
 	tell := func(from segment.Address, kind relay.Kind, unsure bool) []relay.Effect {
 		return balancer.Receive(asked+3*millisecond, from, relay.Message{
-			Kind: kind, Service: service, Flow: relay.FlowOf(keyOf(1)), Age: asked, Unsure: unsure,
+			Kind: kind, Service: service, Flow: relay.FlowOf(keyOf(1)), Sequence: 1, Age: asked, Unsure: unsure,
 		})
 	}
 
@@ -155,6 +157,14 @@
 		Expect(ofKind(tell(surveyor.To, relay.KindDenied, false), relay.EffectConfirm)).To(BeEmpty())
 	})
 
+	It("does not take the answer to an earlier survey for one about those that it asks now", func() {
+		surveyor := onlyMessage(balancer.Arrive(asked, surveyRequest)).To
+		balancer.Receive(asked+3*millisecond, surveyor, relay.Message{
+			Kind: relay.KindSurveyed, Service: service, Flow: relay.FlowOf(keyOf(1)), Sequence: 7, Age: asked,
+		})
+		Expect(ofKind(tell(surveyor, relay.KindDenied, false), relay.EffectConfirm)).To(BeEmpty())
+	})
+
 	It("asks them itself if the one does not answer", func() {
 		balancer.Arrive(asked, surveyRequest)
 		second := sent(balancer.Tick(asked + 100*millisecond))
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -106,9 +106,11 @@
 	surveyor := asked[chosen]
 	sought.surveyor = b.agentOf(surveyor)
 	sought.surveyed = slices.Delete(slices.Clone(asked), chosen, chosen+1)
+	b.surveys++
+	sought.survey = b.surveys
 	message := Message{
 		Kind: KindSurvey, Service: surveyor.Endpoint.Service, Flow: FlowOf(sought.key), Probing: probing,
-		Terms: b.termsAt(sought.key, sought.surveyor), Packet: sought.held[0],
+		Sequence: sought.survey, Terms: b.termsAt(sought.key, sought.surveyor), Packet: sought.held[0],
 	}
 	for _, candidate := range sought.surveyed {
 		agent := b.agentOf(candidate)
@@ -122,7 +124,11 @@
 // That one answers for itself.
 func (b *Balancer) receiveSurveyed(now time.Duration, from segment.Address, message Message) {
 	known, exists := b.flows[message.Flow.Key()]
-	if !exists || known.search == nil || known.search.surveyor != from {
+	if !exists || known.search == nil {
+		return
+	}
+	// The answer to an earlier survey says nothing of those asked in a later one.
+	if known.search.surveyor != from || known.search.survey != message.Sequence {
 		return
 	}
 	sought := known.search
@@ -162,9 +168,10 @@
 	}
 }
 
-// everyOwner returns all endpoints that may hold a flow.
+// everyOwner returns the endpoints that may hold a flow.
 func (b *Balancer) everyOwner(sought *search) []directory.Candidate {
-	return b.ownersAmong(sought.key, true)
+	owners, _ := b.ownersAmong(sought.key, true)
+	return owners
 }
 
 // receiveDenied handles that an agent's endpoint does not hold a flow.
@@ -200,8 +207,12 @@
 	if sought.verified == 0 {
 		return
 	}
+	owners, all := b.ownersAmong(sought.key, true)
+	if !all {
+		return
+	}
 	var unsure []directory.Candidate
-	for _, candidate := range b.everyOwner(sought) {
+	for _, candidate := range owners {
 		answered, exists := sought.replies[b.agentOf(candidate)]
 		if !exists || !b.reachesBack(now, answered.began) {
 			return
@@ -294,7 +305,7 @@
 // reports whether that is possible.
 func (b *Balancer) surveyFirst(now time.Duration, sought *search) bool {
 	owners := b.everyOwner(sought)
-	if len(owners) < surveyFirstMinimum || !b.searches.AllowN(time.Unix(0, int64(now)), surveyCost) {
+	if len(owners) < surveyFirstMinimum || !surveyable(sought, owners) || !b.searches.AllowN(time.Unix(0, int64(now)), surveyCost) {
 		return false
 	}
 	if !b.survey(sought, owners, false) {
--- a/internal/relay/verify_test.go
+++ b/internal/relay/verify_test.go
@@ -175,6 +175,29 @@
 		Expect(resets(answer(relay.KindDenied, asked+13*millisecond, 2))).To(HaveLen(1))
 	})
 
+	It("resets nothing if it knows no endpoint, or more than it can ask", func() {
+		for _, count := range []int{0, 300} {
+			known = newFleet()
+			known.configure(directory.Share{Service: service, Weight: 1})
+			for number := range count {
+				known.endpoint(0, number, func(e *directory.Endpoint) { e.IP[2] = byte(number >> 8) })
+			}
+			known.follow(0)
+			balancer = newBalancer()
+			install()
+			verify()
+			for number := range count {
+				agent := endpointAddress(number)
+				agent.IP[2] = byte(number >> 8)
+				effects := balancer.Receive(asked+11*millisecond, agent.WithPort(agentPort), relay.Message{
+					Kind: relay.KindDenied, Service: service, Flow: relay.FlowOf(keyOf(1)), Age: agentAge,
+				})
+				Expect(resets(effects)).To(BeEmpty())
+			}
+			Expect(resets(current(asked))).To(BeEmpty())
+		}
+	})
+
 	It("lets all agents that do not know ask their endpoints, once all have answered", func() {
 		verify()
 		current(asked)
