Split what agents and balancers do about owners into files of their own

Moves only, but for one thing that reading showed: a survey was bounded by 64 targets and 700 bytes of a packet, so that a fleet of 65 agents did without; now by the bytes that both take together, which a spec checks against the size of a message.

--- a/internal/relay/survey_test.go
+++ b/internal/relay/survey_test.go
@@ -106,17 +106,22 @@
 		agents = 20
 		asked  = 20 * time.Second
 	)
-	var balancer *relay.Balancer
+	var (
+		balancer *relay.Balancer
+		known    *fleet
+	)
+
+	install := func() { balancer.Install(asked, known.machine.Snapshot()) }
 
 	BeforeEach(func() {
 		balancer = newBalancer()
-		known := newFleet()
+		known = newFleet()
 		known.configure(directory.Share{Service: service, Weight: 1})
 		for number := range agents {
 			known.endpoint(0, number, nil)
 		}
 		known.follow(0)
-		balancer.Install(asked, known.machine.Snapshot())
+		install()
 	})
 
 	tell := func(from segment.Address, kind relay.Kind, unsure bool) []relay.Effect {
@@ -173,7 +178,24 @@
 	})
 
 	It("asks them itself about a packet that is too long for that", func() {
-		long := fromClient(1, segment.Acknowledge, 101, 501, string(make([]byte, 1000)))
+		long := fromClient(1, segment.Acknowledge, 101, 501, string(make([]byte, 1600)))
 		Expect(sent(balancer.Arrive(asked, long))).To(HaveLen(agents))
 	})
+
+	It("fits a survey into one message, whatever it carries", func() {
+		for length := range 1900 {
+			balancer = newBalancer()
+			install()
+			packet := fromClient(1, segment.Acknowledge, 101, 501, string(make([]byte, length)))
+			effects := sent(balancer.Arrive(asked, packet))
+			if len(effects) > 1 {
+				Expect(length).To(BeNumerically(">", 1000))
+				return
+			}
+			encoded, err := effects[0].Message.MarshalMsg(nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(len(encoded)).To(BeNumerically("<=", relay.MaximumMessage))
+		}
+		Fail("no packet was too long")
+	})
 })
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -16,18 +16,6 @@
 	// largest number; an agent that starts together with others needs some.
 	verifyInterval = 100 * time.Millisecond
 	verifyRounds   = 16
-	// surveyRounds is how many rounds are left to an agent, which asks the others, and
-	// surveyMinimum the least number of agents for which that is less work.
-	surveyRounds  = 2
-	surveyMinimum = 4
-	// surveyFirstMinimum is the number of agents from which already the first round is
-	// left to one of them. With fewer, the owner is found sooner without.
-	surveyFirstMinimum = 16
-	// surveyCost is the number of messages of a survey on the network of the balancer.
-	surveyCost = 3
-	// surveyTargets and surveyPacket bound what a survey carries, the latter in bytes.
-	surveyTargets = 64
-	surveyPacket  = 700
 	// restartSpread is how much older than the directory of a balancer agents may be
 	// that were started together with it.
 	restartSpread = 3 * time.Second
@@ -91,56 +79,6 @@
 	})
 }
 
-// surveyable reports whether a survey can carry what is asked of these agents.
-func surveyable(sought *search, asked []directory.Candidate) bool {
-	return len(asked) >= surveyMinimum && len(asked) <= surveyTargets && len(sought.held[0]) <= surveyPacket
-}
-
-// survey leaves it to an agent to ask the others, with probing to make them ask their
-// endpoints. It reports whether that is possible.
-func (b *Balancer) survey(sought *search, asked []directory.Candidate, probing bool) bool {
-	if !surveyable(sought, asked) {
-		return false
-	}
-	chosen := b.config.Random.IntN(len(asked))
-	surveyor := asked[chosen]
-	sought.surveyor = b.agentOf(surveyor)
-	sought.surveyed = slices.Delete(slices.Clone(asked), chosen, chosen+1)
-	b.surveys++
-	sought.survey = b.surveys
-	message := Message{
-		Kind: KindSurvey, Service: surveyor.Endpoint.Service, Flow: FlowOf(sought.key), Probing: probing,
-		Sequence: sought.survey, Terms: b.termsAt(sought.key, sought.surveyor), Packet: sought.held[0],
-	}
-	for _, candidate := range sought.surveyed {
-		agent := b.agentOf(candidate)
-		message.Targets = append(message.Targets, Target{IP: agent.IP, Port: agent.Port, Service: candidate.Endpoint.Service})
-	}
-	b.send(sought.surveyor, message)
-	return true
-}
-
-// receiveSurveyed handles that all agents have denied a flow that another agent asked.
-// That one answers for itself.
-func (b *Balancer) receiveSurveyed(now time.Duration, from segment.Address, message Message) {
-	known, exists := b.flows[message.Flow.Key()]
-	if !exists || known.search == nil {
-		return
-	}
-	// The answer to an earlier survey says nothing of those asked in a later one.
-	if known.search.surveyor != from || known.search.survey != message.Sequence {
-		return
-	}
-	sought := known.search
-	for _, candidate := range sought.surveyed {
-		agent := b.agentOf(candidate)
-		answer := reply{denied: !message.Unsure, probed: sought.replies[agent].probed, began: now - message.Age}
-		sought.replies[agent] = answer
-		b.noteAge(candidate, answer)
-	}
-	b.conclude(now, known)
-}
-
 // Current tells that the directory has everything which the store had accepted before
 // a time: flows that were open by then are held by endpoints that are known. The
 // returned effects are valid until the next call.
@@ -240,107 +178,6 @@
 	return now-since >= b.config.FlowLifetime || agentBegan+restartSpread >= since
 }
 
-// surveyOrProbe makes agents ask their endpoints. The owner is among them, so that its
-// flow is found by its own endpoint at the same time as others see a packet of it.
-func (b *Balancer) surveyOrProbe(sought *search, unsure []directory.Candidate) {
-	var unasked []directory.Candidate
-	for _, candidate := range unsure {
-		agent := b.agentOf(candidate)
-		answered := sought.replies[agent]
-		if answered.probed {
-			continue
-		}
-		answered.probed = true
-		sought.replies[agent] = answered
-		unasked = append(unasked, candidate)
-	}
-	if len(unasked) == 0 || b.survey(sought, unasked, true) {
-		return
-	}
-	for _, candidate := range unasked {
-		b.send(b.agentOf(candidate), b.verification(sought, candidate))
-	}
-}
-
-// probesFirst reports whether all agents are made to ask their endpoints at once,
-// without a search before. That is so after everything was restarted: hardly an agent
-// knows the flows of its endpoint then, and searches would only add to the rush.
-func (b *Balancer) probesFirst(now time.Duration, sought *search) bool {
-	if b.ownerless < mostlyOwnerless {
-		return false
-	}
-	owners := b.everyOwner(sought)
-	unsure := 0
-	for _, candidate := range owners {
-		told, exists := b.health[candidate.ID]
-		if !exists || told.began == 0 || !b.reachesBack(now, told.began) {
-			return false
-		}
-		if told.unsure {
-			unsure++
-		}
-	}
-	return unsure > len(owners)/2
-}
-
-// probeFirst makes all agents that may own a flow ask their endpoints.
-func (b *Balancer) probeFirst(now time.Duration, sought *search) {
-	owners := b.everyOwner(sought)
-	cost := surveyCost
-	if !surveyable(sought, owners) {
-		cost = len(owners)
-	}
-	if !b.searches.AllowN(time.Unix(0, int64(now)), cost) {
-		b.event(Event{Kind: EventLocating, Flow: sought.key, Version: b.snapshot.Version(), Reason: "limited"})
-		return
-	}
-	b.event(Event{Kind: EventLocating, Flow: sought.key, Version: b.snapshot.Version(), Reason: "probing"})
-	b.surveyOrProbe(sought, owners)
-	sought.asked = now
-	sought.rounds++
-	b.surveyedFirst(now, sought)
-}
-
-// surveyFirst leaves the first round of a search among many agents to one of them. It
-// reports whether that is possible.
-func (b *Balancer) surveyFirst(now time.Duration, sought *search) bool {
-	owners := b.everyOwner(sought)
-	if len(owners) < surveyFirstMinimum || !surveyable(sought, owners) || !b.searches.AllowN(time.Unix(0, int64(now)), surveyCost) {
-		return false
-	}
-	if !b.survey(sought, owners, false) {
-		return false
-	}
-	b.event(Event{Kind: EventLocating, Flow: sought.key, Version: b.snapshot.Version(), Reason: "survey"})
-	sought.asked = now
-	sought.rounds++
-	b.surveyedFirst(now, sought)
-	return true
-}
-
-// surveyedFirst makes a search be verified that was begun so.
-func (b *Balancer) surveyedFirst(now time.Duration, sought *search) {
-	sought.verified++
-	sought.verifyAt = now + verifyInterval
-	b.verifications = append(b.verifications, sought)
-}
-
-// outcomeWeight is the weight of the last search in the share of those that found no
-// owner, and mostlyOwnerless the share from which further ones are begun with probes.
-const (
-	outcomeWeight   = 0.1
-	mostlyOwnerless = 0.5
-)
-
-// noteOutcome notes whether a search found the owner of a flow.
-func (b *Balancer) noteOutcome(ownerless bool) {
-	outcome := 0.0
-	if ownerless {
-		outcome = 1
-	}
-	b.ownerless += outcomeWeight * (outcome - b.ownerless)
-}
-
 // declareOwnerless resets a flow that no endpoint holds, so that its client need not
 // wait for its time-out.
 func (b *Balancer) declareOwnerless(known *balancerFlow) {
