Take probes out of the first round of a search

Since agents make searches among many, the rush that they were for is theirs. Gone with them: the share of searches in vain, what a balancer kept of the age of agents, and their spec.

--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -99,9 +99,7 @@
 	verifications []*search
 	// surveys counts the questions that were left to agents.
 	surveys uint32
-	// ownerless is the share of the last searches that found no owner.
-	ownerless float64
-	health    map[directory.EndpointID]*health
+	health  map[directory.EndpointID]*health
 	// paces is room for the paces of a service.
 	paces     []uint32
 	sharing   map[segment.Address]*sharing
@@ -122,8 +120,6 @@
 		sharing:  make(map[segment.Address]*sharing),
 		budget:   newBudget(),
 		searches: rate.NewLimiter(searchRate, searchBurst),
-
-		ownerless: mostlyOwnerless,
 	}
 }
 
--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -71,9 +71,9 @@
 	sought := known.search
 	for _, candidate := range sought.surveyed {
 		agent := b.agentOf(candidate)
-		answer := reply{denied: !message.Unsure, probed: sought.replies[agent].probed, began: now - message.Age}
-		sought.replies[agent] = answer
-		b.noteAge(candidate, answer)
+		sought.replies[agent] = reply{
+			denied: !message.Unsure, probed: sought.replies[agent].probed, began: now - message.Age,
+		}
 	}
 	b.conclude(now, known)
 }
@@ -100,45 +100,6 @@
 	}
 }
 
-// probesFirst reports whether all agents are made to ask their endpoints at once,
-// without a search before. That is so after everything was restarted: hardly an agent
-// knows the flows of its endpoint then, and searches would only add to the rush.
-func (b *Balancer) probesFirst(now time.Duration, sought *search) bool {
-	if b.ownerless < mostlyOwnerless {
-		return false
-	}
-	owners := b.everyOwner(sought)
-	unsure := 0
-	for _, candidate := range owners {
-		told, exists := b.health[candidate.ID]
-		if !exists || told.began == 0 || !b.reachesBack(now, told.began) {
-			return false
-		}
-		if told.unsure {
-			unsure++
-		}
-	}
-	return unsure > len(owners)/2
-}
-
-// probeFirst makes all agents that may own a flow ask their endpoints.
-func (b *Balancer) probeFirst(now time.Duration, sought *search) {
-	owners := b.everyOwner(sought)
-	cost := surveyCost
-	if !surveyable(sought, owners) {
-		cost = len(owners)
-	}
-	if !b.searches.AllowN(time.Unix(0, int64(now)), cost) {
-		b.event(Event{Kind: EventLocating, Flow: sought.key, Version: b.snapshot.Version(), Reason: "limited"})
-		return
-	}
-	b.event(Event{Kind: EventLocating, Flow: sought.key, Version: b.snapshot.Version(), Reason: "probing"})
-	b.surveyOrProbe(sought, owners)
-	sought.asked = now
-	sought.rounds++
-	b.surveyedFirst(now, sought)
-}
-
 // surveyFirst leaves the first round of a search among many agents to one of them. It
 // reports whether that is possible.
 func (b *Balancer) surveyFirst(now time.Duration, sought *search) bool {
@@ -152,29 +113,8 @@
 	b.event(Event{Kind: EventLocating, Flow: sought.key, Version: b.snapshot.Version(), Reason: "survey"})
 	sought.asked = now
 	sought.rounds++
-	b.surveyedFirst(now, sought)
-	return true
-}
-
-// surveyedFirst makes a search be verified that was begun so.
-func (b *Balancer) surveyedFirst(now time.Duration, sought *search) {
 	sought.verified++
 	sought.verifyAt = now + verifyInterval
 	b.verifications = append(b.verifications, sought)
-}
-
-// outcomeWeight is the weight of the last search in the share of those that found no
-// owner, and mostlyOwnerless the share from which further ones are begun with probes.
-const (
-	outcomeWeight   = 0.1
-	mostlyOwnerless = 0.5
-)
-
-// noteOutcome notes whether a search found the owner of a flow.
-func (b *Balancer) noteOutcome(ownerless bool) {
-	outcome := 0.0
-	if ownerless {
-		outcome = 1
-	}
-	b.ownerless += outcomeWeight * (outcome - b.ownerless)
+	return true
 }
--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -94,10 +94,6 @@
 	if sought.rounds >= roundLimit || sought.rounds > 0 && now-sought.asked < searchInterval {
 		return
 	}
-	if sought.rounds == 0 && b.probesFirst(now, sought) {
-		b.probeFirst(now, sought)
-		return
-	}
 	if sought.rounds == 0 && b.surveyFirst(now, sought) {
 		return
 	}
@@ -225,7 +221,6 @@
 	known.terms = b.termsAt(key, from)
 	b.event(Event{Kind: EventLocated, Flow: key, Peer: from})
 	if sought != nil {
-		b.noteOutcome(false)
 		b.forwardHeld(known, sought.held)
 	}
 }
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -33,10 +33,6 @@
 	// was, or when it was asked.
 	pace uint32
 	told time.Duration
-	// unsure is set if the agent was restarted so that it does not know all flows
-	// of its endpoint, and began is when that was, as of its last answer to a search.
-	unsure bool
-	began  time.Duration
 }
 
 func (h *health) suspected(now time.Duration) bool { return now < h.suspectEnds }
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -124,20 +124,9 @@
 func (b *Balancer) replied(now time.Duration, known *balancerFlow, from segment.Address, answer reply) {
 	answer.probed = known.search.replies[from].probed
 	known.search.replies[from] = answer
-	if candidate, exists := b.snapshot.At(from.IP); exists {
-		b.noteAge(candidate, answer)
-	}
 	b.conclude(now, known)
 }
 
-// noteAge notes how long an agent has been there, and whether it knows all flows of its
-// endpoint. One that had to ask its endpoint does not.
-func (b *Balancer) noteAge(candidate directory.Candidate, answer reply) {
-	told := b.healthOf(candidate.ID)
-	told.unsure = answer.probed || !answer.denied
-	told.began = answer.began
-}
-
 // conclude resets a flow that no endpoint holds. Once all agents have answered that may
 // own it, it makes those ask their endpoints that do not know.
 func (b *Balancer) conclude(now time.Duration, known *balancerFlow) {
@@ -184,7 +173,6 @@
 	sought := known.search
 	known.search = nil
 	known.state = flowOwnerless
-	b.noteOutcome(true)
 	b.event(Event{Kind: EventOwnerless, Flow: sought.key, Version: b.snapshot.Version()})
 	b.reset(sought.key, sought.header)
 }
--- a/internal/relay/verify_test.go
+++ b/internal/relay/verify_test.go
@@ -213,31 +213,6 @@
 		Expect(resets(answer(relay.KindDenied, asked+16*millisecond, 2))).To(HaveLen(1))
 	})
 
-	It("makes all agents ask their endpoints at once if most were found not to know their flows", func() {
-		known.machine = directory.New()
-		known.configure(directory.Share{Service: service, Weight: 1})
-		for number := range 3 {
-			known.endpoint(asked, number, nil)
-		}
-		known.follow(asked - time.Second)
-		balancer = newBalancer()
-		install()
-		agentAge = 2 * time.Second
-		verify()
-		current(asked)
-		for number := range 3 {
-			answer(relay.KindUncertain, asked+13*millisecond, number)
-		}
-		second := fromClient(2, segment.Acknowledge, 101, 501, "request")
-		Expect(kindsTo(balancer.Arrive(asked+20*millisecond, second))).To(Equal(
-			map[byte]relay.Kind{0: relay.KindProbe, 1: relay.KindProbe, 2: relay.KindProbe}))
-		denied := relay.Message{Kind: relay.KindDenied, Service: service, Flow: relay.FlowOf(keyOf(2)), Age: agentAge}
-		for number := range 3 {
-			Expect(resets(balancer.Receive(asked+22*millisecond, agentAddress(number), denied))).To(BeEmpty())
-		}
-		Expect(resets(balancer.Current(asked+25*millisecond, asked+23*millisecond))).To(HaveLen(1))
-	})
-
 	It("asks again those that do not answer, for some time, and never resets the flow then", func() {
 		verify()
 		current(asked)
