Bound confirmations for peers, and name what reading found unclear

Anyone who reaches the port of the exchange could make a balancer call the store: 50 confirmations a second at most now. EncodedAddress in place of FlowEnd; a survey that is refused for its number is not logged as malformed.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -170,7 +170,7 @@
 	case KindSurvey:
 		a.receiveSurvey(now, from, message)
 	}
-	a.remember(now, a.balancerOf(from, message))
+	a.remember(now, balancerOf(from, message))
 	switch message.Kind {
 	case KindOffer, KindForward, KindProbe:
 		a.receivePacket(now, from, message)
@@ -190,7 +190,7 @@
 
 // balancerOf returns the balancer that a message came from, or for which another agent
 // sent it.
-func (a *Agent) balancerOf(from segment.Address, message Message) segment.Address {
+func balancerOf(from segment.Address, message Message) segment.Address {
 	if replyTo := message.ReplyTo.Address(); !replyTo.IsZero() {
 		return replyTo
 	}
@@ -293,7 +293,7 @@
 	case message.Kind == KindForward:
 		a.bringBack(from, key, header, message.Packet, "not_owned")
 	case known != nil && known.state == stateProbed:
-		known.balancer, known.prober = a.balancerOf(from, message), from
+		known.balancer, known.prober = balancerOf(from, message), from
 		a.deliver(message.Packet)
 	case a.disowns(now, known):
 		a.deny(now, from, key)
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -86,19 +86,19 @@
 	}
 }
 
-// FlowEnd is the encoded form of a segment.Address, empty for none.
-type FlowEnd []byte
+// EncodedAddress is the encoded form of a segment.Address, empty for none.
+type EncodedAddress []byte
 
-// FlowEndOf encodes an address.
-func FlowEndOf(address segment.Address) FlowEnd {
-	return binary.BigEndian.AppendUint16(append(FlowEnd(nil), address.IP[:]...), address.Port)
+// EncodeAddress encodes an address.
+func EncodeAddress(address segment.Address) EncodedAddress {
+	return binary.BigEndian.AppendUint16(append(EncodedAddress(nil), address.IP[:]...), address.Port)
 }
 
-const flowEndSize = 6
+const encodedAddressSize = 6
 
 // Address decodes the address. It is zero for none.
-func (e FlowEnd) Address() segment.Address {
-	if len(e) != flowEndSize {
+func (e EncodedAddress) Address() segment.Address {
+	if len(e) != encodedAddressSize {
 		return segment.Address{}
 	}
 	return segment.Address{IP: [4]byte(e[:4]), Port: binary.BigEndian.Uint16(e[4:])}
@@ -162,7 +162,7 @@
 	Age time.Duration
 	// ReplyTo is set in what another agent asks for a balancer: the owner answers
 	// there, the others the sender.
-	ReplyTo FlowEnd
+	ReplyTo EncodedAddress
 	// Targets and Probing are set in KindSurvey, Unsure in KindSurveyed.
 	Targets []Target
 	Probing bool
--- a/internal/relay/message_gen.go
+++ b/internal/relay/message_gen.go
@@ -13,51 +13,7 @@
 )
 
 // DecodeMsg implements msgp.Decodable
-func (z *Flow) DecodeMsg(dc *msgp.Reader) (err error) {
-	err = dc.ReadExactBytes((z)[:])
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Flow) EncodeMsg(en *msgp.Writer) (err error) {
-	err = en.WriteBytes((z)[:])
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Flow) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	o = msgp.AppendBytes(o, (z)[:])
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Flow) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	bts, err = msgp.ReadExactBytes(bts, (z)[:])
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Flow) Msgsize() (s int) {
-	s = msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize))
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *FlowEnd) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *EncodedAddress) DecodeMsg(dc *msgp.Reader) (err error) {
 	{
 		var zb0001 []byte
 		zb0001, err = dc.ReadBytesLimit([]byte((*z)), 4096)
@@ -65,13 +21,13 @@
 			err = msgp.WrapError(err)
 			return
 		}
-		(*z) = FlowEnd(zb0001)
+		(*z) = EncodedAddress(zb0001)
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z FlowEnd) EncodeMsg(en *msgp.Writer) (err error) {
+func (z EncodedAddress) EncodeMsg(en *msgp.Writer) (err error) {
 	err = en.WriteBytes([]byte(z))
 	if err != nil {
 		err = msgp.WrapError(err)
@@ -81,14 +37,14 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z FlowEnd) MarshalMsg(b []byte) (o []byte, err error) {
+func (z EncodedAddress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	o = msgp.AppendBytes(o, []byte(z))
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *FlowEnd) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *EncodedAddress) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	{
 		var zb0001 []byte
 		var zb0002 uint32
@@ -113,18 +69,62 @@
 		}
 		copy(zb0001, bts[:zb0002])
 		bts = bts[zb0002:]
-		(*z) = FlowEnd(zb0001)
+		(*z) = EncodedAddress(zb0001)
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z FlowEnd) Msgsize() (s int) {
+func (z EncodedAddress) Msgsize() (s int) {
 	s = msgp.BytesPrefixSize + len([]byte(z))
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Flow) DecodeMsg(dc *msgp.Reader) (err error) {
+	err = dc.ReadExactBytes((z)[:])
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Flow) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteBytes((z)[:])
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Flow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendBytes(o, (z)[:])
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Flow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	bts, err = msgp.ReadExactBytes(bts, (z)[:])
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Flow) Msgsize() (s int) {
+	s = msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize))
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Kind) DecodeMsg(dc *msgp.Reader) (err error) {
 	{
@@ -371,7 +371,7 @@
 			err = msgp.WrapError(err, "ReplyTo")
 			return
 		}
-		z.ReplyTo = FlowEnd(zb0004)
+		z.ReplyTo = EncodedAddress(zb0004)
 	}
 	var zb0005 uint32
 	zb0005, err = dc.ReadArrayHeader()
@@ -640,7 +640,7 @@
 		}
 		copy(zb0004, bts[:zb0005])
 		bts = bts[zb0005:]
-		z.ReplyTo = FlowEnd(zb0004)
+		z.ReplyTo = EncodedAddress(zb0004)
 	}
 	var zb0006 uint32
 	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -60,7 +60,7 @@
 	foreign := message.Service != a.config.Service
 	switch {
 	case !foreign && known != nil && a.owns(known, header):
-		a.send(a.balancerOf(from, message), Message{Kind: KindOwned, Service: a.config.Service, Flow: message.Flow})
+		a.send(balancerOf(from, message), Message{Kind: KindOwned, Service: a.config.Service, Flow: message.Flow})
 	case foreign || a.disowns(now, known):
 		a.deny(now, from, key)
 	default:
@@ -90,7 +90,7 @@
 
 func (a *Agent) receiveOwned(now time.Duration, from segment.Address, key segment.FlowKey, known *agentFlow, header segment.Header, message Message) {
 	known.touched = now
-	known.balancer = a.balancerOf(from, message)
+	known.balancer = balancerOf(from, message)
 	known.work.learn(message.Terms)
 	if known.state == stateAnswered {
 		known.state = stateOpen
@@ -112,7 +112,7 @@
 // balancer takes this agent for the owner or has found no other.
 func (a *Agent) probe(now time.Duration, from segment.Address, key segment.FlowKey, header segment.Header, message Message) {
 	a.flows[key] = &agentFlow{
-		state: stateProbed, balancer: a.balancerOf(from, message), prober: from,
+		state: stateProbed, balancer: balancerOf(from, message), prober: from,
 		forwarded: message.Kind == KindForward, touched: now,
 		work: work{
 			terms: message.Terms, asked: now, since: now, fed: now,
--- a/internal/relay/survey.go
+++ b/internal/relay/survey.go
@@ -33,8 +33,11 @@
 // answers the balancer itself, the others this agent.
 func (a *Agent) receiveSurvey(now time.Duration, from segment.Address, message Message) {
 	header, outcome := a.config.Codec.Decode(message.Packet)
-	if outcome != segment.Decoded || len(a.surveys) >= surveyLimit {
-		a.event(Event{Kind: EventMalformed, Peer: from, Reason: "survey"})
+	if outcome != segment.Decoded {
+		a.event(Event{Kind: EventMalformed, Peer: from, Reason: outcome.String()})
+		return
+	}
+	if len(a.surveys) >= surveyLimit {
 		return
 	}
 	begun := &survey{
@@ -45,17 +48,17 @@
 	}
 	key := segment.FlowKey{Client: header.Source, Service: header.Destination}
 	a.surveys[key] = begun
-	question := Message{Kind: KindVerify, Flow: FlowOf(key), Acknowledgment: header.Acknowledgment, Flags: header.Flags}
-	if message.Probing {
-		question = Message{Kind: KindProbe, Terms: message.Terms, Packet: message.Packet}
+	question := Message{
+		Kind: KindVerify, Service: message.Service, Flow: FlowOf(key),
+		Acknowledgment: header.Acknowledgment, Flags: header.Flags,
 	}
-	question.Service = message.Service
 	if message.Probing {
+		question = Message{Kind: KindProbe, Service: message.Service, Terms: message.Terms, Packet: message.Packet}
 		a.receivePacket(now, from, question)
 	} else {
 		a.receiveVerify(now, from, question)
 	}
-	question.ReplyTo = FlowEndOf(from)
+	question.ReplyTo = EncodeAddress(from)
 	for _, target := range message.Targets {
 		question.Service = target.Service
 		a.send(target.Address(), question)
--- a/internal/relay/survey_test.go
+++ b/internal/relay/survey_test.go
@@ -89,7 +89,7 @@
 	It("answers another agent that it does not own the flow, and the balancer that it does", func() {
 		question := relay.Message{
 			Kind: relay.KindVerify, Service: service, Flow: relay.FlowOf(keyOf(1)),
-			Flags: segment.Acknowledge, Acknowledgment: 501, ReplyTo: relay.FlowEndOf(balancerA),
+			Flags: segment.Acknowledge, Acknowledgment: 501, ReplyTo: relay.EncodeAddress(balancerA),
 		}
 		Expect(onlyMessage(agent.Receive(0, agentAddress(1), question)).To).To(Equal(agentAddress(1)))
 		offered := relay.Message{Kind: relay.KindOffer, Service: service, Packet: opening(1, 100)}
--- a/internal/relaydaemon/peers.go
+++ b/internal/relaydaemon/peers.go
@@ -15,6 +15,7 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/vanetiller/vanetiller/internal/directory"
 	"github.com/vanetiller/vanetiller/internal/membership"
@@ -37,6 +38,10 @@
 	// a machine without power says nothing.
 	fetchTimeout   = 800 * time.Millisecond
 	connectTimeout = 250 * time.Millisecond
+	// confirmRate bounds the confirmations a second that a balancer makes for others,
+	// each of which costs calls of the store, and confirmBurst those at once.
+	confirmRate  = 50
+	confirmBurst = 20
 	// maximumState bounds the directory of a peer, in bytes.
 	maximumState = 16 << 20
 )
@@ -51,6 +56,8 @@
 	client     *http.Client
 	exchange   *directory.Exchange[membership.Address]
 	storeRate  float64
+	// confirms bounds the confirmations for others.
+	confirms *rate.Limiter
 }
 
 func newPeers(checked *settings.Settings, role *balancerRole) (*peers, error) {
@@ -58,6 +65,7 @@
 	created := &peers{
 		role:      role,
 		storeRate: float64(given.StoreRate),
+		confirms:  rate.NewLimiter(confirmRate, confirmBurst),
 		client: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{
 			DisableKeepAlives: true,
 			DialContext:       (&net.Dialer{Timeout: connectTimeout}).DialContext,
@@ -169,6 +177,9 @@
 }
 
 func (p *peers) answer(ctx context.Context, asked directoryRequest) (directory.State, error) {
+	if asked.confirm && !p.confirms.Allow() {
+		return directory.State{}, errUnconfirmed
+	}
 	if asked.confirm {
 		if err := p.role.confirmForPeer(ctx); err != nil {
 			return directory.State{}, err
