Keep flows open for seconds in the soak

The soak's flows lasted some 30 ms, so that hardly one was open when a balancer or an agent was killed; a wrong reset would seldom have had a flow to hit. One request in twelve now keeps its flow open for two to eight seconds, with a packet each 0.4 s, before it asks; whether such a one is answered is not judged, as endpoints end meanwhile.

--- a/bench/soak/client.go
+++ b/bench/soak/client.go
@@ -16,8 +16,15 @@
 	// openTimeout is how long a client waits for the answer to an opening packet,
 	// which it repeats after openRepeats.
 	openTimeout = 1400 * time.Millisecond
-	// requestTimeout is how long a client waits for the answer to a request in all.
+	// requestTimeout is how long a client waits for the answer to a request in all, and
+	// lastingTimeout for that to one whose flow it keeps open before.
 	requestTimeout = 3 * time.Second
+	lastingTimeout = 12 * time.Second
+	// shortestRest and longestRest bound how long such a flow rests, with a packet in
+	// each restInterval.
+	shortestRest = 2 * time.Second
+	longestRest  = 8 * time.Second
+	restInterval = 400 * time.Millisecond
 	// maximumTries is how often a request is sent at most, retryDelay apart.
 	maximumTries = 3
 	retryDelay   = 50 * time.Millisecond
@@ -32,8 +39,11 @@
 	number     uint64
 	service    int
 	repeatable bool
-	sent       time.Duration
-	tries      int
+	// rest is how long the flow is kept open before the request is sent. Whether the
+	// answer comes is not judged then, since endpoints end meanwhile.
+	rest  time.Duration
+	sent  time.Duration
+	tries int
 	// over is set once the ledger was told what became of it.
 	over bool
 }
@@ -92,7 +102,11 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.try(wanted)
-	time.AfterFunc(requestTimeout, func() { c.giveUp(wanted) })
+	timeout := requestTimeout
+	if wanted.rest > 0 {
+		timeout = lastingTimeout
+	}
+	time.AfterFunc(timeout, func() { c.giveUp(wanted) })
 }
 
 // try sends a request in a new flow. The mutex must be held.
@@ -182,7 +196,7 @@
 		if !f.open {
 			f.open = true
 			f.answer = header.Sequence
-			f.ask(firstRepeat)
+			f.keepOpen(f.request.rest)
 		}
 		return
 	}
@@ -205,6 +219,16 @@
 	}
 }
 
+// keepOpen keeps the flow open for a time, then sends the request.
+func (f *flow) keepOpen(rest time.Duration) {
+	if rest <= 0 {
+		f.ask(firstRepeat)
+		return
+	}
+	f.send(segment.Acknowledge, f.sequence+1, nil)
+	f.host.later(restInterval, f, func() { f.keepOpen(rest - restInterval) })
+}
+
 // ask sends the request and repeats it until the answer begins.
 func (f *flow) ask(after time.Duration) {
 	data := make([]byte, requestSize)
@@ -238,7 +262,9 @@
 		return
 	}
 	wanted.over = true
-	c.world.ledger.ended(wanted.sent, served)
+	if wanted.rest == 0 {
+		c.world.ledger.ended(wanted.sent, served)
+	}
 }
 
 // fail ends a try. What cannot have run, or may run again, is tried again.
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -27,6 +27,8 @@
 	askInterval = 30 * time.Millisecond
 	// repeatableShare is the share of requests that may be repeated.
 	repeatableShare = 0.7
+	// lastingShare is the share of requests whose flows are kept open for seconds.
+	lastingShare = 0.08
 )
 
 // Options are those of a run.
@@ -117,10 +119,14 @@
 	number := uint64(host.zone) << 48
 	for pause(ctx, askInterval) {
 		number++
-		host.ask(&request{
+		wanted := &request{
 			number: number, service: random.IntN(len(services)),
 			repeatable: random.Float64() < repeatableShare, sent: w.ledger.now(),
-		})
+		}
+		if random.Float64() < lastingShare {
+			wanted.rest = shortestRest + time.Duration(random.Int64N(int64(longestRest-shortestRest)))
+		}
+		host.ask(wanted)
 	}
 }
 
