--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -104,12 +104,11 @@
 // reports whether that is possible.
 func (b *Balancer) surveyFirst(now time.Duration, sought *search) bool {
 	owners := b.everyOwner(sought)
-	if len(owners) < surveyFirstMinimum || !surveyable(sought, owners) || !b.searches.AllowN(time.Unix(0, int64(now)), surveyCost) {
-		return false
-	}
-	if !b.survey(sought, owners, false) {
+	possible := len(owners) >= surveyFirstMinimum && surveyable(sought, owners)
+	if !possible || !b.searches.AllowN(time.Unix(0, int64(now)), surveyCost) {
 		return false
 	}
+	b.survey(sought, owners, false)
 	b.event(Event{Kind: EventLocating, Flow: sought.key, Version: b.snapshot.Version(), Reason: "survey"})
 	sought.asked = now
 	sought.rounds++
