Ask in one place whether a search goes on, may be made, or is due

Found on reading the whole change once more: the look-up of a flow whose owner is sought stood three times, that whether a search goes on twice, the bound on searches with its event twice, and the entry of a search that is due twice. Each is one function now (soughtFlow, flowOf, maySearch, verifyAt); no test is changed.

--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -60,8 +60,8 @@
 // receiveSurveyed handles that all agents have denied a flow that another agent asked.
 // That one answers for itself.
 func (b *Balancer) receiveSurveyed(now time.Duration, from segment.Address, message Message) {
-	known, exists := b.flows[message.Flow.Key()]
-	if !exists || known.search == nil {
+	known, exists := b.soughtFlow(message)
+	if !exists {
 		return
 	}
 	// The answer to an earlier survey says nothing of those asked in a later one.
@@ -113,7 +113,6 @@
 	sought.asked = now
 	sought.rounds++
 	sought.verified++
-	sought.verifyAt = now + verifyInterval
-	b.verifications = append(b.verifications, sought)
+	b.verifyAt(now+verifyInterval, sought)
 	return true
 }
--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -98,8 +98,7 @@
 		return
 	}
 	asked, _ := b.ownersAmong(key, sought.rounds >= searchesOfRoute)
-	if !b.searches.AllowN(time.Unix(0, int64(now)), len(asked)) {
-		b.event(Event{Kind: EventLocating, Flow: key, Version: b.snapshot.Version(), Reason: "limited"})
+	if !b.maySearch(now, key, len(asked)) {
 		return
 	}
 	b.event(Event{Kind: EventLocating, Flow: key, Version: b.snapshot.Version()})
@@ -119,8 +118,17 @@
 	sought.asked = now
 	sought.rounds++
 	if sought.rounds == 1 {
-		b.verifyAfter(now, sought)
+		b.verifyAt(now+verifyDelay, sought)
+	}
+}
+
+// maySearch reports whether so many messages may be sent to find the owner of a flow.
+func (b *Balancer) maySearch(now time.Duration, key segment.FlowKey, messages int) bool {
+	allowed := b.searches.AllowN(time.Unix(0, int64(now)), messages)
+	if !allowed {
+		b.event(Event{Kind: EventLocating, Flow: key, Version: b.snapshot.Version(), Reason: "limited"})
 	}
+	return allowed
 }
 
 // nextProbes returns the agents that shall probe now.
@@ -195,8 +203,8 @@
 
 // receiveUncertain handles that a restarted agent may own a flow.
 func (b *Balancer) receiveUncertain(now time.Duration, from segment.Address, message Message) {
-	known, exists := b.flows[message.Flow.Key()]
-	if !exists || known.search == nil {
+	known, exists := b.soughtFlow(message)
+	if !exists {
 		return
 	}
 	if !slices.Contains(known.search.uncertain, from) {
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -31,17 +31,17 @@
 	began time.Duration
 }
 
-// verifyAfter makes the search be verified if the owner does not answer soon.
-func (b *Balancer) verifyAfter(now time.Duration, sought *search) {
-	sought.verifyAt = now + verifyDelay
+// verifyAt makes the search be verified if the owner has not answered by a time.
+func (b *Balancer) verifyAt(due time.Duration, sought *search) {
+	sought.verifyAt = due
 	b.verifications = append(b.verifications, sought)
 }
 
 // verifyDue asks agents about the flows whose owners have not answered.
 func (b *Balancer) verifyDue(now time.Duration) {
 	b.verifications = slices.DeleteFunc(b.verifications, func(sought *search) bool {
-		known, exists := b.flows[sought.key]
-		return !exists || known.search != sought || sought.verified >= verifyRounds
+		_, goesOn := b.flowOf(sought)
+		return !goesOn || sought.verified >= verifyRounds
 	})
 	for _, sought := range b.verifications {
 		if now >= sought.verifyAt {
@@ -50,6 +50,18 @@
 	}
 }
 
+// flowOf returns the flow whose owner is sought, false if the search has ended.
+func (b *Balancer) flowOf(sought *search) (*balancerFlow, bool) {
+	known, exists := b.flows[sought.key]
+	return known, exists && known.search == sought
+}
+
+// soughtFlow returns the flow of a message whose owner is sought, false if none is.
+func (b *Balancer) soughtFlow(message Message) (*balancerFlow, bool) {
+	known, exists := b.flows[message.Flow.Key()]
+	return known, exists && known.search != nil
+}
+
 // verify asks those agents that have not denied a flow whether its owner is among
 // them. They are probed as soon as that is known to break nothing.
 func (b *Balancer) verify(now time.Duration, sought *search) {
@@ -63,8 +75,7 @@
 	if sought.verified <= surveyRounds && worthwhile && b.survey(sought, asked, probing) {
 		return
 	}
-	if !b.searches.AllowN(time.Unix(0, int64(now)), len(asked)) {
-		b.event(Event{Kind: EventLocating, Flow: sought.key, Version: b.snapshot.Version(), Reason: "limited"})
+	if !b.maySearch(now, sought.key, len(asked)) {
 		return
 	}
 	for _, candidate := range asked {
@@ -86,7 +97,7 @@
 	b.effects = b.effects[:0]
 	b.current = max(b.current, through)
 	for _, sought := range b.verifications {
-		if known, exists := b.flows[sought.key]; exists && known.search == sought {
+		if known, goesOn := b.flowOf(sought); goesOn {
 			b.conclude(now, known)
 		}
 	}
@@ -114,8 +125,7 @@
 
 // receiveDenied handles that an agent's endpoint does not hold a flow.
 func (b *Balancer) receiveDenied(now time.Duration, from segment.Address, message Message) {
-	known, exists := b.flows[message.Flow.Key()]
-	if exists && known.search != nil {
+	if known, exists := b.soughtFlow(message); exists {
 		b.replied(now, known, from, reply{denied: true, began: now - message.Age})
 	}
 }
