Leave a search among hundreds of agents to some of them

Cause: a survey named each agent in 25 bytes, so that it did not fit into a message beyond some 70 agents.

Change: a survey names agents by group, four bytes each, carries a packet only where endpoints are probed, and is divided among several agents where it does not fit. After 60 ms the agent tells who has not answered, so that the next round asks only those, again through another agent; before, the third round asked all of them from the balancer.

Ruled out: a packet too large for the survey (that spec now shows that a search fits, whatever the packet; the spec of the third round shows eight rounds through others; both are as strict as what they replace). The bound on the agents that can be asked moves from 256 to 2,048, and the spec of what lies beyond with it.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -323,10 +323,11 @@
 
 // NextTick returns when Tick should be called at the latest.
 func (a *Agent) NextTick(now time.Duration) time.Duration {
+	next := now + sweepInterval
 	if len(a.queue.waiting) > 0 {
-		return now + queueInterval
+		next = now + queueInterval
 	}
-	return now + sweepInterval
+	return min(next, a.nextSurvey())
 }
 
 // Tick handles timeouts. The returned effects are valid until the next call.
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -45,8 +45,9 @@
 	// closingRetention is how long a flow is remembered after its client has
 	// closed it.
 	closingRetention = 5 * time.Second
-	// locateLimit bounds the agents that one packet is sent to.
-	locateLimit = 256
+	// locateLimit bounds the agents that are asked for the owner of one flow. A survey
+	// has room for some 400 of them; flows whose route has more are not proved dead.
+	locateLimit = 2048
 )
 
 // balancerFlowState is the progress of a flow as a balancer sees it.
--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -9,70 +10,119 @@
 )
 
 const (
-	// surveyRounds is how many rounds are left to an agent, which asks the others, and
-	// surveyMinimum the least number of agents for which that is less work.
-	surveyRounds  = 2
+	// surveyMinimum is the least number of agents for which it is less work to leave a
+	// round to one of them, which asks the others.
 	surveyMinimum = 4
 	// surveyFirstMinimum is the number of agents from which already the first round is
-	// left to one of them. With fewer, the owner is found sooner without.
+	// left to some of them, and every later one that has so many to ask. With fewer, the
+	// owner is found sooner without.
 	surveyFirstMinimum = 16
+	// surveyRounds is how many rounds with fewer agents than that are left to one.
+	surveyRounds = 2
 	// surveyCost is the number of messages of a survey on the network of the balancer.
 	surveyCost = 3
 	// surveyRoom is how much a survey carries, in bytes, of a packet and of targets, each
-	// of which takes targetSize and the name of its service.
+	// of which takes ipSize; groupSize and the name of the service come to each group.
 	surveyRoom = MaximumMessage - 200
-	targetSize = 12
+	groupSize  = 12
 )
 
-// surveyable reports whether a survey can carry what is asked of these agents.
-func surveyable(sought *search, asked []directory.Candidate) bool {
-	size := len(sought.held[0])
-	for _, candidate := range asked {
-		size += targetSize + len(candidate.Endpoint.Service)
+// delegated is a part of a round that was left to an agent, the surveyor.
+type delegated struct {
+	surveyor segment.Address
+	number   uint32
+	// asked are the endpoints whose agents the surveyor asks; it answers for itself.
+	asked []directory.Candidate
+}
+
+// surveyParts divides the agents to ask so that each part fits into one message beside
+// a packet of a length: the number of messages to find an owner grows by one with some
+// hundreds of agents.
+func surveyParts(asked []directory.Candidate, packet int) [][]directory.Candidate {
+	sorted := slices.Clone(asked)
+	slices.SortStableFunc(sorted, func(a, b directory.Candidate) int {
+		return cmp.Compare(a.Endpoint.Service, b.Endpoint.Service)
+	})
+	var parts [][]directory.Candidate
+	room, service := 0, ""
+	for _, candidate := range sorted {
+		size := ipSize
+		if candidate.Endpoint.Service != service {
+			size += groupSize + len(candidate.Endpoint.Service)
+		}
+		if len(parts) == 0 || room < size {
+			parts = append(parts, nil)
+			room = surveyRoom - packet
+			size = ipSize + groupSize + len(candidate.Endpoint.Service)
+		}
+		service = candidate.Endpoint.Service
+		room -= size
+		parts[len(parts)-1] = append(parts[len(parts)-1], candidate)
 	}
-	return len(asked) >= surveyMinimum && size <= surveyRoom
+	return parts
 }
 
-// survey leaves it to an agent to ask the others, with probing to make them ask their
-// endpoints. It reports whether that is possible.
+// survey leaves it to agents to ask the others, with probing to make them ask their
+// endpoints. It reports whether that is less work than to ask all.
 func (b *Balancer) survey(sought *search, asked []directory.Candidate, probing bool) bool {
-	if !surveyable(sought, asked) {
+	if len(asked) < surveyMinimum {
 		return false
 	}
-	chosen := b.config.Random.IntN(len(asked))
-	surveyor := asked[chosen]
-	sought.surveyor = b.agentOf(surveyor)
-	sought.surveyed = slices.Delete(slices.Clone(asked), chosen, chosen+1)
+	var packet []byte
+	if probing {
+		packet = sought.held[0]
+	}
+	sought.delegated = sought.delegated[:0]
+	for _, part := range surveyParts(asked, len(packet)) {
+		b.surveyPart(sought, part, packet)
+	}
+	return true
+}
+
+// surveyPart leaves some of the agents to one among them.
+func (b *Balancer) surveyPart(sought *search, part []directory.Candidate, packet []byte) {
+	chosen := b.config.Random.IntN(len(part))
+	surveyor := part[chosen]
 	b.surveys++
-	sought.survey = b.surveys
+	left := delegated{
+		surveyor: b.agentOf(surveyor), number: b.surveys, asked: slices.Delete(slices.Clone(part), chosen, chosen+1),
+	}
+	sought.delegated = append(sought.delegated, left)
 	message := Message{
-		Kind: KindSurvey, Service: surveyor.Endpoint.Service, Flow: FlowOf(sought.key), Probing: probing,
-		Sequence: sought.survey, Terms: b.termsAt(sought.key, sought.surveyor), Packet: sought.held[0],
+		Kind: KindSurvey, Service: surveyor.Endpoint.Service, Flow: FlowOf(sought.key), Sequence: left.number,
+		Acknowledgment: sought.header.Acknowledgment, Flags: sought.header.Flags,
+		Terms: b.termsAt(sought.key, left.surveyor), Packet: packet,
 	}
-	for _, candidate := range sought.surveyed {
-		agent := b.agentOf(candidate)
-		message.Targets = append(message.Targets, Target{IP: agent.IP, Port: agent.Port, Service: candidate.Endpoint.Service})
+	for _, candidate := range left.asked {
+		message.Targets = appendTarget(message.Targets, candidate.Endpoint.Service, b.agentOf(candidate))
 	}
-	b.send(sought.surveyor, message)
-	return true
+	b.send(left.surveyor, message)
 }
 
-// receiveSurveyed handles that all agents have denied a flow that another agent asked.
-// That one answers for itself.
+// receiveSurveyed handles what the agents have answered that another agent asked. That
+// one answers for itself.
 func (b *Balancer) receiveSurveyed(now time.Duration, from segment.Address, message Message) {
 	known, exists := b.soughtFlow(message)
 	if !exists {
 		return
 	}
+	sought := known.search
 	// The answer to an earlier survey says nothing of those asked in a later one.
-	if known.search.surveyor != from || known.search.survey != message.Sequence {
+	index := slices.IndexFunc(sought.delegated, func(left delegated) bool {
+		return left.surveyor == from && left.number == message.Sequence
+	})
+	if index < 0 {
 		return
 	}
-	sought := known.search
-	for _, candidate := range sought.surveyed {
+	unsure := addressesOf(message.Unsure)
+	silent := addressesOf(message.Silent)
+	for _, candidate := range sought.delegated[index].asked {
 		agent := b.agentOf(candidate)
+		if slices.Contains(silent, agent) {
+			continue
+		}
 		sought.replies[agent] = reply{
-			denied: !message.Unsure, probed: sought.replies[agent].probed, began: now - message.Age,
+			denied: !slices.Contains(unsure, agent), probed: sought.replies[agent].probed, began: now - message.Age,
 		}
 	}
 	b.conclude(now, known)
@@ -100,19 +150,39 @@
 	}
 }
 
-// surveyFirst leaves the first round of a search among many agents to one of them. It
-// reports whether that is possible.
-func (b *Balancer) surveyFirst(now time.Duration, sought *search) bool {
-	owners := b.everyOwner(sought)
-	possible := len(owners) >= surveyFirstMinimum && surveyable(sought, owners)
-	if !possible || !b.searches.AllowN(time.Unix(0, int64(now)), surveyCost) {
+// locateBySurvey leaves the search for an owner among many agents to some of them. While
+// their answers are out, it lets some of those that do not know probe.
+func (b *Balancer) locateBySurvey(now time.Duration, sought *search, owners []directory.Candidate, packet []byte) {
+	begins := sought.rounds == 0 || sought.verified >= verifyRounds
+	if begins && !b.beginSurvey(now, sought, owners) {
+		return
+	}
+	if !begins {
+		b.probeSome(now, sought, packet)
+	}
+	sought.asked = now
+	sought.rounds++
+}
+
+// beginSurvey makes the first round of a search. It reports whether the network has room
+// for it.
+func (b *Balancer) beginSurvey(now time.Duration, sought *search, owners []directory.Candidate) bool {
+	if !b.maySearch(now, sought.key, surveyCost*len(surveyParts(owners, 0))) {
 		return false
 	}
 	b.survey(sought, owners, false)
 	b.event(Event{Kind: EventLocating, Flow: sought.key, Version: b.snapshot.Version(), Reason: "survey"})
-	sought.asked = now
-	sought.rounds++
-	sought.verified++
+	sought.verified = 1
 	b.verifyAt(now+verifyInterval, sought)
 	return true
 }
+
+// probeSome makes some agents that do not know ask their endpoints.
+func (b *Balancer) probeSome(now time.Duration, sought *search, packet []byte) {
+	for _, agent := range sought.nextProbes(now) {
+		candidate, exists := b.snapshot.At(agent.IP)
+		if exists {
+			b.send(agent, Message{Kind: KindProbe, Service: candidate.Endpoint.Service, Packet: packet})
+		}
+	}
+}
--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -54,11 +54,8 @@
 	verified int
 	// replies are what agents have answered, by their addresses.
 	replies map[segment.Address]reply
-	// surveyor is the agent that asks those in surveyed for this balancer, and survey
-	// the number of that question.
-	surveyor segment.Address
-	surveyed []directory.Candidate
-	survey   uint32
+	// delegated are the parts of the latest round that were left to agents.
+	delegated []delegated
 }
 
 func newSearch(now time.Duration, key segment.FlowKey) *search {
@@ -94,7 +91,8 @@
 	if sought.rounds >= roundLimit || sought.rounds > 0 && now-sought.asked < searchInterval {
 		return
 	}
-	if sought.rounds == 0 && b.surveyFirst(now, sought) {
+	if owners := b.everyOwner(sought); len(owners) >= surveyFirstMinimum {
+		b.locateBySurvey(now, sought, owners, packet)
 		return
 	}
 	asked, _ := b.ownersAmong(key, sought.rounds >= searchesOfRoute)
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -9,7 +9,7 @@
 
 //go:generate go tool msgp -tests=false
 //msgp:limit arrays:4096
-//msgp:tuple Message Load Terms Target
+//msgp:tuple Message Load Terms Targets
 //msgp:shim segment.Flags as:uint8 using:uint8/segment.Flags
 
 // MaximumMessage bounds an encoded message in bytes.
@@ -56,10 +56,10 @@
 	// KindDenied tells that the agent's endpoint does not hold a flow.
 	KindDenied
 	// KindSurvey makes an agent ask the agents in Targets, and itself, for the owner of
-	// the flow of a packet: as KindProbe does if Probing is set, else as KindVerify.
+	// a flow: as KindProbe does if it carries a packet, else as KindVerify.
 	KindSurvey
-	// KindSurveyed tells that no agent of a survey owns the flow. Age is that of the
-	// oldest, and Unsure is set if some do not know.
+	// KindSurveyed tells what the agents of a survey have answered: all but those in
+	// Unsure and Silent have denied the flow. Age is that of the oldest that answered.
 	KindSurveyed
 )
 
@@ -104,16 +104,46 @@
 	return segment.Address{IP: [4]byte(e[:4]), Port: binary.BigEndian.Uint16(e[4:])}
 }
 
-// Target is an agent that a survey asks, and the service that its endpoint is taken
-// for.
-type Target struct {
-	IP      [4]byte
-	Port    uint16
+// Targets are agents that a survey asks: those of endpoints that are taken for
+// endpoints of one service. They listen on one port.
+type Targets struct {
 	Service string
+	Port    uint16
+	// IPs are the addresses, four bytes each.
+	IPs []byte
+}
+
+const ipSize = 4
+
+// Addresses returns the addresses of the agents. Bytes after the last whole one are
+// ignored.
+func (t Targets) Addresses() []segment.Address {
+	addresses := make([]segment.Address, 0, len(t.IPs)/ipSize)
+	for rest := t.IPs; len(rest) >= ipSize; rest = rest[ipSize:] {
+		addresses = append(addresses, segment.Address{IP: [4]byte(rest[:ipSize]), Port: t.Port})
+	}
+	return addresses
 }
 
-// Address returns the address of the agent.
-func (t Target) Address() segment.Address { return segment.Address{IP: t.IP, Port: t.Port} }
+// appendTarget adds an agent to the group of its service and port.
+func appendTarget(groups []Targets, service string, agent segment.Address) []Targets {
+	for index := range groups {
+		if groups[index].Service == service && groups[index].Port == agent.Port {
+			groups[index].IPs = append(groups[index].IPs, agent.IP[:]...)
+			return groups
+		}
+	}
+	return append(groups, Targets{Service: service, Port: agent.Port, IPs: agent.IP[:]})
+}
+
+// addressesOf returns the addresses of all agents in groups.
+func addressesOf(groups []Targets) []segment.Address {
+	var addresses []segment.Address
+	for _, group := range groups {
+		addresses = append(addresses, group.Addresses()...)
+	}
+	return addresses
+}
 
 // Load is how busy an agent's endpoint is.
 type Load struct {
@@ -163,10 +193,11 @@
 	// ReplyTo is set in what another agent asks for a balancer: the owner answers
 	// there, the others the sender.
 	ReplyTo EncodedAddress
-	// Targets and Probing are set in KindSurvey, Unsure in KindSurveyed.
-	Targets []Target
-	Probing bool
-	Unsure  bool
+	// Targets are the agents to ask in KindSurvey. In KindSurveyed, Unsure are those
+	// that do not know and Silent those that have not answered.
+	Targets []Targets
+	Unsure  []Targets
+	Silent  []Targets
 	// Terms are set in offers.
 	Terms Terms
 	// Load is set in messages of agents.
--- a/internal/relay/message_gen.go
+++ b/internal/relay/message_gen.go
@@ -386,25 +386,140 @@
 	if cap(z.Targets) >= int(zb0005) {
 		z.Targets = (z.Targets)[:zb0005]
 	} else {
-		z.Targets = make([]Target, zb0005)
+		z.Targets = make([]Targets, zb0005)
 	}
 	for za0002 := range z.Targets {
-		err = z.Targets[za0002].DecodeMsg(dc)
+		var zb0006 uint32
+		zb0006, err = dc.ReadArrayHeader()
 		if err != nil {
 			err = msgp.WrapError(err, "Targets", za0002)
 			return
 		}
+		if zb0006 > zdc5d9100limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0006 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
+			return
+		}
+		z.Targets[za0002].Service, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0002, "Service")
+			return
+		}
+		z.Targets[za0002].Port, err = dc.ReadUint16()
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0002, "Port")
+			return
+		}
+		z.Targets[za0002].IPs, err = dc.ReadBytesLimit(z.Targets[za0002].IPs, zdc5d9100limitArrays)
+		if err == nil && z.Targets[za0002].IPs == nil {
+			z.Targets[za0002].IPs = []byte{}
+		}
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0002, "IPs")
+			return
+		}
 	}
-	z.Probing, err = dc.ReadBool()
+	var zb0007 uint32
+	zb0007, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Probing")
+		err = msgp.WrapError(err, "Unsure")
+		return
+	}
+	if zb0007 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
-	z.Unsure, err = dc.ReadBool()
+	if cap(z.Unsure) >= int(zb0007) {
+		z.Unsure = (z.Unsure)[:zb0007]
+	} else {
+		z.Unsure = make([]Targets, zb0007)
+	}
+	for za0003 := range z.Unsure {
+		var zb0008 uint32
+		zb0008, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Unsure", za0003)
+			return
+		}
+		if zb0008 > zdc5d9100limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0008 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0008}
+			return
+		}
+		z.Unsure[za0003].Service, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Unsure", za0003, "Service")
+			return
+		}
+		z.Unsure[za0003].Port, err = dc.ReadUint16()
+		if err != nil {
+			err = msgp.WrapError(err, "Unsure", za0003, "Port")
+			return
+		}
+		z.Unsure[za0003].IPs, err = dc.ReadBytesLimit(z.Unsure[za0003].IPs, zdc5d9100limitArrays)
+		if err == nil && z.Unsure[za0003].IPs == nil {
+			z.Unsure[za0003].IPs = []byte{}
+		}
+		if err != nil {
+			err = msgp.WrapError(err, "Unsure", za0003, "IPs")
+			return
+		}
+	}
+	var zb0009 uint32
+	zb0009, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Unsure")
+		err = msgp.WrapError(err, "Silent")
 		return
 	}
+	if zb0009 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Silent) >= int(zb0009) {
+		z.Silent = (z.Silent)[:zb0009]
+	} else {
+		z.Silent = make([]Targets, zb0009)
+	}
+	for za0004 := range z.Silent {
+		var zb0010 uint32
+		zb0010, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Silent", za0004)
+			return
+		}
+		if zb0010 > zdc5d9100limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0010 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0010}
+			return
+		}
+		z.Silent[za0004].Service, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Silent", za0004, "Service")
+			return
+		}
+		z.Silent[za0004].Port, err = dc.ReadUint16()
+		if err != nil {
+			err = msgp.WrapError(err, "Silent", za0004, "Port")
+			return
+		}
+		z.Silent[za0004].IPs, err = dc.ReadBytesLimit(z.Silent[za0004].IPs, zdc5d9100limitArrays)
+		if err == nil && z.Silent[za0004].IPs == nil {
+			z.Silent[za0004].IPs = []byte{}
+		}
+		if err != nil {
+			err = msgp.WrapError(err, "Silent", za0004, "IPs")
+			return
+		}
+	}
 	err = z.Terms.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -484,22 +599,81 @@
 		return
 	}
 	for za0002 := range z.Targets {
-		err = z.Targets[za0002].EncodeMsg(en)
+		// array header, size 3
+		err = en.Append(0x93)
 		if err != nil {
-			err = msgp.WrapError(err, "Targets", za0002)
+			return
+		}
+		err = en.WriteString(z.Targets[za0002].Service)
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0002, "Service")
+			return
+		}
+		err = en.WriteUint16(z.Targets[za0002].Port)
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0002, "Port")
+			return
+		}
+		err = en.WriteBytes(z.Targets[za0002].IPs)
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0002, "IPs")
 			return
 		}
 	}
-	err = en.WriteBool(z.Probing)
+	err = en.WriteArrayHeader(uint32(len(z.Unsure)))
 	if err != nil {
-		err = msgp.WrapError(err, "Probing")
+		err = msgp.WrapError(err, "Unsure")
 		return
 	}
-	err = en.WriteBool(z.Unsure)
+	for za0003 := range z.Unsure {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Unsure[za0003].Service)
+		if err != nil {
+			err = msgp.WrapError(err, "Unsure", za0003, "Service")
+			return
+		}
+		err = en.WriteUint16(z.Unsure[za0003].Port)
+		if err != nil {
+			err = msgp.WrapError(err, "Unsure", za0003, "Port")
+			return
+		}
+		err = en.WriteBytes(z.Unsure[za0003].IPs)
+		if err != nil {
+			err = msgp.WrapError(err, "Unsure", za0003, "IPs")
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Silent)))
 	if err != nil {
-		err = msgp.WrapError(err, "Unsure")
+		err = msgp.WrapError(err, "Silent")
 		return
 	}
+	for za0004 := range z.Silent {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Silent[za0004].Service)
+		if err != nil {
+			err = msgp.WrapError(err, "Silent", za0004, "Service")
+			return
+		}
+		err = en.WriteUint16(z.Silent[za0004].Port)
+		if err != nil {
+			err = msgp.WrapError(err, "Silent", za0004, "Port")
+			return
+		}
+		err = en.WriteBytes(z.Silent[za0004].IPs)
+		if err != nil {
+			err = msgp.WrapError(err, "Silent", za0004, "IPs")
+			return
+		}
+	}
 	err = z.Terms.EncodeMsg(en)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -534,14 +708,28 @@
 	o = msgp.AppendBytes(o, []byte(z.ReplyTo))
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Targets)))
 	for za0002 := range z.Targets {
-		o, err = z.Targets[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Targets", za0002)
-			return
-		}
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Targets[za0002].Service)
+		o = msgp.AppendUint16(o, z.Targets[za0002].Port)
+		o = msgp.AppendBytes(o, z.Targets[za0002].IPs)
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Unsure)))
+	for za0003 := range z.Unsure {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Unsure[za0003].Service)
+		o = msgp.AppendUint16(o, z.Unsure[za0003].Port)
+		o = msgp.AppendBytes(o, z.Unsure[za0003].IPs)
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Silent)))
+	for za0004 := range z.Silent {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Silent[za0004].Service)
+		o = msgp.AppendUint16(o, z.Silent[za0004].Port)
+		o = msgp.AppendBytes(o, z.Silent[za0004].IPs)
 	}
-	o = msgp.AppendBool(o, z.Probing)
-	o = msgp.AppendBool(o, z.Unsure)
 	o, err = z.Terms.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -655,25 +843,167 @@
 	if cap(z.Targets) >= int(zb0006) {
 		z.Targets = (z.Targets)[:zb0006]
 	} else {
-		z.Targets = make([]Target, zb0006)
+		z.Targets = make([]Targets, zb0006)
 	}
 	for za0002 := range z.Targets {
-		bts, err = z.Targets[za0002].UnmarshalMsg(bts)
+		var zb0007 uint32
+		zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Targets", za0002)
 			return
 		}
+		if zb0007 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0007}
+			return
+		}
+		z.Targets[za0002].Service, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0002, "Service")
+			return
+		}
+		z.Targets[za0002].Port, bts, err = msgp.ReadUint16Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0002, "Port")
+			return
+		}
+		var zb0008 uint32
+		zb0008, bts, err = msgp.ReadBytesHeader(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0002, "IPs")
+			return
+		}
+		if zb0008 > zdc5d9100limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if z.Targets[za0002].IPs == nil || uint32(cap(z.Targets[za0002].IPs)) < zb0008 {
+			z.Targets[za0002].IPs = make([]byte, zb0008)
+		} else {
+			z.Targets[za0002].IPs = z.Targets[za0002].IPs[:zb0008]
+		}
+		if uint32(len(bts)) < zb0008 {
+			err = msgp.ErrShortBytes
+			return
+		}
+		copy(z.Targets[za0002].IPs, bts[:zb0008])
+		bts = bts[zb0008:]
 	}
-	z.Probing, bts, err = msgp.ReadBoolBytes(bts)
+	var zb0009 uint32
+	zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Probing")
+		err = msgp.WrapError(err, "Unsure")
+		return
+	}
+	if zb0009 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
-	z.Unsure, bts, err = msgp.ReadBoolBytes(bts)
+	if cap(z.Unsure) >= int(zb0009) {
+		z.Unsure = (z.Unsure)[:zb0009]
+	} else {
+		z.Unsure = make([]Targets, zb0009)
+	}
+	for za0003 := range z.Unsure {
+		var zb0010 uint32
+		zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Unsure", za0003)
+			return
+		}
+		if zb0010 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0010}
+			return
+		}
+		z.Unsure[za0003].Service, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Unsure", za0003, "Service")
+			return
+		}
+		z.Unsure[za0003].Port, bts, err = msgp.ReadUint16Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Unsure", za0003, "Port")
+			return
+		}
+		var zb0011 uint32
+		zb0011, bts, err = msgp.ReadBytesHeader(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Unsure", za0003, "IPs")
+			return
+		}
+		if zb0011 > zdc5d9100limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if z.Unsure[za0003].IPs == nil || uint32(cap(z.Unsure[za0003].IPs)) < zb0011 {
+			z.Unsure[za0003].IPs = make([]byte, zb0011)
+		} else {
+			z.Unsure[za0003].IPs = z.Unsure[za0003].IPs[:zb0011]
+		}
+		if uint32(len(bts)) < zb0011 {
+			err = msgp.ErrShortBytes
+			return
+		}
+		copy(z.Unsure[za0003].IPs, bts[:zb0011])
+		bts = bts[zb0011:]
+	}
+	var zb0012 uint32
+	zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Unsure")
+		err = msgp.WrapError(err, "Silent")
+		return
+	}
+	if zb0012 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
+	if cap(z.Silent) >= int(zb0012) {
+		z.Silent = (z.Silent)[:zb0012]
+	} else {
+		z.Silent = make([]Targets, zb0012)
+	}
+	for za0004 := range z.Silent {
+		var zb0013 uint32
+		zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Silent", za0004)
+			return
+		}
+		if zb0013 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0013}
+			return
+		}
+		z.Silent[za0004].Service, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Silent", za0004, "Service")
+			return
+		}
+		z.Silent[za0004].Port, bts, err = msgp.ReadUint16Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Silent", za0004, "Port")
+			return
+		}
+		var zb0014 uint32
+		zb0014, bts, err = msgp.ReadBytesHeader(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Silent", za0004, "IPs")
+			return
+		}
+		if zb0014 > zdc5d9100limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if z.Silent[za0004].IPs == nil || uint32(cap(z.Silent[za0004].IPs)) < zb0014 {
+			z.Silent[za0004].IPs = make([]byte, zb0014)
+		} else {
+			z.Silent[za0004].IPs = z.Silent[za0004].IPs[:zb0014]
+		}
+		if uint32(len(bts)) < zb0014 {
+			err = msgp.ErrShortBytes
+			return
+		}
+		copy(z.Silent[za0004].IPs, bts[:zb0014])
+		bts = bts[zb0014:]
+	}
 	bts, err = z.Terms.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Terms")
@@ -684,27 +1014,27 @@
 		err = msgp.WrapError(err, "Load")
 		return
 	}
-	var zb0007 uint32
-	zb0007, bts, err = msgp.ReadBytesHeader(bts)
+	var zb0015 uint32
+	zb0015, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Packet")
 		return
 	}
-	if zb0007 > zdc5d9100limitArrays {
+	if zb0015 > zdc5d9100limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if z.Packet == nil || uint32(cap(z.Packet)) < zb0007 {
-		z.Packet = make([]byte, zb0007)
+	if z.Packet == nil || uint32(cap(z.Packet)) < zb0015 {
+		z.Packet = make([]byte, zb0015)
 	} else {
-		z.Packet = z.Packet[:zb0007]
+		z.Packet = z.Packet[:zb0015]
 	}
-	if uint32(len(bts)) < zb0007 {
+	if uint32(len(bts)) < zb0015 {
 		err = msgp.ErrShortBytes
 		return
 	}
-	copy(z.Packet, bts[:zb0007])
-	bts = bts[zb0007:]
+	copy(z.Packet, bts[:zb0015])
+	bts = bts[zb0015:]
 	o = bts
 	return
 }
@@ -713,14 +1043,22 @@
 func (z *Message) Msgsize() (s int) {
 	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize + msgp.DurationSize + msgp.BytesPrefixSize + len([]byte(z.ReplyTo)) + msgp.ArrayHeaderSize
 	for za0002 := range z.Targets {
-		s += z.Targets[za0002].Msgsize()
+		s += 1 + msgp.StringPrefixSize + len(z.Targets[za0002].Service) + msgp.Uint16Size + msgp.BytesPrefixSize + len(z.Targets[za0002].IPs)
+	}
+	s += msgp.ArrayHeaderSize
+	for za0003 := range z.Unsure {
+		s += 1 + msgp.StringPrefixSize + len(z.Unsure[za0003].Service) + msgp.Uint16Size + msgp.BytesPrefixSize + len(z.Unsure[za0003].IPs)
 	}
-	s += msgp.BoolSize + msgp.BoolSize + z.Terms.Msgsize() + z.Load.Msgsize() + msgp.BytesPrefixSize + len(z.Packet)
+	s += msgp.ArrayHeaderSize
+	for za0004 := range z.Silent {
+		s += 1 + msgp.StringPrefixSize + len(z.Silent[za0004].Service) + msgp.Uint16Size + msgp.BytesPrefixSize + len(z.Silent[za0004].IPs)
+	}
+	s += z.Terms.Msgsize() + z.Load.Msgsize() + msgp.BytesPrefixSize + len(z.Packet)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Target) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Targets) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -735,9 +1073,9 @@
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
-	err = dc.ReadExactBytes((z.IP)[:])
+	z.Service, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "IP")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
 	z.Port, err = dc.ReadUint16()
@@ -745,24 +1083,27 @@
 		err = msgp.WrapError(err, "Port")
 		return
 	}
-	z.Service, err = dc.ReadString()
+	z.IPs, err = dc.ReadBytesLimit(z.IPs, zdc5d9100limitArrays)
+	if err == nil && z.IPs == nil {
+		z.IPs = []byte{}
+	}
 	if err != nil {
-		err = msgp.WrapError(err, "Service")
+		err = msgp.WrapError(err, "IPs")
 		return
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Target) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *Targets) EncodeMsg(en *msgp.Writer) (err error) {
 	// array header, size 3
 	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
-	err = en.WriteBytes((z.IP)[:])
+	err = en.WriteString(z.Service)
 	if err != nil {
-		err = msgp.WrapError(err, "IP")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
 	err = en.WriteUint16(z.Port)
@@ -770,27 +1111,27 @@
 		err = msgp.WrapError(err, "Port")
 		return
 	}
-	err = en.WriteString(z.Service)
+	err = en.WriteBytes(z.IPs)
 	if err != nil {
-		err = msgp.WrapError(err, "Service")
+		err = msgp.WrapError(err, "IPs")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Target) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Targets) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 3
 	o = append(o, 0x93)
-	o = msgp.AppendBytes(o, (z.IP)[:])
-	o = msgp.AppendUint16(o, z.Port)
 	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendUint16(o, z.Port)
+	o = msgp.AppendBytes(o, z.IPs)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Target) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Targets) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -801,9 +1142,9 @@
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
-	bts, err = msgp.ReadExactBytes(bts, (z.IP)[:])
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "IP")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
 	z.Port, bts, err = msgp.ReadUint16Bytes(bts)
@@ -811,18 +1152,34 @@
 		err = msgp.WrapError(err, "Port")
 		return
 	}
-	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Service")
+		err = msgp.WrapError(err, "IPs")
+		return
+	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.IPs == nil || uint32(cap(z.IPs)) < zb0002 {
+		z.IPs = make([]byte, zb0002)
+	} else {
+		z.IPs = z.IPs[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
 		return
 	}
+	copy(z.IPs, bts[:zb0002])
+	bts = bts[zb0002:]
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Target) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize + (4 * (msgp.ByteSize)) + msgp.Uint16Size + msgp.StringPrefixSize + len(z.Service)
+func (z *Targets) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Uint16Size + msgp.BytesPrefixSize + len(z.IPs)
 	return
 }
 
--- a/internal/relay/survey_test.go
+++ b/internal/relay/survey_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -13,18 +14,36 @@
 
 var surveyRequest = fromClient(1, segment.Acknowledge, 101, 501, "request")
 
+// targets returns the agents with some numbers as a survey names them.
+func targets(numbers ...int) []relay.Targets {
+	group := relay.Targets{Service: service, Port: agentPort}
+	for _, number := range numbers {
+		address := agentAddress(number)
+		group.IPs = append(group.IPs, address.IP[:]...)
+	}
+	return []relay.Targets{group}
+}
+
+// namedIn returns the addresses of all agents that a message names.
+func namedIn(groups []relay.Targets) []segment.Address {
+	var addresses []segment.Address
+	for _, group := range groups {
+		addresses = append(addresses, group.Addresses()...)
+	}
+	return addresses
+}
+
 var _ = Describe("Agent, asked for a survey", func() {
 	var agent *relay.Agent
 
 	// survey makes the agent ask agents 1 and 2.
 	survey := func(now time.Duration, probing bool) []relay.Effect {
 		message := relay.Message{
-			Kind: relay.KindSurvey, Service: service, Flow: relay.FlowOf(keyOf(1)), Sequence: 5, Probing: probing,
-			Packet: surveyRequest,
+			Kind: relay.KindSurvey, Service: service, Flow: relay.FlowOf(keyOf(1)), Sequence: 5,
+			Acknowledgment: 501, Flags: segment.Acknowledge, Targets: targets(1, 2),
 		}
-		for _, number := range []int{1, 2} {
-			to := agentAddress(number)
-			message.Targets = append(message.Targets, relay.Target{IP: to.IP, Port: to.Port, Service: service})
+		if probing {
+			message.Packet = surveyRequest
 		}
 		return agent.Receive(now, balancerA, message)
 	}
@@ -68,17 +87,30 @@
 		Expect(told.To).To(Equal(balancerA))
 		Expect(told.Message.Kind).To(Equal(relay.KindSurveyed))
 		Expect(told.Message.Age).To(Equal(7 * time.Second))
-		Expect(told.Message.Unsure).To(BeFalse())
+		Expect(told.Message.Unsure).To(BeEmpty())
+		Expect(told.Message.Silent).To(BeEmpty())
 		Expect(told.Message.Sequence).To(Equal(uint32(5)), "the number of the survey")
 	})
 
-	It("tells the balancer if some do not know", func() {
+	It("tells the balancer who do not know", func() {
 		survey(0, false)
 		answer(millisecond, 1, relay.KindUncertain, time.Second)
-		Expect(onlyMessage(answer(millisecond, 2, relay.KindDenied, time.Second)).Message.Unsure).To(BeTrue())
+		Expect(onlyMessage(answer(millisecond, 2, relay.KindDenied, time.Second)).Message.Unsure).To(Equal(targets(1)))
+	})
+
+	It("tells the balancer in time who have not answered, and again once all have", func() {
+		survey(0, false)
+		answer(millisecond, 1, relay.KindDenied, time.Second)
+		Expect(sent(agent.Tick(59 * millisecond))).To(BeEmpty())
+		Expect(agent.NextTick(59 * millisecond)).To(Equal(60 * millisecond))
+		told := onlyMessage(agent.Tick(60 * millisecond)).Message
+		Expect(told.Kind).To(Equal(relay.KindSurveyed))
+		Expect(told.Silent).To(Equal(targets(2)))
+		Expect(sent(agent.Tick(70*millisecond))).To(BeEmpty(), "once")
+		Expect(onlyMessage(answer(80*millisecond, 2, relay.KindDenied, time.Second)).Message.Silent).To(BeEmpty())
 	})
 
-	It("tells nothing if one does not answer, and believes nobody that was not asked", func() {
+	It("believes nobody that was not asked, and nobody who answers late", func() {
 		survey(0, false)
 		answer(millisecond, 1, relay.KindDenied, time.Second)
 		Expect(answer(millisecond, 3, relay.KindDenied, time.Second)).To(BeEmpty())
@@ -124,42 +156,67 @@
 		install()
 	})
 
-	tell := func(from segment.Address, kind relay.Kind, unsure bool) []relay.Effect {
+	report := func(from segment.Address, unsure, silent []relay.Targets) []relay.Effect {
+		return balancer.Receive(asked+3*millisecond, from, relay.Message{
+			Kind: relay.KindSurveyed, Service: service, Flow: relay.FlowOf(keyOf(1)), Sequence: 1, Age: asked,
+			Unsure: unsure, Silent: silent,
+		})
+	}
+	deny := func(from segment.Address) []relay.Effect {
 		return balancer.Receive(asked+3*millisecond, from, relay.Message{
-			Kind: kind, Service: service, Flow: relay.FlowOf(keyOf(1)), Sequence: 1, Age: asked, Unsure: unsure,
+			Kind: relay.KindDenied, Service: service, Flow: relay.FlowOf(keyOf(1)), Age: asked,
 		})
 	}
 
 	It("leaves a search to one of them", func() {
 		surveyor := onlyMessage(balancer.Arrive(asked, surveyRequest))
 		Expect(surveyor.Message.Kind).To(Equal(relay.KindSurvey))
-		Expect(surveyor.Message.Targets).To(HaveLen(agents - 1))
-		Expect(surveyor.Message.Probing).To(BeFalse(), "no endpoint gets a packet that may be another's")
-		for _, target := range surveyor.Message.Targets {
-			Expect(target.Address()).NotTo(Equal(surveyor.To))
-		}
+		Expect(namedIn(surveyor.Message.Targets)).To(HaveLen(agents - 1))
+		Expect(namedIn(surveyor.Message.Targets)).NotTo(ContainElement(surveyor.To))
+		Expect(surveyor.Message.Packet).To(BeEmpty(), "no endpoint gets a packet that may be another's")
+		Expect(surveyor.Message.Acknowledgment).To(Equal(uint32(501)))
+		Expect(surveyor.Message.Flags).To(Equal(segment.Acknowledge))
 	})
 
 	It("resets the flow once that one and all others have denied it, and the directory is confirmed", func() {
 		surveyor := onlyMessage(balancer.Arrive(asked, surveyRequest)).To
-		Expect(resets(tell(surveyor, relay.KindSurveyed, false))).To(BeEmpty())
-		Expect(ofKind(tell(surveyor, relay.KindDenied, false), relay.EffectConfirm)).To(HaveLen(1))
+		Expect(resets(report(surveyor, nil, nil))).To(BeEmpty())
+		Expect(ofKind(deny(surveyor), relay.EffectConfirm)).To(HaveLen(1))
 		Expect(resets(balancer.Current(asked+9*millisecond, asked+4*millisecond))).To(HaveLen(1))
 	})
 
 	It("makes them ask their endpoints if some do not know, again through one of them", func() {
-		surveyor := onlyMessage(balancer.Arrive(asked, surveyRequest)).To
-		Expect(sent(tell(surveyor, relay.KindSurveyed, true))).To(BeEmpty(), "that one has not answered for itself")
-		second := onlyMessage(tell(surveyor, relay.KindDenied, false))
+		first := onlyMessage(balancer.Arrive(asked, surveyRequest))
+		Expect(sent(report(first.To, first.Message.Targets, nil))).To(BeEmpty(), "that one has not answered for itself")
+		second := onlyMessage(deny(first.To))
 		Expect(second.Message.Kind).To(Equal(relay.KindSurvey))
-		Expect(second.Message.Probing).To(BeTrue())
-		Expect(second.Message.Targets).To(HaveLen(agents - 2))
+		Expect(second.Message.Packet).To(Equal(surveyRequest))
+		Expect(namedIn(second.Message.Targets)).To(HaveLen(agents - 2))
+	})
+
+	It("makes only those ask their endpoints that do not know", func() {
+		first := onlyMessage(balancer.Arrive(asked, surveyRequest))
+		unsure := first.Message.Targets[0].Addresses()[3]
+		deny(first.To)
+		probed := onlyMessage(report(first.To, []relay.Targets{{Service: service, Port: agentPort, IPs: unsure.IP[:]}}, nil))
+		Expect(probed.Message.Kind).To(Equal(relay.KindProbe))
+		Expect(probed.To).To(Equal(unsure))
+	})
+
+	It("asks only those again that have not answered", func() {
+		first := onlyMessage(balancer.Arrive(asked, surveyRequest))
+		silent := first.Message.Targets[0].Addresses()[5]
+		deny(first.To)
+		Expect(sent(report(first.To, nil, []relay.Targets{{Service: service, Port: agentPort, IPs: silent.IP[:]}}))).To(BeEmpty())
+		again := onlyMessage(balancer.Tick(asked + 100*millisecond))
+		Expect(again.To).To(Equal(silent))
+		Expect(again.Message.Kind).To(Equal(relay.KindVerify))
 	})
 
 	It("believes no other agent that says so", func() {
 		surveyor := onlyMessage(balancer.Arrive(asked, surveyRequest))
-		tell(surveyor.Message.Targets[0].Address(), relay.KindSurveyed, false)
-		Expect(ofKind(tell(surveyor.To, relay.KindDenied, false), relay.EffectConfirm)).To(BeEmpty())
+		report(surveyor.Message.Targets[0].Addresses()[0], nil, nil)
+		Expect(ofKind(deny(surveyor.To), relay.EffectConfirm)).To(BeEmpty())
 	})
 
 	It("does not take the answer to an earlier survey for one about those that it asks now", func() {
@@ -167,35 +224,130 @@
 		balancer.Receive(asked+3*millisecond, surveyor, relay.Message{
 			Kind: relay.KindSurveyed, Service: service, Flow: relay.FlowOf(keyOf(1)), Sequence: 7, Age: asked,
 		})
-		Expect(ofKind(tell(surveyor, relay.KindDenied, false), relay.EffectConfirm)).To(BeEmpty())
+		Expect(ofKind(deny(surveyor), relay.EffectConfirm)).To(BeEmpty())
 	})
 
-	It("asks them itself if the one does not answer", func() {
-		balancer.Arrive(asked, surveyRequest)
-		second := sent(balancer.Tick(asked + 100*millisecond))
-		Expect(second).To(HaveLen(1), "another may answer")
-		Expect(sent(balancer.Tick(asked + 200*millisecond))).To(HaveLen(agents))
+	It("asks another each time that one does not answer", func() {
+		asking := map[segment.Address]bool{onlyMessage(balancer.Arrive(asked, surveyRequest)).To: true}
+		for round := range 8 {
+			again := onlyMessage(balancer.Tick(asked + time.Duration(round+1)*100*millisecond))
+			Expect(again.Message.Kind).To(Equal(relay.KindSurvey))
+			Expect(namedIn(again.Message.Targets)).To(HaveLen(agents - 1))
+			asking[again.To] = true
+		}
+		Expect(len(asking)).To(BeNumerically(">", 5))
 	})
 
-	It("asks them itself about a packet that is too long for that", func() {
-		long := fromClient(1, segment.Acknowledge, 101, 501, string(make([]byte, 1200)))
-		Expect(sent(balancer.Arrive(asked, long))).To(HaveLen(agents))
+	It("leaves nothing more to them while the client repeats its packet, and begins again when all rounds were in vain", func() {
+		balancer.Arrive(asked, surveyRequest)
+		Expect(sent(balancer.Arrive(asked+50*millisecond, surveyRequest))).To(BeEmpty())
+		Expect(sent(balancer.Arrive(asked+150*millisecond, surveyRequest))).To(BeEmpty())
+		ended := asked
+		for range 20 {
+			ended += 100 * millisecond
+			balancer.Tick(ended)
+		}
+		Expect(sent(balancer.Tick(ended + 100*millisecond))).To(BeEmpty())
+		Expect(onlyMessage(balancer.Arrive(ended+200*millisecond, surveyRequest)).Message.Kind).To(Equal(relay.KindSurvey))
 	})
 
-	It("fits a survey into one message, whatever it carries", func() {
+	It("fits a search into one message, whatever the packet carries", func() {
 		for length := range 1200 {
 			balancer = newBalancer()
 			install()
 			packet := fromClient(1, segment.Acknowledge, 101, 501, string(make([]byte, length)))
-			effects := sent(balancer.Arrive(asked, packet))
-			if len(effects) > 1 {
-				Expect(length).To(BeNumerically(">", 500))
-				return
+			Expect(sizeOf(onlyMessage(balancer.Arrive(asked, packet)))).To(BeNumerically("<=", relay.MaximumMessage))
+		}
+	})
+})
+
+// sizeOf returns the encoded size of a message.
+func sizeOf(effect relay.Effect) int {
+	GinkgoHelper()
+	encoded, err := effect.Message.MarshalMsg(nil)
+	Expect(err).NotTo(HaveOccurred())
+	return len(encoded)
+}
+
+var _ = Describe("Balancer, among hundreds of agents", func() {
+	const (
+		agents = 330
+		asked  = 20 * time.Second
+	)
+	var (
+		balancer *relay.Balancer
+		known    *fleet
+	)
+
+	BeforeEach(func() {
+		balancer = newBalancer()
+		known = newFleet()
+		known.configure(directory.Share{Service: service, Weight: 1})
+		for number := range agents {
+			known.endpoint(0, number, func(endpoint *directory.Endpoint) {
+				endpoint.IP[2] = byte(number >> 8)
+				if number%5 == 0 {
+					endpoint.Service = otherService
+				}
+			})
+		}
+		known.follow(0)
+		balancer.Install(asked, known.machine.Snapshot())
+	})
+
+	It("finds an owner by a handful of messages, each of which fits", func() {
+		searches := 0
+		for number := range 100 {
+			packet := fromClient(number, segment.Acknowledge, 101, 501, string(make([]byte, 900)))
+			for _, effect := range sent(balancer.Arrive(asked, packet)) {
+				Expect(effect.Message.Kind).To(Equal(relay.KindSurvey))
+				Expect(sizeOf(effect)).To(BeNumerically("<=", relay.MaximumMessage))
+				searches++
+			}
+		}
+		Expect(searches).To(Equal(100))
+	})
+
+	It("hears of each agent once from several of them if the packet leaves little room", func() {
+		long := fromClient(1, segment.Acknowledge, 101, 501, string(make([]byte, 1200)))
+		first := onlyMessage(balancer.Arrive(asked, long))
+		balancer.Receive(asked, first.To, relay.Message{Kind: relay.KindUncertain, Flow: relay.FlowOf(keyOf(1)), Age: asked})
+		parts := sent(balancer.Receive(asked, first.To, relay.Message{
+			Kind: relay.KindSurveyed, Flow: relay.FlowOf(keyOf(1)), Sequence: 1, Age: asked, Unsure: first.Message.Targets,
+		}))
+		Expect(len(parts)).To(BeNumerically("~", 3, 1))
+		reached := make(map[segment.Address]int)
+		for _, part := range parts {
+			Expect(part.Message.Packet).To(Equal(long))
+			Expect(sizeOf(part)).To(BeNumerically("<=", relay.MaximumMessage))
+			reached[part.To]++
+			for _, target := range namedIn(part.Message.Targets) {
+				reached[target]++
 			}
-			encoded, err := effects[0].Message.MarshalMsg(nil)
-			Expect(err).NotTo(HaveOccurred())
-			Expect(len(encoded)).To(BeNumerically("<=", relay.MaximumMessage))
 		}
-		Fail("no packet was too long")
+		Expect(reached).To(HaveLen(agents))
+		for _, times := range reached {
+			Expect(times).To(Equal(1))
+		}
+	})
+
+	It("resets the flow once every part has denied it", func() {
+		long := fromClient(1, segment.Acknowledge, 101, 501, string(make([]byte, 1200)))
+		first := onlyMessage(balancer.Arrive(asked, long))
+		balancer.Receive(asked, first.To, relay.Message{Kind: relay.KindUncertain, Flow: relay.FlowOf(keyOf(1)), Age: asked})
+		parts := slices.Clone(sent(balancer.Receive(asked, first.To, relay.Message{
+			Kind: relay.KindSurveyed, Flow: relay.FlowOf(keyOf(1)), Sequence: 1, Age: asked, Unsure: first.Message.Targets,
+		})))
+		for index, part := range parts {
+			answered := func(kind relay.Kind) []relay.Effect {
+				return balancer.Receive(asked+millisecond, part.To, relay.Message{
+					Kind: kind, Flow: relay.FlowOf(keyOf(1)), Sequence: part.Message.Sequence, Age: asked,
+				})
+			}
+			Expect(ofKind(answered(relay.KindDenied), relay.EffectConfirm)).To(BeEmpty())
+			confirms := ofKind(answered(relay.KindSurveyed), relay.EffectConfirm)
+			Expect(confirms).To(HaveLen(map[bool]int{true: 1, false: 0}[index == len(parts)-1]))
+		}
+		Expect(resets(balancer.Current(asked+9*millisecond, asked+4*millisecond))).To(HaveLen(1))
 	})
 })
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -71,8 +71,12 @@
 		return sought.replies[b.agentOf(candidate)].denied
 	})
 	probing := b.allProbed(sought, asked)
-	worthwhile := probing || len(asked) >= surveyFirstMinimum
-	if sought.verified <= surveyRounds && worthwhile && b.survey(sought, asked, probing) {
+	many := len(asked) >= surveyFirstMinimum
+	first := sought.verified <= surveyRounds
+	if many && !first && !b.maySearch(now, sought.key, surveyCost*len(surveyParts(asked, len(sought.held[0])))) {
+		return
+	}
+	if (many || probing && first) && b.survey(sought, asked, probing) {
 		return
 	}
 	if !b.maySearch(now, sought.key, len(asked)) {
--- a/internal/relay/verify_test.go
+++ b/internal/relay/verify_test.go
@@ -176,7 +176,7 @@
 	})
 
 	It("resets nothing if it knows no endpoint, or more than it can ask", func() {
-		for _, count := range []int{0, 300} {
+		for _, count := range []int{0, 2100} {
 			known = newFleet()
 			known.configure(directory.Share{Service: service, Weight: 1})
 			for number := range count {
