--- a/bench/flownet/balancer.go
+++ b/bench/flownet/balancer.go
@@ -12,7 +12,6 @@
 
 const (
 	tickTimer uint32 = iota
-	callTimer
 	digestTimer
 	timeoutTimer
 )
@@ -66,11 +65,23 @@
 	confirming directory.Call
 	confirmed  time.Duration
 	exchange   *directory.Exchange[simnet.NodeID]
-	fetching   time.Duration
-	call       directory.Call
-	number     uint64
-	stopping   bool
-	removed    bool
+	// spread decides who asks the store, and heard is when others were last found running.
+	spread *directory.Spread
+	heard  map[simnet.NodeID]time.Duration
+	// questions are those of others that wait for a confirmation, and asked is the time
+	// of its own question with a number.
+	questions []confirmQuestion
+	asked     time.Duration
+	question  uint32
+	fetching  time.Duration
+	call      directory.Call
+	// calling is set while a call is under way.
+	calling bool
+	number  uint64
+	// refused is set while the store turns it away.
+	refused  bool
+	stopping bool
+	removed  bool
 	// cut is set while the store cannot be reached.
 	cut bool
 }
@@ -93,15 +104,19 @@
 		Random: rand.New(rand.NewPCG(w.random.Uint64(), 1)),
 	})
 	n.directory = directory.New()
-	n.follower = directory.NewFollower(n.directory, timing)
+	self := directory.Member{Peer: directory.Peer(n.id), Zone: n.zone}
+	n.spread = directory.NewSpread(n.directory, timing, self, w.seedPeers(n), rand.New(rand.NewPCG(w.random.Uint64(), 3)))
+	n.heard = make(map[simnet.NodeID]time.Duration)
+	n.follower = directory.NewFollower(n.directory, timing, n.spread)
 	n.confirmer = directory.NewConfirmer(n.directory)
-	n.confirmed = 0
+	n.confirmed, n.questions, n.asked = 0, nil, 0
 	n.exchange = directory.NewExchange(n.directory, timing, w.seeds(n), rand.New(rand.NewPCG(w.random.Uint64(), 2)))
 	n.fetching = 0
 	n.stopping = false
+	n.calling = false
+	n.number++
 	w.net.Schedule(n.id, tickInterval, tickTimer)
 	w.net.Schedule(n.id, 0, digestTimer)
-	n.nextCall()
 }
 
 func (n *balancerNode) restart() {
@@ -115,10 +130,23 @@
 	return running && !n.stopping && n.directory.Ready() && !n.part.Isolated()
 }
 
-func (n *balancerNode) nextCall() {
-	n.call = n.follower.Next(n.world.random.Float64())
+// callNext makes the next call of the store once its time has come.
+func (n *balancerNode) callNext(now time.Duration) {
+	call, at := n.follower.Next(now)
+	if n.calling || now < at {
+		return
+	}
+	n.calling = true
+	n.call = call
 	n.number++
-	n.world.net.Schedule(n.id, n.call.Delay, callTimer)
+	sent := storeCall{
+		listing: call.Listing, after: call.After, since: call.AfterRevision, wait: call.Wait, number: n.number,
+	}
+	n.world.ledger.called(call)
+	if !n.cut {
+		n.world.net.Send(n.id, n.world.store.id, simnet.Control, 100, datagram{port: peerPort, call: &sent})
+	}
+	n.world.net.Schedule(n.id, call.Timeout, timeoutTimer+uint32(n.number))
 }
 
 // Wake implements simnet.Handler.
@@ -126,30 +154,24 @@
 	switch timer {
 	case tickTimer:
 		n.execute(n.part.Tick(now))
+		n.callNext(now)
 		n.fetchNext(now)
 		n.confirmNext(now)
 		n.world.net.Schedule(n.id, tickInterval, tickTimer)
-	case callTimer:
-		n.sendCall()
 	case digestTimer:
+		n.refreshMembers(now)
 		n.sendDigest()
 	default:
-		if uint64(timer-timeoutTimer) == n.number {
-			n.follower.Failed(&directory.StoreError{Failure: directory.StoreUnreachable})
-			n.exchange.StoreFailed()
-			n.nextCall()
+		if uint64(timer-timeoutTimer) == n.number && n.calling {
+			n.calling = false
+			n.failed(now, &directory.StoreError{Failure: directory.StoreUnreachable})
 		}
 	}
 }
 
-func (n *balancerNode) sendCall() {
-	call := storeCall{
-		listing: n.call.Listing, after: n.call.After, since: n.call.AfterRevision, wait: n.call.Wait, number: n.number,
-	}
-	if !n.cut {
-		n.world.net.Send(n.id, n.world.store.id, simnet.Control, 100, datagram{port: peerPort, call: &call})
-	}
-	n.world.net.Schedule(n.id, n.call.Timeout, timeoutTimer+uint32(n.number))
+func (n *balancerNode) failed(now time.Duration, failure error) {
+	n.follower.Failed(now, failure, n.world.random.Float64())
+	n.exchange.StoreFailed()
 }
 
 // Receive implements simnet.Handler.
@@ -159,12 +181,15 @@
 		n.receiveConfirmation(now, *received.reply)
 	case received.reply != nil:
 		n.receiveReply(now, *received.reply)
-	case n.cut && received.message == nil && received.packet == nil:
-		// Neither the store nor other balancers reach it.
+	case n.world.cutOff[n.ip] && received.message == nil && received.packet == nil:
+		// No other balancer reaches it.
+	case received.update != nil:
+		n.receiveUpdate(now, from, *received.update)
 	case received.digest != nil:
 		n.exchange.Heard(now, from, *received.digest)
 	case received.fetch != nil:
-		state := n.directory.StateAfter(now, *received.fetch)
+		n.spread.Fetched(now, directory.Peer(from))
+		state := n.spread.State(now, *received.fetch)
 		n.world.net.Send(n.id, from, simnet.Control, 1000, datagram{port: peerPort, state: &state})
 	case received.state != nil:
 		n.adopt(now, *received.state)
@@ -176,29 +201,37 @@
 }
 
 func (n *balancerNode) receiveReply(now time.Duration, reply storeReply) {
-	if reply.number != n.number || n.cut {
+	if reply.number != n.number || n.cut || !n.calling {
 		return
 	}
+	n.calling = false
 	changed := false
 	planted := n.world.options.Planted
 	reply.page.Items = planted.filter(reply.page.Items)
 	reply.changes.Items = planted.filter(reply.changes.Items)
 	switch {
 	case reply.failure != nil:
-		n.follower.Failed(reply.failure)
-		n.exchange.StoreFailed()
+		n.failed(now, reply.failure)
+		return
 	case n.call.Listing:
 		changed = n.follower.Listed(now, reply.page)
+		if n.follower.Following() {
+			n.spread.Listed()
+		}
 	default:
-		changed = n.follower.Watched(now, reply.changes)
+		changed = n.follower.Watched(now, reply.changes, n.world.random.Float64())
 	}
 	if n.follower.Following() {
 		n.part.Confirm(now)
+		n.tell(n.spread.Answered(now))
 	}
+	n.installIf(now, changed)
+}
+
+func (n *balancerNode) installIf(now time.Duration, changed bool) {
 	if changed && n.directory.Ready() {
 		n.execute(n.part.Install(now, n.directory.Snapshot()))
 	}
-	n.nextCall()
 }
 
 // seeds returns some other balancers, which may be down.
@@ -217,7 +250,7 @@
 	digest := n.directory.Digest()
 	for range digestFanout {
 		other, _ := pick(n.world, n.world.balancers)
-		if other != n && !n.world.cutOff[n.ip] {
+		if other != n && !n.world.cutOff[n.ip] && n.world.options.Planted != PlantedEmptyUpdates {
 			n.world.net.Send(n.id, other.id, simnet.Control, 60, datagram{port: peerPort, digest: &digest})
 		}
 	}
@@ -229,6 +262,11 @@
 		n.fetching = 0
 		n.exchange.FetchFailed()
 	}
+	if now%startInterval < tickInterval {
+		if question, exists := n.spread.Question(now); exists {
+			n.tell([]directory.Outgoing{question})
+		}
+	}
 	if from, wanted := n.exchange.Next(now); wanted {
 		n.fetching = now
 		known := n.directory.Digest()
@@ -240,10 +278,12 @@
 	if n.fetching == 0 {
 		return
 	}
+	asked := n.fetching
 	n.fetching = 0
-	if n.exchange.Fetched(now, state) && n.directory.Ready() {
-		n.execute(n.part.Install(now, n.directory.Snapshot()))
-	}
+	changed := n.exchange.Fetched(now, state)
+	n.spread.Took(asked, state)
+	n.part.Confirm(n.spread.Confirmed())
+	n.installIf(now, changed)
 }
 
 func (n *balancerNode) execute(effects []relay.Effect) {
--- a/bench/flownet/confirm.go
+++ b/bench/flownet/confirm.go
@@ -21,6 +21,10 @@
 	if n.confirmed > 0 && now-n.confirmed > n.confirming.Timeout {
 		n.confirmed = 0
 		n.confirmer.Failed()
+		n.questions = nil
+	}
+	if n.askWatcher(now) {
+		return
 	}
 	call, wanted := n.confirmer.Next(now)
 	if !wanted {
@@ -28,6 +32,7 @@
 	}
 	n.confirming = call
 	n.confirmed = now
+	n.world.ledger.called(call)
 	sent := storeCall{
 		listing: call.Listing, after: call.After, since: call.AfterRevision, wait: call.Wait, confirming: true,
 	}
@@ -47,6 +52,7 @@
 	switch {
 	case reply.failure != nil:
 		n.confirmer.Failed()
+		n.questions = nil
 	case n.confirming.Listing:
 		through, current := n.confirmer.Listed(reply.page)
 		n.currentThrough(now, through, current)
@@ -62,6 +68,7 @@
 
 func (n *balancerNode) currentThrough(now, through time.Duration, current bool) {
 	if current {
+		n.answerThrough(now, through)
 		n.execute(n.part.Current(now, through))
 	}
 }
--- a/bench/flownet/fault.go
+++ b/bench/flownet/fault.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/vanetiller/vanetiller/bench/simnet"
 	"github.com/vanetiller/vanetiller/internal/directory"
 )
 
@@ -39,6 +40,7 @@
 		{"store forgets history", time.Second, func(w *world) { w.store.compact() }},
 		{"balancer cut off", outage, func(w *world) { w.cutBalancer(outage) }},
 		{"store cut from a balancer", outage, func(w *world) { w.cutStore(outage) }},
+		{"store turns balancers away", outage, func(w *world) { w.turnAway(outage) }},
 	}
 }
 
@@ -189,6 +191,22 @@
 	}
 }
 
+// turnAway makes the store refuse half of the balancers while it serves the others.
+func (w *world) turnAway(lasts time.Duration) {
+	for _, each := range w.balancers {
+		if w.random.IntN(2) > 0 {
+			continue
+		}
+		each.refused = true
+		w.net.At(w.net.Now()+lasts, func() { each.refused = false })
+	}
+}
+
+// turnedAway reports whether the store refuses the calls of a node.
+func (w *world) turnedAway(node simnet.NodeID) bool {
+	return slices.ContainsFunc(w.balancers, func(each *balancerNode) bool { return each.id == node && each.refused })
+}
+
 // cutBalancer keeps a balancer from all daemons and the store; the fabric still
 // reaches it.
 func (w *world) cutBalancer(lasts time.Duration) {
--- a/bench/flownet/flownet_test.go
+++ b/bench/flownet/flownet_test.go
@@ -36,6 +36,30 @@
 		}
 	})
 
+	It("asks the store little in a large fleet, and no more often for having more balancers", func() {
+		chosen := options("large", 1)
+		chosen.Events = 0
+		calls := make(map[int]int)
+		for _, balancers := range []int{20, 60} {
+			chosen.Shape.Balancers = balancers
+			report := flownet.Run(chosen)
+			Expect(report.Broken()).To(BeZero(), fmt.Sprintf("%+v", report))
+			Expect(report.Served).To(BeNumerically(">", 0.999))
+			calls[balancers] = report.Calls["watch"] + report.Calls["poll"]
+		}
+		Expect(calls[60]).To(BeNumerically("<", 3*calls[20]/2))
+	})
+
+	It("asks the store little after a large fleet has lost power, and serves it soon", func() {
+		chosen := options("large", 2)
+		chosen.Events = 0
+		chosen.PowerLoss = true
+		report := flownet.Run(chosen)
+		Expect(report.Broken()).To(BeZero(), fmt.Sprintf("%+v", report))
+		Expect(report.Served).To(BeNumerically(">", 0.98))
+		Expect(report.Calls["watch"]+report.Calls["poll"]).To(BeNumerically("<", 4*60), fmt.Sprintf("%+v", report.Calls))
+	})
+
 	It("is the same for the same seed", func() {
 		Expect(flownet.Run(options("kolkata", 3))).To(Equal(flownet.Run(options("kolkata", 3))))
 	})
@@ -54,6 +78,7 @@
 		Entry("kolkata, steady hash", "kolkata", flownet.HashSteady),
 		Entry("kolkata, modulo hash", "kolkata", flownet.HashModulo),
 		Entry("sahel, modulo hash", "sahel", flownet.HashModulo),
+		Entry("large, steady hash", "large", flownet.HashSteady),
 	)
 
 	DescribeTable("loses next to nothing to planned work", func(shape string) {
@@ -72,7 +97,7 @@
 
 	DescribeTable("needs every part of the proof that nobody holds a flow", func(planted flownet.Planted) {
 		broken := 0
-		for seed := uint64(1); seed <= 12 && broken == 0; seed++ {
+		for seed := uint64(1); seed <= 24 && broken == 0; seed++ {
 			for _, shape := range flownet.Shapes() {
 				chosen := options(shape.Name, seed)
 				chosen.Planted = planted
@@ -129,6 +154,7 @@
 		Entry("an old configuration kept", flownet.PlantedOldConfiguration, func(r flownet.Report) int { return r.LateRoutes }),
 		Entry("unknown flows reset", flownet.PlantedResetUnknown, func(r flownet.Report) int { return r.ResetOpen }),
 		Entry("packets of other endpoints taken", flownet.PlantedAnyOwner, func(r flownet.Report) int { return r.Misrouted }),
+		Entry("updates without changes", flownet.PlantedEmptyUpdates, func(r flownet.Report) int { return r.LateOpenings + r.LateRoutes }),
 		Entry("packets changed", flownet.PlantedAltered, func(r flownet.Report) int { return r.Forged }),
 	)
 })
--- a/bench/flownet/ledger.go
+++ b/bench/flownet/ledger.go
@@ -71,11 +71,42 @@
 	decisions      map[string]int
 	causes         map[string]int
 	windows        map[int]*Window
+	// calls counts calls of the store by kind, and updates and updateBytes what balancers
+	// tell each other.
+	calls       map[string]int
+	updates     int
+	updateBytes int
+}
+
+// The kinds of calls of the store.
+const (
+	callListing = "listing"
+	callWatch   = "watch"
+	callPoll    = "poll"
+)
+
+// called counts a call of the store.
+func (l *ledger) called(call directory.Call) {
+	kind := callWatch
+	switch {
+	case call.Listing:
+		kind = callListing
+	case call.Wait < time.Second/10:
+		kind = callPoll
+	}
+	l.calls[kind]++
+}
+
+// told counts an update that a balancer sends to another.
+func (l *ledger) told(bytes int) {
+	l.updates++
+	l.updateBytes += bytes
 }
 
 func newLedger(w *world) *ledger {
 	return &ledger{
 		world:     w,
+		calls:     make(map[string]int),
 		requests:  make(map[uint64]*request),
 		open:      make(map[segment.FlowKey]*openFlow),
 		leaving:   make(map[directory.EndpointID]time.Duration),
--- a/bench/flownet/planted.go
+++ b/bench/flownet/planted.go
@@ -31,6 +31,9 @@
 	PlantedUnconfirmed
 	// PlantedHastyDenial: restarted agents deny flows that they do not know.
 	PlantedHastyDenial
+	// PlantedEmptyUpdates: balancers tell each other that they know all changes, and not
+	// what has changed; nor do they show it in their digests, which would make up for that.
+	PlantedEmptyUpdates
 )
 
 // filter takes from the store's items what a planted fault hides.
--- a/bench/flownet/report.go
+++ b/bench/flownet/report.go
@@ -38,6 +38,11 @@
 	Lost      map[string]int `json:"lost"`
 	Decisions map[string]int `json:"decisions"`
 	Windows   []Window       `json:"windows"`
+	// Calls counts the calls of the store, by kind.
+	Calls map[string]int `json:"calls"`
+	// Updates and UpdateBytes count what balancers tell each other of the directory.
+	Updates     int `json:"updates"`
+	UpdateBytes int `json:"update_bytes"`
 }
 
 // Broken returns the number of broken promises.
@@ -52,7 +57,7 @@
 		Baseline: w.options.Baseline, WorstWindow: 1,
 		ResetOpen: l.resetOpen, Misrouted: l.misrouted, DoubleRuns: l.doubleRuns, LateOpenings: l.lateOpenings,
 		LateRoutes: l.lateRoutes, Forged: l.forgedPackets + l.forgedToClient, Mixed: l.mixed,
-		Lost: l.causes, Decisions: l.decisions,
+		Lost: l.causes, Decisions: l.decisions, Calls: l.calls, Updates: l.updates, UpdateBytes: l.updateBytes,
 	}
 	indices := make([]int, 0, len(l.windows))
 	for index := range l.windows {
--- a/bench/flownet/shape.go
+++ b/bench/flownet/shape.go
@@ -58,9 +58,10 @@
 // Shapes lists the shapes of the users.
 func Shapes() []Shape { return []Shape{casablanca(), kolkata(), sahel()} }
 
-// ShapeNamed returns the shape of that name. It fails for an unknown name.
+// ShapeNamed returns the shape of that name, one of the users' or "large". It fails for an
+// unknown name.
 func ShapeNamed(name string) (Shape, error) {
-	for _, shape := range Shapes() {
+	for _, shape := range append(Shapes(), large()) {
 		if shape.Name == name {
 			return shape, nil
 		}
@@ -160,6 +161,35 @@
 	}
 }
 
+// large has so many balancers that few of them watch the store, and so many endpoints that
+// a search for an owner takes an agent.
+func large() Shape {
+	return Shape{
+		Name:      "large",
+		Zones:     []string{"large-1", "large-2", "large-3", "large-4", "large-5"},
+		ZoneDelay: 900 * time.Microsecond,
+		Balancers: 60,
+		Services: []Service{
+			{Name: "transcription", Endpoints: 110, Slots: 2, Queue: 8},
+			{Name: "audio", Endpoints: 25, Slots: 2, Queue: 8},
+		},
+		Classes: []Class{
+			{
+				Name: "poll", Service: "transcription", Address: routeAddress(1), PerSecond: 290, Work: 55 * time.Millisecond,
+				Answer: 2, Target: 500 * time.Millisecond, Timeout: 4 * time.Second, Repeatable: true, Priority: 2,
+			},
+			{
+				Name: "submit", Service: "transcription", Address: routeAddress(2), PerSecond: 83, Work: 72 * time.Millisecond,
+				Answer: 1, Target: 600 * time.Millisecond, Timeout: 4 * time.Second, Priority: 1,
+			},
+			{
+				Name: "upload", Service: "audio", Address: routeAddress(4), PerSecond: 10, Work: 5 * time.Millisecond,
+				Pieces: 10, Pause: 300 * time.Millisecond, Answer: 1, Target: 6 * time.Second, Timeout: 12 * time.Second, Priority: 1,
+			},
+		},
+	}
+}
+
 // routes returns the routes at the start.
 func (s Shape) routes() []directory.Route {
 	var routes []directory.Route
--- a/bench/flownet/store.go
+++ b/bench/flownet/store.go
@@ -87,6 +87,10 @@
 func (s *store) Wake(time.Duration, uint32) {}
 
 func (s *store) answer(from simnet.NodeID, call storeCall) {
+	if s.world.turnedAway(from) {
+		s.reply(from, call, storeReply{failure: &directory.StoreError{Failure: directory.StoreUnavailable}})
+		return
+	}
 	switch s.state {
 	case storeSilent:
 		return
--- a/bench/flownet/world.go
+++ b/bench/flownet/world.go
@@ -33,6 +33,7 @@
 	call    *storeCall
 	reply   *storeReply
 	digest  *directory.Digest
+	update  *directory.Update
 	fetch   *directory.Digest
 	state   *directory.State
 }
@@ -56,7 +57,7 @@
 	agents    map[[4]byte]simnet.NodeID
 	// cutOff are the machines that no other daemon reaches.
 	cutOff   map[[4]byte]bool
-	machines byte
+	machines uint16
 	// disturbed is until when promises with a time bound do not hold.
 	disturbed time.Duration
 }
@@ -114,7 +115,7 @@
 // machine returns the address of a new machine.
 func (w *world) machine() [4]byte {
 	w.machines++
-	return [4]byte{10, 0, 0, w.machines}
+	return [4]byte{10, 0, byte(w.machines >> 8), byte(w.machines)}
 }
 
 func (w *world) zoneName(zone int) string { return w.options.Shape.Zones[zone] }
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// fetchInterval is the least time between two fetches.
-	fetchInterval = 250 * time.Millisecond
+	// fetchInterval is the least time between two fetches, startFetchInterval that of a
+	// process which knows nothing.
+	fetchInterval      = 250 * time.Millisecond
+	startFetchInterval = 50 * time.Millisecond
 	// startPatience is how long the store has to tell a process that has started,
 	// before it asks a peer for everything.
 	startPatience = 500 * time.Millisecond
@@ -32,9 +34,11 @@
 	// storeFailed is set once a call of the store has failed.
 	storeFailed bool
 	// fetched is set after the first successful fetch.
-	fetched  bool
-	behind   bool
-	since    time.Duration
+	fetched bool
+	behind  bool
+	since   time.Duration
+	// lacks is set if no other way is left to learn what informed knows.
+	lacks    bool
 	informed Peer
 	busy     bool
 	next     time.Duration
@@ -70,13 +74,27 @@
 	e.informed = from
 }
 
-// Any returns a peer, false if none is known.
+// Lacks tells that an update of a peer did not hold all that this process lacks.
+func (e *Exchange[Peer]) Lacks(now time.Duration, from Peer) {
+	if !e.behind {
+		e.behind = true
+		e.since = now
+	}
+	e.lacks = true
+	e.informed = from
+}
+
+// Any returns a peer or, if none is known, a seed; false if there are neither.
 func (e *Exchange[Peer]) Any() (Peer, bool) {
-	if len(e.peers) == 0 {
+	known := e.peers
+	if len(known) == 0 {
+		known = e.seeds
+	}
+	if len(known) == 0 {
 		var none Peer
 		return none, false
 	}
-	return e.peers[e.random.IntN(len(e.peers))], true
+	return known[e.random.IntN(len(known))], true
 }
 
 // Lost forgets a peer that has failed or left.
@@ -93,13 +111,20 @@
 	chosen, wanted = e.choose(now)
 	if wanted {
 		e.busy = true
-		e.next = now + fetchInterval
+		e.next = now + e.interval()
 	}
 	return chosen, wanted
 }
 
+func (e *Exchange[Peer]) interval() time.Duration {
+	if !e.machine.Ready() {
+		return startFetchInterval
+	}
+	return fetchInterval
+}
+
 func (e *Exchange[Peer]) choose(now time.Duration) (chosen Peer, wanted bool) {
-	if e.behind && (now-e.since >= e.timing.patience() || !e.machine.Ready()) {
+	if e.behind && (e.lacks || now-e.since >= e.timing.patience() || !e.machine.Ready()) {
 		return e.informed, true
 	}
 	known := slices.Concat(e.peers, e.seeds)
@@ -124,6 +149,7 @@
 func (e *Exchange[Peer]) Fetched(now time.Duration, state State) bool {
 	e.busy = false
 	e.behind = false
+	e.lacks = false
 	changed := e.machine.Adopt(now, state)
 	// A peer that has just been started itself may have had nothing to tell.
 	e.fetched = e.fetched || e.machine.Ready()
@@ -134,4 +160,5 @@
 func (e *Exchange[Peer]) FetchFailed() {
 	e.busy = false
 	e.behind = false
+	e.lacks = false
 }
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -9,11 +9,13 @@
 const (
 	// callTimeout is how long a listing, or a watch beyond its wait, may take.
 	callTimeout = 900 * time.Millisecond
-	// watchMargin is what a watch leaves of the time in which a change has to be
-	// in force.
+	// watchMargin is what a watch of a balancer that is alone leaves of the time in
+	// which a change has to be in force.
 	watchMargin = 500 * time.Millisecond
 	// shortestWatch bounds the wait of a watch from below.
 	shortestWatch = 500 * time.Millisecond
+	// pollWait is the wait of a watch that only asks what there is.
+	pollWait = time.Millisecond
 	// firstRetryDelay is the delay after a failed call. It doubles with each
 	// further failure up to longestRetryDelay.
 	firstRetryDelay   = 60 * time.Millisecond
@@ -29,21 +31,38 @@
 type Timing struct {
 	// ApplyTimeout is the time in which a change has to be in force.
 	ApplyTimeout time.Duration
+	// ListingDelay is how long a process that starts leaves it to others to tell it the
+	// directory, before it lists the store.
+	ListingDelay time.Duration
 }
 
-// watchWait is how long one watch waits for changes. An answer of any kind
-// confirms the directory, so it also bounds how old a confirmation is and how
-// long a call that hangs goes unnoticed.
-func (t Timing) watchWait() time.Duration { return max(t.ApplyTimeout-watchMargin, shortestWatch) }
+// watchWait is how long one watch waits for changes. An answer of any kind confirms the
+// directory for all balancers, so it also bounds how often they hear that.
+func (t Timing) watchWait() time.Duration { return max(t.ApplyTimeout*2/5, shortestWatch) }
+
+// lonelyWait is how long a watch waits that confirms the directory for nobody else. It
+// bounds how long a call that hangs goes unnoticed.
+func (t Timing) lonelyWait() time.Duration { return max(t.ApplyTimeout-watchMargin, shortestWatch) }
+
+// pollPatience is how old the directory of a balancer that does not watch the store may
+// be before it asks the store itself, and pollSpread the time in which all that have
+// waited so long do. With a call that is not answered and another, they add up to less
+// than ApplyTimeout.
+func (t Timing) pollPatience() time.Duration { return t.ApplyTimeout / 2 }
+func (t Timing) pollSpread() time.Duration   { return t.ApplyTimeout / 6 }
+
+// pollRetry is how long such a balancer waits after a call that failed. Hundreds do so
+// while the store is away.
+func (t Timing) pollRetry() time.Duration { return t.ApplyTimeout / 6 }
 
 // changeInterval is the time between two watches while changes go on and on.
 func (t Timing) changeInterval() time.Duration { return t.ApplyTimeout / 5 }
 
-// patience is how long a process that is behind waits for the store to tell it,
-// before it asks a peer. It is longer than the time between watches.
+// patience is how long a process that is behind waits for others to tell it, before it
+// asks a peer. It is longer than the time between watches.
 func (t Timing) patience() time.Duration { return t.ApplyTimeout / 3 }
 
-// Call is the next call of the store.
+// Call is a call of the store.
 type Call struct {
 	// Listing is set for a page of a listing, otherwise the call is a watch.
 	Listing bool
@@ -53,88 +72,95 @@
 	// long.
 	AfterRevision Revision
 	Wait          time.Duration
-	// Delay is the time to wait before the call.
-	Delay time.Duration
 	// Timeout bounds the call.
 	Timeout time.Duration
 }
 
-// Follower decides which calls keep a directory current: a listing, page by
-// page, and then watches from the revision at which the listing began, since
-// the pages are no snapshot. It is deterministic.
+// Duty tells whether a process watches the store, or else when it asks it.
+type Duty interface {
+	Watching() bool
+	Alone() bool
+	PollAt() time.Duration
+}
+
+// Follower decides which calls keep a directory current: a listing, page by page, if
+// nobody else has told it, and then watches from the revision at which the listing
+// began, since the pages are no snapshot. It is deterministic.
 type Follower struct {
-	machine  *Machine
-	timing   Timing
-	begun    Revision
-	items    []Item
-	next     string
-	watching bool
+	machine *Machine
+	timing  Timing
+	duty    Duty
+	begun   Revision
+	items   []Item
+	next    string
+	// relist is set if a listing is needed though the directory is known.
+	relist   bool
 	failures int
-	// spacing is the time to leave after changes, so that all balancers together
-	// keep to the store's rate; changed is set if the last answer had some.
-	spacing time.Duration
-	changed bool
-	// changes bounds how often answers with changes are asked for, and owed is
-	// how long the next watch waits for that.
+	// started is when the first call was considered.
+	started    time.Duration
+	hasStarted bool
+	// earliest is when the next call may be made.
+	earliest time.Duration
+	// changes bounds how often answers with changes are asked for.
 	changes pacer
-	owed    time.Duration
+	// spacing is the least time between two of them, so that all balancers together keep
+	// to the store's rate.
+	spacing time.Duration
 }
 
 // NewFollower returns a follower that keeps the machine current.
-func NewFollower(machine *Machine, timing Timing) *Follower {
-	changes := pacer{interval: timing.changeInterval(), tokens: changeBurst}
-	return &Follower{machine: machine, timing: timing, changes: changes}
+func NewFollower(machine *Machine, timing Timing, duty Duty) *Follower {
+	// All that start together have one answer each at first.
+	changes := pacer{interval: timing.changeInterval(), tokens: 1}
+	return &Follower{machine: machine, timing: timing, duty: duty, changes: changes}
 }
 
 // rateShare is the part of the store's rate that watches may take while changes
 // come in quick succession.
 const rateShare = 0.5
 
-// Share tells how many balancers watch the store, which answers rate calls a
+// Share tells how many balancers may call the store, which answers rate calls a
 // second of all of them together.
 func (f *Follower) Share(balancers int, rate float64) {
 	f.spacing = secondsOf(float64(balancers) / (rate * rateShare))
 }
 
-// Next returns the next call; random, from 0 to below 1, spreads the calls of
-// many processes.
-func (f *Follower) Next(random float64) Call {
-	delay := f.delay(random)
-	if !f.watching {
-		return Call{Listing: true, After: f.next, Delay: delay, Timeout: callTimeout}
+// Next returns the next call and when to make it. Whoever waits for that asks again once
+// the directory or the duty has changed.
+func (f *Follower) Next(now time.Duration) (Call, time.Duration) {
+	if !f.hasStarted {
+		f.hasStarted = true
+		f.started = now
 	}
-	return Call{
-		AfterRevision: f.machine.Complete(),
-		Wait:          f.timing.watchWait(),
-		Delay:         delay,
-		Timeout:       f.timing.watchWait() + callTimeout,
+	if f.machine.Complete() == 0 {
+		return f.page(), max(f.earliest, f.started+f.timing.ListingDelay)
 	}
-}
-
-func (f *Follower) delay(random float64) time.Duration {
-	if f.failures == 0 {
-		return f.spacingAfterChanges(random)
+	if f.relist {
+		return f.page(), f.earliest
 	}
-	delay := firstRetryDelay
-	for range f.failures - 1 {
-		delay = min(2*delay, longestRetryDelay)
+	f.next = ""
+	f.items = nil
+	if f.duty.Watching() {
+		return f.watch(), f.earliest
 	}
-	return delay - time.Duration(random*float64(delay)/2)
+	poll := Call{AfterRevision: f.machine.Complete(), Wait: pollWait, Timeout: pollWait + callTimeout}
+	return poll, max(f.earliest, f.duty.PollAt())
 }
 
-// spacingAfterChanges keeps a burst of changes from being told to each balancer
-// one by one; an answer carries all that have come meanwhile.
-func (f *Follower) spacingAfterChanges(random float64) time.Duration {
-	if !f.changed {
-		return 0
+func (f *Follower) page() Call { return Call{Listing: true, After: f.next, Timeout: callTimeout} }
+
+func (f *Follower) watch() Call {
+	wait := f.timing.watchWait()
+	if f.duty.Alone() {
+		wait = f.timing.lonelyWait()
 	}
-	return max(f.owed, f.spacing/2+time.Duration(random*float64(f.spacing)))
+	return Call{AfterRevision: f.machine.Complete(), Wait: wait, Timeout: wait + callTimeout}
 }
 
 // Listed handles a page of a listing. It reports whether the snapshot changed.
 func (f *Follower) Listed(now time.Duration, page Page) bool {
 	f.failures = 0
-	f.changed = false
+	f.earliest = 0
 	if f.next == "" {
 		f.begun = page.At
 		f.items = f.items[:0]
@@ -145,45 +171,55 @@
 		return false
 	}
 	f.next = ""
-	f.watching = true
+	f.relist = false
 	changed := f.machine.Listing(now, f.items, f.begun)
 	f.items = nil
 	return changed
 }
 
-// Watched handles the answer to a watch. It reports whether the snapshot
-// changed.
-func (f *Follower) Watched(now time.Duration, changes Changes) bool {
+// Watched handles the answer to a watch; random, from 0 to below 1, spreads the calls of
+// many processes. It reports whether the snapshot changed.
+func (f *Follower) Watched(now time.Duration, changes Changes, random float64) bool {
 	f.failures = 0
-	f.changed = len(changes.Items) > 0
-	if f.changed {
-		f.owed = f.changes.spend(now)
+	f.earliest = 0
+	if len(changes.Items) > 0 {
+		spacing := f.spacing/2 + time.Duration(random*float64(f.spacing))
+		f.earliest = now + max(f.changes.spend(now), spacing)
 	}
 	return f.machine.Changes(now, changes.Items, changes.Through)
 }
 
 // Failed handles a failed call. Lost history takes a new listing.
-func (f *Follower) Failed(err error) {
+func (f *Follower) Failed(now time.Duration, err error, random float64) {
 	var failed *StoreError
 	if errors.As(err, &failed) && failed.Failure == StoreCompacted {
 		f.Relist()
 		return
 	}
 	f.failures++
+	delay, longest := firstRetryDelay, longestRetryDelay
+	if f.machine.Complete() > 0 && !f.duty.Watching() {
+		delay, longest = f.timing.pollRetry(), 2*f.timing.pollRetry()
+	}
+	for range f.failures - 1 {
+		delay = min(2*delay, longest)
+	}
+	f.earliest = now + delay - time.Duration(random*float64(delay)/2)
 }
 
 // Relist makes the next call a new listing, as when the store is reached under
 // another address.
 func (f *Follower) Relist() {
-	f.watching = false
+	f.relist = true
 	f.next = ""
 	f.failures = 0
-	f.changed = false
+	f.earliest = 0
 }
 
-// Following reports whether the last call succeeded and the directory is
-// watched.
-func (f *Follower) Following() bool { return f.watching && f.failures == 0 }
+// Following reports whether the last call succeeded and the directory is known.
+func (f *Follower) Following() bool {
+	return f.machine.Complete() > 0 && !f.relist && f.failures == 0
+}
 
 // pacer is a token bucket that earns a token in each interval.
 type pacer struct {
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -27,9 +27,9 @@
 	endpoints     map[EndpointID]*held
 	// complete is the revision up to which all changes are known.
 	complete Revision
-	// adopted is the revision up to which another process knew all changes when
-	// it told what it knows.
-	adopted Revision
+	// floor is the revision from which on all changes are remembered: who knows less
+	// has to be told everything.
+	floor Revision
 	// former are the services that earlier configurations gave addresses.
 	former map[segment.Address][]string
 	// since is when the knowledge of endpoints that leave begins, never if it has
@@ -75,7 +75,7 @@
 // Ready reports whether there is a configuration and the endpoints are known,
 // from a listing or from another process.
 func (m *Machine) Ready() bool {
-	return m.configuration != nil && (m.complete > 0 || m.adopted > 0)
+	return m.configuration != nil && m.complete > 0
 }
 
 // Listing merges a full listing of the store that was begun at a revision:
@@ -88,14 +88,23 @@
 		listed[item.EndpointID] = true
 		changed = m.merge(now, item) || changed
 	}
+	changed = m.leaveUnless(now, listed, begun) || changed
+	changed = m.reachBack(now) || changed
+	m.floor = max(m.floor, begun)
+	return m.advance(now, begun, changed)
+}
+
+// leaveUnless notes that endpoints have gone which are not among those that were there
+// at a revision. It reports whether there are any.
+func (m *Machine) leaveUnless(now time.Duration, there map[EndpointID]bool, at Revision) bool {
+	left := false
 	for id, known := range m.endpoints {
-		if !known.gone && !listed[id] && known.revision <= begun {
-			known.leave(now, begun)
-			changed = true
+		if !known.gone && !there[id] && known.revision <= at {
+			known.leave(now, at)
+			left = true
 		}
 	}
-	changed = m.reachBack(now) || changed
-	return m.advance(now, begun, changed)
+	return left
 }
 
 // Changes merges all changes up to a revision, given that the machine knows all
@@ -210,6 +219,7 @@
 	forgotten := false
 	for id, known := range m.endpoints {
 		if known.gone && now-known.goneAt > Retention {
+			m.floor = max(m.floor, known.revision)
 			delete(m.endpoints, id)
 			forgotten = true
 		}
--- a/internal/directory/machine_test.go
+++ b/internal/directory/machine_test.go
@@ -208,39 +208,53 @@
 // timing is that of the tests.
 var timing = directory.Timing{ApplyTimeout: 3 * time.Second}
 
+// duty is a duty as a test wants it.
+type duty struct {
+	watching, alone bool
+	pollAt          time.Duration
+}
+
+func (d *duty) Watching() bool        { return d.watching }
+func (d *duty) Alone() bool           { return d.alone }
+func (d *duty) PollAt() time.Duration { return d.pollAt }
+
 var _ = Describe("Follower", func() {
 	var (
 		machine  *directory.Machine
 		follower *directory.Follower
+		given    *duty
 	)
 
 	BeforeEach(func() {
 		machine = directory.New()
-		follower = directory.NewFollower(machine, timing)
+		given = &duty{watching: true, alone: true}
+		follower = directory.NewFollower(machine, timing, given)
 	})
 
-	fail := func(reason directory.StoreFailure) { follower.Failed(&directory.StoreError{Failure: reason}) }
+	fail := func(reason directory.StoreFailure) { follower.Failed(0, &directory.StoreError{Failure: reason}, 0) }
+	next := func() directory.Call {
+		call, _ := follower.Next(0)
+		return call
+	}
+	delay := func(now time.Duration) time.Duration {
+		_, at := follower.Next(now)
+		return max(at-now, 0)
+	}
 
 	It("lists page by page, then watches from where the listing began", func() {
-		Expect(follower.Next(0)).To(HaveField("Listing", true))
+		Expect(next()).To(HaveField("Listing", true))
 		follower.Listed(0, directory.Page{Items: []directory.Item{endpointItem("a", 3, endpoint("s", false))}, Last: "a", More: true, At: 5})
-		next := follower.Next(0)
-		Expect(next.Listing).To(BeTrue())
-		Expect(next.After).To(Equal("a"))
+		Expect(next()).To(And(HaveField("Listing", true), HaveField("After", "a")))
 		follower.Listed(0, directory.Page{Items: []directory.Item{endpointItem("b", 9, endpoint("s", false))}, Last: "b", At: 9})
-		next = follower.Next(0)
-		Expect(next.Listing).To(BeFalse())
-		Expect(next.AfterRevision).To(Equal(directory.Revision(5)))
+		Expect(next()).To(And(HaveField("Listing", false), HaveField("AfterRevision", directory.Revision(5))))
 		Expect(machine.Snapshot().All()).To(HaveLen(2))
 	})
 
 	It("lists anew when history is lost, without delay, and finds what left in the gap", func() {
 		follower.Listed(0, directory.Page{Items: []directory.Item{endpointItem("a", 3, endpoint("s", false))}, At: 5})
 		fail(directory.StoreCompacted)
-		next := follower.Next(0)
-		Expect(next.Listing).To(BeTrue())
-		Expect(next.After).To(BeEmpty())
-		Expect(next.Delay).To(BeZero())
+		Expect(next()).To(And(HaveField("Listing", true), HaveField("After", "")))
+		Expect(delay(0)).To(BeZero())
 		follower.Listed(0, directory.Page{At: 9})
 		candidate, _ := machine.Snapshot().Candidate("a")
 		Expect(candidate.Leaving).To(BeTrue())
@@ -250,37 +264,37 @@
 		var delays []time.Duration
 		for range 6 {
 			fail(directory.StoreUnavailable)
-			delays = append(delays, follower.Next(0).Delay)
+			delays = append(delays, delay(0))
 		}
 		Expect(delays[0]).To(Equal(60 * time.Millisecond))
 		Expect(delays[5]).To(Equal(500 * time.Millisecond))
-		Expect(follower.Next(0.9).Delay).To(BeNumerically("<", delays[5]))
+		follower.Failed(0, &directory.StoreError{Failure: directory.StoreUnavailable}, 0.9)
+		Expect(delay(0)).To(BeNumerically("<", delays[5]))
 		follower.Listed(0, directory.Page{At: 1})
-		Expect(follower.Next(0).Delay).To(BeZero())
+		Expect(delay(0)).To(BeZero())
 	})
 
 	It("leaves time after changes by its share of the store's rate, and none without changes", func() {
 		follower.Share(1100, 2000)
 		follower.Listed(0, directory.Page{At: 5})
-		Expect(follower.Next(0.5).Delay).To(BeZero())
-		follower.Watched(0, directory.Changes{Items: []directory.Item{endpointItem("a", 6, endpoint("s", false))}, Through: 6})
-		Expect(follower.Next(0.5).Delay).To(Equal(1100 * time.Millisecond))
-		follower.Watched(0, directory.Changes{Through: 6})
-		Expect(follower.Next(0.5).Delay).To(BeZero())
+		Expect(delay(0)).To(BeZero())
+		follower.Watched(0, directory.Changes{Items: []directory.Item{endpointItem("a", 6, endpoint("s", false))}, Through: 6}, 0.5)
+		Expect(delay(0)).To(Equal(1100 * time.Millisecond))
+		follower.Watched(0, directory.Changes{Through: 6}, 0.5)
+		Expect(delay(0)).To(BeZero())
 		follower.Share(10, 2000)
-		follower.Watched(0, directory.Changes{Items: []directory.Item{endpointItem("a", 7, endpoint("s", true))}, Through: 7})
-		Expect(follower.Next(0.5).Delay).To(Equal(10 * time.Millisecond))
+		later := 10 * time.Second
+		follower.Watched(later, directory.Changes{Items: []directory.Item{endpointItem("a", 7, endpoint("s", true))}, Through: 7}, 0.5)
+		Expect(delay(later)).To(Equal(10 * time.Millisecond))
 	})
 
 	It("lets a watch that hangs be noticed soon after the time in which a change has to be in force", func() {
 		follower.Listed(0, directory.Page{At: 5})
-		Expect(follower.Next(0)).To(And(HaveField("Wait", 2500*time.Millisecond), HaveField("Timeout", 3400*time.Millisecond)))
-		patient := directory.NewFollower(machine, directory.Timing{ApplyTimeout: 5 * time.Second})
-		patient.Listed(0, directory.Page{At: 5})
-		Expect(patient.Next(0).Wait).To(Equal(4500 * time.Millisecond))
-		hasty := directory.NewFollower(machine, directory.Timing{ApplyTimeout: 100 * time.Millisecond})
-		hasty.Listed(0, directory.Page{At: 5})
-		Expect(hasty.Next(0).Wait).To(Equal(500 * time.Millisecond))
+		Expect(next()).To(And(HaveField("Wait", 2500*time.Millisecond), HaveField("Timeout", 3400*time.Millisecond)))
+		follower = directory.NewFollower(machine, directory.Timing{ApplyTimeout: 5 * time.Second}, given)
+		Expect(next().Wait).To(Equal(4500 * time.Millisecond))
+		follower = directory.NewFollower(machine, directory.Timing{ApplyTimeout: 100 * time.Millisecond}, given)
+		Expect(next().Wait).To(Equal(500 * time.Millisecond))
 	})
 
 	It("asks for a long burst of changes at a bounded rate, and for the next change after it at once", func() {
@@ -289,27 +303,57 @@
 		calls := 0
 		for revision := directory.Revision(6); now < 6*time.Second; revision++ {
 			item := endpointItem("a", revision, endpoint("s", revision%2 == 0))
-			follower.Watched(now, directory.Changes{Items: []directory.Item{item}, Through: revision})
-			delay := follower.Next(0).Delay
-			Expect(delay).To(BeNumerically("<=", 600*time.Millisecond), "news are late by no more")
-			now += max(delay, 5*time.Millisecond)
+			follower.Watched(now, directory.Changes{Items: []directory.Item{item}, Through: revision}, 0)
+			Expect(delay(now)).To(BeNumerically("<=", 600*time.Millisecond), "news are late by no more")
+			now += max(delay(now), 5*time.Millisecond)
 			calls++
 		}
 		Expect(calls).To(BeNumerically("<=", 13))
 		now += 3 * time.Second
-		follower.Watched(now, directory.Changes{Items: []directory.Item{endpointItem("a", 1000, endpoint("s", true))}, Through: 1000})
-		Expect(follower.Next(0).Delay).To(BeZero())
+		follower.Watched(now, directory.Changes{Items: []directory.Item{endpointItem("a", 1000, endpoint("s", true))}, Through: 1000}, 0)
+		Expect(delay(now)).To(BeZero())
+	})
+
+	It("watches for a shorter time if others depend on it, so that they hear often that nothing is new", func() {
+		follower.Listed(0, directory.Page{At: 5})
+		given.alone = false
+		Expect(next()).To(And(HaveField("Wait", 1200*time.Millisecond), HaveField("Timeout", 2100*time.Millisecond)))
+	})
+
+	It("asks only what there is, and when it has to, if others watch", func() {
+		follower.Listed(0, directory.Page{At: 5})
+		*given = duty{pollAt: 7 * time.Second}
+		call, at := follower.Next(time.Second)
+		Expect(at).To(Equal(7 * time.Second))
+		Expect(call).To(Equal(directory.Call{AfterRevision: 5, Wait: time.Millisecond, Timeout: 901 * time.Millisecond}))
+		follower.Failed(7*time.Second, &directory.StoreError{Failure: directory.StoreUnavailable}, 0)
+		Expect(delay(7 * time.Second)).To(Equal(500 * time.Millisecond))
+		follower.Failed(7*time.Second, &directory.StoreError{Failure: directory.StoreUnavailable}, 0)
+		Expect(delay(7 * time.Second)).To(Equal(time.Second))
+	})
+
+	It("leaves the first listing to others for a while, and drops its own once they have told", func() {
+		slow := timing
+		slow.ListingDelay = 200 * time.Millisecond
+		follower = directory.NewFollower(machine, slow, given)
+		Expect(delay(time.Second)).To(Equal(200 * time.Millisecond))
+		Expect(delay(1200 * time.Millisecond)).To(BeZero())
+		follower.Listed(1200*time.Millisecond, directory.Page{Last: "k", More: true, At: 5})
+		informed := directory.New()
+		informed.Listing(0, []directory.Item{configurationItem(1, 1)}, 6)
+		machine.Adopt(1300*time.Millisecond, informed.State(0))
+		Expect(next()).To(And(HaveField("Listing", false), HaveField("AfterRevision", directory.Revision(6))))
 	})
 
 	It("resumes a listing at the page that failed", func() {
 		follower.Listed(0, directory.Page{Last: "k", More: true, At: 5})
 		fail(directory.StoreThrottled)
-		Expect(follower.Next(0).After).To(Equal("k"))
+		Expect(next().After).To(Equal("k"))
 	})
 
 	It("does not page forever if the store does not advance", func() {
 		follower.Listed(0, directory.Page{Last: "k", More: true, At: 5})
 		follower.Listed(0, directory.Page{Last: "k", More: true, At: 5})
-		Expect(follower.Next(0).Listing).To(BeFalse())
+		Expect(next().Listing).To(BeFalse())
 	})
 })
--- /dev/null
+++ b/internal/directory/spread.go
@@ -0,0 +1,382 @@
+package directory
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// subscription is how long a process that has asked is told of changes: by then it
+	// is known to the membership.
+	subscription = 5 * time.Second
+	// subscriberLimit bounds those that are told, and sourceLimit the processes that are
+	// named to others which start.
+	subscriberLimit = 256
+	sourceLimit     = 16
+	// toldOverlap is how many updates back an update reaches, so that one that is lost
+	// costs nothing.
+	toldOverlap = 2
+)
+
+// Member is a balancer that is running, as far as is known.
+type Member struct {
+	Peer Peer
+	Zone int
+}
+
+// rank orders members by highest random weight (rendezvous hashing: Thaler and
+// Ravishankar, 1998): each process computes the same order, and few places in it change
+// when a member comes or goes.
+func (m Member) rank() uint64 {
+	var encoded [8]byte
+	for index := range encoded {
+		encoded[index] = byte(m.Peer >> (8 * index))
+	}
+	return xxhash.Sum64(encoded[:])
+}
+
+func compareRanks(a, b Member) int {
+	return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.Peer, b.Peer))
+}
+
+// Outgoing is an update for another balancer.
+type Outgoing struct {
+	To     Peer
+	Update Update
+}
+
+// Spread decides which balancers ask the store and what they tell each other. A few
+// watch it; each tells the balancers of its own zone, and one of every other zone, which
+// tells its own. Whoever has not heard for too long that its directory is current asks
+// the store itself and tells the others, those of low rank first: there is no election,
+// and nobody depends on a watcher. It is deterministic.
+type Spread struct {
+	machine *Machine
+	timing  Timing
+	random  *rand.Rand
+	self    Member
+	seeds   []Peer
+	// alone is set while no other balancer is known to run.
+	alone    bool
+	watching bool
+	// heads are the first of each zone, without this process, and neighbours the others
+	// of its own zone; place is its own among those of its zone, and head is set if it is
+	// the first.
+	heads      []Peer
+	neighbours []Peer
+	watchers   []Peer
+	place      float64
+	head       bool
+	// asked is set once this process has listed the store itself.
+	asked bool
+	// confirmed is the latest time for which the directory is known to be current.
+	confirmed time.Duration
+	// told are the revisions up to which others were told, the latest last, and toldAt is
+	// when that was.
+	told        []Revision
+	toldAt      time.Duration
+	subscribers map[Peer]time.Duration
+	// sources are processes that have lately had a directory.
+	sources []Peer
+	// introduced is set once a seed has shown that it has a directory, so that others
+	// which start are told of one.
+	introduced bool
+}
+
+// NewSpread returns the spread of what a machine knows, for a process which asks the
+// seeds at its start.
+func NewSpread(machine *Machine, timing Timing, self Member, seeds []Peer, random *rand.Rand) *Spread {
+	return &Spread{
+		machine: machine, timing: timing, random: random, self: self, seeds: seeds, alone: true,
+		confirmed: math.MinInt64 / 2, subscribers: make(map[Peer]time.Duration),
+	}
+}
+
+// SetSeeds replaces the seeds.
+func (s *Spread) SetSeeds(seeds []Peer) { s.seeds = seeds }
+
+// SetMembers tells which balancers run, as far as is known, this process included. One that
+// knows few of them takes itself for a watcher more often.
+func (s *Spread) SetMembers(members []Member) {
+	ordered := slices.Clone(members)
+	slices.SortFunc(ordered, compareRanks)
+	heads := firstOfZones(ordered)
+	s.alone = len(ordered) < 2
+	s.heads, s.neighbours = nil, nil
+	s.place, s.head = 0, false
+	before := 0
+	for _, member := range ordered {
+		switch {
+		case member == s.self:
+			s.place = float64(before)
+		case member.Zone == s.self.Zone:
+			before++
+			s.neighbours = append(s.neighbours, member.Peer)
+		}
+	}
+	s.place /= float64(max(len(s.neighbours), 1))
+	for _, head := range heads {
+		switch {
+		case head == s.self:
+			s.head = true
+		case head.Zone != s.self.Zone:
+			s.heads = append(s.heads, head.Peer)
+		}
+	}
+	s.chooseWatchers(ordered, heads)
+}
+
+// firstOfZones returns the first member of each zone.
+func firstOfZones(ordered []Member) []Member {
+	var heads []Member
+	for _, member := range ordered {
+		known := slices.ContainsFunc(heads, func(head Member) bool { return head.Zone == member.Zone })
+		if !known {
+			heads = append(heads, member)
+		}
+	}
+	return heads
+}
+
+// chooseWatchers takes the first of zones and then others, so that a zone that is cut off
+// takes one of them at the most.
+func (s *Spread) chooseWatchers(ordered, heads []Member) {
+	others := slices.DeleteFunc(slices.Clone(ordered), func(member Member) bool { return slices.Contains(heads, member) })
+	s.watchers, s.watching = nil, false
+	for _, member := range slices.Concat(heads, others)[:min(watchersAmong(len(ordered)), len(ordered))] {
+		if member == s.self {
+			s.watching = true
+			continue
+		}
+		s.watchers = append(s.watchers, member.Peer)
+	}
+}
+
+// watchersAmong returns how many of a number of balancers watch the store: 2 of 4, 3 of
+// 100, 4 of 1,000.
+func watchersAmong(members int) int {
+	return 1 + int(math.Ceil(math.Log10(float64(max(members, 2)))))
+}
+
+// Watching reports whether this process watches the store. While it knows no other
+// balancer it does so if it has listed the store itself or nobody has told it anything.
+func (s *Spread) Watching() bool {
+	if s.alone {
+		return s.asked || len(s.sources) == 0
+	}
+	return s.watching
+}
+
+// Alone reports whether no other balancer is known to run.
+func (s *Spread) Alone() bool { return s.alone }
+
+// PollAt returns when this process asks the store even if it does not watch it.
+func (s *Spread) PollAt() time.Duration {
+	return s.confirmed + s.timing.pollPatience() + time.Duration(s.place*float64(s.timing.pollSpread()))
+}
+
+// Confirmed returns the latest time for which the directory is known to be current.
+func (s *Spread) Confirmed() time.Duration { return s.confirmed }
+
+// Asker returns a watcher which can confirm the directory, false if that is this process
+// or none is known.
+func (s *Spread) Asker() (Peer, bool) {
+	if s.Watching() || len(s.watchers) == 0 {
+		return 0, false
+	}
+	return s.watchers[s.random.IntN(len(s.watchers))], true
+}
+
+// Question returns what a process that has been started sends a seed: until it knows the
+// directory and the seed does too.
+func (s *Spread) Question(now time.Duration) (Outgoing, bool) {
+	if len(s.seeds) == 0 || s.introduced && s.machine.Ready() {
+		return Outgoing{}, false
+	}
+	return Outgoing{To: s.seeds[s.random.IntN(len(s.seeds))], Update: Update{Asks: true, State: s.Announced(now)}}, true
+}
+
+// Listed notes that this process has listed the store itself.
+func (s *Spread) Listed() { s.asked = true }
+
+// Answered handles that the store has answered, so that the directory is current as of
+// now, and returns what to tell others.
+func (s *Spread) Answered(now time.Duration) []Outgoing {
+	s.confirmed = max(s.confirmed, now)
+	return s.tell(now, slices.Concat(s.neighbours, s.heads), 0)
+}
+
+// Receive handles an update of another balancer. It reports whether the snapshot
+// changed, and whether it lacks what the other knows.
+func (s *Spread) Receive(now time.Duration, from Peer, update Update) (changed, lacks bool, answers []Outgoing) {
+	before := s.machine.Digest()
+	if update.Asks {
+		s.subscribe(now, from)
+	}
+	changed = s.machine.Adopt(now, update.State)
+	digest := Digest{update.State.Version, update.State.Complete}
+	lacks = digest.ahead(s.machine.Digest()) || update.Source != 0 && !s.machine.Ready()
+	if digest.Complete > 0 || update.Source != 0 {
+		s.noteSource(update.SourceOf(from))
+		s.introduced = s.introduced || slices.Contains(s.seeds, from)
+	}
+	if update.State.Confirmed && !lacks {
+		s.confirmed = max(s.confirmed, now-max(update.State.Age, 0))
+	}
+	if update.Asks && !update.Confirms {
+		answers = s.answer(now, from, update)
+	}
+	if !lacks && !update.Asks && s.passesOn(now, from, before) {
+		answers = append(answers, s.tell(now, s.neighbours, from)...)
+	}
+	return changed, lacks, answers
+}
+
+// SourceOf returns who can be asked for what an update shows.
+func (u Update) SourceOf(sender Peer) Peer {
+	if u.Source != 0 {
+		return u.Source
+	}
+	return sender
+}
+
+// passesOn reports whether this process tells its zone what another zone has told it.
+func (s *Spread) passesOn(now time.Duration, from Peer, before Digest) bool {
+	if !s.head || slices.Contains(s.neighbours, from) {
+		return false
+	}
+	return s.machine.Digest().ahead(before) || now-s.toldAt >= s.timing.watchWait()/2
+}
+
+// answer tells another process what it does not know, or who can tell it.
+func (s *Spread) answer(now time.Duration, to Peer, question Update) []Outgoing {
+	known := question.State.Complete
+	if s.machine.Ready() && known > 0 {
+		return s.address(s.updates(now, known), []Peer{to})
+	}
+	others := slices.DeleteFunc(slices.Clone(s.sources), func(source Peer) bool { return source == to })
+	if s.machine.Ready() {
+		others = append(others, s.self.Peer)
+	}
+	if len(others) == 0 {
+		return nil
+	}
+	return []Outgoing{{
+		To: to, Update: Update{State: s.Announced(now), Source: others[s.random.IntN(len(others))]},
+	}}
+}
+
+// Answer returns what to tell a process that wanted the store to be asked, which has
+// confirmed the directory as of a time.
+func (s *Spread) Answer(now time.Duration, to Peer, question Update) []Outgoing {
+	answers := s.address(s.updates(now, question.State.Complete), []Peer{to})
+	last := &answers[len(answers)-1].Update
+	last.Confirms, last.Number = true, question.Number
+	return answers
+}
+
+// Took notes that this process has adopted a state which it asked for at a time.
+func (s *Spread) Took(asked time.Duration, state State) {
+	behind := Digest{state.Version, state.Complete}.ahead(s.machine.Digest())
+	if state.Confirmed && !behind {
+		s.confirmed = max(s.confirmed, asked-max(state.Age, 0))
+	}
+}
+
+// Fetched notes that another process has been given the directory.
+func (s *Spread) Fetched(now time.Duration, by Peer) { s.subscribe(now, by) }
+
+func (s *Spread) subscribe(now time.Duration, peer Peer) {
+	if _, exists := s.subscribers[peer]; exists || len(s.subscribers) < subscriberLimit {
+		s.subscribers[peer] = now
+	}
+}
+
+func (s *Spread) noteSource(peer Peer) {
+	if peer == s.self.Peer || slices.Contains(s.sources, peer) {
+		return
+	}
+	s.sources = append(s.sources, peer)
+	s.sources = s.sources[max(len(s.sources)-sourceLimit, 0):]
+}
+
+// Lost forgets a process that has failed.
+func (s *Spread) Lost(peer Peer) {
+	s.sources = slices.DeleteFunc(s.sources, func(source Peer) bool { return source == peer })
+	delete(s.subscribers, peer)
+}
+
+// tell returns what others are told, except for one: all changes since they were told
+// before.
+func (s *Spread) tell(now time.Duration, to []Peer, except Peer) []Outgoing {
+	if !s.machine.Ready() {
+		return nil
+	}
+	receivers := slices.DeleteFunc(slices.Clone(to), func(peer Peer) bool { return peer == except })
+	receivers = append(receivers, s.subscribed(now, receivers, except)...)
+	base := s.machine.Complete()
+	if len(s.told) > 0 {
+		base = s.told[0]
+	}
+	s.told = append(s.told, s.machine.Complete())
+	s.told = s.told[max(len(s.told)-toldOverlap, 0):]
+	s.toldAt = now
+	return s.address(s.updates(now, base), receivers)
+}
+
+// subscribed returns those that have asked lately and are not among others, in order.
+func (s *Spread) subscribed(now time.Duration, others []Peer, except Peer) []Peer {
+	var peers []Peer
+	for peer, since := range s.subscribers {
+		if now-since > subscription {
+			delete(s.subscribers, peer)
+			continue
+		}
+		if peer != except && !slices.Contains(others, peer) {
+			peers = append(peers, peer)
+		}
+	}
+	slices.Sort(peers)
+	return peers
+}
+
+// Announced returns how much is known, and of when that is.
+func (s *Spread) Announced(now time.Duration) State {
+	state := s.machine.stateFrom(s.machine.Complete())
+	state.Whole = false
+	return s.aged(now, state)
+}
+
+// aged completes a state with the time for which the directory is current.
+func (s *Spread) aged(now time.Duration, state State) State {
+	state.Age = now - s.confirmed
+	state.Confirmed = state.Age <= Retention
+	if !state.Confirmed {
+		state.Age = 0
+	}
+	return state
+}
+
+// State returns what is known beyond a digest, with its age.
+func (s *Spread) State(now time.Duration, known Digest) State {
+	return s.aged(now, s.machine.StateAfter(now, known))
+}
+
+func (s *Spread) updates(now time.Duration, known Revision) []Update {
+	return updatesOf(s.aged(now, s.machine.ChangesAfter(now, known)))
+}
+
+func (s *Spread) address(updates []Update, to []Peer) []Outgoing {
+	outgoing := make([]Outgoing, 0, len(updates)*len(to))
+	for _, peer := range to {
+		for _, update := range updates {
+			outgoing = append(outgoing, Outgoing{To: peer, Update: update})
+		}
+	}
+	return outgoing
+}
--- /dev/null
+++ b/internal/directory/spread_test.go
@@ -0,0 +1,333 @@
+package directory_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+)
+
+const millisecond = time.Millisecond
+
+// fleetOf returns a number of members in some zones.
+func fleetOf(count, zones int) []directory.Member {
+	members := make([]directory.Member, count)
+	for index := range members {
+		members[index] = directory.Member{Peer: directory.Peer(index + 1), Zone: index % zones}
+	}
+	return members
+}
+
+// participant is one balancer of a fleet.
+type participant struct {
+	machine *directory.Machine
+	spread  *directory.Spread
+}
+
+func newParticipant(self directory.Member, seeds ...directory.Peer) *participant {
+	machine := directory.New()
+	random := rand.New(rand.NewPCG(uint64(self.Peer), 1))
+	return &participant{machine, directory.NewSpread(machine, timing, self, seeds, random)}
+}
+
+// list makes the participant list the store itself.
+func (p *participant) list(now time.Duration, revision directory.Revision, items ...directory.Item) []directory.Outgoing {
+	p.machine.Listing(now, append(items, configurationItem(1, 1)), revision)
+	p.spread.Listed()
+	return p.spread.Answered(now)
+}
+
+// announcing returns endpoints that are announced one after the other.
+func announcing(first directory.Revision, count int) []directory.Item {
+	var items []directory.Item
+	for index := range count {
+		value := endpoint("service", false)
+		value.IP = [4]byte{10, 0, byte(index >> 8), byte(index)}
+		items = append(items, endpointItem(fmt.Sprintf("endpoint-%03d", index), first+directory.Revision(index), value))
+	}
+	return items
+}
+
+func receiversOf(outgoing []directory.Outgoing) map[directory.Peer]int {
+	receivers := make(map[directory.Peer]int)
+	for _, each := range outgoing {
+		receivers[each.To]++
+	}
+	return receivers
+}
+
+var _ = Describe("Spread", func() {
+	// fleet returns participants that know each other and the store at revision 5.
+	fleet := func(count, zones int) map[directory.Peer]*participant {
+		members := fleetOf(count, zones)
+		all := make(map[directory.Peer]*participant)
+		for _, member := range members {
+			created := newParticipant(member)
+			created.list(0, 5)
+			created.spread.SetMembers(members)
+			all[member.Peer] = created
+		}
+		return all
+	}
+	watching := func(all map[directory.Peer]*participant) []directory.Peer {
+		var peers []directory.Peer
+		for peer := range directory.Peer(len(all)) {
+			if all[peer+1].spread.Watching() {
+				peers = append(peers, peer+1)
+			}
+		}
+		return peers
+	}
+
+	DescribeTable("lets few watch, the same in the eyes of all", func(members, zones, expected int) {
+		all := fleet(members, zones)
+		Expect(watching(all)).To(HaveLen(expected))
+		watchedZones := make(map[directory.Peer]bool)
+		for _, peer := range watching(all) {
+			watchedZones[(peer-1)%directory.Peer(zones)] = true
+		}
+		Expect(watchedZones).To(HaveLen(min(expected, zones)))
+	},
+		Entry("of 1", 1, 1, 1),
+		Entry("of 2", 2, 1, 2),
+		Entry("of 6", 6, 3, 2),
+		Entry("of 91", 91, 5, 3),
+		Entry("of 1,000", 1000, 11, 4),
+	)
+
+	It("replaces a watcher that has failed by one, and leaves the others", func() {
+		all := fleet(91, 5)
+		before := watching(all)
+		members := fleetOf(91, 5)
+		left := append(members[:before[0]-1:before[0]-1], members[before[0]:]...)
+		for _, each := range all {
+			each.spread.SetMembers(left)
+		}
+		after := watching(all)
+		Expect(after).To(ContainElements(before[1:]))
+	})
+
+	It("watches while it knows nobody, unless others have told it the directory", func() {
+		alone, told, listed := newParticipant(directory.Member{Peer: 1}), newParticipant(directory.Member{Peer: 2}), newParticipant(directory.Member{Peer: 3})
+		listed.list(0, 5)
+		for _, each := range []*participant{told, listed} {
+			each.spread.Receive(0, 4, directory.Update{State: listed.spread.Announced(0)})
+		}
+		Expect(alone.spread.Watching()).To(BeTrue())
+		Expect(told.spread.Watching()).To(BeFalse())
+		Expect(listed.spread.Watching()).To(BeTrue())
+	})
+
+	It("makes balancers that hear nothing ask one after the other, the last in time", func() {
+		all := fleet(20, 1)
+		polls := make(map[time.Duration]bool)
+		for _, each := range all {
+			at := each.spread.PollAt()
+			Expect(at).To(BeNumerically(">=", timing.ApplyTimeout/2))
+			Expect(at).To(BeNumerically("<=", timing.ApplyTimeout*2/3))
+			polls[at] = true
+		}
+		Expect(polls).To(HaveLen(20))
+	})
+
+	It("tells its own zone and one balancer of every other, which tells its zone", func() {
+		all := fleet(30, 3)
+		teller := watching(all)[0]
+		all[teller].machine.Changes(time.Second, announcing(6, 2), 7)
+		reached := map[directory.Peer]bool{teller: true}
+		sent := all[teller].spread.Answered(time.Second)
+		Expect(receiversOf(sent)).To(HaveLen(9 + 2))
+		for len(sent) > 0 {
+			each := sent[0]
+			sent = sent[1:]
+			reached[each.To] = true
+			changed, lacks, further := all[each.To].spread.Receive(time.Second, teller, each.Update)
+			Expect(changed).To(BeTrue())
+			Expect(lacks).To(BeFalse())
+			sent = append(sent, further...)
+		}
+		Expect(reached).To(HaveLen(30))
+		for _, each := range all {
+			Expect(each.machine.Complete()).To(Equal(directory.Revision(7)))
+			Expect(each.machine.Snapshot().All()).To(HaveLen(2))
+			Expect(each.spread.Confirmed()).To(Equal(time.Second))
+		}
+	})
+
+	It("takes the age of what it is told into account", func() {
+		all := fleet(2, 1)
+		update := directory.Update{State: all[1].spread.Announced(700 * millisecond)}
+		_, lacks, _ := all[2].spread.Receive(time.Second, 1, update)
+		Expect(lacks).To(BeFalse())
+		Expect(all[2].spread.Confirmed()).To(Equal(300 * millisecond))
+	})
+
+	It("believes no confirmation of what it does not know", func() {
+		all := fleet(2, 1)
+		all[1].machine.Changes(time.Second, []directory.Item{configurationItem(2, 6)}, 6)
+		for _, each := range all[1].spread.Answered(time.Second) {
+			_, lacks, _ := all[2].spread.Receive(time.Second, 1, each.Update)
+			Expect(lacks).To(BeTrue(), "the configuration has to be fetched")
+		}
+		Expect(all[2].spread.Confirmed()).To(BeZero())
+		Expect(all[2].machine.Digest()).To(Equal(directory.Digest{Version: 1, Complete: 5}))
+		all[2].machine.Adopt(time.Second, all[1].spread.State(time.Second, all[2].machine.Digest()))
+		Expect(all[2].machine.Digest()).To(Equal(directory.Digest{Version: 2, Complete: 6}))
+	})
+
+	It("makes up for one update that was lost, and knows when it lacks more", func() {
+		all := fleet(2, 1)
+		tell := func(revision directory.Revision) []directory.Outgoing {
+			all[1].machine.Changes(time.Second, announcing(revision, 1), revision)
+			return all[1].spread.Answered(time.Second)
+		}
+		tell(6)
+		tell(7)
+		_, lacks, _ := all[2].spread.Receive(time.Second, 1, tell(8)[0].Update)
+		Expect(lacks).To(BeTrue())
+		all[2].machine.Adopt(time.Second, all[1].spread.State(time.Second, all[2].machine.Digest()))
+		tell(9)
+		_, lacks, _ = all[2].spread.Receive(time.Second, 1, tell(10)[0].Update)
+		Expect(lacks).To(BeFalse())
+		Expect(all[2].machine.Complete()).To(Equal(directory.Revision(10)))
+	})
+
+	It("divides many changes into datagrams, each of which can come alone, and announces too many", func() {
+		for _, count := range []int{1, 10, 30, 60, 300} {
+			all := fleet(2, 1)
+			all[1].machine.Changes(time.Second, announcing(6, count), directory.Revision(5+count))
+			parts := all[1].spread.Answered(time.Second)
+			lacking := false
+			for _, part := range parts {
+				encoded, err := part.Update.MarshalMsg(nil)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(len(encoded)).To(BeNumerically("<=", directory.MaximumUpdate))
+				before := len(all[2].machine.Snapshot().All())
+				_, lacks, _ := all[2].spread.Receive(time.Second, 1, part.Update)
+				Expect(len(all[2].machine.Snapshot().All())).To(Equal(before + len(part.Update.State.Endpoints)))
+				lacking = lacks
+			}
+			if count < 300 {
+				Expect(lacking).To(BeFalse())
+				Expect(all[2].machine.Snapshot().All()).To(HaveLen(count))
+			} else {
+				Expect(parts).To(HaveLen(1))
+				Expect(lacking).To(BeTrue())
+			}
+		}
+	})
+
+	It("has a process that starts told by a seed who knows the directory, though the seed does not", func() {
+		seed := newParticipant(directory.Member{Peer: 1})
+		fast := newParticipant(directory.Member{Peer: 2}, 1)
+		slow := newParticipant(directory.Member{Peer: 3}, 1)
+		ask := func(now time.Duration, asking *participant, from directory.Peer) (directory.Update, bool) {
+			question, exists := asking.spread.Question(now)
+			Expect(exists).To(BeTrue())
+			Expect(question.To).To(Equal(directory.Peer(1)))
+			_, _, answers := seed.spread.Receive(now, from, question.Update)
+			if len(answers) == 0 {
+				return directory.Update{}, false
+			}
+			Expect(answers).To(HaveLen(1))
+			Expect(answers[0].To).To(Equal(from))
+			return answers[0].Update, true
+		}
+		_, answered := ask(0, slow, 3)
+		Expect(answered).To(BeFalse(), "nobody knows")
+		fast.list(40*millisecond, 5)
+		ask(50*millisecond, fast, 2)
+		answer, answered := ask(50*millisecond, slow, 3)
+		Expect(answered).To(BeTrue())
+		_, lacks, _ := slow.spread.Receive(51*millisecond, 1, answer)
+		Expect(lacks).To(BeTrue())
+		Expect(answer.SourceOf(1)).To(Equal(directory.Peer(2)))
+	})
+
+	It("asks no seed any more once both know the directory", func() {
+		seed := newParticipant(directory.Member{Peer: 1})
+		seed.list(0, 5)
+		starting := newParticipant(directory.Member{Peer: 2}, 1)
+		question, _ := starting.spread.Question(0)
+		_, _, answers := seed.spread.Receive(0, 2, question.Update)
+		starting.spread.Receive(0, 1, answers[0].Update)
+		_, asks := starting.spread.Question(0)
+		Expect(asks).To(BeTrue(), "it knows nothing yet")
+		starting.machine.Adopt(0, seed.spread.State(0, directory.Digest{}))
+		_, asks = starting.spread.Question(0)
+		Expect(asks).To(BeFalse())
+	})
+
+	It("tells those who have asked lately of what is new", func() {
+		source := newParticipant(directory.Member{Peer: 1})
+		source.list(0, 5)
+		source.spread.Fetched(0, 7)
+		source.machine.Changes(time.Second, announcing(6, 1), 6)
+		Expect(receiversOf(source.spread.Answered(time.Second))).To(HaveKey(directory.Peer(7)))
+		Expect(receiversOf(source.spread.Answered(6 * time.Second))).To(BeEmpty())
+	})
+
+	It("lets another that watches confirm the directory, and answers with what is missing", func() {
+		all := fleet(91, 5)
+		asking := all[1]
+		if asking.spread.Watching() {
+			asking = all[2]
+		}
+		watcher, exists := asking.spread.Asker()
+		Expect(exists).To(BeTrue())
+		Expect(watching(all)).To(ContainElement(watcher))
+		all[watcher].machine.Changes(time.Second, announcing(6, 3), 8)
+		question := directory.Update{Asks: true, Confirms: true, Number: 4, State: asking.spread.Announced(0)}
+		_, _, answers := all[watcher].spread.Receive(0, 1, question)
+		Expect(answers).To(BeEmpty(), "the store has to be asked first")
+		answers = all[watcher].spread.Answer(time.Second, 1, question)
+		Expect(answers).To(HaveLen(1))
+		Expect(answers[0].Update).To(And(HaveField("Confirms", true), HaveField("Number", uint32(4))))
+		_, lacks, _ := asking.spread.Receive(time.Second, watcher, answers[0].Update)
+		Expect(lacks).To(BeFalse())
+		Expect(asking.machine.Complete()).To(Equal(directory.Revision(8)))
+		_, exists = all[watcher].spread.Asker()
+		Expect(exists).To(BeFalse(), "it asks the store itself")
+	})
+})
+
+var _ = Describe("Machine, told by others", func() {
+	It("learns from a whole state what has gone, and goes on from its revision", func() {
+		teller, told := directory.New(), directory.New()
+		told.Listing(0, []directory.Item{configurationItem(1, 1), endpointItem("old", 2, endpoint("s", false))}, 3)
+		teller.Listing(0, []directory.Item{configurationItem(1, 1), endpointItem("new", 8, endpoint("s", false))}, 9)
+		state := teller.StateAfter(0, told.Digest())
+		Expect(state.Whole).To(BeTrue(), "the teller does not know what happened since 3")
+		Expect(told.Adopt(0, state)).To(BeTrue())
+		Expect(told.Complete()).To(Equal(directory.Revision(9)))
+		candidate, _ := told.Snapshot().Candidate("old")
+		Expect(candidate.Gone).To(BeTrue())
+	})
+
+	It("does not go on from changes that begin after what it knows", func() {
+		teller, told := directory.New(), directory.New()
+		told.Listing(0, []directory.Item{configurationItem(1, 1)}, 3)
+		teller.Listing(0, []directory.Item{configurationItem(1, 1)}, 3)
+		teller.Changes(0, []directory.Item{endpointItem("a", 4, endpoint("s", false))}, 4)
+		teller.Changes(0, []directory.Item{endpointItem("a", 5, nil)}, 5)
+		teller.Changes(0, []directory.Item{endpointItem("b", 6, endpoint("s", false))}, 6)
+		changes := teller.ChangesAfter(0, 5)
+		Expect(told.Follows(changes)).To(BeFalse())
+		Expect(told.Adopt(0, changes)).To(BeTrue(), "what it is told is true all the same")
+		Expect(told.Complete()).To(Equal(directory.Revision(3)))
+	})
+
+	It("tells everything to who last heard before an endpoint that is forgotten by now", func() {
+		teller := directory.New()
+		teller.Listing(0, []directory.Item{configurationItem(1, 1), endpointItem("a", 2, endpoint("s", false))}, 3)
+		teller.Changes(0, []directory.Item{endpointItem("a", 4, nil)}, 4)
+		Expect(teller.StateAfter(0, directory.Digest{Version: 1, Complete: 3}).Whole).To(BeFalse())
+		late := directory.Retention + time.Second
+		teller.Changes(late, nil, 5)
+		Expect(teller.StateAfter(late, directory.Digest{Version: 1, Complete: 3}).Whole).To(BeTrue())
+	})
+})
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -27,8 +28,14 @@
 // State is what a process knows and another does not.
 type State struct {
 	// Complete is the revision up to which all changes are in it, given what the
-	// other knew.
+	// other knew: all changes after From or, if Whole is set, everything.
 	Complete Revision
+	From     Revision
+	Whole    bool
+	// Confirmed is set if the store has confirmed Complete to somebody, Age ago at the
+	// most.
+	Confirmed bool
+	Age       time.Duration
 	// Version is that of the newest configuration known.
 	Version uint64
 	// Configuration is nil if the other has that version, or none is known.
@@ -62,9 +69,7 @@
 }
 
 // Digest returns how much is known.
-func (m *Machine) Digest() Digest {
-	return Digest{m.snapshot.Version(), max(m.complete, m.adopted)}
-}
+func (m *Machine) Digest() Digest { return Digest{m.snapshot.Version(), m.complete} }
 
 // State returns everything that is known.
 func (m *Machine) State(now time.Duration) State { return m.StateAfter(now, Digest{}) }
@@ -73,24 +78,48 @@
 // process whose digest it is. Endpoints that have gone are always in it, since the
 // store tells of them only when they go. So are, if the other knows later changes,
 // those that are believed to be there: the store may have told it that they are not.
+// If the other has not followed the changes that are remembered here, it is everything.
 func (m *Machine) StateAfter(now time.Duration, known Digest) State {
-	state := State{
-		Complete: m.Digest().Complete,
-		Version:  m.snapshot.Version(),
-		Former:   describeFormer(m.former),
-		KnownFor: m.knownFor(now),
-	}
-	upToDate := state.Complete >= known.Complete
+	state := m.stateFrom(known.Complete)
+	state.Former = describeFormer(m.former)
+	state.KnownFor = m.knownFor(now)
 	if m.configuration != nil && state.Version > known.Version {
 		state.Configuration = m.configuration.Configuration
 		state.ConfigurationRevision = m.configuration.Revision
 	}
 	for id, each := range m.endpoints {
-		if upToDate && !each.gone && each.revision <= known.Complete {
-			continue
+		behind := state.Complete < known.Complete
+		if state.Whole || behind || each.gone || each.revision > known.Complete {
+			state.Endpoints = append(state.Endpoints, each.describe(now, id))
+		}
+	}
+	return state
+}
+
+// stateFrom returns the head of a state for a process that knows all changes up to a
+// revision.
+func (m *Machine) stateFrom(known Revision) State {
+	return State{
+		Complete: m.complete, From: known, Whole: known == 0 || known < m.floor, Version: m.snapshot.Version(),
+	}
+}
+
+// ChangesAfter returns the changes of endpoints after a revision, in the order of
+// revisions and without what goes with a new configuration. It is whole if changes since
+// then are not remembered, and has no endpoints then.
+func (m *Machine) ChangesAfter(now time.Duration, known Revision) State {
+	state := m.stateFrom(known)
+	if state.Whole {
+		return state
+	}
+	for id, each := range m.endpoints {
+		if each.revision > known {
+			state.Endpoints = append(state.Endpoints, each.describe(now, id))
 		}
-		state.Endpoints = append(state.Endpoints, each.describe(now, id))
 	}
+	slices.SortFunc(state.Endpoints, func(a, b EndpointState) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.ID, b.ID))
+	})
 	return state
 }
 
@@ -110,9 +139,7 @@
 	if state.Configuration != nil {
 		changed = m.mergeConfiguration(Item{Revision: state.ConfigurationRevision, Configuration: state.Configuration})
 	}
-	if m.configuration != nil && m.configuration.Configuration.Version >= state.Version {
-		m.adopted = max(m.adopted, state.Complete)
-	}
+	follows := m.Follows(state)
 	for _, described := range state.Endpoints {
 		changed = m.adoptEndpoint(now, described) || changed
 	}
@@ -120,7 +147,34 @@
 	if state.KnownFor > 0 {
 		changed = m.reachBack(now-state.KnownFor) || changed
 	}
-	return m.advance(now, 0, changed)
+	if !follows {
+		return m.advance(now, 0, changed)
+	}
+	if state.Whole {
+		changed = m.leaveMissing(now, state) || changed
+		m.floor = max(m.floor, state.Complete)
+	}
+	return m.advance(now, state.Complete, changed)
+}
+
+// Follows reports whether the machine knows all changes up to the state's Complete once
+// it has adopted it.
+func (m *Machine) Follows(state State) bool {
+	if m.configuration == nil || m.configuration.Configuration.Version < state.Version {
+		if state.Configuration == nil || state.Configuration.Version < state.Version {
+			return false
+		}
+	}
+	return state.Complete >= m.complete && (state.Whole || state.From <= m.complete)
+}
+
+// leaveMissing notes that endpoints have gone which are not in a whole state.
+func (m *Machine) leaveMissing(now time.Duration, state State) bool {
+	told := make(map[EndpointID]bool, len(state.Endpoints))
+	for _, described := range state.Endpoints {
+		told[described.ID] = true
+	}
+	return m.leaveUnless(now, told, state.Complete)
 }
 
 // adoptFormer merges the former services that another process knows. It reports
--- a/internal/directory/state_gen.go
+++ b/internal/directory/state_gen.go
@@ -423,8 +423,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	err = z.Complete.DecodeMsg(dc)
@@ -432,6 +432,26 @@
 		err = msgp.WrapError(err, "Complete")
 		return
 	}
+	err = z.From.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	z.Whole, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Whole")
+		return
+	}
+	z.Confirmed, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Confirmed")
+		return
+	}
+	z.Age, err = dc.ReadDuration()
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	z.Version, err = dc.ReadUint64()
 	if err != nil {
 		err = msgp.WrapError(err, "Version")
@@ -513,8 +533,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *State) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
+	// array header, size 11
+	err = en.Append(0x9b)
 	if err != nil {
 		return
 	}
@@ -523,6 +543,26 @@
 		err = msgp.WrapError(err, "Complete")
 		return
 	}
+	err = z.From.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	err = en.WriteBool(z.Whole)
+	if err != nil {
+		err = msgp.WrapError(err, "Whole")
+		return
+	}
+	err = en.WriteBool(z.Confirmed)
+	if err != nil {
+		err = msgp.WrapError(err, "Confirmed")
+		return
+	}
+	err = en.WriteDuration(z.Age)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	err = en.WriteUint64(z.Version)
 	if err != nil {
 		err = msgp.WrapError(err, "Version")
@@ -580,13 +620,21 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o, err = z.Complete.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Complete")
 		return
 	}
+	o, err = z.From.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	o = msgp.AppendBool(o, z.Whole)
+	o = msgp.AppendBool(o, z.Confirmed)
+	o = msgp.AppendDuration(o, z.Age)
 	o = msgp.AppendUint64(o, z.Version)
 	if z.Configuration == nil {
 		o = msgp.AppendNil(o)
@@ -630,8 +678,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	bts, err = z.Complete.UnmarshalMsg(bts)
@@ -639,6 +687,26 @@
 		err = msgp.WrapError(err, "Complete")
 		return
 	}
+	bts, err = z.From.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Whole")
+		return
+	}
+	z.Confirmed, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Confirmed")
+		return
+	}
+	z.Age, bts, err = msgp.ReadDurationBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
 	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Version")
@@ -720,7 +788,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *State) Msgsize() (s int) {
-	s = 1 + z.Complete.Msgsize() + msgp.Uint64Size
+	s = 1 + z.Complete.Msgsize() + z.From.Msgsize() + msgp.BoolSize + msgp.BoolSize + msgp.DurationSize + msgp.Uint64Size
 	if z.Configuration == nil {
 		s += msgp.NilSize
 	} else {
--- /dev/null
+++ b/internal/directory/update.go
@@ -0,0 +1,80 @@
+package directory
+
+//go:generate go tool msgp -tests=false
+//msgp:limit arrays:65536
+//msgp:tuple Update
+
+// Update is what balancers tell each other of the directory, in one datagram.
+type Update struct {
+	// Asks wants an Update in return that tells what the sender, which knows what State
+	// shows, does not know.
+	Asks bool
+	// Confirms wants the store to be asked first, and Number names the question. Both
+	// are the same in the answer.
+	Confirms bool
+	Number   uint32
+	State    State
+	// Source is who can be asked for what State shows, the sender if it is zero.
+	Source Peer
+}
+
+// Peer names a balancer.
+type Peer uint64
+
+const (
+	// MaximumUpdate bounds an encoded Update in bytes: one packet of an Ethernet.
+	MaximumUpdate = 1400
+	// updateHead is room for all but the endpoints of an Update, and endpointRoom for one
+	// beside its texts, in bytes.
+	updateHead   = 100
+	endpointRoom = 64
+	// updateParts bounds the datagrams in which one process tells another of changes. Of
+	// more it tells that there are some, and they are fetched by a stream.
+	updateParts = 4
+)
+
+// size returns how much room an endpoint takes in an Update, in bytes.
+func (e *EndpointState) size() int {
+	return endpointRoom + len(e.ID) + len(e.Endpoint.Service) + len(e.Endpoint.Zone)
+}
+
+// updatesOf divides changes of endpoints, which are in the order of their revisions,
+// into updates that fit into datagrams. Each leads from the revision of the one before
+// to its own. If there are too many, one update tells of them without naming them.
+func updatesOf(changes State) []Update {
+	if changes.Whole {
+		return []Update{announcement(changes)}
+	}
+	part := changes
+	part.Endpoints = nil
+	room := MaximumUpdate - updateHead
+	var parts []Update
+	for _, each := range changes.Endpoints {
+		last := len(part.Endpoints) - 1
+		splits := last >= 0 && part.Endpoints[last].Revision != each.Revision
+		if room < each.size() && splits {
+			part.Complete = part.Endpoints[last].Revision
+			part.Confirmed = false
+			parts = append(parts, Update{State: part})
+			part = changes
+			part.From = parts[len(parts)-1].State.Complete
+			part.Endpoints = nil
+			room = MaximumUpdate - updateHead
+		}
+		part.Endpoints = append(part.Endpoints, each)
+		room -= each.size()
+	}
+	parts = append(parts, Update{State: part})
+	if len(parts) > updateParts || room < 0 {
+		return []Update{announcement(changes)}
+	}
+	return parts
+}
+
+// announcement returns an update that tells how much is known, and nothing of it.
+func announcement(changes State) Update {
+	changes.Endpoints = nil
+	changes.Whole = false
+	changes.From = changes.Complete
+	return Update{State: changes}
+}
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -90,6 +90,7 @@
 	config    BalancerConfig
 	snapshot  *directory.Snapshot
 	ready     bool
+	early     early
 	confirmed time.Duration
 	// current is the time before which everything is known that the store had
 	// accepted.
@@ -141,6 +142,7 @@
 		}
 	}
 	b.tellLeaving(previous, snapshot)
+	b.releaseEarly(now)
 	return b.effects
 }
 
@@ -175,17 +177,22 @@
 		b.event(Event{Kind: EventForged, Reason: "not_a_client"})
 		return b.effects
 	}
+	key := segment.FlowKey{Client: header.Source, Service: header.Destination}
 	if !b.ready {
-		b.event(Event{Kind: EventNotReady})
+		b.holdEarly(now, key, header, packet)
 		return b.effects
 	}
-	key := segment.FlowKey{Client: header.Source, Service: header.Destination}
+	b.arrive(now, key, header, packet)
+	return b.effects
+}
+
+// arrive handles a client's packet once the directory is known.
+func (b *Balancer) arrive(now time.Duration, key segment.FlowKey, header segment.Header, packet []byte) {
 	if header.Opening() {
 		b.arriveOpening(now, key, header, packet)
-		return b.effects
+		return
 	}
 	b.arriveSegment(now, key, header, packet)
-	return b.effects
 }
 
 // writtenByClient reports whether a client may write such a packet.
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -39,12 +39,11 @@
 		balancer.Confirm(0)
 	})
 
-	It("drops packets and resets nothing before it has a directory", func() {
+	It("sends nobody anything before it has a directory", func() {
 		starting := newBalancer()
-		effects := starting.Arrive(0, opening(1, 100))
-		Expect(events(effects)).To(ConsistOf(relay.EventNotReady))
-		Expect(resets(effects)).To(BeEmpty())
-		Expect(resets(starting.Arrive(0, fromClient(1, segment.Acknowledge, 101, 7, "")))).To(BeEmpty())
+		Expect(starting.Arrive(0, opening(1, 100))).To(BeEmpty())
+		Expect(starting.Arrive(0, fromClient(1, segment.Acknowledge, 101, 7, ""))).To(BeEmpty())
+		Expect(starting.Tick(time.Second)).To(BeEmpty())
 	})
 
 	It("offers a new flow to one endpoint and its later packets to the same", func() {
--- a/internal/relay/effect.go
+++ b/internal/relay/effect.go
@@ -61,7 +61,8 @@
 	EventNoRoute
 	// EventNoEndpoint: a flow was reset or left since no endpoint can take it.
 	EventNoEndpoint
-	// EventNotReady: a packet was dropped since the directory is not known.
+	// EventNotReady: a packet was dropped since the directory is not known and too many
+	// wait for that.
 	EventNotReady
 	// EventSuspected: an agent does not answer.
 	EventSuspected
@@ -91,13 +92,15 @@
 	EventDenied
 	// EventOwnerless: a flow was reset since no endpoint holds it.
 	EventOwnerless
+	// EventReleased: a packet is handled that came before the directory was known.
+	EventReleased
 	eventKindCount
 )
 
 var eventNames = []string{
 	"malformed", "forged", "placed", "answered", "admitted", "offered_again", "locating", "located", "no_route",
 	"no_endpoint", "not_ready", "suspected", "recovered", "endpoint_lost_flow", "not_owned", "probed",
-	"returned", "isolated", "reconnected", "held", "given", "expired", "denied", "ownerless",
+	"returned", "isolated", "reconnected", "held", "given", "expired", "denied", "ownerless", "released",
 }
 
 // Event is one decision with what decided it.
@@ -114,7 +117,7 @@
 	Reason string
 	// Elapsed is the time that ended with the event: from the first offer to
 	// EventPlaced, from the request to EventAnswered, and the wait before
-	// EventAdmitted.
+	// EventAdmitted and EventReleased.
 	Elapsed time.Duration
 }
 
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -70,6 +70,13 @@
 	asked := slices.DeleteFunc(b.everyOwner(sought), func(candidate directory.Candidate) bool {
 		return sought.replies[b.agentOf(candidate)].denied
 	})
+	if len(asked) == 0 {
+		// All have denied it; a confirmation of the directory may have failed.
+		if known, goesOn := b.flowOf(sought); goesOn {
+			b.conclude(now, known)
+		}
+		return
+	}
 	probing := b.allProbed(sought, asked)
 	many := len(asked) >= surveyFirstMinimum
 	first := sought.verified <= surveyRounds
--- a/internal/relay/verify_test.go
+++ b/internal/relay/verify_test.go
@@ -175,6 +175,17 @@
 		Expect(resets(answer(relay.KindDenied, asked+13*millisecond, 2))).To(HaveLen(1))
 	})
 
+	It("asks for a confirmation again if the first has failed", func() {
+		verify()
+		for number := range 3 {
+			answer(relay.KindDenied, asked+13*millisecond, number)
+		}
+		effects := balancer.Tick(asked + 200*millisecond)
+		Expect(ofKind(effects, relay.EffectConfirm)).To(HaveLen(1))
+		Expect(sent(effects)).To(BeEmpty(), "all have answered")
+		Expect(resets(balancer.Current(asked+210*millisecond, asked+200*millisecond))).To(HaveLen(1))
+	})
+
 	It("resets nothing if it knows no endpoint, or more than it can ask", func() {
 		for _, count := range []int{0, 2100} {
 			known = newFleet()
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -11,6 +11,7 @@
 	"github.com/oklog/run"
 
 	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/membership"
 	"github.com/vanetiller/vanetiller/internal/observability"
 	"github.com/vanetiller/vanetiller/internal/observability/registry"
 	"github.com/vanetiller/vanetiller/internal/relay"
@@ -48,12 +49,16 @@
 	directory *directory.Machine
 	follower  *directory.Follower
 	confirmer *directory.Confirmer
+	spread    *directory.Spread
+	// wake wakes follow once what it waits for may have changed.
+	wake chan struct{}
 	// confirmations wakes confirm; what is wanted is in the confirmer.
 	confirmations chan struct{}
 	store         directory.Store
 	// storeTurn counts the stores that were turned to.
 	storeTurn int
 	peers     *peers
+	updates   *updates
 	gauges    directoryGauges
 	// isolated is what was reported last.
 	isolated bool
@@ -72,6 +77,9 @@
 		Random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	machine := directory.New()
+	timing := timingOf(given)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	spread := directory.NewSpread(machine, timing, memberOf(checked), peersOf(seedsOf(given)), random)
 	created := &balancerRole{
 		settings:  *checked.Relay,
 		newStore:  surroundings.NewStore,
@@ -79,8 +87,10 @@
 		balancer:  balancer,
 		health:    health,
 		directory: machine,
-		follower:  directory.NewFollower(machine, timingOf(given)),
+		follower:  directory.NewFollower(machine, timing, spread),
 		confirmer: directory.NewConfirmer(machine),
+		spread:    spread,
+		wake:      make(chan struct{}, 1),
 		store:     surroundings.NewStore(given.Store),
 		gauges:    gauges,
 
@@ -99,13 +109,40 @@
 	if err != nil {
 		return nil, err
 	}
+	created.updates, err = newUpdates(given, created)
+	if err != nil {
+		return nil, err
+	}
 	created.peers, err = newPeers(checked, created)
 	return created, err
 }
 
-// timingOf returns how much time the news of the store have.
+// listingDelay is how long a process that starts leaves it to others to tell it the
+// directory: the time for a question to a seed and a fetch on a link of 20 Mbit/s.
+const listingDelay = 80 * time.Millisecond
+
+// timingOf returns how much time the news of the store have. Where there is nobody to ask,
+// a process that starts lists the store at once.
 func timingOf(given *settings.RelayBalancer) directory.Timing {
-	return directory.Timing{ApplyTimeout: min(given.ApplyTimeout, given.DrainTimeout)}
+	timing := directory.Timing{ApplyTimeout: min(given.ApplyTimeout, given.DrainTimeout)}
+	if len(seedsOf(given)) > 0 {
+		timing.ListingDelay = listingDelay
+	}
+	return timing
+}
+
+// memberOf returns how the membership names this process.
+func memberOf(checked *settings.Settings) directory.Member {
+	address, _ := membership.AddressOf(checked.Relay.Balancer.Exchange)
+	return directory.Member{Peer: directory.Peer(address), Zone: int(identityOf(checked).Zone)}
+}
+
+func peersOf(addresses []membership.Address) []directory.Peer {
+	var peers []directory.Peer
+	for _, address := range addresses {
+		peers = append(peers, directory.Peer(address))
+	}
+	return peers
 }
 
 // reportReach makes the fabric leave a balancer out that reaches no agent.
@@ -132,6 +169,7 @@
 	addActor(group, r.executor.tick)
 	addActor(group, r.follow)
 	addActor(group, r.confirm)
+	addActor(group, r.updates.socket.run)
 	r.peers.add(group)
 }
 
@@ -161,6 +199,7 @@
 		}
 		return nil
 	})
+	r.wakeFollow()
 	given := *r.settings.Balancer
 	given.Store, given.Seeds = changed.Balancer.Store, changed.Balancer.Seeds
 	r.settings.Balancer, r.settings.StopTimeout = &given, changed.StopTimeout
@@ -170,15 +209,30 @@
 // follow keeps the directory current until ctx ends.
 func (r *balancerRole) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
-		next := r.nextCall()
-		if !sleep(ctx, next.call.Delay) {
-			return nil
+		next, wait := r.nextCall()
+		if wait <= 0 {
+			r.perform(ctx, next)
+			continue
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-r.wake:
+		case <-ctx.Done():
 		}
-		r.perform(ctx, next)
+		timer.Stop()
 	}
 	return nil
 }
 
+// wakeFollow makes follow decide again.
+func (r *balancerRole) wakeFollow() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
 // storeCall is a call of the store that was used when it was decided on.
 type storeCall struct {
 	call  directory.Call
@@ -186,10 +240,13 @@
 	turn  int
 }
 
-func (r *balancerRole) nextCall() storeCall {
+// nextCall returns the next call of the store and how long to wait before it.
+func (r *balancerRole) nextCall() (storeCall, time.Duration) {
 	r.executor.mutex.Lock()
 	defer r.executor.mutex.Unlock()
-	return storeCall{r.follower.Next(rand.Float64()), r.store, r.storeTurn}
+	now := time.Since(r.executor.started)
+	call, at := r.follower.Next(now)
+	return storeCall{call, r.store, r.storeTurn}, at - now
 }
 
 func (r *balancerRole) perform(running context.Context, next storeCall) {
@@ -197,11 +254,17 @@
 	defer cancel()
 	if next.call.Listing {
 		page, err := next.store.List(ctx, next.call.After)
-		r.conclude(running, next.turn, err, func(now time.Duration) bool { return r.follower.Listed(now, page) })
+		r.conclude(running, next.turn, err, func(now time.Duration) bool {
+			changed := r.follower.Listed(now, page)
+			if r.follower.Following() {
+				r.spread.Listed()
+			}
+			return changed
+		})
 		return
 	}
 	changes, err := next.store.Watch(ctx, next.call.AfterRevision, next.call.Wait)
-	r.conclude(running, next.turn, err, func(now time.Duration) bool { return r.follower.Watched(now, changes) })
+	r.conclude(running, next.turn, err, func(now time.Duration) bool { return r.follower.Watched(now, changes, rand.Float64()) })
 }
 
 // conclude hands the outcome of a call to the follower and puts a changed
@@ -215,7 +278,7 @@
 		}
 		before := r.follower.Following()
 		if err != nil {
-			r.follower.Failed(err)
+			r.follower.Failed(now, err, rand.Float64())
 			r.peers.exchange.StoreFailed()
 			r.reportLoss(before && !stopped, err)
 			return nil
@@ -223,6 +286,7 @@
 		changed := merge(now)
 		if r.follower.Following() {
 			r.balancer.Confirm(now)
+			r.updates.send(r.spread.Answered(now))
 		}
 		if !before && r.follower.Following() {
 			r.executor.journal.logger.Info("store followed", "revision", uint64(r.directory.Complete()))
--- a/internal/relaydaemon/confirm.go
+++ b/internal/relaydaemon/confirm.go
@@ -39,31 +39,31 @@
 	}
 }
 
-// confirmWanted confirms the directory by the store, or else by a peer, if a
-// confirmation may begin. It reports whether one is still wanted.
+// confirmWanted confirms the directory by a balancer that watches the store, else by the
+// store itself or else by any peer, if a confirmation may begin. It reports whether one is
+// still wanted.
 func (r *balancerRole) confirmWanted(ctx context.Context) bool {
 	begun := time.Duration(0)
-	storeKnown, byPeer := false, false
 	r.executor.do(func(now time.Duration) []relay.Effect {
 		begun = now
-		storeKnown = r.directory.Complete() > 0
-		byPeer = !storeKnown && r.confirmer.Begin(now)
 		return nil
 	})
-	through, err := begun, errNotNow
-	if storeKnown {
+	through, confirmed := r.updates.confirmByWatcher(ctx)
+	var err error
+	if !confirmed {
 		through, err = r.confirmByStore(ctx, r.confirmer)
-		byPeer = err != nil && !errors.Is(err, errNotNow)
 	}
-	if byPeer {
+	if err != nil && !errors.Is(err, errNotNow) {
 		through, err = begun, r.peers.confirmByPeer(ctx)
 	}
 	wanted := false
 	r.executor.do(func(now time.Duration) []relay.Effect {
 		wanted = r.confirmer.Wanted()
 		if err != nil {
+			r.updates.dropQuestions(begun)
 			return nil
 		}
+		r.updates.answerThrough(now, through)
 		return r.balancer.Current(now, through)
 	})
 	return wanted
--- a/internal/relaydaemon/daemon_test.go
+++ b/internal/relaydaemon/daemon_test.go
@@ -72,7 +72,7 @@
 // site is the machine addresses of one test. All daemons share ports, as on a
 // platform; the machines are addresses of the loopback network.
 type site struct {
-	packetPort, peerPort, healthPort, exchangePort, appPort, emittedPort int
+	packetPort, peerPort, healthPort, exchangePort, appPort, emittedPort, updatePort int
 }
 
 func freePort() int {
@@ -83,7 +83,7 @@
 }
 
 func newSite() site {
-	return site{freePort(), freePort(), freePort(), freePort(), freePort(), freePort()}
+	return site{freePort(), freePort(), freePort(), freePort(), freePort(), freePort(), freePort()}
 }
 
 func load(text string) *settings.Settings {
@@ -106,7 +106,8 @@
 exchange = "%[1]s:%[5]d"
 seeds = [%[6]s]
 zones = ["zone-1"]
-`, ip, s.healthPort, s.peerPort, s.packetPort, s.exchangePort, seeds))
+updates = "%[1]s:%[7]d"
+`, ip, s.healthPort, s.peerPort, s.packetPort, s.exchangePort, seeds, s.updatePort))
 }
 
 func (s site) agent(ip string) *settings.Settings {
@@ -233,7 +234,7 @@
 		Eventually(func() int { return lonely.health(otherIP) }).WithTimeout(10 * time.Second).Should(Equal(http.StatusServiceUnavailable))
 		Consistently(func() int { return lonely.health(otherIP) }).Should(Equal(http.StatusServiceUnavailable))
 		informed := newSite()
-		informed.exchangePort = used.exchangePort
+		informed.exchangePort, informed.updatePort = used.exchangePort, used.updatePort
 		start(informed.balancer("127.0.1.5", fmt.Sprintf("%q", fmt.Sprintf("%s:%d", balancerIP, used.exchangePort))), fakeStore{down: true}, log)
 		Eventually(func() int { return informed.health("127.0.1.5") }).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
 		Expect(log.String()).To(ContainSubstring(`"msg":"directory fetched"`))
--- a/internal/relaydaemon/journal.go
+++ b/internal/relaydaemon/journal.go
@@ -55,6 +55,7 @@
 		elapsed: map[relay.EventKind]metrics.Histogram{
 			relay.EventPlaced:   histogram("relay_placement_seconds", "Time from a flow's opening packet to the endpoint's answer to it."),
 			relay.EventAnswered: histogram("relay_answer_seconds", "Time from a request to the beginning of its answer."),
+			relay.EventReleased: histogram("relay_early_seconds", "Time that packets waited for the first directory."),
 			relay.EventAdmitted: histogram("relay_wait_seconds", "Time that requests waited for a busy endpoint."),
 		},
 	}
@@ -69,7 +70,7 @@
 
 // isRoutine reports whether an event is part of every flow that goes well.
 func isRoutine(kind relay.EventKind) bool {
-	return kind == relay.EventPlaced || kind == relay.EventGiven || kind == relay.EventAnswered
+	return kind == relay.EventPlaced || kind == relay.EventGiven || kind == relay.EventAnswered || kind == relay.EventReleased
 }
 
 func (j *journal) record(event relay.Event) {
--- a/internal/relaydaemon/peers.go
+++ b/internal/relaydaemon/peers.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	kithttp "github.com/go-kit/kit/transport/http"
@@ -32,8 +33,12 @@
 	parameterComplete = "complete"
 	// parameterConfirm asks for a directory that the store has confirmed since.
 	parameterConfirm = "confirm"
-	// exchangeTick is how often a balancer considers a fetch from a peer.
+	// exchangeTick is how often a balancer considers a fetch from a peer, and startTick
+	// how often while it knows nothing.
 	exchangeTick = 100 * time.Millisecond
+	startTick    = 50 * time.Millisecond
+	// introductionTime bounds how long after its start a balancer asks seeds.
+	introductionTime = 3 * time.Second
 	// fetchTimeout bounds a fetch from a peer, and connectTimeout the connection to it:
 	// a machine without power says nothing.
 	fetchTimeout   = 800 * time.Millisecond
@@ -58,6 +63,10 @@
 	storeRate  float64
 	// confirms bounds the confirmations for others.
 	confirms *rate.Limiter
+	// wake wakes follow, and joined is set once the members have changed.
+	wake   chan struct{}
+	joined atomic.Bool
+	cache  stateCache
 }
 
 func newPeers(checked *settings.Settings, role *balancerRole) (*peers, error) {
@@ -65,6 +74,7 @@
 	created := &peers{
 		role:      role,
 		storeRate: float64(given.StoreRate),
+		wake:      make(chan struct{}, 1),
 		confirms:  rate.NewLimiter(confirmRate, confirmBurst),
 		client: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{
 			DisableKeepAlives: true,
@@ -118,10 +128,20 @@
 	p.membership.SetSeeds(seeds)
 	p.role.executor.do(func(time.Duration) []relay.Effect {
 		p.exchange.SetSeeds(seeds)
+		p.role.spread.SetSeeds(peersOf(seeds))
 		return nil
 	})
 }
 
+// lacks makes follow fetch what an update did not hold. The executor holds its lock.
+func (p *peers) lacks(now time.Duration, from membership.Address) {
+	p.exchange.Lacks(now, from)
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
 // handle takes what the membership tells.
 func (p *peers) handle(event membership.Effect) {
 	switch event.Kind {
@@ -134,10 +154,14 @@
 			})
 		}
 	case membership.EffectFailed, membership.EffectLeft:
+		p.joined.Store(true)
 		p.role.executor.do(func(time.Duration) []relay.Effect {
 			p.exchange.Lost(event.Member.Address)
+			p.role.spread.Lost(directory.Peer(event.Member.Address))
 			return nil
 		})
+	case membership.EffectJoined, membership.EffectZoneReachable, membership.EffectZoneUnreachable:
+		p.joined.Store(true)
 	}
 }
 
@@ -155,7 +179,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+directoryPath, kithttp.NewServer(
 		func(ctx context.Context, asked any) (any, error) { return p.answer(ctx, asked.(directoryRequest)) },
-		decodeRequest, encodeState))
+		p.decodeRequest, encodeState))
 	return mux
 }
 
@@ -163,47 +187,50 @@
 type directoryRequest struct {
 	known   directory.Digest
 	confirm bool
+	// by is who asks.
+	by directory.Peer
 }
 
 // decodeRequest reads what the asking balancer knows; what is missing is zero.
-func decodeRequest(_ context.Context, request *http.Request) (any, error) {
+func (p *peers) decodeRequest(_ context.Context, request *http.Request) (any, error) {
 	query := request.URL.Query()
 	version, _ := strconv.ParseUint(query.Get(parameterVersion), 10, 64)
 	complete, _ := strconv.ParseUint(query.Get(parameterComplete), 10, 64)
-	return directoryRequest{
+	asked := directoryRequest{
 		known:   directory.Digest{Version: version, Complete: directory.Revision(complete)},
 		confirm: query.Has(parameterConfirm),
-	}, nil
+	}
+	if from, err := netip.ParseAddrPort(request.RemoteAddr); err == nil {
+		asked.by, _ = p.role.updates.peerAt(from.Addr())
+	}
+	return asked, nil
 }
 
-func (p *peers) answer(ctx context.Context, asked directoryRequest) (directory.State, error) {
+// answer returns the encoded state that a balancer has asked for.
+func (p *peers) answer(ctx context.Context, asked directoryRequest) ([]byte, error) {
 	if asked.confirm && !p.confirms.Allow() {
-		return directory.State{}, errUnconfirmed
+		return nil, errUnconfirmed
 	}
 	if asked.confirm {
 		if err := p.role.confirmForPeer(ctx); err != nil {
-			return directory.State{}, err
+			return nil, err
 		}
 	}
-	return p.stateAfter(asked.known), nil
-}
-
-func (p *peers) stateAfter(known directory.Digest) directory.State {
-	var state directory.State
+	var encoded []byte
+	var err error
 	p.role.executor.do(func(now time.Duration) []relay.Effect {
-		state = p.role.directory.StateAfter(now, known)
+		p.role.spread.Fetched(now, asked.by)
+		encoded, err = p.cache.encode(now, asked.known, p.role.directory.Digest(), func() directory.State {
+			return p.role.spread.State(now, asked.known)
+		})
 		return nil
 	})
-	return state
+	return encoded, err
 }
 
 func encodeState(_ context.Context, w http.ResponseWriter, response any) error {
-	state := response.(directory.State)
-	encoded, err := state.MarshalMsg(nil)
-	if err != nil {
-		return errors.Wrap(err, "directory")
-	}
-	_, err = w.Write(encoded)
+	w.Header().Set("Content-Encoding", "gzip")
+	_, err := w.Write(response.([]byte))
 	return err
 }
 
@@ -222,28 +249,81 @@
 	return nil
 }
 
-// follow fetches from peers whenever the exchange wants to.
+// follow fetches from peers whenever the exchange wants to, and tells the spread who
+// there is.
 func (p *peers) follow(ctx context.Context) error {
-	for sleep(ctx, exchangeTick) {
-		var from membership.Address
-		var known directory.Digest
-		wanted := false
-		balancers := p.membership.Live()
-		p.role.executor.do(func(now time.Duration) []relay.Effect {
-			from, wanted = p.exchange.Next(now)
-			known = p.role.directory.Digest()
-			p.role.follower.Share(balancers, p.storeRate)
-			p.role.confirmer.Share(balancers, p.storeRate)
-			return nil
-		})
+	for ctx.Err() == nil {
+		p.refreshMembers()
+		from, asked, wanted := p.nextFetch()
 		if wanted {
-			state, err := p.fetch(ctx, from.AddrPort(), directoryRequest{known: known})
-			p.conclude(from, state, err)
+			state, at, err := p.fetch(ctx, from.AddrPort(), asked)
+			p.conclude(from, state, at, err)
 		}
+		timer := time.NewTimer(p.tick())
+		select {
+		case <-timer.C:
+		case <-p.wake:
+		case <-ctx.Done():
+		}
+		timer.Stop()
 	}
 	return nil
 }
 
+// tick returns how long follow waits if nothing happens.
+func (p *peers) tick() time.Duration {
+	known, asking := false, false
+	p.role.executor.do(func(now time.Duration) []relay.Effect {
+		known = p.role.directory.Ready()
+		asking = now <= introductionTime
+		return nil
+	})
+	if known && !asking {
+		return exchangeTick
+	}
+	return startTick
+}
+
+// nextFetch returns the fetch to make now. A balancer that knows nothing asks a seed who
+// does.
+func (p *peers) nextFetch() (from membership.Address, asked directoryRequest, wanted bool) {
+	balancers := p.membership.Live()
+	p.role.executor.do(func(now time.Duration) []relay.Effect {
+		from, wanted = p.exchange.Next(now)
+		asked.known = p.role.directory.Digest()
+		p.role.follower.Share(balancers, p.storeRate)
+		p.role.confirmer.Share(balancers, p.storeRate)
+		if wanted || now > introductionTime {
+			return nil
+		}
+		if question, exists := p.role.spread.Question(now); exists {
+			p.role.updates.send([]directory.Outgoing{question})
+		}
+		return nil
+	})
+	return from, asked, wanted
+}
+
+// refreshMembers tells the spread who there is, if that has changed.
+func (p *peers) refreshMembers() {
+	if !p.joined.Swap(false) {
+		return
+	}
+	var members []directory.Member
+	for _, member := range p.membership.Members() {
+		if member.Reachable {
+			members = append(members, directory.Member{
+				Peer: directory.Peer(member.Identity.Address), Zone: int(member.Identity.Zone),
+			})
+		}
+	}
+	p.role.executor.do(func(time.Duration) []relay.Effect {
+		p.role.spread.SetMembers(members)
+		return nil
+	})
+	p.role.wakeFollow()
+}
+
 // confirmByPeer lets another balancer confirm the directory, and takes what it knows.
 func (p *peers) confirmByPeer(ctx context.Context) error {
 	var from membership.Address
@@ -257,31 +337,37 @@
 	if !exists {
 		return errUnconfirmed
 	}
-	state, err := p.fetch(ctx, from.AddrPort(), directoryRequest{known: known, confirm: true})
+	state, at, err := p.fetch(ctx, from.AddrPort(), directoryRequest{known: known, confirm: true})
 	if err != nil {
 		return err
 	}
 	p.role.executor.do(func(now time.Duration) []relay.Effect {
-		return p.role.installIf(p.role.directory.Adopt(now, state), now)
+		changed := p.role.directory.Adopt(now, state)
+		p.role.spread.Took(at, state)
+		return p.role.installIf(changed, now)
 	})
 	return nil
 }
 
-func (p *peers) conclude(from membership.Address, state directory.State, err error) {
+func (p *peers) conclude(from membership.Address, state directory.State, at time.Duration, err error) {
 	p.role.executor.do(func(now time.Duration) []relay.Effect {
 		if err != nil {
 			p.exchange.FetchFailed()
 			return nil
 		}
 		changed := p.exchange.Fetched(now, state)
+		p.role.spread.Took(at, state)
+		p.role.balancer.Confirm(p.role.spread.Confirmed())
 		p.role.executor.journal.logger.Info("directory fetched", "peer", from.String(), "changed", changed,
+			"took_ms", (now - at).Milliseconds(),
 			"endpoints", len(state.Endpoints), "revision", uint64(state.Complete))
 		return p.role.installIf(changed, now)
 	})
 }
 
-func (p *peers) fetch(ctx context.Context, from netip.AddrPort, asked directoryRequest) (directory.State, error) {
-	var state directory.State
+// fetch asks another balancer for its directory. It returns when that was.
+func (p *peers) fetch(ctx context.Context, from netip.AddrPort, asked directoryRequest) (state directory.State, at time.Duration, err error) {
+	at = time.Since(p.role.executor.started)
 	query := url.Values{
 		parameterVersion:  {strconv.FormatUint(asked.known.Version, 10)},
 		parameterComplete: {strconv.FormatUint(uint64(asked.known.Complete), 10)},
@@ -292,20 +378,20 @@
 	target := url.URL{Scheme: "http", Host: from.String(), Path: directoryPath, RawQuery: query.Encode()}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
-		return state, errors.Wrap(err, "directory of a peer")
+		return state, at, errors.Wrap(err, "directory of a peer")
 	}
 	response, err := p.client.Do(request)
 	if err != nil {
-		return state, errors.Wrap(err, "directory of a peer")
+		return state, at, errors.Wrap(err, "directory of a peer")
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return state, errors.Errorf("directory of a peer: %s", response.Status)
+		return state, at, errors.Errorf("directory of a peer: %s", response.Status)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maximumState))
 	if err != nil {
-		return state, errors.Wrap(err, "directory of a peer")
+		return state, at, errors.Wrap(err, "directory of a peer")
 	}
 	_, err = state.UnmarshalMsg(body)
-	return state, errors.Wrap(err, "directory of a peer")
+	return state, at, errors.Wrap(err, "directory of a peer")
 }
--- /dev/null
+++ b/internal/relaydaemon/updates.go
@@ -0,0 +1,174 @@
+package relaydaemon
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/membership"
+	"github.com/vanetiller/vanetiller/internal/relay"
+	"github.com/vanetiller/vanetiller/internal/segment"
+	"github.com/vanetiller/vanetiller/internal/settings"
+)
+
+// updates carries what balancers tell each other of the directory by datagrams.
+type updates struct {
+	role   *balancerRole
+	socket *socket
+	// listen is where this balancer takes updates; all of a fleet use its port, and
+	// exchange is the port by which they name each other.
+	listen   netip.AddrPort
+	exchange uint16
+	encoded  []byte
+	// questions are those of others that wait for a confirmation by the store.
+	questions []question
+	// asked is the question of this balancer that is under way.
+	asked question
+	// answered wakes who waits for its answer.
+	answered chan struct{}
+	number   uint32
+}
+
+// question is one for a confirmation of the directory.
+type question struct {
+	peer   directory.Peer
+	update directory.Update
+	// at is when it came or was sent, and confirmed is set once it was answered.
+	at        time.Duration
+	confirmed bool
+}
+
+func newUpdates(given *settings.RelayBalancer, role *balancerRole) (*updates, error) {
+	created := &updates{
+		role: role, listen: given.Updates, exchange: given.Exchange.Port(), answered: make(chan struct{}, 1),
+	}
+	var err error
+	created.socket, err = listen(given.Updates, created.receive)
+	return created, err
+}
+
+// peerAt returns the name of the balancer on a machine.
+func (u *updates) peerAt(machine netip.Addr) (directory.Peer, bool) {
+	address, usable := membership.AddressOf(netip.AddrPortFrom(machine, u.exchange))
+	return directory.Peer(address), usable
+}
+
+// receive handles a datagram of another balancer.
+func (u *updates) receive(from netip.AddrPort, datagram []byte) {
+	peer, usable := u.peerAt(from.Addr())
+	var update directory.Update
+	if _, err := update.UnmarshalMsg(datagram); err != nil || !usable {
+		u.role.executor.record(relay.Event{Kind: relay.EventMalformed, Peer: segment.AddressOf(from), Reason: "update"})
+		return
+	}
+	u.role.executor.do(func(now time.Duration) []relay.Effect { return u.take(now, peer, update) })
+}
+
+// take hands an update to the parts that decide on it. The executor holds its lock.
+func (u *updates) take(now time.Duration, from directory.Peer, update directory.Update) []relay.Effect {
+	role := u.role
+	changed, lacks, answers := role.spread.Receive(now, from, update)
+	u.send(answers)
+	if lacks {
+		role.peers.lacks(now, membership.Address(update.SourceOf(from)))
+	}
+	role.balancer.Confirm(role.spread.Confirmed())
+	effects := role.installIf(changed, now)
+	switch {
+	case update.Confirms && update.Asks:
+		u.questions = append(u.questions, question{peer: from, update: update, at: now})
+		role.wantConfirmation()
+	case update.Confirms && !lacks:
+		u.noteAnswer(update.Number)
+	}
+	return effects
+}
+
+func (u *updates) noteAnswer(number uint32) {
+	if number != u.asked.update.Number {
+		return
+	}
+	u.asked.confirmed = true
+	select {
+	case u.answered <- struct{}{}:
+	default:
+	}
+}
+
+// send transmits updates. The executor holds its lock.
+func (u *updates) send(outgoing []directory.Outgoing) {
+	for index := range outgoing {
+		encoded, err := outgoing[index].Update.MarshalMsg(u.encoded[:0])
+		if err != nil {
+			panic("relaydaemon: cannot encode an update: " + err.Error())
+		}
+		u.encoded = encoded
+		machine := membership.Address(outgoing[index].To).AddrPort().Addr()
+		u.socket.send(segment.AddressOf(netip.AddrPortFrom(machine, u.listen.Port())), encoded)
+	}
+}
+
+// answerThrough answers the questions that came until the time for which the directory
+// is confirmed. The executor holds its lock.
+func (u *updates) answerThrough(now, through time.Duration) {
+	var later []question
+	for _, each := range u.questions {
+		if each.at > through {
+			later = append(later, each)
+			continue
+		}
+		u.send(u.role.spread.Answer(now, each.peer, each.update))
+	}
+	u.questions = later
+}
+
+// dropQuestions forgets the questions that came before a time: who has asked asks
+// elsewhere.
+func (u *updates) dropQuestions(before time.Duration) {
+	for len(u.questions) > 0 && u.questions[0].at < before {
+		u.questions = u.questions[1:]
+	}
+}
+
+// confirmPatience is how long a balancer waits for a watcher to confirm its directory
+// before it asks the store. Most wait for half of the time between two confirmations.
+const confirmPatience = 300 * time.Millisecond
+
+// confirmByWatcher lets a balancer that watches the store confirm the directory. It
+// returns the time for which it is confirmed, false if no watcher has answered.
+func (u *updates) confirmByWatcher(ctx context.Context) (through time.Duration, confirmed bool) {
+	select {
+	case <-u.answered:
+	default:
+	}
+	sent := false
+	u.role.executor.do(func(now time.Duration) []relay.Effect {
+		watcher, exists := u.role.spread.Asker()
+		if !exists || !u.role.confirmer.Begin(now) {
+			return nil
+		}
+		sent = true
+		u.number++
+		asking := directory.Update{Asks: true, Confirms: true, Number: u.number, State: u.role.spread.Announced(now)}
+		u.asked = question{peer: watcher, update: asking, at: now}
+		u.send([]directory.Outgoing{{To: watcher, Update: asking}})
+		return nil
+	})
+	if !sent {
+		return 0, false
+	}
+	timer := time.NewTimer(confirmPatience)
+	defer timer.Stop()
+	select {
+	case <-u.answered:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	u.role.executor.do(func(time.Duration) []relay.Effect {
+		through, confirmed = u.asked.at, u.asked.confirmed
+		u.asked = question{}
+		return nil
+	})
+	return through, confirmed
+}
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -43,6 +43,9 @@
 	// Exchange is the UDP and TCP address under which other balancers reach
 	// this one. All of a fleet use the same port.
 	Exchange netip.AddrPort
+	// Updates is the UDP address for what other balancers tell of the directory. All of a
+	// fleet use the same port, which is the one after that of Peers unless set.
+	Updates netip.AddrPort
 	// Seeds are Exchange addresses of balancers to ask at the start; there may
 	// be none.
 	Seeds []netip.AddrPort
@@ -93,6 +96,7 @@
 	ApplyTimeout any `toml:"apply_timeout"`
 	DrainTimeout any `toml:"drain_timeout"`
 	Exchange     any `toml:"exchange"`
+	Updates      any `toml:"updates"`
 	Seeds        any `toml:"seeds"`
 	Zones        any `toml:"zones"`
 }
@@ -118,7 +122,7 @@
 		c.broken("relay", "must have either a balancer or an agent table")
 	}
 	if raw.Balancer != nil {
-		checked.Balancer = c.relayBalancer(raw.Balancer, zone)
+		checked.Balancer = c.relayBalancer(raw.Balancer, zone, checked.Peers)
 	}
 	if raw.Agent != nil {
 		checked.Agent = c.relayAgent(raw.Agent)
@@ -126,7 +130,7 @@
 	return checked
 }
 
-func (c *checker) relayBalancer(raw *relayBalancerDocument, zone string) *RelayBalancer {
+func (c *checker) relayBalancer(raw *relayBalancerDocument, zone string, peers netip.AddrPort) *RelayBalancer {
 	checked := &RelayBalancer{
 		Listen: c.address("relay.balancer.listen", raw.Listen, remoteAddress),
 		Store:  c.address("relay.balancer.store", raw.Store, remoteAddress),
@@ -137,9 +141,13 @@
 		DrainTimeout: c.duration("relay.balancer.drain_timeout",
 			withDefault(raw.DrainTimeout, DefaultDrainTimeout), MinChangeTimeout, MaxChangeTimeout),
 		Exchange: c.address("relay.balancer.exchange", raw.Exchange, remoteAddress),
+		Updates:  netip.AddrPortFrom(peers.Addr(), peers.Port()+1),
 		Seeds:    c.seeds("relay.balancer.seeds", raw.Seeds),
 		Zones:    c.names("relay.balancer.zones", raw.Zones, membership.MaximumZones),
 	}
+	if raw.Updates != nil {
+		checked.Updates = c.address("relay.balancer.updates", raw.Updates, remoteAddress)
+	}
 	if len(checked.Zones) > 0 && !slices.Contains(checked.Zones, zone) {
 		c.broken("relay.balancer.zones", "must contain the zone of this process, %s", zone)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -167,11 +167,19 @@
 			FlowLimit: settings.DefaultFlowLimit,
 			Balancer: &settings.RelayBalancer{
 				Listen: endpoint("192.0.2.1:8100"), Store: endpoint("192.0.2.9:8000"), StoreRate: 1500, ApplyTimeout: 5 * time.Second, DrainTimeout: 4 * time.Second, Exchange: endpoint("192.0.2.1:8166"),
-				Seeds: []netip.AddrPort{endpoint("192.0.2.2:8166")}, Zones: []string{"zone-1", "zone-2"},
+				Updates: endpoint("192.0.2.1:7701"),
+				Seeds:   []netip.AddrPort{endpoint("192.0.2.2:8166")}, Zones: []string{"zone-1", "zone-2"},
 			},
 		}))
 	})
 
+	It("takes another address for updates", func() {
+		parsed, err := settings.Parse("r.toml", []byte(strings.Replace(relayBalancerFile, "store = ",
+			"updates = \"192.0.2.1:7735\"\nstore = ", 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(parsed.Relay.Balancer.Updates).To(Equal(endpoint("192.0.2.1:7735")))
+	})
+
 	It("returns the typed values and defaults of a relay agent", func() {
 		parsed, err := settings.Parse("r.toml", []byte(relayAgentFile))
 		Expect(err).NotTo(HaveOccurred())
@@ -194,6 +202,8 @@
 			"r.toml:6: relay.peers: must not be the unspecified address 0.0.0.0"),
 		Entry("no store", relayBalancerFile, "store = \"192.0.2.9:8000\"\n", "",
 			"r.toml:9: relay.balancer.store: is required"),
+		Entry("updates without a port", relayBalancerFile, "store = ", "updates = \"192.0.2.1\"\nstore = ",
+			"r.toml:11: relay.balancer.updates: must be an IPv4 address and a port, such as 192.0.2.1:6081"),
 		Entry("seeds that are no array", relayBalancerFile, `seeds = ["192.0.2.2:8166"]`, `seeds = "192.0.2.2:8166"`,
 			"r.toml:14: relay.balancer.seeds: must be an array of at most 64 addresses"),
 		Entry("an own zone that is not listed", relayBalancerFile, `zones = ["zone-1", "zone-2"]`, `zones = ["zone-2"]`,
