Start small balancers faster, and tell agents for how long clients have waited

Opening packets that had waited so long reached agents as if their clients had just begun, and were served before others that could still be answered in time.

Offers tell for how long the client has tried: what the balancer held the packet, and what the number of its copy shows; agents count requests from then.

--- a/bench/flownet/client.go
+++ b/bench/flownet/client.go
@@ -74,7 +74,7 @@
 	for _, after := range openRepeats {
 		c.world.net.At(began+after, func() {
 			if !flow.open && !flow.done {
-				flow.send(segment.Synchronize, nil)
+				flow.sendOpening(after)
 			}
 		})
 	}
@@ -86,13 +86,25 @@
 	c.world.net.At(sent.deadline, func() { flow.fail("deadline", false) })
 }
 
+// sendOpening sends a copy of the opening packet, some time after the first.
+func (f *clientFlow) sendOpening(after time.Duration) {
+	f.transmit(segment.Header{
+		Flags: segment.Synchronize, Sequence: f.sequence, Acknowledgment: uint32(after.Milliseconds()),
+	}, nil)
+}
+
 func (f *clientFlow) send(flags segment.Flags, data []byte) {
-	w := f.host.world
-	header := segment.Header{Source: f.key.Client, Destination: f.key.Service, Flags: flags, Sequence: f.sequence}
+	header := segment.Header{Flags: flags, Sequence: f.sequence}
 	if f.open {
 		header.Sequence++
 		header.Acknowledgment = f.answer + 1
 	}
+	f.transmit(header, data)
+}
+
+func (f *clientFlow) transmit(header segment.Header, data []byte) {
+	w := f.host.world
+	header.Source, header.Destination = f.key.Client, f.key.Service
 	packet := w.codec.Encode(header, data)
 	chosen := w.fabric.route(f.host.zone, f.key)
 	if chosen == nil {
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -81,6 +81,8 @@
 	Watching() bool
 	Alone() bool
 	PollAt() time.Duration
+	// ToldBy returns until when a process that knows nothing may expect others to tell it.
+	ToldBy() time.Duration
 }
 
 // Follower decides which calls keep a directory current: a listing, page by page, if
@@ -133,7 +135,7 @@
 		f.started = now
 	}
 	if f.machine.Complete() == 0 {
-		return f.page(), max(f.earliest, f.started+f.timing.ListingDelay)
+		return f.page(), max(f.earliest, f.started+f.timing.ListingDelay, f.duty.ToldBy())
 	}
 	if f.relist {
 		return f.page(), f.earliest
--- a/internal/directory/machine_test.go
+++ b/internal/directory/machine_test.go
@@ -211,12 +211,13 @@
 // duty is a duty as a test wants it.
 type duty struct {
 	watching, alone bool
-	pollAt          time.Duration
+	pollAt, toldBy  time.Duration
 }
 
 func (d *duty) Watching() bool        { return d.watching }
 func (d *duty) Alone() bool           { return d.alone }
 func (d *duty) PollAt() time.Duration { return d.pollAt }
+func (d *duty) ToldBy() time.Duration { return d.toldBy }
 
 var _ = Describe("Follower", func() {
 	var (
@@ -337,6 +338,9 @@
 		slow.ListingDelay = 200 * time.Millisecond
 		follower = directory.NewFollower(machine, slow, given)
 		Expect(delay(time.Second)).To(Equal(200 * time.Millisecond))
+		given.toldBy = 1400 * time.Millisecond
+		Expect(delay(1200*time.Millisecond)).To(Equal(200*time.Millisecond), "somebody is about to")
+		given.toldBy = 0
 		Expect(delay(1200 * time.Millisecond)).To(BeZero())
 		follower.Listed(1200*time.Millisecond, directory.Page{Last: "k", More: true, At: 5})
 		informed := directory.New()
--- a/internal/directory/spread.go
+++ b/internal/directory/spread.go
@@ -18,6 +18,9 @@
 	// named to others which start.
 	subscriberLimit = 256
 	sourceLimit     = 16
+	// fetchPatience is how long a process that starts waits for the directory of another
+	// before it lists the store: some fetches on a slow link.
+	fetchPatience = 150 * time.Millisecond
 	// toldOverlap is how many updates back an update reaches, so that one that is lost
 	// costs nothing.
 	toldOverlap = 2
@@ -83,6 +86,8 @@
 	subscribers map[Peer]time.Duration
 	// sources are processes that have lately had a directory.
 	sources []Peer
+	// toldBy is until when one of them may be expected to give it.
+	toldBy time.Duration
 	// introduced is set once a seed has shown that it has a directory, so that others
 	// which start are told of one.
 	introduced bool
@@ -180,6 +185,10 @@
 	return s.confirmed + s.timing.pollPatience() + time.Duration(s.place*float64(s.timing.pollSpread()))
 }
 
+// ToldBy returns until when another that has the directory may be expected to give it,
+// zero if none is known.
+func (s *Spread) ToldBy() time.Duration { return s.toldBy }
+
 // Confirmed returns the latest time for which the directory is known to be current.
 func (s *Spread) Confirmed() time.Duration { return s.confirmed }
 
@@ -222,6 +231,9 @@
 	digest := Digest{update.State.Version, update.State.Complete}
 	lacks = digest.ahead(s.machine.Digest()) || update.Source != 0 && !s.machine.Ready()
 	if digest.Complete > 0 || update.Source != 0 {
+		if len(s.sources) == 0 {
+			s.toldBy = now + fetchPatience
+		}
 		s.noteSource(update.SourceOf(from))
 		s.introduced = s.introduced || slices.Contains(s.seeds, from)
 	}
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -274,7 +274,7 @@
 	a.forget(now, key)
 	a.flows[key] = &agentFlow{
 		state: stateOffered, sequence: header.Sequence, balancer: from, touched: now,
-		work: work{terms: message.Terms, asked: now, sent: header.Sequence + 1},
+		work: work{terms: message.Terms, asked: now - milliseconds(message.Terms.Waited), sent: header.Sequence + 1},
 	}
 	a.running++
 	a.deliver(message.Packet)
--- a/internal/relay/agent_test.go
+++ b/internal/relay/agent_test.go
@@ -351,6 +351,21 @@
 			Expect(given(respond(6*millisecond, 1))).To(Equal([]int{10}))
 		})
 
+		It("counts the time for which a client has tried before, and serves the late after those in time", func() {
+			terms.Waited = 300
+			handshake(2*millisecond, 10)
+			terms.Waited = 5
+			handshake(3*millisecond, 11)
+			terms.Waited = 0
+			handshake(1*millisecond, 12)
+			for _, number := range []int{10, 11, 12} {
+				request(4*millisecond, number)
+			}
+			Expect(given(respond(5*millisecond, 0))).To(Equal([]int{12}))
+			Expect(given(respond(6*millisecond, 1))).To(Equal([]int{11}))
+			Expect(given(respond(7*millisecond, 2))).To(Equal([]int{10}), "it can only be late")
+		})
+
 		It("admits the more urgent before the newer", func() {
 			terms.Priority = 1
 			handshake(1*millisecond, 10)
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -78,6 +78,8 @@
 	opened   time.Duration
 	touched  time.Duration
 	terms    Terms
+	// began is when the client began to open the flow, as far as its packets show.
+	began time.Duration
 	// offer is set while the state is flowOffering, search while it is
 	// flowLocating.
 	offer  *offer
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -46,6 +46,12 @@
 		Expect(starting.Tick(time.Second)).To(BeEmpty())
 	})
 
+	It("tells agents for how long the client has tried, by the copy of its packet and by earlier offers", func() {
+		offer := onlyMessage(balancer.Arrive(0, fromClient(1, segment.Synchronize, 100, 600, "")))
+		Expect(offer.Message.Terms.Waited).To(Equal(uint32(600)))
+		Expect(onlyMessage(balancer.Tick(50 * millisecond)).Message.Terms.Waited).To(Equal(uint32(650)))
+	})
+
 	It("offers a new flow to one endpoint and its later packets to the same", func() {
 		offer := onlyMessage(balancer.Arrive(0, opening(1, 100)))
 		Expect(offer.Message.Kind).To(Equal(relay.KindOffer))
--- a/internal/relay/early.go
+++ b/internal/relay/early.go
@@ -71,6 +71,7 @@
 func (b *Balancer) releaseEarly(now time.Duration) {
 	for _, held := range b.early.take(now) {
 		header, _ := b.config.Codec.Decode(held.packet)
+		header.Waited += now - held.at
 		b.event(Event{Kind: EventReleased, Flow: held.key, Version: b.snapshot.Version(), Elapsed: now - held.at})
 		b.arrive(now, held.key, header, held.packet)
 	}
--- a/internal/relay/early_test.go
+++ b/internal/relay/early_test.go
@@ -61,6 +61,12 @@
 		Expect(offered(install(300 * millisecond))).To(HaveLen(1))
 	})
 
+	It("tells agents for how long clients have waited", func() {
+		balancer.Arrive(0, fromClient(1, segment.Synchronize, 100, 200, ""))
+		offer := sent(install(100 * millisecond))[0]
+		Expect(offer.Message.Terms.Waited).To(Equal(uint32(300)))
+	})
+
 	It("forgets what has waited for too long", func() {
 		balancer.Arrive(0, opening(1, 100))
 		balancer.Arrive(900*millisecond, opening(2, 100))
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -169,6 +169,8 @@
 	// request, in milliseconds.
 	Target  uint32
 	Timeout uint32
+	// Waited is for how long the client had tried to open the flow, in milliseconds.
+	Waited uint32
 }
 
 // Message is what balancers and agents send each other.
--- a/internal/relay/message_gen.go
+++ b/internal/relay/message_gen.go
@@ -1195,8 +1195,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Slots, err = dc.ReadUint32()
@@ -1219,13 +1219,18 @@
 		err = msgp.WrapError(err, "Timeout")
 		return
 	}
+	z.Waited, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Waited")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Terms) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -1249,18 +1254,24 @@
 		err = msgp.WrapError(err, "Timeout")
 		return
 	}
+	err = en.WriteUint32(z.Waited)
+	if err != nil {
+		err = msgp.WrapError(err, "Waited")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Terms) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendUint32(o, z.Slots)
 	o = msgp.AppendUint8(o, z.Priority)
 	o = msgp.AppendUint32(o, z.Target)
 	o = msgp.AppendUint32(o, z.Timeout)
+	o = msgp.AppendUint32(o, z.Waited)
 	return
 }
 
@@ -1272,8 +1283,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Slots, bts, err = msgp.ReadUint32Bytes(bts)
@@ -1296,12 +1307,17 @@
 		err = msgp.WrapError(err, "Timeout")
 		return
 	}
+	z.Waited, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Waited")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Terms) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint32Size
+	s = 1 + msgp.Uint32Size + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
 	return
 }
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -41,7 +41,9 @@
 		return
 	}
 	b.budget.earn()
-	opened := &balancerFlow{sequence: header.Sequence, opened: now, touched: now, terms: termsOf(route)}
+	opened := &balancerFlow{
+		sequence: header.Sequence, opened: now, touched: now, terms: termsOf(route), began: now - header.Waited,
+	}
 	opened.offer = &offer{key: key, packet: slices.Clone(packet)}
 	opened.service = b.chooseService(now, route)
 	if !b.offerNext(now, opened) {
@@ -60,9 +62,15 @@
 	}
 }
 
+// waited returns for how long the client has tried to open the flow, in milliseconds.
+func (f *balancerFlow) waited(now time.Duration) uint32 {
+	return uint32((now - f.began).Milliseconds())
+}
+
 // repeatOffer sends a copy of an opening packet to where the last went.
 func (b *Balancer) repeatOffer(now time.Duration, known *balancerFlow, packet []byte) {
 	known.touched = now
+	known.terms.Waited = known.waited(now)
 	b.send(known.agent, Message{Kind: KindOffer, Service: known.service, Terms: known.terms, Packet: packet})
 }
 
@@ -91,6 +99,7 @@
 	b.count(opened)
 	b.awaitAgent(now)
 	opened.terms.Slots = chosen.Endpoint.Slots
+	opened.terms.Waited = opened.waited(now)
 	b.send(opened.agent, Message{
 		Kind: KindOffer, Service: opened.service, Terms: opened.terms, Packet: opened.offer.packet,
 	})
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -30,9 +30,8 @@
 	terms Terms
 	// request is the identifier of the request, if its first packet showed one.
 	request string
-	// asked is when the client began with the request, as far as the agent can
-	// tell: when its flow was offered or, in a flow that is kept, the request
-	// came.
+	// asked is when the client began with the request, as far as is known: when it
+	// began to open the flow or, in a flow that is kept, the request came.
 	asked time.Duration
 	// since is when the request was admitted, and fed when the endpoint was given
 	// the last new data of it.
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -117,9 +117,9 @@
 	return created, err
 }
 
-// listingDelay is how long a process that starts leaves it to others to tell it the
-// directory: the time for a question to a seed and a fetch on a link of 20 Mbit/s.
-const listingDelay = 80 * time.Millisecond
+// listingDelay is how long a process that starts waits for a seed to say who has the
+// directory before it lists the store: some round trips.
+const listingDelay = 20 * time.Millisecond
 
 // timingOf returns how much time the news of the store have. Where there is nobody to ask,
 // a process that starts lists the store at once.
--- a/internal/relaydaemon/daemon_test.go
+++ b/internal/relaydaemon/daemon_test.go
@@ -51,6 +51,28 @@
 	}
 }
 
+// changingStore gives a listing and, once changes is closed, one change.
+type changingStore struct {
+	fakeStore
+	changes chan struct{}
+	change  directory.Changes
+}
+
+func (s changingStore) Watch(ctx context.Context, after directory.Revision, wait time.Duration) (directory.Changes, error) {
+	changed := s.changes
+	if after >= s.change.Through {
+		changed = nil
+	}
+	select {
+	case <-changed:
+		return s.change, nil
+	case <-ctx.Done():
+		return directory.Changes{}, &directory.StoreError{Failure: directory.StoreUnreachable}
+	case <-time.After(wait):
+		return directory.Changes{Through: after}, nil
+	}
+}
+
 // logBuffer is a log that may be read while it is written.
 type logBuffer struct {
 	mutex sync.Mutex
@@ -240,6 +262,25 @@
 		Expect(log.String()).To(ContainSubstring(`"msg":"directory fetched"`))
 	})
 
+	It("learns of changes from another balancer where the store does not answer", func() {
+		arrival := directory.Item{Revision: 6, EndpointID: "e-2", Endpoint: &directory.Endpoint{
+			Service: "lookup", IP: [4]byte{127, 0, 1, 9}, Port: uint16(used.appPort), Slots: 3,
+		}}
+		store := changingStore{
+			fakeStore: fakeStore{page: used.listing()}, changes: make(chan struct{}),
+			change: directory.Changes{Items: []directory.Item{arrival}, Through: 6},
+		}
+		start(used.balancer(balancerIP, ""), store, io.Discard)
+		Eventually(status(balancerIP)).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+		told := used
+		told.healthPort = freePort()
+		seed := fmt.Sprintf("%q", fmt.Sprintf("%s:%d", balancerIP, used.exchangePort))
+		start(told.balancer(otherIP, seed), fakeStore{down: true}, log)
+		Eventually(func() int { return told.health(otherIP) }).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+		close(store.changes)
+		Eventually(log.String).WithTimeout(10 * time.Second).Should(ContainSubstring(`"revision":6`))
+	})
+
 	It("resets a flow that nobody holds, also where the store does not answer and a peer confirms the directory", func() {
 		client := udp(clientIP, used.packetPort)
 		start(used.agent(agentIP), nil, log)
--- a/internal/relaydaemon/peers.go
+++ b/internal/relaydaemon/peers.go
@@ -47,8 +47,6 @@
 	// each of which costs calls of the store, and confirmBurst those at once.
 	confirmRate  = 50
 	confirmBurst = 20
-	// maximumState bounds the directory of a peer, in bytes.
-	maximumState = 16 << 20
 )
 
 // peers is what balancers tell each other: who there is, how much each knows of
@@ -229,7 +227,6 @@
 }
 
 func encodeState(_ context.Context, w http.ResponseWriter, response any) error {
-	w.Header().Set("Content-Encoding", "gzip")
 	_, err := w.Write(response.([]byte))
 	return err
 }
@@ -392,6 +389,6 @@
 	if err != nil {
 		return state, at, errors.Wrap(err, "directory of a peer")
 	}
-	_, err = state.UnmarshalMsg(body)
-	return state, at, errors.Wrap(err, "directory of a peer")
+	state, err = decodeState(body)
+	return state, at, err
 }
--- a/internal/relaydaemon/statecache.go
+++ b/internal/relaydaemon/statecache.go
@@ -1,19 +1,21 @@
 package relaydaemon
 
 import (
-	"bytes"
-	"compress/gzip"
 	"time"
 
+	"github.com/klauspost/compress/s2"
 	"github.com/pkg/errors"
 
 	"github.com/vanetiller/vanetiller/internal/directory"
 )
 
-// cacheLifetime is how long an encoded state may be given to others. Its ages are as much
-// too low at the end.
+// cacheLifetime is how long an encoded state may be given to others. Its ages are told as
+// they are at the end of that.
 const cacheLifetime = 100 * time.Millisecond
 
+// maximumState bounds the directory of a peer, in bytes.
+const maximumState = 16 << 20
+
 // stateCache keeps the state that was encoded last: when a configuration is new or many
 // processes start, all ask for the same.
 type stateCache struct {
@@ -34,17 +36,24 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "directory")
 	}
-	var compressed bytes.Buffer
-	writer, err := gzip.NewWriterLevel(&compressed, gzip.BestSpeed)
+	*c = stateCache{known: known, digest: digest, at: now, encoded: s2.Encode(nil, plain)}
+	return c.encoded, nil
+}
+
+// decodeState reads a state that another process has encoded.
+func decodeState(encoded []byte) (directory.State, error) {
+	var state directory.State
+	length, err := s2.DecodedLen(encoded)
 	if err != nil {
-		return nil, errors.Wrap(err, "directory")
+		return state, errors.Wrap(err, "directory of a peer")
 	}
-	if _, err := writer.Write(plain); err != nil {
-		return nil, errors.Wrap(err, "directory")
+	if length > maximumState {
+		return state, errors.Errorf("directory of a peer: %d bytes", length)
 	}
-	if err := writer.Close(); err != nil {
-		return nil, errors.Wrap(err, "directory")
+	plain, err := s2.Decode(nil, encoded)
+	if err != nil {
+		return state, errors.Wrap(err, "directory of a peer")
 	}
-	*c = stateCache{known: known, digest: digest, at: now, encoded: compressed.Bytes()}
-	return c.encoded, nil
+	_, err = state.UnmarshalMsg(plain)
+	return state, errors.Wrap(err, "directory of a peer")
 }
--- /dev/null
+++ b/internal/relaydaemon/statecache_test.go
@@ -0,0 +1,47 @@
+package relaydaemon
+
+import (
+	"testing"
+	"time"
+
+	"github.com/klauspost/compress/s2"
+	"github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+)
+
+func TestStateCache(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var cache stateCache
+	made := 0
+	encode := func(now time.Duration, known, digest directory.Digest) directory.State {
+		encoded, err := cache.encode(now, known, digest, func() directory.State {
+			made++
+			return directory.State{Complete: digest.Complete, Version: digest.Version, Confirmed: true, Age: time.Second}
+		})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		state, err := decodeState(encoded)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return state
+	}
+	known, digest := directory.Digest{Version: 1, Complete: 2}, directory.Digest{Version: 3, Complete: 4}
+	first := encode(0, known, digest)
+	g.Expect(first.Complete).To(gomega.Equal(directory.Revision(4)))
+	g.Expect(first.Age).To(gomega.Equal(time.Second+cacheLifetime), "its age when it is given last")
+	encode(cacheLifetime-1, known, digest)
+	g.Expect(made).To(gomega.Equal(1), "the same for all who ask for the same")
+	encode(cacheLifetime-1, digest, digest)
+	encode(cacheLifetime-1, digest, directory.Digest{Version: 3, Complete: 5})
+	g.Expect(made).To(gomega.Equal(3))
+	encode(2*cacheLifetime, digest, directory.Digest{Version: 3, Complete: 5})
+	g.Expect(made).To(gomega.Equal(4), "ages change")
+}
+
+func TestDecodeState(t *testing.T) {
+	g := gomega.NewWithT(t)
+	huge := append([]byte{0xff, 0xff, 0xff, 0xff, 0x0f}, make([]byte, 100)...)
+	for _, encoded := range [][]byte{nil, {1, 2, 3}, huge, s2.Encode(nil, []byte("no state"))} {
+		_, err := decodeState(encoded)
+		g.Expect(err).To(gomega.HaveOccurred())
+	}
+}
--- a/internal/segment/segment.go
+++ b/internal/segment/segment.go
@@ -9,6 +9,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -94,6 +95,9 @@
 	Acknowledgment uint32
 	// Length is the number of bytes of data.
 	Length int
+	// Waited is, in a packet that opens a flow, for how long its client has tried, as far
+	// as the packet shows that it is a copy.
+	Waited time.Duration
 }
 
 // Opening reports whether the packet is a client's first of a flow.
--- a/internal/segment/segmenttest/codec.go
+++ b/internal/segment/segmenttest/codec.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/binary"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -32,7 +33,8 @@
 	Key uint64
 }
 
-// Encode returns a sealed packet.
+// Encode returns a sealed packet. The acknowledgment of one that opens a flow is for how
+// many milliseconds its client has tried.
 func (c Codec) Encode(header segment.Header, data []byte) []byte {
 	packet := make([]byte, headSize, headSize+len(data))
 	packet[offsetFlags] = byte(header.Flags)
@@ -71,14 +73,18 @@
 	case len(packet) > maximumSize:
 		return segment.Header{}, segment.Oversized
 	}
-	return segment.Header{
+	header := segment.Header{
 		Source:         addressAt(packet[offsetSource:]),
 		Destination:    addressAt(packet[offsetTarget:]),
 		Flags:          segment.Flags(packet[offsetFlags]),
 		Sequence:       binary.BigEndian.Uint32(packet[offsetSequence:]),
 		Acknowledgment: binary.BigEndian.Uint32(packet[offsetAck:]),
 		Length:         len(packet) - headSize,
-	}, segment.Decoded
+	}
+	if header.Opening() {
+		header.Waited = time.Duration(header.Acknowledgment) * time.Millisecond
+	}
+	return header, segment.Decoded
 }
 
 // requestMark stands before the identifier of a request, which ends at a blank.
