Return new flows from busy endpoints up to three times

Change: an agent at whose endpoint a new request would wait, counting flows that are just being opened, returns the opening packet; the balancer offers it to another, and after three such returns to the least busy of the three, which takes it (three choices with true loads; Mitzenmacher 2001).

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -237,16 +237,19 @@
 	event := EventNotOwned
 	if header.Opening() {
 		message.Kind = KindReturned
-		message.LastResort = reason == reasonStuck
+		message.LastResort = reason == reasonStuck || reason == reasonBusy
 		event = EventReturned
 	}
 	a.send(to, message)
 	a.event(Event{Kind: event, Flow: key, Peer: to, Reason: reason})
 }
 
-// reasonStuck is the reason of the return of an opening packet which this endpoint
-// shall get only if no other takes it.
-const reasonStuck = "stuck"
+// The reasons of the return of an opening packet which this endpoint shall get only if no
+// other takes it.
+const (
+	reasonStuck = "stuck"
+	reasonBusy  = "busy"
+)
 
 func (a *Agent) receiveOpening(now time.Duration, from segment.Address, key segment.FlowKey, header segment.Header, message Message) {
 	known, exists := a.flows[key]
@@ -267,6 +270,10 @@
 		a.bringBack(from, key, header, message.Packet, "overload")
 		return
 	}
+	if !message.LastResort && a.busy(message.Terms) {
+		a.bringBack(from, key, header, message.Packet, reasonBusy)
+		return
+	}
 	if !message.LastResort && !a.outlier.admits(now, a.pace.working) {
 		a.bringBack(from, key, header, message.Packet, reasonStuck)
 		return
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -46,6 +46,22 @@
 		Expect(starting.Tick(time.Second)).To(BeEmpty())
 	})
 
+	It("offers a flow that busy agents return to others, and after three to the least busy of them", func() {
+		offer := onlyMessage(balancer.Arrive(0, opening(1, 100)))
+		loads := []uint32{7, 4, 9}
+		tried := make(map[segment.Address]uint32)
+		for index, waiting := range loads {
+			Expect(tried).NotTo(HaveKey(offer.To))
+			Expect(offer.Message.LastResort).To(BeFalse())
+			tried[offer.To] = waiting
+			offer = onlyMessage(balancer.Receive(time.Duration(index+1)*millisecond, offer.To, relay.Message{
+				Kind: relay.KindReturned, LastResort: true, Load: relay.Load{Waiting: waiting}, Packet: opening(1, 100),
+			}))
+		}
+		Expect(tried[offer.To]).To(Equal(uint32(4)))
+		Expect(offer.Message.LastResort).To(BeTrue())
+	})
+
 	It("tells agents for how long the client has tried, by the copy of its packet and by earlier offers", func() {
 		offer := onlyMessage(balancer.Arrive(0, fromClient(1, segment.Synchronize, 100, 600, "")))
 		Expect(offer.Message.Terms.Waited).To(Equal(uint32(600)))
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -8,6 +9,11 @@
 	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
+// busyLimit is the number of agents that may return an opening packet for being busy
+// before the least busy of them has to take it. Three choices are nearly as good as all
+// (the power of two choices: Mitzenmacher, 2001), and each costs a round trip.
+const busyLimit = 3
+
 // offer is an opening packet that no endpoint has answered yet.
 type offer struct {
 	key      segment.FlowKey
@@ -18,7 +24,11 @@
 	// none; one is asked once.
 	lastResort      segment.Address
 	lastResortAsked bool
-	done            bool
+	// waiting is the number of requests at that agent, and busy that of agents which
+	// have returned the packet since others may be less busy.
+	waiting uint32
+	busy    int
+	done    bool
 }
 
 // arriveOpening handles a packet that opens a flow, or a copy of it.
@@ -176,11 +186,30 @@
 	}
 	b.heard(now, known, from, message.Load)
 	if message.LastResort {
-		known.offer.lastResort = from
+		known.offer.noteLastResort(from, message.Load)
+	}
+	if known.offer.busy >= busyLimit && b.offerLastResort(now, known) {
+		return
 	}
 	b.offerAgain(now, key, known, "returned")
 }
 
+// noteLastResort notes an agent that would take the flow if no other does. The least busy
+// is asked in the end.
+func (o *offer) noteLastResort(agent segment.Address, load Load) {
+	if load.Refusing {
+		// It is left out for longer, as its endpoint hangs.
+		if o.lastResort.IsZero() {
+			o.lastResort, o.waiting = agent, math.MaxUint32
+		}
+		return
+	}
+	o.busy++
+	if pending := load.Running + load.Waiting; o.lastResort.IsZero() || pending < o.waiting {
+		o.lastResort, o.waiting = agent, pending
+	}
+}
+
 // offerAgain offers an opening packet to a further endpoint. If there is none,
 // the client is refused at once.
 func (b *Balancer) offerAgain(now time.Duration, key segment.FlowKey, known *balancerFlow, reason string) {
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -177,6 +177,22 @@
 	return backlog > float64(terms.Timeout)/1000
 }
 
+// busy reports whether a new request would have to wait, counting those that are about to
+// come in flows which are just being opened. A balancer knows only the flows that it has
+// placed itself, among hundreds next to nothing, so that it may find one that is not.
+func (a *Agent) busy(terms Terms) bool {
+	pending := a.pace.occupied + uint32(len(a.queue.waiting))
+	if terms.Slots == 0 || pending+uint32(len(a.flows)) < a.pace.limit() {
+		return false
+	}
+	for _, known := range a.flows {
+		if known.running() && !known.work.served && len(known.work.held) == 0 {
+			pending++
+		}
+	}
+	return pending >= a.pace.limit()
+}
+
 // passes reports whether a client's packet with data can be given to the
 // endpoint now. If it begins a request that has to wait, it is held.
 func (a *Agent) passes(now time.Duration, key segment.FlowKey, known *agentFlow, header segment.Header, packet []byte) bool {
