--- a/bench/flownet/balancer.go
+++ b/bench/flownet/balancer.go
@@ -192,7 +192,7 @@
 		state := n.spread.State(now, *received.fetch)
 		n.world.net.Send(n.id, from, simnet.Control, 1000, datagram{port: peerPort, state: &state})
 	case received.state != nil:
-		n.adopt(now, *received.state)
+		n.adopt(now, from, *received.state)
 	case received.message != nil:
 		n.execute(n.part.Receive(now, received.from, *received.message))
 	case received.packet != nil:
@@ -274,14 +274,14 @@
 	}
 }
 
-func (n *balancerNode) adopt(now time.Duration, state directory.State) {
+func (n *balancerNode) adopt(now time.Duration, from simnet.NodeID, state directory.State) {
 	if n.fetching == 0 {
 		return
 	}
 	asked := n.fetching
 	n.fetching = 0
 	changed := n.exchange.Fetched(now, state)
-	n.spread.Took(asked, state)
+	n.tell(n.spread.Took(now, asked, directory.Peer(from), state))
 	n.part.Confirm(n.spread.Confirmed())
 	n.installIf(now, changed)
 }
--- a/bench/flownet/ledger.go
+++ b/bench/flownet/ledger.go
@@ -91,7 +91,7 @@
 	switch {
 	case call.Listing:
 		kind = callListing
-	case call.Wait < time.Second/10:
+	case call.Polls():
 		kind = callPoll
 	}
 	l.calls[kind]++
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -76,6 +76,9 @@
 	Timeout time.Duration
 }
 
+// Polls reports whether the call only asks what there is.
+func (c Call) Polls() bool { return !c.Listing && c.Wait == pollWait }
+
 // Duty tells whether a process watches the store, or else when it asks it.
 type Duty interface {
 	Watching() bool
--- a/internal/directory/spread.go
+++ b/internal/directory/spread.go
@@ -79,10 +79,11 @@
 	asked bool
 	// confirmed is the latest time for which the directory is known to be current.
 	confirmed time.Duration
-	// told are the revisions up to which others were told, the latest last, and toldAt is
-	// when that was.
+	// told are the revisions up to which others were told, the latest last, toldAt is when
+	// that was, and toldVersion the version of the configuration then.
 	told        []Revision
 	toldAt      time.Duration
+	toldVersion uint64
 	subscribers map[Peer]time.Duration
 	// sources are processes that have lately had a directory.
 	sources []Peer
@@ -292,12 +293,17 @@
 	return answers
 }
 
-// Took notes that this process has adopted a state which it asked for at a time.
-func (s *Spread) Took(asked time.Duration, state State) {
+// Took handles that this process has adopted a state which it asked another for at a time.
+// It returns what to tell its zone: a new configuration is not in any update.
+func (s *Spread) Took(now, asked time.Duration, from Peer, state State) []Outgoing {
 	behind := Digest{state.Version, state.Complete}.ahead(s.machine.Digest())
 	if state.Confirmed && !behind {
 		s.confirmed = max(s.confirmed, asked-max(state.Age, 0))
 	}
+	if !s.head || s.machine.Snapshot().Version() <= s.toldVersion {
+		return nil
+	}
+	return s.tell(now, s.neighbours, from)
 }
 
 // Fetched notes that another process has been given the directory.
@@ -338,6 +344,7 @@
 	s.told = append(s.told, s.machine.Complete())
 	s.told = s.told[max(len(s.told)-toldOverlap, 0):]
 	s.toldAt = now
+	s.toldVersion = s.machine.Snapshot().Version()
 	return s.address(s.updates(now, base), receivers)
 }
 
--- a/internal/directory/spread_test.go
+++ b/internal/directory/spread_test.go
@@ -179,6 +179,24 @@
 		Expect(all[2].machine.Digest()).To(Equal(directory.Digest{Version: 2, Complete: 6}))
 	})
 
+	It("tells its zone of a configuration that it had to fetch, if it is the first of its zone", func() {
+		all := fleet(30, 3)
+		teller := watching(all)[0]
+		all[teller].machine.Changes(time.Second, []directory.Item{configurationItem(2, 6)}, 6)
+		for peer := range receiversOf(all[teller].spread.Answered(time.Second)) {
+			digest := all[peer].machine.Digest()
+			state := all[teller].spread.State(time.Second, digest)
+			all[peer].machine.Adopt(time.Second, state)
+			told := receiversOf(all[peer].spread.Took(time.Second, time.Second, teller, state))
+			if peer%3 == teller%3 {
+				Expect(told).To(BeEmpty(), "it is in the zone of the watcher")
+				continue
+			}
+			Expect(told).To(HaveLen(9))
+			Expect(all[peer].spread.Took(time.Second, time.Second, teller, state)).To(BeEmpty(), "once")
+		}
+	})
+
 	It("makes up for one update that was lost, and knows when it lacks more", func() {
 		all := fleet(2, 1)
 		tell := func(revision directory.Revision) []directory.Outgoing {
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -7,38 +7,15 @@
 	"reflect"
 	"time"
 
-	"github.com/go-kit/kit/metrics"
 	"github.com/oklog/run"
 
 	"github.com/vanetiller/vanetiller/internal/directory"
 	"github.com/vanetiller/vanetiller/internal/membership"
 	"github.com/vanetiller/vanetiller/internal/observability"
-	"github.com/vanetiller/vanetiller/internal/observability/registry"
 	"github.com/vanetiller/vanetiller/internal/relay"
 	"github.com/vanetiller/vanetiller/internal/settings"
 )
 
-// directoryGauges show what a balancer has in force.
-type directoryGauges struct {
-	version   metrics.Gauge
-	routes    metrics.Gauge
-	endpoints metrics.Gauge
-}
-
-func newDirectoryGauges(registered *registry.Registry) directoryGauges {
-	return directoryGauges{
-		version:   registered.Gauge("relay_configuration_version", "Version of the configuration in force, 0 before the first."),
-		routes:    registered.Gauge("relay_routes", "Routes in force."),
-		endpoints: registered.Gauge("relay_endpoints", "Endpoints known, those that are leaving or gone included."),
-	}
-}
-
-func (g directoryGauges) observe(snapshot *directory.Snapshot) {
-	g.version.Set(float64(snapshot.Version()))
-	g.routes.Set(float64(snapshot.Routes()))
-	g.endpoints.Set(float64(len(snapshot.All())))
-}
-
 // balancerRole runs a relay.Balancer and keeps its directory current.
 type balancerRole struct {
 	settings  settings.Relay
@@ -59,12 +36,12 @@
 	storeTurn int
 	peers     *peers
 	updates   *updates
-	gauges    directoryGauges
+	metrics   directoryMetrics
 	// isolated is what was reported last.
 	isolated bool
 }
 
-func newBalancerRole(surroundings Surroundings, checked *settings.Settings, health *observability.Health, journal *journal, gauges directoryGauges) (*balancerRole, error) {
+func newBalancerRole(surroundings Surroundings, checked *settings.Settings, health *observability.Health, journal *journal, metrics directoryMetrics) (*balancerRole, error) {
 	given := checked.Relay.Balancer
 	balancer := relay.NewBalancer(relay.BalancerConfig{
 		Zone:         checked.Zone,
@@ -92,7 +69,7 @@
 		spread:    spread,
 		wake:      make(chan struct{}, 1),
 		store:     surroundings.NewStore(given.Store),
-		gauges:    gauges,
+		metrics:   metrics,
 
 		confirmations: make(chan struct{}, 1),
 	}
@@ -254,6 +231,7 @@
 	defer cancel()
 	if next.call.Listing {
 		page, err := next.store.List(ctx, next.call.After)
+		r.metrics.called(kindOf(next.call), err)
 		r.conclude(running, next.turn, err, func(now time.Duration) bool {
 			changed := r.follower.Listed(now, page)
 			if r.follower.Following() {
@@ -264,6 +242,7 @@
 		return
 	}
 	changes, err := next.store.Watch(ctx, next.call.AfterRevision, next.call.Wait)
+	r.metrics.called(kindOf(next.call), err)
 	r.conclude(running, next.turn, err, func(now time.Duration) bool { return r.follower.Watched(now, changes, rand.Float64()) })
 }
 
@@ -313,7 +292,7 @@
 func (r *balancerRole) install(now time.Duration) []relay.Effect {
 	snapshot := r.directory.Snapshot()
 	r.health.SetReady(conditionDirectory)
-	r.gauges.observe(snapshot)
+	r.metrics.observe(snapshot)
 	r.executor.journal.logger.Info("directory changed",
 		"version", snapshot.Version(), "revision", uint64(r.directory.Complete()),
 		"routes", snapshot.Routes(), "endpoints", len(snapshot.All()))
--- a/internal/relaydaemon/confirm.go
+++ b/internal/relaydaemon/confirm.go
@@ -101,6 +101,7 @@
 	defer cancel()
 	if next.call.Listing {
 		page, err := next.store.List(ctx, next.call.After)
+		r.metrics.called(callConfirmation, err)
 		err = r.concludeConfirmation(confirmer, next.turn, err, func(time.Duration) []relay.Effect {
 			through, complete = confirmer.Listed(page)
 			return nil
@@ -108,6 +109,7 @@
 		return through, complete, err
 	}
 	changes, err := next.store.Watch(ctx, next.call.AfterRevision, next.call.Wait)
+	r.metrics.called(callConfirmation, err)
 	err = r.concludeConfirmation(confirmer, next.turn, err, func(now time.Duration) []relay.Effect {
 		changed := false
 		changed, through, complete = confirmer.Watched(now, changes)
--- a/internal/relaydaemon/daemon_test.go
+++ b/internal/relaydaemon/daemon_test.go
@@ -346,6 +346,8 @@
 			ContainSubstring("vanetiller_relay_wait_seconds_bucket")))
 		Eventually(scrape(balancerIP)).WithTimeout(10 * time.Second).Should(SatisfyAll(
 			ContainSubstring("vanetiller_relay_configuration_version 4"),
+			ContainSubstring(`vanetiller_relay_store_calls_total{kind="listing",outcome="answered"} 1`),
+			ContainSubstring("vanetiller_relay_directory_age_seconds"),
 			ContainSubstring("vanetiller_relay_endpoints 1")))
 	})
 
--- /dev/null
+++ b/internal/relaydaemon/directorymetrics.go
@@ -0,0 +1,83 @@
+package relaydaemon
+
+import (
+	"time"
+
+	"github.com/go-kit/kit/metrics"
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/observability/registry"
+)
+
+// directoryMetrics show what a balancer has in force, how it came to know, and what that
+// costs.
+type directoryMetrics struct {
+	version   metrics.Gauge
+	routes    metrics.Gauge
+	endpoints metrics.Gauge
+	age       metrics.Gauge
+	calls     metrics.Counter
+	updates   metrics.Counter
+}
+
+// The labels of the counters, and the values that are not names of failures.
+const (
+	outcomeLabel   = "outcome"
+	directionLabel = "direction"
+
+	callListing      = "listing"
+	callWatch        = "watch"
+	callPoll         = "poll"
+	callConfirmation = "confirmation"
+
+	outcomeAnswered = "answered"
+
+	directionSent     = "sent"
+	directionReceived = "received"
+)
+
+func newDirectoryMetrics(registered *registry.Registry) directoryMetrics {
+	return directoryMetrics{
+		version:   registered.Gauge("relay_configuration_version", "Version of the configuration in force, 0 before the first."),
+		routes:    registered.Gauge("relay_routes", "Routes in force."),
+		endpoints: registered.Gauge("relay_endpoints", "Endpoints known, those that are leaving or gone included."),
+		age:       registered.Gauge("relay_directory_age_seconds", "Time since the store has confirmed the directory, to this balancer or to others."),
+		calls:     registered.Counter("relay_store_calls_total", "Calls of the store, by kind and outcome.", kindLabel, outcomeLabel),
+		updates:   registered.Counter("relay_updates_total", "Datagrams with changes of the directory, from and to other balancers.", directionLabel),
+	}
+}
+
+func (m directoryMetrics) observe(snapshot *directory.Snapshot) {
+	m.version.Set(float64(snapshot.Version()))
+	m.routes.Set(float64(snapshot.Routes()))
+	m.endpoints.Set(float64(len(snapshot.All())))
+}
+
+// observeAge shows how old the latest confirmation is, once there is one.
+func (m directoryMetrics) observeAge(now, confirmed time.Duration) {
+	if confirmed >= 0 {
+		m.age.Set((now - confirmed).Seconds())
+	}
+}
+
+// called counts a call of the store.
+func (m directoryMetrics) called(kind string, err error) {
+	outcome := outcomeAnswered
+	var failed *directory.StoreError
+	if errors.As(err, &failed) {
+		outcome = failed.Failure.String()
+	}
+	m.calls.With(kindLabel, kind, outcomeLabel, outcome).Add(1)
+}
+
+// kindOf returns the kind of a call that keeps the directory current.
+func kindOf(call directory.Call) string {
+	switch {
+	case call.Listing:
+		return callListing
+	case call.Polls():
+		return callPoll
+	}
+	return callWatch
+}
--- a/internal/relaydaemon/peers.go
+++ b/internal/relaydaemon/peers.go
@@ -273,6 +273,7 @@
 	p.role.executor.do(func(now time.Duration) []relay.Effect {
 		known = p.role.directory.Ready()
 		asking = now <= introductionTime
+		p.role.metrics.observeAge(now, p.role.spread.Confirmed())
 		return nil
 	})
 	if known && !asking {
@@ -340,7 +341,7 @@
 	}
 	p.role.executor.do(func(now time.Duration) []relay.Effect {
 		changed := p.role.directory.Adopt(now, state)
-		p.role.spread.Took(at, state)
+		p.role.updates.send(p.role.spread.Took(now, at, directory.Peer(from), state))
 		return p.role.installIf(changed, now)
 	})
 	return nil
@@ -353,7 +354,7 @@
 			return nil
 		}
 		changed := p.exchange.Fetched(now, state)
-		p.role.spread.Took(at, state)
+		p.role.updates.send(p.role.spread.Took(now, at, directory.Peer(from), state))
 		p.role.balancer.Confirm(p.role.spread.Confirmed())
 		p.role.executor.journal.logger.Info("directory fetched", "peer", from.String(), "changed", changed,
 			"took_ms", (now - at).Milliseconds(),
--- a/internal/relaydaemon/updates.go
+++ b/internal/relaydaemon/updates.go
@@ -62,6 +62,7 @@
 		u.role.executor.record(relay.Event{Kind: relay.EventMalformed, Peer: segment.AddressOf(from), Reason: "update"})
 		return
 	}
+	u.role.metrics.updates.With(directionLabel, directionReceived).Add(1)
 	u.role.executor.do(func(now time.Duration) []relay.Effect { return u.take(now, peer, update) })
 }
 
@@ -107,6 +108,7 @@
 		machine := membership.Address(outgoing[index].To).AddrPort().Addr()
 		u.socket.send(segment.AddressOf(netip.AddrPortFrom(machine, u.listen.Port())), encoded)
 	}
+	u.role.metrics.updates.With(directionLabel, directionSent).Add(float64(len(outgoing)))
 }
 
 // answerThrough answers the questions that came until the time for which the directory
