Check the spread of the directory against a model of the store, and mend what it found

A model (internal/directory, TestSpreadModel): five balancers, updates lost, doubled and reordered, listings, watches, fetches and restarts at random; at each step a balancer must know the store as it was at the revision that it claims. A planted fault (updates that leave out what has gone) is found.

--- /dev/null
+++ b/internal/directory/model_test.go
@@ -0,0 +1,242 @@
+package directory_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+)
+
+// storeModel is a store whose whole history is remembered: the item with an index has the
+// revision after it.
+type storeModel struct{ history []directory.Item }
+
+func (s *storeModel) revision() directory.Revision { return directory.Revision(len(s.history)) }
+
+// write accepts one change.
+func (s *storeModel) write(item directory.Item) {
+	item.Revision = s.revision() + 1
+	s.history = append(s.history, item)
+}
+
+// at returns the entries that are there at a revision, and the configuration's version.
+func (s *storeModel) at(revision directory.Revision) (map[directory.EndpointID]directory.Item, uint64) {
+	entries := make(map[directory.EndpointID]directory.Item)
+	version := uint64(0)
+	for _, item := range s.history[:revision] {
+		switch {
+		case item.Configuration != nil:
+			version = item.Configuration.Version
+		case item.Endpoint != nil:
+			entries[item.EndpointID] = item
+		default:
+			delete(entries, item.EndpointID)
+		}
+	}
+	return entries, version
+}
+
+// page returns a listing of everything, at a revision.
+func (s *storeModel) page(revision directory.Revision) []directory.Item {
+	entries, _ := s.at(revision)
+	var items []directory.Item
+	for _, item := range entries {
+		items = append(items, item)
+	}
+	for index := int(revision) - 1; index >= 0; index-- {
+		if s.history[index].Configuration != nil {
+			return append(items, s.history[index])
+		}
+	}
+	return items
+}
+
+// delivery is an update on its way.
+type delivery struct {
+	from directory.Peer
+	directory.Outgoing
+}
+
+// spreadModel is a fleet whose updates are lost, doubled and reordered.
+type spreadModel struct {
+	store storeModel
+	fleet []*participant
+	way   []delivery
+	now   time.Duration
+	next  int
+	// omits is a planted fault: updates leave out endpoints that have gone.
+	omits bool
+}
+
+func newSpreadModel(balancers int) *spreadModel {
+	created := &spreadModel{}
+	created.store.write(configurationItem(1, 0))
+	members := fleetOf(balancers, 2)
+	for _, member := range members {
+		machine := directory.New()
+		spread := directory.NewSpread(machine, timing, member, nil, rand.New(rand.NewPCG(uint64(member.Peer), 1)))
+		spread.SetMembers(members)
+		created.fleet = append(created.fleet, &participant{machine, spread})
+	}
+	return created
+}
+
+func (m *spreadModel) send(from directory.Peer, outgoing []directory.Outgoing) {
+	for _, each := range outgoing {
+		if m.omits {
+			var kept []directory.EndpointState
+			for _, described := range each.Update.State.Endpoints {
+				if !described.Gone {
+					kept = append(kept, described)
+				}
+			}
+			each.Update.State.Endpoints = kept
+		}
+		m.way = append(m.way, delivery{from, each})
+	}
+}
+
+// step lets one thing happen.
+func (m *spreadModel) step(t *rapid.T) {
+	m.now += time.Duration(rapid.IntRange(1, 400).Draw(t, "passed")) * time.Millisecond
+	index := rapid.IntRange(0, len(m.fleet)-1).Draw(t, "balancer")
+	chosen, peer := m.fleet[index], directory.Peer(index+1)
+	switch rapid.SampledFrom([]string{"write", "write", "leave", "configure", "list", "watch", "watch", "deliver", "deliver", "deliver", "double", "lose", "fetch", "restart"}).Draw(t, "step") {
+	case "write":
+		m.next++
+		value := endpoint("s", rapid.Bool().Draw(t, "draining"))
+		value.IP = [4]byte{10, 0, 0, byte(m.next)}
+		m.store.write(endpointItem(fmt.Sprintf("e%d", rapid.IntRange(max(m.next-3, 1), m.next).Draw(t, "id")), 0, value))
+	case "leave":
+		entries, _ := m.store.at(m.store.revision())
+		for id := range m.next + 1 {
+			if gone := directory.EndpointID(fmt.Sprintf("e%d", id)); entries[gone].Endpoint != nil {
+				m.store.write(endpointItem(string(gone), 0, nil))
+				return
+			}
+		}
+	case "configure":
+		_, version := m.store.at(m.store.revision())
+		m.store.write(configurationItem(version+1, 0))
+	case "list":
+		chosen.machine.Listing(m.now, m.store.page(m.store.revision()), m.store.revision())
+		m.send(peer, chosen.spread.Answered(m.now))
+	case "watch":
+		if after := chosen.machine.Complete(); after > 0 {
+			chosen.machine.Changes(m.now, m.store.history[after:], m.store.revision())
+			m.send(peer, chosen.spread.Answered(m.now))
+		}
+	case "deliver", "double", "lose":
+		m.deliver(t)
+	case "fetch":
+		other := rapid.IntRange(0, len(m.fleet)-1).Draw(t, "source")
+		state := m.fleet[other].spread.State(m.now, chosen.machine.Digest())
+		chosen.machine.Adopt(m.now, state)
+		m.send(peer, chosen.spread.Took(m.now, m.now, directory.Peer(other+1), state))
+	case "restart":
+		*chosen = *newParticipant(directory.Member{Peer: peer, Zone: index % 2})
+		chosen.spread.SetMembers(fleetOf(len(m.fleet), 2))
+	}
+}
+
+// deliver hands over an update that is on its way, in any order.
+func (m *spreadModel) deliver(t *rapid.T) {
+	if len(m.way) == 0 {
+		return
+	}
+	index := rapid.IntRange(0, len(m.way)-1).Draw(t, "update")
+	arriving := m.way[index]
+	if rapid.IntRange(0, 4).Draw(t, "fate") > 0 {
+		m.way = append(m.way[:index], m.way[index+1:]...)
+	}
+	_, _, answers := m.fleet[arriving.To-1].spread.Receive(m.now, arriving.from, arriving.Update)
+	m.send(arriving.To, answers)
+}
+
+// wrong returns what a balancer believes that is not so at the revision up to which it
+// claims to know all changes, empty if there is nothing.
+func (m *spreadModel) wrong(each *participant) string {
+	complete := each.machine.Complete()
+	if complete == 0 {
+		return ""
+	}
+	entries, version := m.store.at(complete)
+	if known := each.machine.Snapshot().Version(); known < version {
+		return fmt.Sprintf("version %d and not %d at revision %d", known, version, complete)
+	}
+	newest, _ := m.store.at(m.store.revision())
+	for id, entry := range entries {
+		candidate, exists := each.machine.Snapshot().Candidate(id)
+		if !exists || candidate.Gone && newest[id].Revision == entry.Revision {
+			return fmt.Sprintf("%s, which is there, missing at revision %d", id, complete)
+		}
+	}
+	for _, candidate := range each.machine.Snapshot().All() {
+		_, there := entries[candidate.ID]
+		if _, later := newest[candidate.ID]; !there && !later && !candidate.Gone && !m.changedAfter(candidate.ID, complete) {
+			return fmt.Sprintf("%s, which has gone, is there at revision %d", candidate.ID, complete)
+		}
+	}
+	return ""
+}
+
+// changedAfter reports whether an endpoint has changed after a revision.
+func (m *spreadModel) changedAfter(id directory.EndpointID, revision directory.Revision) bool {
+	for _, item := range m.store.history[revision:] {
+		if item.EndpointID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// seed makes a test have the same verdict each time. More runs, with other seeds, are a
+// matter of -rapid.checks and of changing it.
+const seed = "20261202"
+
+func seeded(t *testing.T) {
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestSpreadModel checks that a balancer knows the store as it was at the revision that
+// it claims, whatever becomes of updates.
+func TestSpreadModel(t *testing.T) {
+	seeded(t)
+	rapid.Check(t, func(t *rapid.T) {
+		model := newSpreadModel(5)
+		for range 60 {
+			model.step(t)
+			for index, each := range model.fleet {
+				if wrong := model.wrong(each); wrong != "" {
+					t.Fatalf("balancer %d: %s", index+1, wrong)
+				}
+			}
+		}
+	})
+}
+
+// TestSpreadModelSeesFaults shows that the check finds updates that leave out what has gone.
+func TestSpreadModelSeesFaults(t *testing.T) {
+	seeded(t)
+	found := false
+	rapid.Check(t, func(t *rapid.T) {
+		model := newSpreadModel(5)
+		model.omits = true
+		for range 60 {
+			model.step(t)
+			for _, each := range model.fleet {
+				found = found || model.wrong(each) != ""
+			}
+		}
+	})
+	if !found {
+		t.Fatal("no run found a planted fault")
+	}
+}
--- a/internal/directory/spread_test.go
+++ b/internal/directory/spread_test.go
@@ -326,6 +326,30 @@
 		Expect(candidate.Gone).To(BeTrue())
 	})
 
+	It("does not bring back an entry that has lapsed, come back and lapsed again in a gap", func() {
+		told := directory.New()
+		told.Listing(0, []directory.Item{configurationItem(1, 1), endpointItem("a", 2, endpoint("s", false))}, 2)
+		told.Changes(0, []directory.Item{endpointItem("a", 3, nil)}, 3)
+		told.Listing(0, []directory.Item{configurationItem(1, 1)}, 6)
+		late := directory.New()
+		late.Listing(0, []directory.Item{configurationItem(1, 1), endpointItem("a", 4, endpoint("s", false))}, 4)
+		told.Adopt(0, late.ChangesAfter(0, 3))
+		told.Adopt(0, late.State(0))
+		candidate, _ := told.Snapshot().Candidate("a")
+		Expect(candidate.Gone).To(BeTrue())
+	})
+
+	It("learns from a whole state of the end of an entry of whose return the teller has not heard", func() {
+		teller, told := directory.New(), directory.New()
+		teller.Listing(0, []directory.Item{configurationItem(1, 1), endpointItem("a", 2, endpoint("s", false))}, 2)
+		teller.Changes(0, []directory.Item{endpointItem("a", 3, nil)}, 3)
+		teller.Listing(0, []directory.Item{configurationItem(1, 1)}, 5)
+		told.Listing(0, []directory.Item{configurationItem(1, 1), endpointItem("a", 4, endpoint("s", false))}, 4)
+		told.Adopt(0, teller.StateAfter(0, told.Digest()))
+		candidate, _ := told.Snapshot().Candidate("a")
+		Expect(candidate.Gone).To(BeTrue())
+	})
+
 	It("does not go on from changes that begin after what it knows", func() {
 		teller, told := directory.New(), directory.New()
 		told.Listing(0, []directory.Item{configurationItem(1, 1)}, 3)
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -168,13 +168,14 @@
 	return state.Complete >= m.complete && (state.Whole || state.From <= m.complete)
 }
 
-// leaveMissing notes that endpoints have gone which are not in a whole state.
+// leaveMissing notes that endpoints have gone which are not there in a whole state. One that
+// has gone in it may have come back and gone again, of which its teller has not heard.
 func (m *Machine) leaveMissing(now time.Duration, state State) bool {
-	told := make(map[EndpointID]bool, len(state.Endpoints))
+	there := make(map[EndpointID]bool, len(state.Endpoints))
 	for _, described := range state.Endpoints {
-		told[described.ID] = true
+		there[described.ID] = !described.Gone
 	}
-	return m.leaveUnless(now, told, state.Complete)
+	return m.leaveUnless(now, there, state.Complete)
 }
 
 // adoptFormer merges the former services that another process knows. It reports
@@ -203,9 +204,9 @@
 	return described
 }
 
-// adoptEndpoint takes what another process says of an endpoint if it is newer. An
-// endpoint that this process does not know, though it knows all changes since the
-// entry was written, has gone: the other has not heard of that.
+// adoptEndpoint takes what another process says of an endpoint if it is newer. An entry
+// that this process does not know, though it knows all changes since it was written, has
+// gone: the other has not heard of that. The same endpoint may have had one before.
 func (m *Machine) adoptEndpoint(now time.Duration, described EndpointState) bool {
 	known, exists := m.endpoints[described.ID]
 	if exists && described.Revision <= known.revision {
@@ -218,7 +219,7 @@
 		gone:     described.Gone,
 		goneAt:   now - described.GoneFor,
 	}
-	if !exists && !described.Gone && described.Revision <= m.complete {
+	if !described.Gone && described.Revision <= m.complete {
 		adopted.leave(now, m.complete)
 	}
 	m.endpoints[described.ID] = adopted
