--- a/internal/directory/fuzz_test.go
+++ b/internal/directory/fuzz_test.go
@@ -26,3 +26,38 @@
 		adopting.Snapshot().All()
 	})
 }
+
+// FuzzUpdate gives a balancer any bytes as an update of another.
+func FuzzUpdate(f *testing.F) {
+	teller := newParticipant(directory.Member{Peer: 1})
+	teller.list(0, 5, announcing(2, 3)...)
+	teller.spread.Fetched(0, 2)
+	question := directory.Update{Asks: true, Confirms: true, Number: 3, State: teller.spread.Announced(0)}
+	for _, outgoing := range append(teller.spread.Answered(0), directory.Outgoing{Update: question}) {
+		encoded, err := outgoing.Update.MarshalMsg(nil)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var read directory.Update
+		if _, err := read.UnmarshalMsg(data); err != nil {
+			return
+		}
+		told := newParticipant(directory.Member{Peer: 2})
+		told.list(0, 3)
+		for _, peer := range []directory.Peer{1, 1, 3} {
+			_, _, answers := told.spread.Receive(0, peer, read)
+			for _, answer := range answers {
+				encoded, err := answer.Update.MarshalMsg(nil)
+				if err != nil || len(encoded) > directory.MaximumUpdate {
+					t.Fatalf("an answer of %d bytes: %v", len(encoded), err)
+				}
+			}
+		}
+		if age := told.spread.Confirmed(); age > 0 {
+			t.Fatalf("confirmed in the future: %s", age)
+		}
+	})
+}
