--- a/bench/flownet/balancer.go
+++ b/bench/flownet/balancer.go
@@ -132,8 +132,11 @@
 
 // callNext makes the next call of the store once its time has come.
 func (n *balancerNode) callNext(now time.Duration) {
+	if n.calling {
+		return
+	}
 	call, at := n.follower.Next(now)
-	if n.calling || now < at {
+	if now < at {
 		return
 	}
 	n.calling = true
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -143,8 +143,6 @@
 	if f.relist {
 		return f.page(), f.earliest
 	}
-	f.next = ""
-	f.items = nil
 	if f.duty.Watching() {
 		return f.watch(), f.earliest
 	}
@@ -173,6 +171,7 @@
 	f.items = append(f.items, page.Items...)
 	if page.More && page.Last != f.next {
 		f.next = page.Last
+		f.dropIfTold()
 		return false
 	}
 	f.next = ""
@@ -182,11 +181,21 @@
 	return changed
 }
 
+// dropIfTold gives up a listing that is needed no more, since others have told the
+// directory meanwhile.
+func (f *Follower) dropIfTold() {
+	if f.machine.Complete() > 0 && !f.relist {
+		f.next = ""
+		f.items = nil
+	}
+}
+
 // Watched handles the answer to a watch; random, from 0 to below 1, spreads the calls of
 // many processes. It reports whether the snapshot changed.
 func (f *Follower) Watched(now time.Duration, changes Changes, random float64) bool {
 	f.failures = 0
 	f.earliest = 0
+	f.dropIfTold()
 	if len(changes.Items) > 0 {
 		spacing := f.spacing/2 + time.Duration(random*float64(f.spacing))
 		f.earliest = now + max(f.changes.spend(now), spacing)
--- a/internal/directory/machine_test.go
+++ b/internal/directory/machine_test.go
@@ -349,6 +349,22 @@
 		Expect(next()).To(And(HaveField("Listing", false), HaveField("AfterRevision", directory.Revision(6))))
 	})
 
+	It("takes a last page for the end of its listing though others have told it the directory meanwhile", func() {
+		first, second := endpointItem("a", 3, endpoint("s", false)), endpointItem("b", 4, endpoint("s", false))
+		second.Endpoint.IP = [4]byte{10, 0, 0, 2}
+		follower.Listed(0, directory.Page{Items: []directory.Item{first}, Last: "a", More: true, At: 5})
+		Expect(next()).To(HaveField("After", "a"))
+		informed := directory.New()
+		informed.Listing(0, []directory.Item{configurationItem(1, 1), first, second}, 5)
+		machine.Adopt(0, informed.State(0))
+		next()
+		follower.Listed(0, directory.Page{Items: []directory.Item{second}, Last: "b", At: 6})
+		for _, candidate := range machine.Snapshot().All() {
+			Expect(candidate.Gone).To(BeFalse(), string(candidate.ID))
+		}
+		Expect(next()).To(HaveField("Listing", false))
+	})
+
 	It("resumes a listing at the page that failed", func() {
 		follower.Listed(0, directory.Page{Last: "k", More: true, At: 5})
 		fail(directory.StoreThrottled)
--- a/internal/directory/spread.go
+++ b/internal/directory/spread.go
@@ -15,6 +15,9 @@
 	// named to others which start.
 	subscriberLimit = 256
 	sourceLimit     = 16
+	// sourceLifetime is how long after it has shown a directory a process is named to
+	// others: when all start together, one of them has the rest fetch from many.
+	sourceLifetime = 2 * time.Second
 	// fetchPatience is how long a process that starts waits for the directory of another
 	// before it lists the store: some fetches on a slow link.
 	fetchPatience = 150 * time.Millisecond
@@ -61,8 +64,8 @@
 	toldAt      time.Duration
 	toldVersion uint64
 	subscribers map[Peer]time.Duration
-	// sources are processes that have lately had a directory.
-	sources []Peer
+	// sources are processes that have shown that they have a directory.
+	sources []source
 	// toldBy is until when one of them may be expected to give it.
 	toldBy time.Duration
 	// introduced is set once a seed has shown that it has a directory, so that others
@@ -70,6 +73,12 @@
 	introduced bool
 }
 
+// source is a process that has a directory, and shown when it has shown that last.
+type source struct {
+	peer  Peer
+	shown time.Duration
+}
+
 // NewSpread returns the spread of what a machine knows, for a process which asks the
 // seeds at its start.
 func NewSpread(machine *Machine, timing Timing, self Member, seeds []Peer, random *rand.Rand) *Spread {
@@ -148,7 +157,7 @@
 		if len(s.sources) == 0 {
 			s.toldBy = now + fetchPatience
 		}
-		s.noteSource(update.SourceOf(from))
+		s.noteSource(now, update.SourceOf(from))
 		s.introduced = s.introduced || slices.Contains(s.seeds, from)
 	}
 	if update.State.Confirmed && !lacks {
@@ -185,15 +194,20 @@
 	if s.machine.Ready() && known > 0 {
 		return s.address(s.updates(now, known), []Peer{to})
 	}
-	others := slices.DeleteFunc(slices.Clone(s.sources), func(source Peer) bool { return source == to })
+	var named []Peer
+	for _, each := range s.sources {
+		if each.peer != to && now-each.shown <= sourceLifetime {
+			named = append(named, each.peer)
+		}
+	}
 	if s.machine.Ready() {
-		others = append(others, s.self.Peer)
+		named = append(named, s.self.Peer)
 	}
-	if len(others) == 0 {
+	if len(named) == 0 {
 		return nil
 	}
 	return []Outgoing{{
-		To: to, Update: Update{State: s.Announced(now), Source: others[s.random.IntN(len(others))]},
+		To: to, Update: Update{State: s.Announced(now), Source: named[s.random.IntN(len(named))]},
 	}}
 }
 
@@ -228,17 +242,22 @@
 	}
 }
 
-func (s *Spread) noteSource(peer Peer) {
-	if peer == s.self.Peer || slices.Contains(s.sources, peer) {
+func (s *Spread) noteSource(now time.Duration, peer Peer) {
+	if peer == s.self.Peer {
 		return
 	}
-	s.sources = append(s.sources, peer)
+	s.forgetSource(peer)
+	s.sources = append(s.sources, source{peer, now})
 	s.sources = s.sources[max(len(s.sources)-sourceLimit, 0):]
 }
 
+func (s *Spread) forgetSource(peer Peer) {
+	s.sources = slices.DeleteFunc(s.sources, func(each source) bool { return each.peer == peer })
+}
+
 // Lost forgets a process that has failed.
 func (s *Spread) Lost(peer Peer) {
-	s.sources = slices.DeleteFunc(s.sources, func(source Peer) bool { return source == peer })
+	s.forgetSource(peer)
 	delete(s.subscribers, peer)
 }
 
--- a/internal/directory/spread_test.go
+++ b/internal/directory/spread_test.go
@@ -264,6 +264,8 @@
 		_, lacks, _ := slow.spread.Receive(51*millisecond, 1, answer)
 		Expect(lacks).To(BeTrue())
 		Expect(answer.SourceOf(1)).To(Equal(directory.Peer(2)))
+		_, answered = ask(3*time.Second, slow, 3)
+		Expect(answered).To(BeFalse(), "that was long ago")
 	})
 
 	It("asks no seed any more once both know the directory", func() {
--- a/internal/relaydaemon/confirm.go
+++ b/internal/relaydaemon/confirm.go
@@ -59,6 +59,9 @@
 	wanted := false
 	r.executor.do(func(now time.Duration) []relay.Effect {
 		wanted = r.confirmer.Wanted()
+		if errors.Is(err, errNotNow) {
+			return nil
+		}
 		if err != nil {
 			r.updates.dropQuestions(begun)
 			return nil
