--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -20,8 +20,8 @@
 
 // Exchange decides when a balancer fetches the directory of another: once after
 // its start, since peers know of endpoints that have left and still have flows,
-// and whenever it stays behind, as when it cannot reach the store. It is
-// deterministic.
+// whenever it stays behind, as when no update reaches it, and at once if an update did not
+// hold what it lacks. It is deterministic.
 type Exchange[Peer comparable] struct {
 	machine *Machine
 	timing  Timing
