Ask the store when the watcher that was to confirm the directory does not answer

Cause: a balancer that asks a watcher uses up its wish for a confirmation; after 0.3 s without an answer the daemon went on to the store, whose call was then not wanted any more. Design 0012 says that the store is asked, and the emulator did so; in the daemon the search had to want it anew, which asks another watcher, a tenth of a second later each time.

Change: Confirmer.Unanswered, used by both in place of two ways. Spec: directory, 'calls the store if the balancer that was asked in its place does not answer'.

Ruled out: that a reset was wrong or missing for good; a search asks sixteen times.

--- a/bench/flownet/spread.go
+++ b/bench/flownet/spread.go
@@ -102,7 +102,7 @@
 	if n.asked > 0 {
 		// It did not answer; the store is asked.
 		n.asked = 0
-		n.confirmer.Want()
+		n.confirmer.Unanswered()
 		return false
 	}
 	watcher, exists := n.spread.Asker()
--- a/internal/directory/confirmer.go
+++ b/internal/directory/confirmer.go
@@ -79,6 +79,10 @@
 	return true
 }
 
+// Unanswered tells that the other balancer which was to confirm the directory has not
+// answered: what was begun without a call of the store is wanted again, now by a call.
+func (c *Confirmer) Unanswered() { c.wanted = true }
+
 // Listed handles the revision of the store. It returns the time for which the
 // directory is confirmed, false if changes are missing.
 func (c *Confirmer) Listed(page Page) (time.Duration, bool) {
--- a/internal/directory/confirmer_test.go
+++ b/internal/directory/confirmer_test.go
@@ -87,6 +87,16 @@
 		Expect(wanted).To(BeFalse())
 	})
 
+	It("calls the store if the balancer that was asked in its place does not answer", func() {
+		confirmer.Want()
+		Expect(confirmer.Begin(0)).To(BeTrue())
+		_, wanted := confirmer.Next(300 * millisecond)
+		Expect(wanted).To(BeFalse(), "an answer is awaited")
+		confirmer.Unanswered()
+		_, wanted = confirmer.Next(300 * millisecond)
+		Expect(wanted).To(BeTrue())
+	})
+
 	It("makes no call before the first listing, but lets a peer confirm, no more often", func() {
 		confirmer = directory.NewConfirmer(directory.New())
 		Expect(confirmer.Begin(0)).To(BeFalse(), "nobody wants it")
--- a/internal/relaydaemon/updates.go
+++ b/internal/relaydaemon/updates.go
@@ -170,6 +170,9 @@
 	u.role.executor.do(func(time.Duration) []relay.Effect {
 		through, confirmed = u.asked.at, u.asked.confirmed
 		u.asked = question{}
+		if !confirmed {
+			u.role.confirmer.Unanswered()
+		}
 		return nil
 	})
 	return through, confirmed
