Keep the questions that wait for a confirmation in one place

The daemon and the emulator each kept a list of other balancers' questions and decided which of them a confirmation answers; directory.Questions does it for both, with a spec of its own. The daemon's own question holds its number and time only. No behaviour changes but that a question which came at the very moment of a failed confirmation is dropped with it.

--- a/bench/flownet/balancer.go
+++ b/bench/flownet/balancer.go
@@ -70,7 +70,7 @@
 	heard  map[simnet.NodeID]time.Duration
 	// questions are those of others that wait for a confirmation, and asked is the time
 	// of its own question with a number.
-	questions []confirmQuestion
+	questions directory.Questions
 	asked     time.Duration
 	question  uint32
 	fetching  time.Duration
@@ -109,7 +109,7 @@
 	n.heard = make(map[simnet.NodeID]time.Duration)
 	n.follower = directory.NewFollower(n.directory, timing, n.spread)
 	n.confirmer = directory.NewConfirmer(n.directory)
-	n.confirmed, n.questions, n.asked = 0, nil, 0
+	n.confirmed, n.questions, n.asked = 0, directory.Questions{}, 0
 	n.exchange = directory.NewExchange(n.directory, timing, w.seeds(n), rand.New(rand.NewPCG(w.random.Uint64(), 2)))
 	n.fetching = 0
 	n.stopping = false
--- a/bench/flownet/confirm.go
+++ b/bench/flownet/confirm.go
@@ -21,7 +21,7 @@
 	if n.confirmed > 0 && now-n.confirmed > n.confirming.Timeout {
 		n.confirmed = 0
 		n.confirmer.Failed()
-		n.questions = nil
+		n.questions.TakeThrough(now)
 	}
 	if n.askWatcher(now) {
 		return
@@ -52,7 +52,7 @@
 	switch {
 	case reply.failure != nil:
 		n.confirmer.Failed()
-		n.questions = nil
+		n.questions.TakeThrough(now)
 	case n.confirming.Listing:
 		through, current := n.confirmer.Listed(reply.page)
 		n.currentThrough(now, through, current)
--- a/bench/flownet/spread.go
+++ b/bench/flownet/spread.go
@@ -16,13 +16,6 @@
 	confirmPatience = 300 * time.Millisecond
 )
 
-// confirmQuestion is that of another balancer for a confirmation by the store.
-type confirmQuestion struct {
-	from   directory.Peer
-	update directory.Update
-	at     time.Duration
-}
-
 // seedPeers returns the seeds of a balancer as the spread names them.
 func (w *world) seedPeers(except *balancerNode) []directory.Peer {
 	var peers []directory.Peer
@@ -84,7 +77,7 @@
 	n.installIf(now, changed)
 	switch {
 	case update.Confirms && update.Asks:
-		n.questions = append(n.questions, confirmQuestion{directory.Peer(from), update, now})
+		n.questions.Add(now, directory.Peer(from), update)
 		n.confirmer.Want()
 	case update.Confirms && !lacks && n.asked > 0 && update.Number == n.question:
 		asked := n.asked
@@ -120,13 +113,7 @@
 // answerThrough answers the questions that came until the time for which the directory
 // is confirmed.
 func (n *balancerNode) answerThrough(now, through time.Duration) {
-	var later []confirmQuestion
-	for _, each := range n.questions {
-		if each.at > through {
-			later = append(later, each)
-			continue
-		}
-		n.tell(n.spread.Answer(now, each.from, each.update))
+	for _, each := range n.questions.TakeThrough(through) {
+		n.tell(n.spread.Answer(now, each.From, each.Update))
 	}
-	n.questions = later
 }
--- a/internal/directory/spread_test.go
+++ b/internal/directory/spread_test.go
@@ -315,6 +315,20 @@
 	})
 })
 
+var _ = Describe("Questions", func() {
+	It("gives back those that came until a time, once, and keeps the later", func() {
+		var waiting directory.Questions
+		for number := range 3 {
+			waiting.Add(time.Duration(number)*millisecond, directory.Peer(number), directory.Update{Number: uint32(number)})
+		}
+		taken := waiting.TakeThrough(millisecond)
+		Expect(taken).To(HaveLen(2))
+		Expect(taken[1].From).To(Equal(directory.Peer(1)))
+		Expect(waiting.TakeThrough(millisecond)).To(BeEmpty())
+		Expect(waiting.TakeThrough(time.Second)).To(HaveLen(1))
+	})
+})
+
 var _ = Describe("Machine, told by others", func() {
 	It("learns from a whole state what has gone, and goes on from its revision", func() {
 		teller, told := directory.New(), directory.New()
--- a/internal/directory/update.go
+++ b/internal/directory/update.go
@@ -3,6 +3,7 @@
 //go:generate go tool msgp -tests=false
 //msgp:limit arrays:65536
 //msgp:tuple Update
+//msgp:ignore Question Questions
 
 // Update is what balancers tell each other of the directory, in one datagram.
 type Update struct {
--- a/internal/relaydaemon/confirm.go
+++ b/internal/relaydaemon/confirm.go
@@ -63,7 +63,8 @@
 			return nil
 		}
 		if err != nil {
-			r.updates.dropQuestions(begun)
+			// Who has asked gets no answer in time and asks the store.
+			r.updates.questions.TakeThrough(begun)
 			return nil
 		}
 		r.updates.answerThrough(now, through)
--- a/internal/relaydaemon/updates.go
+++ b/internal/relaydaemon/updates.go
@@ -22,7 +22,7 @@
 	exchange uint16
 	encoded  []byte
 	// questions are those of others that wait for a confirmation by the store.
-	questions []question
+	questions directory.Questions
 	// asked is the question of this balancer that is under way.
 	asked question
 	// answered wakes who waits for its answer.
@@ -30,11 +30,10 @@
 	number   uint32
 }
 
-// question is one for a confirmation of the directory.
+// question is one of this balancer for a confirmation of the directory, which was sent at
+// a time; confirmed is set once it was answered.
 type question struct {
-	peer   directory.Peer
-	update directory.Update
-	// at is when it came or was sent, and confirmed is set once it was answered.
+	number    uint32
 	at        time.Duration
 	confirmed bool
 }
@@ -78,7 +77,7 @@
 	effects := role.installIf(changed, now)
 	switch {
 	case update.Confirms && update.Asks:
-		u.questions = append(u.questions, question{peer: from, update: update, at: now})
+		u.questions.Add(now, from, update)
 		role.wantConfirmation()
 	case update.Confirms && !lacks:
 		u.noteAnswer(update.Number)
@@ -87,7 +86,7 @@
 }
 
 func (u *updates) noteAnswer(number uint32) {
-	if number != u.asked.update.Number {
+	if number != u.asked.number {
 		return
 	}
 	u.asked.confirmed = true
@@ -114,22 +113,8 @@
 // answerThrough answers the questions that came until the time for which the directory
 // is confirmed. The executor holds its lock.
 func (u *updates) answerThrough(now, through time.Duration) {
-	var later []question
-	for _, each := range u.questions {
-		if each.at > through {
-			later = append(later, each)
-			continue
-		}
-		u.send(u.role.spread.Answer(now, each.peer, each.update))
-	}
-	u.questions = later
-}
-
-// dropQuestions forgets the questions that came before a time: who has asked asks
-// elsewhere.
-func (u *updates) dropQuestions(before time.Duration) {
-	for len(u.questions) > 0 && u.questions[0].at < before {
-		u.questions = u.questions[1:]
+	for _, each := range u.questions.TakeThrough(through) {
+		u.send(u.role.spread.Answer(now, each.From, each.Update))
 	}
 }
 
@@ -153,7 +138,7 @@
 		sent = true
 		u.number++
 		asking := directory.Update{Asks: true, Confirms: true, Number: u.number, State: u.role.spread.Announced(now)}
-		u.asked = question{peer: watcher, update: asking, at: now}
+		u.asked = question{number: u.number, at: now}
 		u.send([]directory.Outgoing{{To: watcher, Update: asking}})
 		return nil
 	})
