--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -16,7 +16,7 @@
 //go:generate go tool msgp -tests=false
 //msgp:limit arrays:65536
 //msgp:ignore Candidate Snapshot Machine held Item Page Changes StoreError Follower Confirmer Call Exchange Timing pacer
-//msgp:tuple Share Route Configuration Endpoint
+//msgp:tuple Share Route Configuration ColdStart Endpoint
 
 // Revision orders the changes of the store. It rises with every change.
 type Revision uint64
@@ -56,6 +56,19 @@
 	Routes  []Route
 	// IdleTimeout is how long a flow may rest before it may be forgotten.
 	IdleTimeout time.Duration
+	// ColdStarts are those of services whose endpoints carry little after a start.
+	ColdStarts []ColdStart
+}
+
+// ColdStart tells how much an endpoint of a service carries at first. One that gets more
+// fails and starts again, cold (a metastable failure: Bronson et al., HotOS 2021).
+type ColdStart struct {
+	Service string
+	// Lasts is how long an endpoint is cold after a start.
+	Lasts time.Duration
+	// Rate is how many requests a second it carries meanwhile. It is above 0: services
+	// without such a limit are left out.
+	Rate float64
 }
 
 // Endpoint is what an endpoint announces of itself.
@@ -79,6 +92,8 @@
 // Item is one entry of the store at one revision. Neither Configuration nor
 // Endpoint is set if the entry is gone; both may be nil for entries that
 // concern nobody.
+//
+// An entry with a Zone closes that zone to new flows for as long as it is there.
 type Item struct {
 	Key           string
 	Revision      Revision
@@ -86,4 +101,8 @@
 	// EndpointID is set for entries of endpoints, also when gone.
 	EndpointID EndpointID
 	Endpoint   *Endpoint
+	// Zone is set for entries that close a zone, also when gone; Closed is set while
+	// the entry is there.
+	Zone   string
+	Closed bool
 }
--- a/internal/directory/directory_gen.go
+++ b/internal/directory/directory_gen.go
@@ -12,7 +12,7 @@
 )
 
 // DecodeMsg implements msgp.Decodable
-func (z *Configuration) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *ColdStart) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -27,6 +27,113 @@
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Lasts, err = dc.ReadDuration()
+	if err != nil {
+		err = msgp.WrapError(err, "Lasts")
+		return
+	}
+	z.Rate, err = dc.ReadFloat64()
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ColdStart) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	err = en.WriteDuration(z.Lasts)
+	if err != nil {
+		err = msgp.WrapError(err, "Lasts")
+		return
+	}
+	err = en.WriteFloat64(z.Rate)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ColdStart) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendDuration(o, z.Lasts)
+	o = msgp.AppendFloat64(o, z.Rate)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ColdStart) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Lasts, bts, err = msgp.ReadDurationBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Lasts")
+		return
+	}
+	z.Rate, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ColdStart) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.DurationSize + msgp.Float64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Configuration) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zfeee5312limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
 	z.Version, err = dc.ReadUint64()
 	if err != nil {
 		err = msgp.WrapError(err, "Version")
@@ -59,13 +166,59 @@
 		err = msgp.WrapError(err, "IdleTimeout")
 		return
 	}
+	var zb0003 uint32
+	zb0003, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "ColdStarts")
+		return
+	}
+	if zb0003 > zfeee5312limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.ColdStarts) >= int(zb0003) {
+		z.ColdStarts = (z.ColdStarts)[:zb0003]
+	} else {
+		z.ColdStarts = make([]ColdStart, zb0003)
+	}
+	for za0002 := range z.ColdStarts {
+		var zb0004 uint32
+		zb0004, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "ColdStarts", za0002)
+			return
+		}
+		if zb0004 > zfeee5312limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0004 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+			return
+		}
+		z.ColdStarts[za0002].Service, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "ColdStarts", za0002, "Service")
+			return
+		}
+		z.ColdStarts[za0002].Lasts, err = dc.ReadDuration()
+		if err != nil {
+			err = msgp.WrapError(err, "ColdStarts", za0002, "Lasts")
+			return
+		}
+		z.ColdStarts[za0002].Rate, err = dc.ReadFloat64()
+		if err != nil {
+			err = msgp.WrapError(err, "ColdStarts", za0002, "Rate")
+			return
+		}
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Configuration) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -91,14 +244,41 @@
 		err = msgp.WrapError(err, "IdleTimeout")
 		return
 	}
+	err = en.WriteArrayHeader(uint32(len(z.ColdStarts)))
+	if err != nil {
+		err = msgp.WrapError(err, "ColdStarts")
+		return
+	}
+	for za0002 := range z.ColdStarts {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.ColdStarts[za0002].Service)
+		if err != nil {
+			err = msgp.WrapError(err, "ColdStarts", za0002, "Service")
+			return
+		}
+		err = en.WriteDuration(z.ColdStarts[za0002].Lasts)
+		if err != nil {
+			err = msgp.WrapError(err, "ColdStarts", za0002, "Lasts")
+			return
+		}
+		err = en.WriteFloat64(z.ColdStarts[za0002].Rate)
+		if err != nil {
+			err = msgp.WrapError(err, "ColdStarts", za0002, "Rate")
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Configuration) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.Version)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Routes)))
 	for za0001 := range z.Routes {
@@ -109,6 +289,14 @@
 		}
 	}
 	o = msgp.AppendDuration(o, z.IdleTimeout)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.ColdStarts)))
+	for za0002 := range z.ColdStarts {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.ColdStarts[za0002].Service)
+		o = msgp.AppendDuration(o, z.ColdStarts[za0002].Lasts)
+		o = msgp.AppendFloat64(o, z.ColdStarts[za0002].Rate)
+	}
 	return
 }
 
@@ -120,8 +308,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
@@ -156,6 +344,48 @@
 		err = msgp.WrapError(err, "IdleTimeout")
 		return
 	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ColdStarts")
+		return
+	}
+	if zb0003 > zfeee5312limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.ColdStarts) >= int(zb0003) {
+		z.ColdStarts = (z.ColdStarts)[:zb0003]
+	} else {
+		z.ColdStarts = make([]ColdStart, zb0003)
+	}
+	for za0002 := range z.ColdStarts {
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "ColdStarts", za0002)
+			return
+		}
+		if zb0004 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+			return
+		}
+		z.ColdStarts[za0002].Service, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "ColdStarts", za0002, "Service")
+			return
+		}
+		z.ColdStarts[za0002].Lasts, bts, err = msgp.ReadDurationBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "ColdStarts", za0002, "Lasts")
+			return
+		}
+		z.ColdStarts[za0002].Rate, bts, err = msgp.ReadFloat64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "ColdStarts", za0002, "Rate")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -166,7 +396,10 @@
 	for za0001 := range z.Routes {
 		s += z.Routes[za0001].Msgsize()
 	}
-	s += msgp.DurationSize
+	s += msgp.DurationSize + msgp.ArrayHeaderSize
+	for za0002 := range z.ColdStarts {
+		s += 1 + msgp.StringPrefixSize + len(z.ColdStarts[za0002].Service) + msgp.DurationSize + msgp.Float64Size
+	}
 	return
 }
 
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -34,15 +34,30 @@
 	// ListingDelay is how long a process that starts leaves it to others to tell it the
 	// directory, before it lists the store.
 	ListingDelay time.Duration
+	// ContactTimeout is the time in which balancers have to be in touch after connections
+	// were lost, 0 if there is no bound.
+	ContactTimeout time.Duration
+}
+
+// silenceShare is the part of ContactTimeout that a watch may take whose connection has
+// gone silent. A watch without news looks alike until it is over.
+const silenceShare = 0.5
+
+// unlessSilent shortens the wait of a watch so that a silent connection is given up in time.
+func (t Timing) unlessSilent(wait time.Duration) time.Duration {
+	if t.ContactTimeout > 0 {
+		wait = min(wait, time.Duration(silenceShare*float64(t.ContactTimeout))-callTimeout)
+	}
+	return max(wait, shortestWatch)
 }
 
 // watchWait is how long one watch waits for changes. An answer of any kind confirms the
 // directory for all balancers, so it also bounds how often they hear that.
-func (t Timing) watchWait() time.Duration { return max(t.ApplyTimeout*2/5, shortestWatch) }
+func (t Timing) watchWait() time.Duration { return t.unlessSilent(t.ApplyTimeout * 2 / 5) }
 
 // lonelyWait is how long a watch waits that confirms the directory for nobody else. It
 // bounds how long a call that hangs goes unnoticed.
-func (t Timing) lonelyWait() time.Duration { return max(t.ApplyTimeout-watchMargin, shortestWatch) }
+func (t Timing) lonelyWait() time.Duration { return t.unlessSilent(t.ApplyTimeout - watchMargin) }
 
 // pollPatience is how old the directory of a balancer that does not watch the store may
 // be before it asks the store itself, and pollSpread the time in which all that have
--- a/internal/directory/fuzz_test.go
+++ b/internal/directory/fuzz_test.go
@@ -9,7 +9,7 @@
 // FuzzAdopt gives a machine any bytes as the state of a peer.
 func FuzzAdopt(f *testing.F) {
 	machine := directory.New()
-	machine.Changes(0, []directory.Item{configurationItem(4, 2), endpointItem("a", 3, endpoint("s", true))}, 3)
+	machine.Changes(0, []directory.Item{configurationItem(4, 2), endpointItem("a", 3, endpoint("s", true)), zoneItem(closedZone, 3, true)}, 3)
 	state := machine.State(0)
 	encoded, err := state.MarshalMsg(nil)
 	if err != nil {
@@ -32,6 +32,7 @@
 	teller := newParticipant(directory.Member{Peer: 1})
 	teller.list(0, 5, announcing(2, 3)...)
 	teller.spread.Fetched(0, 2)
+	teller.machine.Changes(0, []directory.Item{zoneItem(closedZone, 6, true)}, 6)
 	question := directory.Update{Asks: true, Confirms: true, Number: 3, State: teller.spread.Announced(0)}
 	for _, outgoing := range append(teller.spread.Answered(0), directory.Outgoing{Update: question}) {
 		encoded, err := outgoing.Update.MarshalMsg(nil)
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -32,6 +32,8 @@
 	floor Revision
 	// former are the services that earlier configurations gave addresses.
 	former map[segment.Address][]string
+	// zones are those that are closed, or were lately.
+	zones map[string]heldZone
 	// since is when the knowledge of endpoints that leave begins, never if it has
 	// not begun.
 	since    time.Duration
@@ -45,8 +47,9 @@
 func New() *Machine {
 	return &Machine{
 		endpoints: make(map[EndpointID]*held),
+		zones:     make(map[string]heldZone),
 		since:     never,
-		snapshot:  newSnapshot(nil, nil, nil, never),
+		snapshot:  newSnapshot(contents{since: never}),
 	}
 }
 
@@ -84,11 +87,14 @@
 func (m *Machine) Listing(now time.Duration, items []Item, begun Revision) bool {
 	changed := false
 	listed := make(map[EndpointID]bool, len(items))
+	closed := make(map[string]bool)
 	for _, item := range items {
 		listed[item.EndpointID] = true
+		closed[item.Zone] = item.Closed
 		changed = m.merge(now, item) || changed
 	}
 	changed = m.leaveUnless(now, listed, begun) || changed
+	changed = m.openUnless(now, closed, begun) || changed
 	changed = m.reachBack(now) || changed
 	m.floor = max(m.floor, begun)
 	return m.advance(now, begun, changed)
@@ -133,6 +139,9 @@
 	if item.EndpointID != "" {
 		return m.mergeEndpoint(now, item)
 	}
+	if item.Zone != "" {
+		return m.mergeZone(now, item)
+	}
 	return false
 }
 
@@ -216,6 +225,7 @@
 }
 
 func (m *Machine) forget(now time.Duration) bool {
+	m.forgetZones(now)
 	forgotten := false
 	for id, known := range m.endpoints {
 		if known.gone && now-known.goneAt > Retention {
@@ -228,24 +238,29 @@
 }
 
 func (m *Machine) rebuild() {
+	built := contents{former: m.former, since: m.since, closed: m.closedZones()}
+	if m.configuration != nil {
+		built.configuration = m.configuration.Configuration
+	}
+	starts := coldStartsOf(built.configuration)
 	latest := m.latestAt()
 	candidates := make([]Candidate, 0, len(m.endpoints))
 	for id, known := range m.endpoints {
 		gone := known.gone || latest[known.endpoint.IP] != known
+		zone := m.zones[known.endpoint.Zone]
 		candidates = append(candidates, Candidate{
 			ID:       id,
 			Endpoint: known.endpoint,
 			Leaving:  gone || known.endpoint.Draining,
 			Gone:     gone,
 			GoneAt:   known.goneAt,
-			WarmAt:   known.warmAt,
+			WarmAt:   m.warmAt(known, starts),
+			Told:     max(known.revision, zone.revision),
+			Closed:   zone.closed,
 		})
 	}
-	var configuration *Configuration
-	if m.configuration != nil {
-		configuration = m.configuration.Configuration
-	}
-	m.snapshot = newSnapshot(configuration, m.former, candidates, m.since)
+	built.candidates = candidates
+	m.snapshot = newSnapshot(built)
 }
 
 // latestAt returns, by address, the entry that was written last of those that are
--- a/internal/directory/machine_test.go
+++ b/internal/directory/machine_test.go
@@ -298,6 +298,18 @@
 		Expect(next().Wait).To(Equal(500 * time.Millisecond))
 	})
 
+	It("gives up a watch whose connection has gone silent within half of the time to be in touch", func() {
+		bounded := directory.Timing{ApplyTimeout: 5 * time.Second, ContactTimeout: 5 * time.Second}
+		follower = directory.NewFollower(machine, bounded, given)
+		follower.Listed(0, directory.Page{At: 5})
+		for _, alone := range []bool{true, false} {
+			given.alone = alone
+			Expect(next()).To(And(HaveField("Wait", 1600*time.Millisecond), HaveField("Timeout", 2500*time.Millisecond)))
+		}
+		follower = directory.NewFollower(machine, directory.Timing{ApplyTimeout: 5 * time.Second, ContactTimeout: time.Second}, given)
+		Expect(next().Wait).To(Equal(500 * time.Millisecond))
+	})
+
 	It("asks for a long burst of changes at a bounded rate, and for the next change after it at once", func() {
 		follower.Listed(0, directory.Page{At: 5})
 		var now time.Duration
--- a/internal/directory/model_test.go
+++ b/internal/directory/model_test.go
@@ -30,6 +30,7 @@
 	version := uint64(0)
 	for _, item := range s.history[:revision] {
 		switch {
+		case item.Zone != "":
 		case item.Configuration != nil:
 			version = item.Configuration.Version
 		case item.Endpoint != nil:
@@ -41,6 +42,20 @@
 	return entries, version
 }
 
+// closedAt returns the zones that are closed at a revision, with their entries.
+func (s *storeModel) closedAt(revision directory.Revision) map[string]directory.Item {
+	closed := make(map[string]directory.Item)
+	for _, item := range s.history[:revision] {
+		switch {
+		case item.Closed:
+			closed[item.Zone] = item
+		case item.Zone != "":
+			delete(closed, item.Zone)
+		}
+	}
+	return closed
+}
+
 // page returns a listing of everything, at a revision.
 func (s *storeModel) page(revision directory.Revision) []directory.Item {
 	entries, _ := s.at(revision)
@@ -48,6 +63,9 @@
 	for _, item := range entries {
 		items = append(items, item)
 	}
+	for _, item := range s.closedAt(revision) {
+		items = append(items, item)
+	}
 	for index := int(revision) - 1; index >= 0; index-- {
 		if s.history[index].Configuration != nil {
 			return append(items, s.history[index])
@@ -69,8 +87,48 @@
 	way   []delivery
 	now   time.Duration
 	next  int
-	// omits is a planted fault: updates leave out endpoints that have gone.
-	omits bool
+	// planted is a fault of the balancers.
+	planted plantedFault
+}
+
+// plantedFault is one that the check has to find.
+type plantedFault uint8
+
+const (
+	plantedNone plantedFault = iota
+	// plantedOmitsGone: updates leave out endpoints that have gone.
+	plantedOmitsGone
+	// plantedOmitsZones: updates leave out zones that were closed or opened.
+	plantedOmitsZones
+	// plantedOmitsOpened: updates and states leave out zones that were opened.
+	plantedOmitsOpened
+	// plantedStateOmitsZones: whole states leave out zones that are closed.
+	plantedStateOmitsZones
+)
+
+// tells returns what is told of a state by balancers with the fault.
+func (p plantedFault) tells(state directory.State, update bool) directory.State {
+	switch {
+	case p == plantedOmitsGone && update:
+		var kept []directory.EndpointState
+		for _, described := range state.Endpoints {
+			if !described.Gone {
+				kept = append(kept, described)
+			}
+		}
+		state.Endpoints = kept
+	case p == plantedOmitsZones && update, p == plantedStateOmitsZones && state.Whole:
+		state.Zones = nil
+	case p == plantedOmitsOpened && !state.Whole:
+		var kept []directory.ZoneState
+		for _, described := range state.Zones {
+			if described.Closed {
+				kept = append(kept, described)
+			}
+		}
+		state.Zones = kept
+	}
+	return state
 }
 
 func newSpreadModel(balancers int) *spreadModel {
@@ -88,15 +146,7 @@
 
 func (m *spreadModel) send(from directory.Peer, outgoing []directory.Outgoing) {
 	for _, each := range outgoing {
-		if m.omits {
-			var kept []directory.EndpointState
-			for _, described := range each.Update.State.Endpoints {
-				if !described.Gone {
-					kept = append(kept, described)
-				}
-			}
-			each.Update.State.Endpoints = kept
-		}
+		each.Update.State = m.planted.tells(each.Update.State, true)
 		m.way = append(m.way, delivery{from, each})
 	}
 }
@@ -106,7 +156,7 @@
 	m.now += time.Duration(rapid.IntRange(1, 400).Draw(t, "passed")) * time.Millisecond
 	index := rapid.IntRange(0, len(m.fleet)-1).Draw(t, "balancer")
 	chosen, peer := m.fleet[index], directory.Peer(index+1)
-	switch rapid.SampledFrom([]string{"write", "write", "leave", "configure", "list", "watch", "watch", "deliver", "deliver", "deliver", "double", "lose", "fetch", "restart"}).Draw(t, "step") {
+	switch rapid.SampledFrom([]string{"write", "write", "leave", "close", "open", "configure", "list", "watch", "watch", "deliver", "deliver", "deliver", "double", "lose", "fetch", "restart"}).Draw(t, "step") {
 	case "write":
 		m.next++
 		value := endpoint("s", rapid.Bool().Draw(t, "draining"))
@@ -120,6 +170,13 @@
 				return
 			}
 		}
+	case "close":
+		m.store.write(zoneItem(fmt.Sprintf("z%d", rapid.IntRange(1, 2).Draw(t, "zone")), 0, true))
+	case "open":
+		zone := fmt.Sprintf("z%d", rapid.IntRange(1, 2).Draw(t, "zone"))
+		if _, closed := m.store.closedAt(m.store.revision())[zone]; closed {
+			m.store.write(zoneItem(zone, 0, false))
+		}
 	case "configure":
 		_, version := m.store.at(m.store.revision())
 		m.store.write(configurationItem(version+1, 0))
@@ -135,7 +192,7 @@
 		m.deliver(t)
 	case "fetch":
 		other := rapid.IntRange(0, len(m.fleet)-1).Draw(t, "source")
-		state := m.fleet[other].spread.State(m.now, chosen.machine.Digest())
+		state := m.planted.tells(m.fleet[other].spread.State(m.now, chosen.machine.Digest()), false)
 		chosen.machine.Adopt(m.now, state)
 		m.send(peer, chosen.spread.Took(m.now, m.now, directory.Peer(other+1), state))
 	case "restart":
@@ -169,6 +226,9 @@
 	if known := each.machine.Snapshot().Version(); known < version {
 		return fmt.Sprintf("version %d and not %d at revision %d", known, version, complete)
 	}
+	if wrong := m.wrongZone(each, complete); wrong != "" {
+		return wrong
+	}
 	newest, _ := m.store.at(m.store.revision())
 	for id, entry := range entries {
 		candidate, exists := each.machine.Snapshot().Candidate(id)
@@ -185,6 +245,33 @@
 	return ""
 }
 
+// wrongZone returns a zone that a balancer takes wrongly for closed or open. It may know
+// later changes than those up to the revision that it claims.
+func (m *spreadModel) wrongZone(each *participant, complete directory.Revision) string {
+	believed := make(map[string]bool)
+	for _, zone := range each.machine.Snapshot().Closed() {
+		believed[zone.Zone] = true
+	}
+	closed := m.store.closedAt(complete)
+	for _, zone := range []string{"z1", "z2"} {
+		_, there := closed[zone]
+		if believed[zone] != there && !m.zoneChangedAfter(zone, complete) {
+			return fmt.Sprintf("zone %s, closed %t, is believed closed %t at revision %d", zone, there, believed[zone], complete)
+		}
+	}
+	return ""
+}
+
+// zoneChangedAfter reports whether a zone was closed or opened after a revision.
+func (m *spreadModel) zoneChangedAfter(zone string, revision directory.Revision) bool {
+	for _, item := range m.store.history[revision:] {
+		if item.Zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
 // changedAfter reports whether an endpoint has changed after a revision.
 func (m *spreadModel) changedAfter(id directory.EndpointID, revision directory.Revision) bool {
 	for _, item := range m.store.history[revision:] {
@@ -222,21 +309,26 @@
 	})
 }
 
-// TestSpreadModelSeesFaults shows that the check finds updates that leave out what has gone.
+// TestSpreadModelSeesFaults shows that the check finds balancers that do not tell all they
+// claim.
 func TestSpreadModelSeesFaults(t *testing.T) {
-	seeded(t)
-	found := false
-	rapid.Check(t, func(t *rapid.T) {
-		model := newSpreadModel(5)
-		model.omits = true
-		for range 60 {
-			model.step(t)
-			for _, each := range model.fleet {
-				found = found || model.wrong(each) != ""
+	for _, planted := range []plantedFault{plantedOmitsGone, plantedOmitsZones, plantedOmitsOpened, plantedStateOmitsZones} {
+		t.Run(fmt.Sprint(planted), func(t *testing.T) {
+			seeded(t)
+			found := false
+			rapid.Check(t, func(t *rapid.T) {
+				model := newSpreadModel(5)
+				model.planted = planted
+				for range 300 {
+					model.step(t)
+					for _, each := range model.fleet {
+						found = found || model.wrong(each) != ""
+					}
+				}
+			})
+			if !found {
+				t.Fatal("no run found a planted fault")
 			}
-		}
-	})
-	if !found {
-		t.Fatal("no run found a planted fault")
+		})
 	}
 }
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -21,6 +21,11 @@
 	GoneAt time.Duration
 	// WarmAt is when it is no longer slow after its start.
 	WarmAt time.Duration
+	// Told is the revision at which WarmAt was told.
+	Told Revision
+	// Closed is set if its zone is closed: it must get no new flow, but may hold open
+	// ones for long.
+	Closed bool
 }
 
 // Draining reports whether the endpoint itself has announced its end.
@@ -47,6 +52,8 @@
 	all      []Candidate
 	former   map[segment.Address][]string
 	since    time.Duration
+	closed   []ClosedZone
+	starts   map[string]ColdStart
 }
 
 // Version returns the version of the configuration, 0 if there is none.
@@ -90,15 +97,49 @@
 // identifiers. The result must not be changed.
 func (s *Snapshot) All() []Candidate { return s.all }
 
-func newSnapshot(configuration *Configuration, former map[segment.Address][]string, candidates []Candidate, since time.Duration) *Snapshot {
+// Closed returns the zones that are closed to new flows, in the order of their names. The
+// result must not be changed.
+func (s *Snapshot) Closed() []ClosedZone { return s.closed }
+
+// ColdStart returns what endpoints of a service carry after a start, false if there is no
+// limit.
+func (s *Snapshot) ColdStart(service string) (ColdStart, bool) {
+	start, limited := s.starts[service]
+	return start, limited
+}
+
+func coldStartsOf(configuration *Configuration) map[string]ColdStart {
+	starts := make(map[string]ColdStart)
+	if configuration == nil {
+		return starts
+	}
+	for _, start := range configuration.ColdStarts {
+		starts[start.Service] = start
+	}
+	return starts
+}
+
+// contents is what a snapshot is built of.
+type contents struct {
+	configuration *Configuration
+	former        map[segment.Address][]string
+	candidates    []Candidate
+	closed        []ClosedZone
+	since         time.Duration
+}
+
+func newSnapshot(given contents) *Snapshot {
+	configuration, candidates := given.configuration, given.candidates
 	built := &Snapshot{
 		routes:   make(map[segment.Address]*Route),
 		services: make(map[string][]Candidate),
 		byID:     make(map[EndpointID]Candidate, len(candidates)),
 		byIP:     make(map[[4]byte]Candidate, len(candidates)),
 		all:      candidates,
-		former:   former,
-		since:    since,
+		former:   given.former,
+		since:    given.since,
+		closed:   given.closed,
+		starts:   coldStartsOf(configuration),
 	}
 	if configuration != nil {
 		built.version = configuration.Version
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -11,7 +11,8 @@
 
 //go:generate go tool msgp -tests=false
 //msgp:limit arrays:65536
-//msgp:tuple Digest State EndpointState FormerRoute
+//msgp:tuple Digest State EndpointState FormerRoute ZoneState
+//msgp:ignore heldZone ClosedZone contents
 
 // Digest tells how much a process knows. It is small enough to travel with
 // every message between balancers.
@@ -48,6 +49,8 @@
 	// KnownFor is how far back it reaches: endpoints that have left since are in
 	// it.
 	KnownFor time.Duration
+	// Zones are those that were closed or opened since.
+	Zones []ZoneState
 }
 
 // FormerRoute tells which services an address had in earlier configurations, the
@@ -58,6 +61,16 @@
 	Services []string
 }
 
+// ZoneState is what a process knows of the entry that closes a zone to new flows. One
+// that has gone is remembered, so that nothing older closes the zone again.
+type ZoneState struct {
+	Zone     string
+	Revision Revision
+	Closed   bool
+	// For is how long it has been closed or open.
+	For time.Duration
+}
+
 // EndpointState is what a process knows of an endpoint.
 type EndpointState struct {
 	ID       EndpointID
@@ -83,6 +96,9 @@
 	state := m.stateFrom(known.Complete)
 	state.Former = describeFormer(m.former)
 	state.KnownFor = m.knownFor(now)
+	// Those that are closed are always in it, as the store may have told the other that
+	// they are open.
+	state.Zones = m.zonesAfter(now, 0)
 	if m.configuration != nil && state.Version > known.Version {
 		state.Configuration = m.configuration.Configuration
 		state.ConfigurationRevision = m.configuration.Revision
@@ -112,6 +128,7 @@
 	if state.Whole {
 		return state
 	}
+	state.Zones = m.zonesAfter(now, known)
 	for id, each := range m.endpoints {
 		if each.revision > known {
 			state.Endpoints = append(state.Endpoints, each.describe(now, id))
@@ -143,6 +160,9 @@
 	for _, described := range state.Endpoints {
 		changed = m.adoptEndpoint(now, described) || changed
 	}
+	for _, described := range state.Zones {
+		changed = m.adoptZone(now, described) || changed
+	}
 	changed = m.adoptFormer(state.Former) || changed
 	if state.KnownFor > 0 {
 		changed = m.reachBack(now-state.KnownFor) || changed
@@ -152,6 +172,7 @@
 	}
 	if state.Whole {
 		changed = m.leaveMissing(now, state) || changed
+		changed = m.openMissing(now, state) || changed
 		m.floor = max(m.floor, state.Complete)
 	}
 	return m.advance(now, state.Complete, changed)
--- a/internal/directory/state_gen.go
+++ b/internal/directory/state_gen.go
@@ -423,8 +423,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	err = z.Complete.DecodeMsg(dc)
@@ -528,13 +528,35 @@
 		err = msgp.WrapError(err, "KnownFor")
 		return
 	}
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Zones")
+		return
+	}
+	if zb0004 > ze2bed3a0limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Zones) >= int(zb0004) {
+		z.Zones = (z.Zones)[:zb0004]
+	} else {
+		z.Zones = make([]ZoneState, zb0004)
+	}
+	for za0003 := range z.Zones {
+		err = z.Zones[za0003].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Zones", za0003)
+			return
+		}
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *State) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 11
-	err = en.Append(0x9b)
+	// array header, size 12
+	err = en.Append(0x9c)
 	if err != nil {
 		return
 	}
@@ -614,14 +636,26 @@
 		err = msgp.WrapError(err, "KnownFor")
 		return
 	}
+	err = en.WriteArrayHeader(uint32(len(z.Zones)))
+	if err != nil {
+		err = msgp.WrapError(err, "Zones")
+		return
+	}
+	for za0003 := range z.Zones {
+		err = z.Zones[za0003].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Zones", za0003)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 12
+	o = append(o, 0x9c)
 	o, err = z.Complete.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Complete")
@@ -667,6 +701,14 @@
 		}
 	}
 	o = msgp.AppendDuration(o, z.KnownFor)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Zones)))
+	for za0003 := range z.Zones {
+		o, err = z.Zones[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Zones", za0003)
+			return
+		}
+	}
 	return
 }
 
@@ -678,8 +720,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	bts, err = z.Complete.UnmarshalMsg(bts)
@@ -782,6 +824,28 @@
 		err = msgp.WrapError(err, "KnownFor")
 		return
 	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Zones")
+		return
+	}
+	if zb0004 > ze2bed3a0limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Zones) >= int(zb0004) {
+		z.Zones = (z.Zones)[:zb0004]
+	} else {
+		z.Zones = make([]ZoneState, zb0004)
+	}
+	for za0003 := range z.Zones {
+		bts, err = z.Zones[za0003].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Zones", za0003)
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -802,6 +866,136 @@
 	for za0002 := range z.Former {
 		s += z.Former[za0002].Msgsize()
 	}
-	s += msgp.DurationSize
+	s += msgp.DurationSize + msgp.ArrayHeaderSize
+	for za0003 := range z.Zones {
+		s += z.Zones[za0003].Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ZoneState) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > ze2bed3a0limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Zone, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	err = z.Revision.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	z.Closed, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Closed")
+		return
+	}
+	z.For, err = dc.ReadDuration()
+	if err != nil {
+		err = msgp.WrapError(err, "For")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ZoneState) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Zone)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	err = z.Revision.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	err = en.WriteBool(z.Closed)
+	if err != nil {
+		err = msgp.WrapError(err, "Closed")
+		return
+	}
+	err = en.WriteDuration(z.For)
+	if err != nil {
+		err = msgp.WrapError(err, "For")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ZoneState) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendString(o, z.Zone)
+	o, err = z.Revision.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	o = msgp.AppendBool(o, z.Closed)
+	o = msgp.AppendDuration(o, z.For)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ZoneState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Zone, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	bts, err = z.Revision.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	z.Closed, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Closed")
+		return
+	}
+	z.For, bts, err = msgp.ReadDurationBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "For")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ZoneState) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Zone) + z.Revision.Msgsize() + msgp.BoolSize + msgp.DurationSize
 	return
 }
--- a/internal/directory/update.go
+++ b/internal/directory/update.go
@@ -29,6 +29,8 @@
 	// beside its texts, in bytes.
 	updateHead   = 100
 	endpointRoom = 64
+	// zoneRoom is room for one zone beside its name, in bytes.
+	zoneRoom = 32
 	// updateParts bounds the datagrams in which one process tells another of changes. Of
 	// more it tells that there are some, and they are fetched by a stream.
 	updateParts = 4
@@ -49,6 +51,12 @@
 	part := changes
 	part.Endpoints = nil
 	room := MaximumUpdate - updateHead
+	for _, zone := range changes.Zones {
+		room -= zoneRoom + len(zone.Zone)
+	}
+	if room < 0 {
+		return []Update{announcement(changes)}
+	}
 	var parts []Update
 	for _, each := range changes.Endpoints {
 		last := len(part.Endpoints) - 1
@@ -58,6 +66,7 @@
 			part.Confirmed = false
 			parts = append(parts, Update{State: part})
 			part = changes
+			part.Zones = nil
 			part.From = parts[len(parts)-1].State.Complete
 			part.Endpoints = nil
 			room = MaximumUpdate - updateHead
@@ -75,6 +84,7 @@
 // announcement returns an update that tells how much is known, and nothing of it.
 func announcement(changes State) Update {
 	changes.Endpoints = nil
+	changes.Zones = nil
 	changes.Whole = false
 	changes.From = changes.Complete
 	return Update{State: changes}
--- /dev/null
+++ b/internal/directory/zone.go
@@ -0,0 +1,121 @@
+package directory
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// heldZone is what the machine keeps of one zone that is closed or was.
+type heldZone struct {
+	revision Revision
+	closed   bool
+	// since is when this process learned that it was closed or opened.
+	since time.Duration
+}
+
+// ClosedZone is a zone whose endpoints must get no new flow.
+type ClosedZone struct {
+	Zone string
+	// Revision is that of the entry which closes it.
+	Revision Revision
+	// Since is when this process learned of it.
+	Since time.Duration
+}
+
+// mergeZone merges an entry that closes a zone, or its end. It reports whether that is news.
+func (m *Machine) mergeZone(now time.Duration, item Item) bool {
+	known, exists := m.zones[item.Zone]
+	if exists && item.Revision <= known.revision {
+		return false
+	}
+	m.zones[item.Zone] = heldZone{revision: item.Revision, closed: item.Closed, since: now}
+	return item.Closed || known.closed
+}
+
+// openUnless notes that zones have been opened whose entries are not among those that
+// were there at a revision. It reports whether there are any.
+func (m *Machine) openUnless(now time.Duration, there map[string]bool, at Revision) bool {
+	opened := false
+	for zone, known := range m.zones {
+		if known.closed && !there[zone] && known.revision <= at {
+			m.zones[zone] = heldZone{revision: at, since: now}
+			opened = true
+		}
+	}
+	return opened
+}
+
+// forgetZones forgets zones that have long been open: nobody has heard of less by then.
+func (m *Machine) forgetZones(now time.Duration) {
+	maps.DeleteFunc(m.zones, func(_ string, known heldZone) bool {
+		forgotten := !known.closed && now-known.since > Retention
+		if forgotten {
+			m.floor = max(m.floor, known.revision)
+		}
+		return forgotten
+	})
+}
+
+// zonesAfter returns the zones that were closed or opened after a revision, in the order
+// of revisions.
+func (m *Machine) zonesAfter(now time.Duration, known Revision) []ZoneState {
+	var zones []ZoneState
+	for zone, each := range m.zones {
+		if each.revision > known {
+			zones = append(zones, ZoneState{Zone: zone, Revision: each.revision, Closed: each.closed, For: now - each.since})
+		}
+	}
+	slices.SortFunc(zones, func(a, b ZoneState) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Zone, b.Zone))
+	})
+	return zones
+}
+
+// adoptZone takes what another process says of a zone if it is newer. An entry that this
+// process does not know, though it knows all changes since it was written, has gone.
+func (m *Machine) adoptZone(now time.Duration, described ZoneState) bool {
+	known, exists := m.zones[described.Zone]
+	if exists && described.Revision <= known.revision || described.Zone == "" {
+		return false
+	}
+	adopted := heldZone{revision: described.Revision, closed: described.Closed, since: now - max(described.For, 0)}
+	if described.Closed && described.Revision <= m.complete {
+		adopted = heldZone{revision: m.complete, since: now}
+	}
+	m.zones[described.Zone] = adopted
+	return adopted.closed || known.closed
+}
+
+// openMissing notes that zones are open which a whole state does not show as closed.
+func (m *Machine) openMissing(now time.Duration, state State) bool {
+	closed := make(map[string]bool, len(state.Zones))
+	for _, described := range state.Zones {
+		closed[described.Zone] = described.Closed
+	}
+	return m.openUnless(now, closed, state.Complete)
+}
+
+// closedZones returns the zones that are closed, in the order of their names.
+func (m *Machine) closedZones() []ClosedZone {
+	var closed []ClosedZone
+	for zone, known := range m.zones {
+		if known.closed {
+			closed = append(closed, ClosedZone{Zone: zone, Revision: known.revision, Since: known.since})
+		}
+	}
+	slices.SortFunc(closed, func(a, b ClosedZone) int { return cmp.Compare(a.Zone, b.Zone) })
+	return closed
+}
+
+// warmAt returns when an endpoint is no longer cold: as it has announced or, since it may
+// not have announced it yet, some time after its zone was opened again.
+func (m *Machine) warmAt(known *held, starts map[string]ColdStart) time.Duration {
+	zone, exists := m.zones[known.endpoint.Zone]
+	start, cold := starts[known.endpoint.Service]
+	if !exists || zone.closed || !cold {
+		return known.warmAt
+	}
+	return max(known.warmAt, zone.since+start.Lasts)
+}
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -19,6 +19,8 @@
 	FlowLifetime time.Duration
 	// FlowLimit is the largest number of flows remembered.
 	FlowLimit int
+	// ColdBound is what a cold endpoint may get beyond its rate.
+	ColdBound ColdBound
 }
 
 // agentFlowState is the progress of a flow as its agent sees it.
@@ -100,6 +102,7 @@
 	queue   queue
 	pace    pace
 	outlier outlier
+	cold    coldLimit
 	surveys map[segment.FlowKey]*survey
 	// drainEnds is until when the endpoint is believed to be draining.
 	drainEnds time.Duration
@@ -116,6 +119,7 @@
 		flows:     make(map[segment.FlowKey]*agentFlow),
 		surveys:   make(map[segment.FlowKey]*survey),
 		balancers: make(map[segment.Address]time.Duration),
+		cold:      newColdLimit(config.ColdBound),
 	}
 }
 
@@ -126,7 +130,8 @@
 func (a *Agent) Load() Load {
 	refusing := a.refusing() || a.outlier.ejected(a.now)
 	pace := uint32(a.pace.working * microsecondsInSecond)
-	return Load{Running: a.running, Waiting: uint32(len(a.queue.waiting)), Refusing: refusing, Pace: pace}
+	hold := uint32(math.Ceil(a.cold.wait(a.now).Seconds() * 1000))
+	return Load{Running: a.running, Waiting: uint32(len(a.queue.waiting)), Refusing: refusing, Pace: pace, Hold: hold}
 }
 
 const microsecondsInSecond = 1e6
@@ -251,11 +256,15 @@
 	reasonBusy  = "busy"
 )
 
+// reasonCold is the reason of the return of an opening packet for which the endpoint is
+// too cold.
+const reasonCold = "cold"
+
 func (a *Agent) receiveOpening(now time.Duration, from segment.Address, key segment.FlowKey, header segment.Header, message Message) {
+	a.learnCold(now, message.Terms.Cold)
 	known, exists := a.flows[key]
 	if exists && known.sequence == header.Sequence && known.state <= stateOpen {
-		known.balancer = from
-		a.deliver(message.Packet)
+		a.receiveCopy(now, from, key, known, header, message)
 		return
 	}
 	if a.refusing() {
@@ -278,7 +287,12 @@
 		a.bringBack(from, key, header, message.Packet, reasonStuck)
 		return
 	}
+	if !a.cold.admits(now, message.Terms.Priority) {
+		a.bringBack(from, key, header, message.Packet, reasonCold)
+		return
+	}
 	a.forget(now, key)
+	a.cold.awaits(now)
 	a.flows[key] = &agentFlow{
 		state: stateOffered, sequence: header.Sequence, balancer: from, touched: now,
 		work: work{terms: message.Terms, asked: now - milliseconds(message.Terms.Waited), sent: header.Sequence + 1},
@@ -287,6 +301,29 @@
 	a.deliver(message.Packet)
 }
 
+// learnCold takes what a balancer tells of the endpoint's start. An agent that has just
+// been started does not know whether its endpoint has been, too.
+func (a *Agent) learnCold(now time.Duration, told Cold) {
+	first := a.cold.rate == 0
+	a.cold.learn(now, told)
+	if first && !a.config.Complete && a.cold.told == 0 {
+		a.cold.ends = max(a.cold.ends, a.started+a.cold.lasts)
+	}
+}
+
+// receiveCopy handles a copy of an opening packet that the endpoint was given. One that it
+// has not answered may open a flow after it was restarted.
+func (a *Agent) receiveCopy(now time.Duration, from segment.Address, key segment.FlowKey, known *agentFlow, header segment.Header, message Message) {
+	if known.state == stateOffered && !a.cold.admits(now, message.Terms.Priority) {
+		a.forget(now, key)
+		a.bringBack(from, key, header, message.Packet, reasonCold)
+		return
+	}
+	known.balancer = from
+	a.cold.awaits(now)
+	a.deliver(message.Packet)
+}
+
 // receiveSegment handles a client's packet that does not open a flow.
 func (a *Agent) receiveSegment(now time.Duration, from segment.Address, key segment.FlowKey, header segment.Header, message Message) {
 	known, exists := a.flows[key]
--- /dev/null
+++ b/internal/relay/cold.go
@@ -0,0 +1,185 @@
+package relay
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/directory"
+)
+
+const (
+	// silenceOfRestart is how long an endpoint says nothing, while opening packets wait for
+	// it, before it is taken for restarted when it answers again. One that works answers
+	// them within a few milliseconds.
+	silenceOfRestart = 300 * time.Millisecond
+	// coldBurstShare is the part of what the bound leaves above the rate that a burst may
+	// take. An agent that is restarted does not know what the one before it let through, so
+	// that two bursts may come within a second.
+	coldBurstShare = 0.25
+	// urgentReserve is the part of a request that only the most urgent may use up, so that
+	// they go first while there is less than all ask for.
+	urgentReserve = 0.5
+	// neglectTime is how long the others wait for one at the most, so that they do not
+	// starve, and urgentMemory how long a request counts in what is the most urgent.
+	neglectTime  = 250 * time.Millisecond
+	urgentMemory = time.Second
+)
+
+// ColdBound is how much of the rate of a cold endpoint a fleet may exceed in any second.
+type ColdBound struct {
+	// Overrun is the factor, at least 1, and Slack the number of requests beside it.
+	Overrun float64
+	Slack   float64
+}
+
+// coldLimit bounds what a cold endpoint gets, in the one place through which all of its
+// requests pass. It is a token bucket: in any second it lets no more through than the
+// rate and one burst.
+type coldLimit struct {
+	bound ColdBound
+	// rate, in requests a second, and lasts are as told last; rate is 0 if there is no limit.
+	rate  float64
+	lasts time.Duration
+	// ends is until when the endpoint is believed to be cold, and told the revision at
+	// which that was announced, 0 if the agent has concluded it.
+	ends time.Duration
+	told uint64
+	// tokens are what the bucket held at the time filled.
+	tokens float64
+	filled time.Duration
+	// awaited is when the first opening packet came that the endpoint has not answered,
+	// never if there is none.
+	awaited time.Duration
+	// urgent is the most urgent priority of late and seen when that was; neglected is since
+	// when another has been waiting, never if none has.
+	urgent    uint8
+	seen      time.Duration
+	neglected time.Duration
+}
+
+func newColdLimit(bound ColdBound) coldLimit {
+	return coldLimit{bound: bound, awaited: never, neglected: never, seen: -2 * urgentMemory}
+}
+
+// learn takes what a balancer tells. A later revision replaces what was known; of the same
+// one the least is right, since it takes time to be told.
+func (c *coldLimit) learn(now time.Duration, told Cold) {
+	c.rate = float64(told.Rate) / 1000
+	c.lasts = milliseconds(told.Lasts)
+	ends := now + milliseconds(told.Remains)
+	switch {
+	case told.Remains == 0:
+	case told.Told > c.told:
+		c.ends, c.told = ends, told.Told
+	case told.Told == c.told:
+		c.ends = min(c.ends, ends)
+	}
+}
+
+// restarted notes that the endpoint has been started again, before that is announced.
+func (c *coldLimit) restarted(now time.Duration) { c.ends = max(c.ends, now+c.lasts) }
+
+// awaits notes that the endpoint was given an opening packet.
+func (c *coldLimit) awaits(now time.Duration) { c.awaited = min(c.awaited, now) }
+
+// heard notes that the endpoint says something. It reports whether that comes after a
+// silence as of a restart.
+func (c *coldLimit) heard(now time.Duration) bool {
+	silent := c.awaited != never && now-c.awaited >= silenceOfRestart
+	c.awaited = never
+	if silent {
+		c.restarted(now)
+	}
+	return silent
+}
+
+// limits reports whether the endpoint gets no more than its rate now.
+func (c *coldLimit) limits(now time.Duration) bool { return c.rate > 0 && now < c.ends }
+
+// burst is how many requests may come at once.
+func (c *coldLimit) burst() float64 {
+	spare := (c.bound.Overrun-1)*c.rate + c.bound.Slack
+	return max(1, coldBurstShare*spare)
+}
+
+// pace is how many requests a second are let through in the long run: the rate, unless
+// that and two bursts are more than the bound.
+func (c *coldLimit) pace() float64 {
+	bound := c.bound.Overrun*c.rate + c.bound.Slack
+	return max(min(c.rate, bound-2*c.burst()), c.rate/2)
+}
+
+func (c *coldLimit) fill(now time.Duration) {
+	c.tokens = min(c.tokens+(now-c.filled).Seconds()*c.pace(), c.burst())
+	c.filled = now
+}
+
+// admits reports whether the endpoint may get a request now, and takes account of it.
+func (c *coldLimit) admits(now time.Duration, priority uint8) bool {
+	if !c.limits(now) {
+		return true
+	}
+	c.fill(now)
+	if c.tokens < c.needed(now, priority) {
+		return false
+	}
+	c.tokens--
+	if priority > c.urgent {
+		c.neglected = never
+	}
+	return true
+}
+
+// needed returns how many tokens a request of a priority takes at least.
+func (c *coldLimit) needed(now time.Duration, priority uint8) float64 {
+	if priority <= c.urgent || now-c.seen > urgentMemory {
+		c.urgent, c.seen = priority, now
+		return 1
+	}
+	c.neglected = min(c.neglected, now)
+	if now-c.neglected >= neglectTime {
+		return 1
+	}
+	return min(1+urgentReserve, c.burst())
+}
+
+// wait returns how long it takes until the endpoint may get another request.
+func (c *coldLimit) wait(now time.Duration) time.Duration {
+	if !c.limits(now) {
+		return 0
+	}
+	c.fill(now)
+	missing := max(1-c.tokens, 0) / c.pace()
+	return min(time.Duration(missing*float64(time.Second)), c.ends-now)
+}
+
+// coldOf returns what the agent of an endpoint has to know of its start.
+func (b *Balancer) coldOf(now time.Duration, candidate directory.Candidate) Cold {
+	start, limited := b.snapshot.ColdStart(candidate.Endpoint.Service)
+	if !limited {
+		return Cold{}
+	}
+	return Cold{
+		Rate:    uint32(min(start.Rate*1000, math.MaxUint32)),
+		Lasts:   uint32(start.Lasts.Milliseconds()),
+		Remains: uint32(max(candidate.WarmAt-now, 0).Milliseconds()),
+		Told:    uint64(candidate.Told),
+	}
+}
+
+// held reports whether a cold endpoint takes no request now, as its agent has told.
+func (h *health) held(now time.Duration) bool { return now < h.heldUntil }
+
+// noteHeld notes until when a cold endpoint takes no further request.
+func (b *Balancer) noteHeld(now time.Duration, id directory.EndpointID, load Load) {
+	b.healthOf(id).heldUntil = now + milliseconds(load.Hold)
+}
+
+// anyHeld reports whether an endpoint of a service takes no request only because it is
+// cold: then a new flow is refused at once.
+func (b *Balancer) anyHeld(now time.Duration, service string) bool {
+	return slices.ContainsFunc(b.snapshot.Candidates(service), func(candidate directory.Candidate) bool {
+		return b.healthOf(candidate.ID).held(now) && !candidate.Leaving && !candidate.Closed
+	})
+}
--- a/internal/relay/effect.go
+++ b/internal/relay/effect.go
@@ -94,13 +94,15 @@
 	EventOwnerless
 	// EventReleased: a packet is handled that came before the directory was known.
 	EventReleased
+	// EventRestarted: the endpoint is taken for restarted, as it was silent for long.
+	EventRestarted
 	eventKindCount
 )
 
 var eventNames = []string{
 	"malformed", "forged", "placed", "answered", "admitted", "offered_again", "locating", "located", "no_route",
 	"no_endpoint", "not_ready", "suspected", "recovered", "endpoint_lost_flow", "not_owned", "probed",
-	"returned", "isolated", "reconnected", "held", "given", "expired", "denied", "ownerless", "released",
+	"returned", "isolated", "reconnected", "held", "given", "expired", "denied", "ownerless", "released", "restarted",
 }
 
 // Event is one decision with what decided it.
--- a/internal/relay/emitted.go
+++ b/internal/relay/emitted.go
@@ -15,6 +15,9 @@
 		a.event(Event{Kind: EventMalformed, Reason: outcome.String()})
 		return a.effects
 	}
+	if a.cold.heard(now) && a.cold.rate > 0 {
+		a.event(Event{Kind: EventRestarted, Reason: "silence"})
+	}
 	if header.Flags.Has(segment.Returned) {
 		a.emittedReturned(now, header, packet)
 		return a.effects
@@ -40,7 +43,7 @@
 	a.flows[key] = &agentFlow{state: stateDenied, touched: now}
 	switch before {
 	case stateOpen:
-		a.lost(key, known, header)
+		a.lost(now, key, known, header)
 	case stateProbed:
 		a.probedInVain(now, key, known, header, packet)
 	}
@@ -67,7 +70,8 @@
 
 // lost resets a flow that the endpoint held and does not know any more, since
 // it was restarted.
-func (a *Agent) lost(key segment.FlowKey, known *agentFlow, header segment.Header) {
+func (a *Agent) lost(now time.Duration, key segment.FlowKey, known *agentFlow, header segment.Header) {
+	a.cold.restarted(now)
 	a.event(Event{Kind: EventEndpointLostFlow, Flow: key, Request: known.work.request})
 	a.effects = append(a.effects, Effect{
 		Kind:   EffectClient,
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -9,7 +9,8 @@
 
 //go:generate go tool msgp -tests=false
 //msgp:limit arrays:4096
-//msgp:tuple Message Load Terms Targets
+//msgp:tuple Message Load Terms Cold Targets
+//msgp:ignore ColdBound
 //msgp:shim segment.Flags as:uint8 using:uint8/segment.Flags
 
 // MaximumMessage bounds an encoded message in bytes.
@@ -156,6 +157,8 @@
 	// Pace is the mean time that the endpoint took for its last answers, in
 	// microseconds; 0 means that this is not known.
 	Pace uint32
+	// Hold is how long a cold endpoint takes no further request, in milliseconds.
+	Hold uint32
 }
 
 // Terms tell an agent what a flow needs and what its endpoint can do.
@@ -171,6 +174,20 @@
 	Timeout uint32
 	// Waited is for how long the client had tried to open the flow, in milliseconds.
 	Waited uint32
+	// Cold is set in offers.
+	Cold Cold
+}
+
+// Cold tells an agent what its endpoint carries after a start, and whether that was one.
+type Cold struct {
+	// Rate is how many thousandths of a request a second it carries; 0 means no limit.
+	Rate uint32
+	// Lasts is how long it is cold after a start, in milliseconds.
+	Lasts uint32
+	// Remains is for how much longer it is cold, in milliseconds, as it was told at a
+	// revision of the store.
+	Remains uint32
+	Told    uint64
 }
 
 // Message is what balancers and agents send each other.
--- a/internal/relay/message_gen.go
+++ b/internal/relay/message_gen.go
@@ -12,6 +12,129 @@
 	zdc5d9100limitArrays = 4096
 )
 
+// DecodeMsg implements msgp.Decodable
+func (z *Cold) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Rate, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	z.Lasts, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Lasts")
+		return
+	}
+	z.Remains, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Remains")
+		return
+	}
+	z.Told, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Told")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Cold) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Rate)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	err = en.WriteUint32(z.Lasts)
+	if err != nil {
+		err = msgp.WrapError(err, "Lasts")
+		return
+	}
+	err = en.WriteUint32(z.Remains)
+	if err != nil {
+		err = msgp.WrapError(err, "Remains")
+		return
+	}
+	err = en.WriteUint64(z.Told)
+	if err != nil {
+		err = msgp.WrapError(err, "Told")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Cold) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint32(o, z.Rate)
+	o = msgp.AppendUint32(o, z.Lasts)
+	o = msgp.AppendUint32(o, z.Remains)
+	o = msgp.AppendUint64(o, z.Told)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Cold) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Rate, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rate")
+		return
+	}
+	z.Lasts, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Lasts")
+		return
+	}
+	z.Remains, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Remains")
+		return
+	}
+	z.Told, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Told")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Cold) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *EncodedAddress) DecodeMsg(dc *msgp.Reader) (err error) {
 	{
@@ -189,8 +312,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Running, err = dc.ReadUint32()
@@ -213,13 +336,18 @@
 		err = msgp.WrapError(err, "Pace")
 		return
 	}
+	z.Hold, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Hold")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Load) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -243,18 +371,24 @@
 		err = msgp.WrapError(err, "Pace")
 		return
 	}
+	err = en.WriteUint32(z.Hold)
+	if err != nil {
+		err = msgp.WrapError(err, "Hold")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendUint32(o, z.Running)
 	o = msgp.AppendUint32(o, z.Waiting)
 	o = msgp.AppendBool(o, z.Refusing)
 	o = msgp.AppendUint32(o, z.Pace)
+	o = msgp.AppendUint32(o, z.Hold)
 	return
 }
 
@@ -266,8 +400,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Running, bts, err = msgp.ReadUint32Bytes(bts)
@@ -290,13 +424,18 @@
 		err = msgp.WrapError(err, "Pace")
 		return
 	}
+	z.Hold, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Hold")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.Uint32Size
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.Uint32Size + msgp.Uint32Size
 	return
 }
 
@@ -1195,8 +1334,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Slots, err = dc.ReadUint32()
@@ -1224,13 +1363,18 @@
 		err = msgp.WrapError(err, "Waited")
 		return
 	}
+	err = z.Cold.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Cold")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Terms) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 6
+	err = en.Append(0x96)
 	if err != nil {
 		return
 	}
@@ -1259,19 +1403,29 @@
 		err = msgp.WrapError(err, "Waited")
 		return
 	}
+	err = z.Cold.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Cold")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Terms) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint32(o, z.Slots)
 	o = msgp.AppendUint8(o, z.Priority)
 	o = msgp.AppendUint32(o, z.Target)
 	o = msgp.AppendUint32(o, z.Timeout)
 	o = msgp.AppendUint32(o, z.Waited)
+	o, err = z.Cold.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Cold")
+		return
+	}
 	return
 }
 
@@ -1283,8 +1437,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Slots, bts, err = msgp.ReadUint32Bytes(bts)
@@ -1312,12 +1466,17 @@
 		err = msgp.WrapError(err, "Waited")
 		return
 	}
+	bts, err = z.Cold.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Cold")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Terms) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
+	s = 1 + msgp.Uint32Size + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + z.Cold.Msgsize()
 	return
 }
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -34,7 +34,7 @@
 // arriveOpening handles a packet that opens a flow, or a copy of it.
 func (b *Balancer) arriveOpening(now time.Duration, key segment.FlowKey, header segment.Header, packet []byte) {
 	known, exists := b.flows[key]
-	if exists && known.sequence == header.Sequence && known.state != flowLocating {
+	if exists && known.sequence == header.Sequence && known.state != flowLocating && !b.mustMove(known) {
 		b.repeatOffer(now, known, packet)
 		return
 	}
@@ -57,13 +57,34 @@
 	opened.offer = &offer{key: key, packet: slices.Clone(packet)}
 	opened.service = b.chooseService(now, route)
 	if !b.offerNext(now, opened) {
-		b.refuse(key, header, "no_candidate")
+		b.refuse(key, header, b.reasonOfNone(now, opened))
 		return
 	}
 	b.flows[key] = opened
 	b.offers = append(b.offers, opened.offer)
 }
 
+// mustMove reports whether a flow that no endpoint has answered was offered to one whose
+// zone has been closed since.
+func (b *Balancer) mustMove(known *balancerFlow) bool {
+	candidate, exists := b.snapshot.Candidate(known.endpoint)
+	return known.state == flowOffering && exists && candidate.Closed
+}
+
+// reasonOfNone tells why no endpoint can take a flow.
+func (b *Balancer) reasonOfNone(now time.Duration, opened *balancerFlow) string {
+	if b.anyHeld(now, opened.service) {
+		return reasonCold
+	}
+	closed := slices.ContainsFunc(b.snapshot.Candidates(opened.service), func(candidate directory.Candidate) bool {
+		return candidate.Closed && !candidate.Leaving
+	})
+	if closed {
+		return "zone_closed"
+	}
+	return "no_candidate"
+}
+
 func termsOf(route *directory.Route) Terms {
 	return Terms{
 		Priority: route.Priority,
@@ -81,6 +102,9 @@
 func (b *Balancer) repeatOffer(now time.Duration, known *balancerFlow, packet []byte) {
 	known.touched = now
 	known.terms.Waited = known.waited(now)
+	if candidate, exists := b.snapshot.Candidate(known.endpoint); exists {
+		known.terms.Cold = b.coldOf(now, candidate)
+	}
 	b.send(known.agent, Message{Kind: KindOffer, Service: known.service, Terms: known.terms, Packet: packet})
 }
 
@@ -110,6 +134,7 @@
 	b.awaitAgent(now)
 	opened.terms.Slots = chosen.Endpoint.Slots
 	opened.terms.Waited = opened.waited(now)
+	opened.terms.Cold = b.coldOf(now, chosen)
 	b.send(opened.agent, Message{
 		Kind: KindOffer, Service: opened.service, Terms: opened.terms, Packet: opened.offer.packet,
 	})
@@ -216,8 +241,12 @@
 	if b.offerFurther(now, known, reason) || b.offerLastResort(now, known) {
 		return
 	}
+	refusal := "all_returned"
+	if b.anyHeld(now, known.service) {
+		refusal = reasonCold
+	}
 	b.forget(key, known)
-	b.refuse(key, segment.Header{}, "all_returned")
+	b.refuse(key, segment.Header{}, refusal)
 }
 
 // offerLastResort offers the opening packet of a flow to an endpoint that takes it
@@ -227,10 +256,15 @@
 	if agent.IsZero() || known.offer.lastResortAsked {
 		return false
 	}
+	candidate, exists := b.snapshot.At(agent.IP)
+	if exists && candidate.Closed {
+		return false
+	}
 	known.offer.lastResortAsked = true
 	b.moveTo(known, agent)
-	if candidate, exists := b.snapshot.At(agent.IP); exists {
+	if exists {
 		known.terms.Slots = candidate.Endpoint.Slots
+		known.terms.Cold = b.coldOf(now, candidate)
 	}
 	known.offer.deadline = now + offerTimeout
 	b.event(Event{Kind: EventOfferedAgain, Flow: known.offer.key, Peer: agent, Reason: "last_resort"})
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -33,6 +33,8 @@
 	// was, or when it was asked.
 	pace uint32
 	told time.Duration
+	// heldUntil is until when it takes no request since it is cold.
+	heldUntil time.Duration
 }
 
 func (h *health) suspected(now time.Duration) bool { return now < h.suspectEnds }
@@ -80,6 +82,7 @@
 	if flow.agent != from {
 		return
 	}
+	b.noteHeld(now, flow.endpoint, load)
 	known := b.healthOf(flow.endpoint)
 	if known.suspicion > 0 {
 		b.event(Event{Kind: EventRecovered, Peer: from})
@@ -106,12 +109,14 @@
 
 // choose returns the endpoint of a service with the fewest outstanding flows
 // for its size, among those not tried. Endpoints that are suspected are taken
-// only if there are no others.
+// only if there are no others, those in a closed zone never, and those that are too cold
+// not now.
 func (b *Balancer) choose(now time.Duration, service string, tried []directory.EndpointID) (directory.Candidate, bool) {
 	massLapse := b.massLapse(now, service)
-	usable := func(c directory.Candidate) bool { return !c.Leaving || massLapse && b.mayReturn(now, c) }
+	open := func(c directory.Candidate) bool { return !c.Closed && !b.healthOf(c.ID).held(now) }
+	usable := func(c directory.Candidate) bool { return open(c) && (!c.Leaving || massLapse && b.mayReturn(now, c)) }
 	trusted := func(c directory.Candidate) bool { return usable(c) && !b.healthOf(c.ID).suspected(now) }
-	mayReturn := func(c directory.Candidate) bool { return b.mayReturn(now, c) }
+	mayReturn := func(c directory.Candidate) bool { return open(c) && b.mayReturn(now, c) }
 	for _, accepts := range []func(directory.Candidate) bool{trusted, usable, mayReturn} {
 		chosen, exists := b.leastLoaded(now, service, tried, accepts)
 		if exists {
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -101,7 +101,10 @@
 // timingOf returns how much time the news of the store have. Where there is nobody to ask,
 // a process that starts lists the store at once.
 func timingOf(given *settings.RelayBalancer) directory.Timing {
-	timing := directory.Timing{ApplyTimeout: min(given.ApplyTimeout, given.DrainTimeout)}
+	timing := directory.Timing{
+		ApplyTimeout:   min(given.ApplyTimeout, given.DrainTimeout, given.CloseTimeout),
+		ContactTimeout: given.ContactTimeout,
+	}
 	if len(seedsOf(given)) > 0 {
 		timing.ListingDelay = listingDelay
 	}
--- a/internal/settings/checker.go
+++ b/internal/settings/checker.go
@@ -215,6 +215,19 @@
 	return int(number)
 }
 
+// number takes a whole number or a fraction.
+func (c *checker) number(key string, value any, least, most float64) float64 {
+	number, isNumber := value.(float64)
+	if whole, isWhole := value.(int64); isWhole {
+		number, isNumber = float64(whole), true
+	}
+	if !isNumber || !(number >= least && number <= most) {
+		c.broken(key, "must be a number from %g to %g", least, most)
+		return least
+	}
+	return number
+}
+
 func (c *checker) url(key string, value any) string {
 	text, ok := c.text(key, value)
 	if !ok {
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -40,6 +40,12 @@
 	// DrainTimeout is the time after which an endpoint that the store tells to be
 	// leaving must get no new flow.
 	DrainTimeout time.Duration
+	// CloseTimeout is the time after which the endpoints of a zone that the store tells to
+	// be closed must get no new flow; it is DrainTimeout unless set.
+	CloseTimeout time.Duration
+	// ContactTimeout is the time in which a balancer has to be in touch again after its
+	// connections were lost.
+	ContactTimeout time.Duration
 	// Exchange is the UDP and TCP address under which other balancers reach
 	// this one. All of a fleet use the same port.
 	Exchange netip.AddrPort
@@ -64,6 +70,10 @@
 	// FirstStart is set if the endpoint starts together with the agent, so that
 	// it cannot hold any flow yet.
 	FirstStart bool
+	// ColdOverrun is how many times its rate, and ColdSlack how many requests beside that,
+	// an endpoint may get in a second while it is cold.
+	ColdOverrun float64
+	ColdSlack   float64
 }
 
 // The values and bounds of relay settings.
@@ -72,12 +82,18 @@
 	DefaultStoreRate    = 1000
 	DefaultApplyTimeout = "3s"
 	DefaultDrainTimeout = "3s"
-	MinChangeTimeout    = 500 * time.Millisecond
-	MaxChangeTimeout    = 30 * time.Second
-	MaxStoreRate        = 1_000_000
-	MinFlowLifetime     = time.Second
-	MaxFlowLifetime     = time.Hour
-	maxSeeds            = 64
+	// DefaultColdOverrun and DefaultColdSlack let a cold endpoint get no more than its rate.
+	DefaultColdOverrun    = 1.0
+	DefaultColdSlack      = 0.0
+	MaxColdOverrun        = 100
+	MaxColdSlack          = 100_000
+	DefaultContactTimeout = "5s"
+	MinChangeTimeout      = 500 * time.Millisecond
+	MaxChangeTimeout      = 30 * time.Second
+	MaxStoreRate          = 1_000_000
+	MinFlowLifetime       = time.Second
+	MaxFlowLifetime       = time.Hour
+	maxSeeds              = 64
 )
 
 type relayDocument struct {
@@ -90,15 +106,17 @@
 }
 
 type relayBalancerDocument struct {
-	Listen       any `toml:"listen"`
-	Store        any `toml:"store"`
-	StoreRate    any `toml:"store_rate"`
-	ApplyTimeout any `toml:"apply_timeout"`
-	DrainTimeout any `toml:"drain_timeout"`
-	Exchange     any `toml:"exchange"`
-	Updates      any `toml:"updates"`
-	Seeds        any `toml:"seeds"`
-	Zones        any `toml:"zones"`
+	Listen         any `toml:"listen"`
+	Store          any `toml:"store"`
+	StoreRate      any `toml:"store_rate"`
+	ApplyTimeout   any `toml:"apply_timeout"`
+	DrainTimeout   any `toml:"drain_timeout"`
+	CloseTimeout   any `toml:"close_timeout"`
+	ContactTimeout any `toml:"contact_timeout"`
+	Exchange       any `toml:"exchange"`
+	Updates        any `toml:"updates"`
+	Seeds          any `toml:"seeds"`
+	Zones          any `toml:"zones"`
 }
 
 type relayAgentDocument struct {
@@ -106,6 +124,9 @@
 	Endpoint   any `toml:"endpoint"`
 	Emitted    any `toml:"emitted"`
 	FirstStart any `toml:"first_start"`
+
+	ColdOverrun any `toml:"cold_overrun"`
+	ColdSlack   any `toml:"cold_slack"`
 }
 
 func (c *checker) relay(raw *relayDocument, zone string) *Relay {
@@ -140,11 +161,17 @@
 			withDefault(raw.ApplyTimeout, DefaultApplyTimeout), MinChangeTimeout, MaxChangeTimeout),
 		DrainTimeout: c.duration("relay.balancer.drain_timeout",
 			withDefault(raw.DrainTimeout, DefaultDrainTimeout), MinChangeTimeout, MaxChangeTimeout),
+		ContactTimeout: c.duration("relay.balancer.contact_timeout",
+			withDefault(raw.ContactTimeout, DefaultContactTimeout), MinChangeTimeout, MaxChangeTimeout),
 		Exchange: c.address("relay.balancer.exchange", raw.Exchange, remoteAddress),
 		Updates:  netip.AddrPortFrom(peers.Addr(), peers.Port()+1),
 		Seeds:    c.seeds("relay.balancer.seeds", raw.Seeds),
 		Zones:    c.names("relay.balancer.zones", raw.Zones, membership.MaximumZones),
 	}
+	checked.CloseTimeout = checked.DrainTimeout
+	if raw.CloseTimeout != nil {
+		checked.CloseTimeout = c.duration("relay.balancer.close_timeout", raw.CloseTimeout, MinChangeTimeout, MaxChangeTimeout)
+	}
 	if raw.Updates != nil {
 		checked.Updates = c.address("relay.balancer.updates", raw.Updates, remoteAddress)
 	}
@@ -160,6 +187,10 @@
 		Endpoint:   c.address("relay.agent.endpoint", raw.Endpoint, remoteAddress),
 		Emitted:    c.address("relay.agent.emitted", raw.Emitted, remoteAddress),
 		FirstStart: c.boolean("relay.agent.first_start", withDefault(raw.FirstStart, false)),
+		ColdOverrun: c.number("relay.agent.cold_overrun",
+			withDefault(raw.ColdOverrun, DefaultColdOverrun), 1, MaxColdOverrun),
+		ColdSlack: c.number("relay.agent.cold_slack",
+			withDefault(raw.ColdSlack, DefaultColdSlack), 0, MaxColdSlack),
 	}
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -166,13 +166,28 @@
 			Peers: endpoint("192.0.2.1:7700"), FlowLifetime: 45 * time.Second, StopTimeout: 6 * time.Second,
 			FlowLimit: settings.DefaultFlowLimit,
 			Balancer: &settings.RelayBalancer{
-				Listen: endpoint("192.0.2.1:8100"), Store: endpoint("192.0.2.9:8000"), StoreRate: 1500, ApplyTimeout: 5 * time.Second, DrainTimeout: 4 * time.Second, Exchange: endpoint("192.0.2.1:8166"),
+				Listen: endpoint("192.0.2.1:8100"), Store: endpoint("192.0.2.9:8000"), StoreRate: 1500, ApplyTimeout: 5 * time.Second, DrainTimeout: 4 * time.Second, CloseTimeout: 4 * time.Second, ContactTimeout: 5 * time.Second, Exchange: endpoint("192.0.2.1:8166"),
 				Updates: endpoint("192.0.2.1:7701"),
 				Seeds:   []netip.AddrPort{endpoint("192.0.2.2:8166")}, Zones: []string{"zone-1", "zone-2"},
 			},
 		}))
 	})
 
+	It("takes a bound of its own for zones that are closed", func() {
+		parsed, err := settings.Parse("r.toml", []byte(strings.Replace(relayBalancerFile, "store = ",
+			"close_timeout = \"2s\"\nstore = ", 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(parsed.Relay.Balancer.CloseTimeout).To(Equal(2 * time.Second))
+	})
+
+	It("takes whole numbers and fractions for what a cold endpoint may get", func() {
+		parsed, err := settings.Parse("r.toml", []byte(strings.Replace(relayAgentFile, "first_start",
+			"cold_overrun = 1.5\ncold_slack = 5\nfirst_start", 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(parsed.Relay.Agent.ColdOverrun).To(Equal(1.5))
+		Expect(parsed.Relay.Agent.ColdSlack).To(Equal(5.0))
+	})
+
 	It("takes another address for updates", func() {
 		parsed, err := settings.Parse("r.toml", []byte(strings.Replace(relayBalancerFile, "store = ",
 			"updates = \"192.0.2.1:7735\"\nstore = ", 1)))
@@ -188,6 +203,7 @@
 			FlowLimit: settings.DefaultFlowLimit,
 			Agent: &settings.RelayAgent{
 				Service: "lookup", Endpoint: endpoint("192.0.2.1:8081"), Emitted: endpoint("192.0.2.1:8082"), FirstStart: true,
+				ColdOverrun: 1,
 			},
 		}))
 	})
@@ -208,6 +224,8 @@
 			"r.toml:14: relay.balancer.seeds: must be an array of at most 64 addresses"),
 		Entry("an own zone that is not listed", relayBalancerFile, `zones = ["zone-1", "zone-2"]`, `zones = ["zone-2"]`,
 			"r.toml:15: relay.balancer.zones: must contain the zone of this process, zone-1"),
+		Entry("less than the rate of a cold endpoint", relayAgentFile, "first_start", "cold_overrun = 0.5\nfirst_start",
+			"r.toml:11: relay.agent.cold_overrun: must be a number from 1 to 100"),
 		Entry("text for a truth value", relayAgentFile, "first_start = true", `first_start = "yes"`,
 			"r.toml:11: relay.agent.first_start: must be true or false"),
 		Entry("a role of the other kind beside it", relayAgentFile, "[relay.agent]", "[cluster]\n[relay.agent]",
