Let an endpoint recover that fails soon after each start, whatever it carries

An endpoint that falls forgets its flows, returns what comes for three seconds and is cold again; it then gets everything at once.

Change: an agent whose endpoint has failed within 5 s of its start gives it an eighth of what it had got in the second before, doubling in each second (slow start). An endpoint is down from when it does not know a flow that it held, or was silent with openings waiting, until it takes a flow. The most urgent go first: others need a full bucket, or have waited for a second.

Ruled out: growing from the fall on (the share had grown eightfold before the endpoint was back), and taking the first lost flow for the restart (trials).

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -56,8 +56,11 @@
 	// hold the flow, and forwarded is set if it took this agent for the owner.
 	prober    segment.Address
 	forwarded bool
-	touched   time.Duration
-	work      work
+	// opened is when its opening packet was first given to the endpoint, 0 if that is not
+	// known.
+	opened  time.Duration
+	touched time.Duration
+	work    work
 }
 
 // running reports whether the endpoint has the flow and it has not ended.
@@ -145,6 +148,9 @@
 	if !a.begun {
 		a.begun = true
 		a.started = now
+		if !a.config.Complete {
+			a.cold.started(now)
+		}
 	}
 }
 
@@ -292,9 +298,9 @@
 		return
 	}
 	a.forget(now, key)
-	a.cold.awaits(now)
+	a.cold.gives(now)
 	a.flows[key] = &agentFlow{
-		state: stateOffered, sequence: header.Sequence, balancer: from, touched: now,
+		state: stateOffered, sequence: header.Sequence, balancer: from, opened: now, touched: now,
 		work: work{terms: message.Terms, asked: now - milliseconds(message.Terms.Waited), sent: header.Sequence + 1},
 	}
 	a.running++
@@ -320,7 +326,7 @@
 		return
 	}
 	known.balancer = from
-	a.cold.awaits(now)
+	a.cold.gives(now)
 	a.deliver(message.Packet)
 }
 
--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -17,12 +17,13 @@
 	// take. An agent that is restarted does not know what the one before it let through, so
 	// that two bursts may come within a second.
 	coldBurstShare = 0.25
-	// urgentReserve is the part of a request that only the most urgent may use up, so that
-	// they go first while there is less than all ask for.
-	urgentReserve = 0.5
-	// neglectTime is how long the others wait for one at the most, so that they do not
-	// starve, and urgentMemory how long a request counts in what is the most urgent.
-	neglectTime  = 250 * time.Millisecond
+	// neglectTime is how long requests that are less urgent than others wait for one at the
+	// most, so that they do not starve, and urgentMemory how long a request counts in what
+	// is the most urgent.
+	neglectTime = time.Second
+	// longestHold bounds for how long balancers are told to leave an endpoint out: what it
+	// gets may grow meanwhile.
+	longestHold  = 250 * time.Millisecond
 	urgentMemory = time.Second
 )
 
@@ -33,9 +34,9 @@
 	Slack   float64
 }
 
-// coldLimit bounds what a cold endpoint gets, in the one place through which all of its
-// requests pass. It is a token bucket: in any second it lets no more through than the
-// rate and one burst.
+// coldLimit bounds what an endpoint gets that is cold, or that has failed soon after its
+// start, in the one place through which all of its requests pass. It is a token bucket: in
+// any second it lets no more through than the rate and one burst.
 type coldLimit struct {
 	bound ColdBound
 	// rate, in requests a second, and lasts are as told last; rate is 0 if there is no limit.
@@ -43,8 +44,11 @@
 	lasts time.Duration
 	// ends is until when the endpoint is believed to be cold, and told the revision at
 	// which that was announced, 0 if the agent has concluded it.
-	ends time.Duration
-	told uint64
+	ends    time.Duration
+	told    uint64
+	relapse relapse
+	// down is set from when the endpoint has failed until it takes a flow again.
+	down bool
 	// tokens are what the bucket held at the time filled.
 	tokens float64
 	filled time.Duration
@@ -59,7 +63,7 @@
 }
 
 func newColdLimit(bound ColdBound) coldLimit {
-	return coldLimit{bound: bound, awaited: never, neglected: never, seen: -2 * urgentMemory}
+	return coldLimit{bound: bound, relapse: newRelapse(), awaited: never, neglected: never, seen: -2 * urgentMemory}
 }
 
 // learn takes what a balancer tells. A later revision replaces what was known; of the same
@@ -77,41 +81,88 @@
 	}
 }
 
-// restarted notes that the endpoint has been started again, before that is announced.
-func (c *coldLimit) restarted(now time.Duration) { c.ends = max(c.ends, now+c.lasts) }
+// started notes that the agent was started, perhaps together with its endpoint.
+func (c *coldLimit) started(now time.Duration) { c.relapse.started = now }
 
-// awaits notes that the endpoint was given an opening packet.
-func (c *coldLimit) awaits(now time.Duration) { c.awaited = min(c.awaited, now) }
+// fails notes that the endpoint has failed, at a time, unless that is known. It reports
+// whether that was soon after its start.
+func (c *coldLimit) fails(at time.Duration) bool {
+	if c.down {
+		return false
+	}
+	c.down = true
+	return c.relapse.failed(at)
+}
+
+// lost notes that the endpoint does not know a flow that it held: it has failed, unless
+// that flow was opened before a start that is known.
+func (c *coldLimit) lost(now, opened time.Duration) (relapsed bool) {
+	if c.relapse.started != never && opened <= c.relapse.started {
+		return false
+	}
+	return c.fails(now)
+}
 
-// heard notes that the endpoint says something. It reports whether that comes after a
-// silence as of a restart.
-func (c *coldLimit) heard(now time.Duration) bool {
-	silent := c.awaited != never && now-c.awaited >= silenceOfRestart
+// gives notes that the endpoint is given an opening packet.
+func (c *coldLimit) gives(now time.Duration) {
+	c.relapse.gave(now)
+	c.awaited = min(c.awaited, now)
+}
+
+// heard notes that the endpoint says something. One that was silent for long has failed.
+// It reports whether that was soon after its start.
+func (c *coldLimit) heard(now time.Duration) (relapsed bool) {
+	if c.awaited != never && now-c.awaited >= silenceOfRestart {
+		relapsed = c.fails(c.awaited)
+	}
 	c.awaited = never
-	if silent {
-		c.restarted(now)
+	return relapsed
+}
+
+// takes notes that the endpoint takes a flow. It reports whether it has been started again,
+// which may not have been announced yet.
+func (c *coldLimit) takes(now time.Duration) bool {
+	if !c.down {
+		return false
 	}
-	return silent
+	c.down = false
+	c.ends = max(c.ends, now+c.lasts)
+	c.relapse.restarted(now)
+	return true
 }
 
-// limits reports whether the endpoint gets no more than its rate now.
-func (c *coldLimit) limits(now time.Duration) bool { return c.rate > 0 && now < c.ends }
+// cold reports whether the endpoint gets no more than its rate now. One that has failed
+// does, too, since it is cold as soon as it is back.
+func (c *coldLimit) cold(now time.Duration) bool { return c.rate > 0 && (c.down || now < c.ends) }
+
+// limits reports whether what the endpoint gets is bounded now.
+func (c *coldLimit) limits(now time.Duration) bool { return c.cold(now) || c.relapse.limits(now) }
 
 // burst is how many requests may come at once.
-func (c *coldLimit) burst() float64 {
+func (c *coldLimit) burst(now time.Duration) float64 {
+	if !c.cold(now) || c.relapse.limits(now) {
+		return 1
+	}
 	spare := (c.bound.Overrun-1)*c.rate + c.bound.Slack
 	return max(1, coldBurstShare*spare)
 }
 
 // pace is how many requests a second are let through in the long run: the rate, unless
 // that and two bursts are more than the bound.
-func (c *coldLimit) pace() float64 {
+func (c *coldLimit) pace(now time.Duration) float64 {
+	if !c.cold(now) {
+		return c.relapse.rate(now)
+	}
 	bound := c.bound.Overrun*c.rate + c.bound.Slack
-	return max(min(c.rate, bound-2*c.burst()), c.rate/2)
+	pace := max(min(c.rate, bound-2*c.burst(now)), c.rate/2)
+	if c.relapse.limits(now) {
+		return min(pace, c.relapse.rate(now))
+	}
+	return pace
 }
 
 func (c *coldLimit) fill(now time.Duration) {
-	c.tokens = min(c.tokens+(now-c.filled).Seconds()*c.pace(), c.burst())
+	c.tokens = min(c.tokens+(now-c.filled).Seconds()*c.pace(now), c.burst(now))
 	c.filled = now
 }
 
@@ -131,7 +182,8 @@
 	return true
 }
 
-// needed returns how many tokens a request of a priority takes at least.
+// needed returns how many tokens there must be for a request of a priority. The most
+// urgent go first while there is less than all ask for: others need a full bucket.
 func (c *coldLimit) needed(now time.Duration, priority uint8) float64 {
 	if priority <= c.urgent || now-c.seen > urgentMemory {
 		c.urgent, c.seen = priority, now
@@ -141,7 +193,7 @@
 	if now-c.neglected >= neglectTime {
 		return 1
 	}
-	return min(1+urgentReserve, c.burst())
+	return c.burst(now)
 }
 
 // wait returns how long it takes until the endpoint may get another request.
@@ -150,8 +202,8 @@
 		return 0
 	}
 	c.fill(now)
-	missing := max(1-c.tokens, 0) / c.pace()
-	return min(time.Duration(missing*float64(time.Second)), c.ends-now)
+	missing := max(1-c.tokens, 0) / c.pace(now)
+	return min(time.Duration(missing*float64(time.Second)), longestHold)
 }
 
 // coldOf returns what the agent of an endpoint has to know of its start.
--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -34,8 +34,9 @@
 	told     relay.Cold
 	priority uint8
 	got      []time.Duration
-	// down is set while the endpoint answers nothing.
-	down bool
+	// down is set while the endpoint answers nothing or, with bounces, takes nothing.
+	down    bool
+	bounces bool
 }
 
 func (c *coldEndpoint) offer(now time.Duration) []relay.Effect {
@@ -50,6 +51,11 @@
 		Packet: fromClient(number, segment.Synchronize, 100, copied, ""),
 	})
 	if len(ofKind(effects, relay.EffectEndpoint)) > 0 {
+		if c.down && c.bounces {
+			packet := fromClient(number, segment.Synchronize, 100, copied, "")
+			codec.MarkReturned(packet)
+			return append(effects, c.agent.Emitted(now, packet)...)
+		}
 		c.got = append(c.got, now)
 		if !c.down {
 			c.agent.Emitted(now, fromEndpoint(number, segment.Synchronize|segment.Acknowledge, 500, 101, ""))
@@ -188,9 +194,10 @@
 	})
 
 	It("gives the most urgent first, and the others something", func() {
-		endpoint := &coldEndpoint{agent: newColdAgent(true, coldBound), told: told(coldLasts, 7)}
+		const lasts = 5 * time.Second
+		endpoint := &coldEndpoint{agent: newColdAgent(true, coldBound), told: told(lasts, 7)}
 		urgent, others := 0, 0
-		for now := time.Duration(0); now < coldLasts; now += millisecond {
+		for now := time.Duration(0); now < lasts; now += millisecond {
 			endpoint.priority = uint8(1 + now/millisecond%2)
 			before := len(endpoint.got)
 			endpoint.offer(now)
@@ -205,6 +212,83 @@
 		Expect(others).To(BeNumerically(">=", 4))
 	})
 
+	// relapsing is an endpoint that fails half a second after each start, for as long as it
+	// gets more than it carries a second, and is away for a second.
+	type relapsing struct {
+		coldEndpoint
+		carries int
+		started time.Duration
+		failed  time.Duration
+		falls   int
+	}
+	step := func(endpoint *relapsing, now time.Duration) {
+		recent := 0
+		for _, at := range endpoint.got {
+			if at >= endpoint.started && now-at <= time.Second {
+				recent++
+			}
+		}
+		switch {
+		case endpoint.down && now-endpoint.failed >= time.Second:
+			endpoint.down = false
+			endpoint.started = now
+		case !endpoint.down && now-endpoint.started < coldLasts && recent > endpoint.carries:
+			endpoint.down = true
+			endpoint.failed = now
+			endpoint.falls++
+			if endpoint.bounces {
+				lost := fromClient(endpoint.number, segment.Acknowledge, 101, 501, "request")
+				endpoint.agent.Receive(now, balancerA, relay.Message{Kind: relay.KindForward, Service: service, Packet: lost})
+				codec.MarkReturned(lost)
+				endpoint.agent.Emitted(now, lost)
+			}
+		}
+		endpoint.offer(now)
+	}
+
+	DescribeTable("lets an endpoint recover whose rate nobody has told", func(carries int, bounces bool) {
+		endpoint := &relapsing{carries: carries}
+		endpoint.bounces = bounces
+		endpoint.agent = newColdAgent(false, relay.ColdBound{Overrun: 1})
+		for now := time.Duration(0); now < 12*time.Second; now += 5 * millisecond {
+			step(endpoint, now)
+		}
+		Expect(endpoint.down).To(BeFalse())
+		Expect(endpoint.falls).To(BeNumerically("<=", 2))
+		Expect(endpoint.most(11*time.Second, 12*time.Second)).To(BeNumerically(">", 100), "it gets all once it holds")
+	},
+		Entry("8 a second", 8, false),
+		Entry("12 a second", 12, false),
+		Entry("30 a second", 30, false),
+		Entry("8 a second, which returns what comes while it is down", 8, true),
+		Entry("12 a second, which returns what comes while it is down", 12, true),
+		Entry("30 a second, which returns what comes while it is down", 30, true),
+	)
+
+	It("does not bound an endpoint that fails long after its start", func() {
+		endpoint := &coldEndpoint{agent: newColdAgent(false, relay.ColdBound{Overrun: 1})}
+		endpoint.press(0, 10*millisecond)
+		endpoint.press(20*time.Second, 20*time.Second+10*millisecond)
+		endpoint.down = true
+		endpoint.press(20*time.Second+10*millisecond, 20*time.Second+50*millisecond)
+		endpoint.down = false
+		endpoint.press(22*time.Second, 22*time.Second+100*millisecond)
+		Expect(endpoint.most(22*time.Second, 23*time.Second)).To(Equal(100))
+	})
+
+	It("takes the flows that one restart has lost for one", func() {
+		endpoint := &coldEndpoint{agent: newColdAgent(true, relay.ColdBound{Overrun: 1})}
+		endpoint.press(0, 10*millisecond)
+		for number := 1; number <= 10; number++ {
+			request := fromClient(number, segment.Acknowledge, 101, 501, "request")
+			endpoint.agent.Receive(time.Second, balancerA, relay.Message{Kind: relay.KindForward, Service: service, Packet: request})
+			codec.MarkReturned(request)
+			endpoint.agent.Emitted(time.Second, request)
+		}
+		endpoint.press(time.Second, 1100*millisecond)
+		Expect(endpoint.got).To(HaveLen(110))
+	})
+
 	It("returns what is too much at once and tells for how long", func() {
 		endpoint := &coldEndpoint{agent: newColdAgent(true, coldBound), told: told(coldLasts, 7)}
 		endpoint.press(0, 100*millisecond)
--- a/internal/relay/effect.go
+++ b/internal/relay/effect.go
@@ -94,8 +94,11 @@
 	EventOwnerless
 	// EventReleased: a packet is handled that came before the directory was known.
 	EventReleased
-	// EventRestarted: the endpoint is taken for restarted, as it was silent for long.
+	// EventRestarted: the endpoint takes flows again after it was silent for long, or did
+	// not know those that it had held.
 	EventRestarted
+	// EventRelapsed: the endpoint has failed soon after its start.
+	EventRelapsed
 	eventKindCount
 )
 
@@ -103,6 +106,7 @@
 	"malformed", "forged", "placed", "answered", "admitted", "offered_again", "locating", "located", "no_route",
 	"no_endpoint", "not_ready", "suspected", "recovered", "endpoint_lost_flow", "not_owned", "probed",
 	"returned", "isolated", "reconnected", "held", "given", "expired", "denied", "ownerless", "released", "restarted",
+	"relapsed",
 }
 
 // Event is one decision with what decided it.
--- a/internal/relay/emitted.go
+++ b/internal/relay/emitted.go
@@ -15,9 +15,7 @@
 		a.event(Event{Kind: EventMalformed, Reason: outcome.String()})
 		return a.effects
 	}
-	if a.cold.heard(now) && a.cold.rate > 0 {
-		a.event(Event{Kind: EventRestarted, Reason: "silence"})
-	}
+	a.noteRelapse(a.cold.heard(now))
 	if header.Flags.Has(segment.Returned) {
 		a.emittedReturned(now, header, packet)
 		return a.effects
@@ -26,6 +24,13 @@
 	return a.effects
 }
 
+// noteRelapse records that the endpoint has failed soon after its start, if it has.
+func (a *Agent) noteRelapse(relapsed bool) {
+	if relapsed {
+		a.event(Event{Kind: EventRelapsed})
+	}
+}
+
 // emittedReturned handles a client's packet that the endpoint did not take.
 func (a *Agent) emittedReturned(now time.Duration, header segment.Header, packet []byte) {
 	key := segment.FlowKey{Client: header.Source, Service: header.Destination}
@@ -71,7 +76,7 @@
 // lost resets a flow that the endpoint held and does not know any more, since
 // it was restarted.
 func (a *Agent) lost(now time.Duration, key segment.FlowKey, known *agentFlow, header segment.Header) {
-	a.cold.restarted(now)
+	a.noteRelapse(a.cold.lost(now, known.opened))
 	a.event(Event{Kind: EventEndpointLostFlow, Flow: key, Request: known.work.request})
 	a.effects = append(a.effects, Effect{
 		Kind:   EffectClient,
@@ -89,6 +94,9 @@
 	}
 	known.touched = now
 	if header.Flags.Has(segment.Synchronize) {
+		if a.cold.takes(now) {
+			a.event(Event{Kind: EventRestarted})
+		}
 		a.answer(key, known, header)
 	}
 	known.follow(header.Sequence)
