Let the emulator close zones and chill endpoints, and judge both

The store of the emulator closes and opens zones, endpoints are cold after a start, announce it 0.4 s later, carry a rate and fail for 3 s if they get more in any second. The ledger counts flows that open in a closed zone and endpoints that were overrun; three planted faults are seen.

--- a/bench/flownet/endpoint.go
+++ b/bench/flownet/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/vanetiller/vanetiller/bench/simnet"
@@ -25,9 +26,12 @@
 // number of requests and answers each. It bounces packets of flows that it does
 // not hold.
 type endpoint struct {
-	side    *side
-	id      simnet.NodeID
-	started time.Duration
+	side *side
+	id   simnet.NodeID
+	// coldUntil is until when it is slow after a start, and carries little.
+	coldUntil time.Duration
+	// taken are the times of the flows that it took in the last second.
+	taken   []time.Duration
 	flows   map[segment.FlowKey]*heldFlow
 	working int
 	waiting []*heldFlow
@@ -52,10 +56,47 @@
 	e.waiting = nil
 	w.net.At(w.net.Now()+away, func() {
 		w.net.Restart(e.id, e)
-		e.started = w.net.Now()
+		e.chill()
 	})
 }
 
+// announceDelay is how long after a start an endpoint has announced that it is cold.
+const announceDelay = 400 * time.Millisecond
+
+// chill makes the endpoint cold, as after a start.
+func (e *endpoint) chill() {
+	w := e.side.world
+	e.coldUntil = w.net.Now() + coldTime
+	e.taken = nil
+	w.net.At(w.net.Now()+announceDelay, func() {
+		if !e.side.gone && !w.net.Stopped(e.id) {
+			w.store.announce(e.side)
+		}
+	})
+}
+
+// The bounds of what a cold endpoint gets in a second beyond its rate, and how long it is
+// away if it gets more.
+const (
+	coldOverrun = 1.5
+	coldSlack   = 5
+	fallTime    = 3 * time.Second
+)
+
+// takes notes a flow that the endpoint takes. It reports whether that is too much for it.
+func (e *endpoint) takes() bool {
+	w := e.side.world
+	now := w.net.Now()
+	e.taken = append(slices.DeleteFunc(e.taken, func(at time.Duration) bool { return now-at > time.Second }), now)
+	rate := w.options.ColdRate
+	if rate == 0 || now >= e.coldUntil || float64(len(e.taken)) <= rate*coldOverrun+coldSlack {
+		return false
+	}
+	w.ledger.overrun++
+	e.crash(fallTime)
+	return true
+}
+
 // Wake implements simnet.Handler.
 func (e *endpoint) Wake(time.Duration, uint32) {}
 
@@ -80,6 +121,9 @@
 	w := e.side.world
 	known, exists := e.flows[key]
 	if !exists || known.sequence != header.Sequence {
+		if e.takes() {
+			return
+		}
 		known = &heldFlow{key: key, sequence: header.Sequence, answer: w.random.Uint32()}
 		e.flows[key] = known
 	}
@@ -178,7 +222,7 @@
 	w.ledger.ran(e, known)
 	class := w.ledger.class(known.request)
 	duration := time.Duration(float64(class.Work) * (0.5 + w.random.Float64()) * e.slow)
-	if w.net.Now()-e.started < coldTime && e.started > 0 {
+	if w.net.Now() < e.coldUntil {
 		duration = time.Duration(float64(duration) * coldFactor)
 	}
 	life := e.life
--- a/bench/flownet/fault.go
+++ b/bench/flownet/fault.go
@@ -31,6 +31,8 @@
 		{"endpoint leaves without notice", 0, func(w *world) { w.leaveSilently() }},
 		{"endpoint crashed", outage, func(w *world) { w.crashEndpoint(outage) }},
 		{"endpoint slow", 0, func(w *world) { w.slowEndpoint(4, outage) }},
+		{"zone closed", 0, func(w *world) { w.closeZone(false) }},
+		{"zone closed, cold at its end", 0, func(w *world) { w.closeZone(true) }},
 		{"route added", 0, func(w *world) { w.addRoute() }},
 		{"route dropped", 0, func(w *world) { w.dropRoute() }},
 		{"store busy", outage, func(w *world) { w.storeState(storeBusy, outage) }},
@@ -137,6 +139,43 @@
 	}
 }
 
+// closedTime is how long a zone is closed: long enough to be judged.
+const closedTime = 7 * time.Second
+
+// closeZone closes a zone to new flows for a while, unless another is closed. Its endpoints
+// may be cold at the end.
+func (w *world) closeZone(cold bool) {
+	if len(w.ledger.closed) > 0 {
+		return
+	}
+	zone, _ := pick(w, w.options.Shape.Zones)
+	if !w.servedBeside(zone) {
+		return
+	}
+	w.store.closeZone(zone, true)
+	w.net.At(w.net.Now()+closedTime, func() {
+		w.store.closeZone(zone, false)
+		for _, each := range w.servingSides() {
+			if cold && each.zoneName == zone {
+				each.endpoint.chill()
+			}
+		}
+	})
+}
+
+// servedBeside reports whether every service has endpoints outside of a zone.
+func (w *world) servedBeside(zone string) bool {
+	for _, service := range w.options.Shape.Services {
+		beside := slices.ContainsFunc(w.servingSides(), func(s *side) bool {
+			return s.service.Name == service.Name && s.zoneName != zone
+		})
+		if !beside {
+			return false
+		}
+	}
+	return true
+}
+
 func (w *world) addRoute() {
 	service, _ := pick(w, w.options.Shape.Services)
 	routes := slices.Clone(w.store.routes)
--- a/bench/flownet/flownet_test.go
+++ b/bench/flownet/flownet_test.go
@@ -60,6 +60,46 @@
 		Expect(report.Calls["watch"]+report.Calls["poll"]).To(BeNumerically("<", 4*60), fmt.Sprintf("%+v", report.Calls))
 	})
 
+	DescribeTable("keeps to what cold endpoints carry, and closed zones empty, under random events", func(shape string, rate float64, seeds uint64) {
+		for seed := uint64(1); seed <= seeds; seed++ {
+			chosen := options(shape, seed)
+			chosen.ColdRate = rate
+			chosen.Events = 20
+			report := flownet.Run(chosen)
+			Expect(report.Broken()).To(BeZero(), fmt.Sprintf("seed %d: %+v", seed, report))
+		}
+	},
+		Entry("casablanca, 8 a second", "casablanca", 8.0, 6),
+		Entry("casablanca, 20 a second", "casablanca", 20.0, 6),
+		Entry("kolkata, 12 a second", "kolkata", 12.0, 6),
+		Entry("sahel, 12 a second", "sahel", 12.0, 6),
+		Entry("large, 30 a second", "large", 30.0, 1),
+	)
+
+	DescribeTable("serves all again soon after a loss of power, though cold endpoints carry little", func(shape string, rate float64, untold bool, within int) {
+		for seed := uint64(1); seed <= 3; seed++ {
+			chosen := options(shape, seed)
+			chosen.Events = 0
+			chosen.Duration = 36 * time.Second
+			chosen.PowerLoss = true
+			chosen.ColdRate, chosen.Untold = rate, untold
+			report := flownet.Run(chosen)
+			Expect(report.Broken()).To(BeZero(), fmt.Sprintf("%+v", report))
+			// Power is lost after two thirds of the time, at the end of a window.
+			back := len(report.Windows)*2/3 + 1
+			for _, window := range report.Windows[back+within/2:] {
+				Expect(window.Served).To(BeNumerically(">=", window.Asked*98/100), fmt.Sprintf("%+v", report.Windows))
+			}
+		}
+	},
+		Entry("casablanca, 8 a second", "casablanca", 8.0, false, 4),
+		Entry("casablanca, 12 a second", "casablanca", 12.0, false, 4),
+		Entry("kolkata, 12 a second", "kolkata", 12.0, false, 4),
+		Entry("sahel, 5 a second", "sahel", 5.0, false, 4),
+		Entry("casablanca, 12 a second, which nobody tells", "casablanca", 12.0, true, 8),
+		Entry("kolkata, 12 a second, which nobody tells", "kolkata", 12.0, true, 8),
+	)
+
 	It("is the same for the same seed", func() {
 		Expect(flownet.Run(options("kolkata", 3))).To(Equal(flownet.Run(options("kolkata", 3))))
 	})
@@ -154,7 +194,35 @@
 		Entry("an old configuration kept", flownet.PlantedOldConfiguration, func(r flownet.Report) int { return r.LateRoutes }),
 		Entry("unknown flows reset", flownet.PlantedResetUnknown, func(r flownet.Report) int { return r.ResetOpen }),
 		Entry("packets of other endpoints taken", flownet.PlantedAnyOwner, func(r flownet.Report) int { return r.Misrouted }),
+		Entry("closed zones ignored", flownet.PlantedIgnoreZones, func(r flownet.Report) int { return r.ClosedOpenings }),
 		Entry("updates without changes", flownet.PlantedEmptyUpdates, func(r flownet.Report) int { return r.LateOpenings + r.LateRoutes }),
 		Entry("packets changed", flownet.PlantedAltered, func(r flownet.Report) int { return r.Forged }),
 	)
+
+	It("sees cold endpoints that get more than they carry", func() {
+		overrun := 0
+		for seed := uint64(1); seed <= 4; seed++ {
+			chosen := options("casablanca", seed)
+			chosen.ColdRate = 8
+			chosen.Planted = flownet.PlantedNoColdLimit
+			overrun += flownet.Run(chosen).Overrun
+		}
+		Expect(overrun).To(BeNumerically(">", 0))
+	})
+
+	It("sees zones that stay closed, by the flows that find no endpoint", func() {
+		refused := func(planted flownet.Planted) int {
+			total := 0
+			for seed := uint64(1); seed <= 4; seed++ {
+				chosen := options("casablanca", seed)
+				chosen.Duration = 80 * time.Second
+				chosen.Events = 60
+				chosen.Planned = true
+				chosen.Planted = planted
+				total += flownet.Run(chosen).Decisions["no_endpoint"]
+			}
+			return total
+		}
+		Expect(refused(flownet.PlantedStayClosed)).To(BeNumerically(">", 10*refused(flownet.PlantedNone)))
+	})
 })
--- a/bench/flownet/ledger.go
+++ b/bench/flownet/ledger.go
@@ -12,6 +12,7 @@
 const (
 	drainTime        = 3 * time.Second
 	configurationLag = 3 * time.Second
+	closeTime        = 3 * time.Second
 	misrouteTime     = 2 * time.Second
 	misroutedPackets = 3
 	contactTime      = 4 * time.Second
@@ -58,13 +59,17 @@
 	added    map[segment.Address]time.Duration
 	dropped  map[segment.Address]time.Duration
 	routed   map[segment.Address]bool
-	next     uint64
+	// closed is since when zones are closed.
+	closed map[string]time.Duration
+	next   uint64
 
 	resetOpen      int
 	misrouted      int
 	doubleRuns     int
 	lateOpenings   int
 	lateRoutes     int
+	closedOpenings int
+	overrun        int
 	forgedPackets  int
 	forgedToClient int
 	mixed          int
@@ -113,6 +118,7 @@
 		added:     make(map[segment.Address]time.Duration),
 		dropped:   make(map[segment.Address]time.Duration),
 		routed:    make(map[segment.Address]bool),
+		closed:    make(map[string]time.Duration),
 		decisions: make(map[string]int),
 		causes:    make(map[string]int),
 		windows:   make(map[int]*Window),
@@ -200,6 +206,9 @@
 	if since, leaves := l.leaving[at.side.id]; leaves && l.now()-since > drainTime+openTimeout {
 		l.lateOpenings++
 	}
+	if since, closed := l.closed[at.side.zoneName]; closed && l.now()-since > closeTime+openTimeout {
+		l.closedOpenings++
+	}
 	if since, dropped := l.dropped[flow.key.Service]; dropped && l.now()-since > configurationLag+openTimeout {
 		l.lateRoutes++
 	}
@@ -250,6 +259,15 @@
 	}
 }
 
+// zone notes that a zone was closed or opened again.
+func (l *ledger) zone(zone string, closed bool) {
+	if closed {
+		l.closed[zone] = l.now()
+		return
+	}
+	delete(l.closed, zone)
+}
+
 // configured notes the routes of a new version.
 func (l *ledger) configured(routes []directory.Route) {
 	present := make(map[segment.Address]bool)
--- a/bench/flownet/planted.go
+++ b/bench/flownet/planted.go
@@ -34,6 +34,12 @@
 	// PlantedEmptyUpdates: balancers tell each other that they know all changes, and not
 	// what has changed; nor do they show it in their digests, which would make up for that.
 	PlantedEmptyUpdates
+	// PlantedIgnoreZones: balancers do not learn that zones are closed.
+	PlantedIgnoreZones
+	// PlantedStayClosed: balancers do not learn that zones are opened again.
+	PlantedStayClosed
+	// PlantedNoColdLimit: agents do not know what cold endpoints carry.
+	PlantedNoColdLimit
 )
 
 // filter takes from the store's items what a planted fault hides.
@@ -43,6 +49,10 @@
 		return slices.DeleteFunc(slices.Clone(items), func(item directory.Item) bool {
 			return item.EndpointID != "" && (item.Endpoint == nil || item.Endpoint.Draining)
 		})
+	case PlantedIgnoreZones:
+		return slices.DeleteFunc(slices.Clone(items), func(item directory.Item) bool { return item.Zone != "" })
+	case PlantedStayClosed:
+		return slices.DeleteFunc(slices.Clone(items), func(item directory.Item) bool { return item.Zone != "" && !item.Closed })
 	case PlantedOldConfiguration:
 		return slices.DeleteFunc(slices.Clone(items), func(item directory.Item) bool {
 			return item.Configuration != nil && item.Revision > 1
@@ -103,6 +113,14 @@
 	return effects
 }
 
+// eagerAgent does not know what its endpoint carries after a start.
+type eagerAgent struct{ *relay.Agent }
+
+func (a *eagerAgent) Receive(now time.Duration, from segment.Address, message relay.Message) []relay.Effect {
+	message.Terms.Cold = relay.Cold{}
+	return a.Agent.Receive(now, from, message)
+}
+
 // hastyAgent denies flows that it does not know though it was restarted.
 type hastyAgent struct{ *relay.Agent }
 
--- a/bench/flownet/report.go
+++ b/bench/flownet/report.go
@@ -16,6 +16,7 @@
 	Seed       uint64  `json:"seed"`
 	Hash       Hash    `json:"hash"`
 	Baseline   bool    `json:"baseline"`
+	Untold     bool    `json:"untold"`
 	Asked      int     `json:"asked"`
 	Served     float64 `json:"served"`
 	InTarget   float64 `json:"in_target"`
@@ -29,6 +30,11 @@
 	DoubleRuns int `json:"double_runs"`
 	// LateOpenings counts flows that opened at an endpoint that had left.
 	LateOpenings int `json:"late_openings"`
+	// ClosedOpenings counts flows that opened in a zone that was closed.
+	ClosedOpenings int `json:"closed_openings"`
+	// Overrun counts cold endpoints that got more than they carry and failed. It breaks a
+	// promise only if the rate was told.
+	Overrun int `json:"overrun"`
 	// LateRoutes counts flows that were treated by an old configuration.
 	LateRoutes int `json:"late_routes"`
 	// Forged counts packets that arrived not as their sender wrote them.
@@ -47,7 +53,11 @@
 
 // Broken returns the number of broken promises.
 func (r Report) Broken() int {
-	return r.ResetOpen + r.Misrouted + r.DoubleRuns + r.LateOpenings + r.LateRoutes + r.Forged + r.Mixed
+	broken := r.ResetOpen + r.Misrouted + r.DoubleRuns + r.LateOpenings + r.ClosedOpenings + r.LateRoutes + r.Forged + r.Mixed
+	if !r.Untold {
+		broken += r.Overrun
+	}
+	return broken
 }
 
 func (w *world) report() Report {
@@ -56,6 +66,7 @@
 		Experiment: "platform", Shape: w.options.Shape.Name, Seed: w.options.Seed, Hash: w.options.Hash,
 		Baseline: w.options.Baseline, WorstWindow: 1,
 		ResetOpen: l.resetOpen, Misrouted: l.misrouted, DoubleRuns: l.doubleRuns, LateOpenings: l.lateOpenings,
+		ClosedOpenings: l.closedOpenings, Overrun: l.overrun, Untold: w.options.Untold,
 		LateRoutes: l.lateRoutes, Forged: l.forgedPackets + l.forgedToClient, Mixed: l.mixed,
 		Lost: l.causes, Decisions: l.decisions, Calls: l.calls, Updates: l.updates, UpdateBytes: l.updateBytes,
 	}
--- a/bench/flownet/run.go
+++ b/bench/flownet/run.go
@@ -32,6 +32,10 @@
 	Load float64
 	// PowerLoss makes all machines lose power once, near the end.
 	PowerLoss bool
+	// ColdRate is how many requests a second an endpoint carries after a start, 0 for any
+	// number. One that gets too many fails. Untold is set if no configuration tells it.
+	ColdRate float64
+	Untold   bool
 	// Baseline replaces the product by a stateless hash, as negative control.
 	Baseline bool
 	// Planted makes the daemons break a promise on purpose, so that a test can
@@ -66,6 +70,8 @@
 		return &alteringAgent{relay.NewAgent(config)}
 	case PlantedHastyDenial:
 		return &hastyAgent{relay.NewAgent(config)}
+	case PlantedNoColdLimit:
+		return &eagerAgent{relay.NewAgent(config)}
 	}
 	return relay.NewAgent(config)
 }
--- a/bench/flownet/store.go
+++ b/bench/flownet/store.go
@@ -192,9 +192,15 @@
 func (s *store) configure(routes []directory.Route) {
 	s.version += 1 + uint64(s.world.random.IntN(3))
 	s.routes = routes
-	s.put(directory.Item{
-		Key: "configuration", Configuration: &directory.Configuration{Version: s.version, Routes: routes},
-	}, false)
+	configuration := &directory.Configuration{Version: s.version, Routes: routes}
+	if options := s.world.options; options.ColdRate > 0 && !options.Untold {
+		for _, service := range options.Shape.Services {
+			configuration.ColdStarts = append(configuration.ColdStarts, directory.ColdStart{
+				Service: service.Name, Lasts: coldTime, Rate: options.ColdRate,
+			})
+		}
+	}
+	s.put(directory.Item{Key: "configuration", Configuration: configuration}, false)
 	s.world.ledger.configured(routes)
 }
 
@@ -206,4 +212,10 @@
 	s.put(directory.Item{Key: entryKey(each), EndpointID: each.id}, true)
 }
 
+// closeZone closes a zone to new flows, or opens it again.
+func (s *store) closeZone(zone string, closed bool) {
+	s.put(directory.Item{Key: "zones/" + zone, Zone: zone, Closed: closed}, !closed)
+	s.world.ledger.zone(zone, closed)
+}
+
 func entryKey(each *side) string { return fmt.Sprintf("endpoints/%s", each.id) }
