--- a/bench/flownet/flownet_test.go
+++ b/bench/flownet/flownet_test.go
@@ -69,11 +69,11 @@
 			Expect(report.Broken()).To(BeZero(), fmt.Sprintf("seed %d: %+v", seed, report))
 		}
 	},
-		Entry("casablanca, 8 a second", "casablanca", 8.0, 6),
-		Entry("casablanca, 20 a second", "casablanca", 20.0, 6),
-		Entry("kolkata, 12 a second", "kolkata", 12.0, 6),
-		Entry("sahel, 12 a second", "sahel", 12.0, 6),
-		Entry("large, 30 a second", "large", 30.0, 1),
+		Entry("casablanca, 8 a second", "casablanca", 8.0, uint64(6)),
+		Entry("casablanca, 20 a second", "casablanca", 20.0, uint64(6)),
+		Entry("kolkata, 12 a second", "kolkata", 12.0, uint64(6)),
+		Entry("sahel, 12 a second", "sahel", 12.0, uint64(6)),
+		Entry("large, 30 a second", "large", 30.0, uint64(1)),
 	)
 
 	DescribeTable("serves all again soon after a loss of power, though cold endpoints carry little", func(shape string, rate float64, untold bool, within int) {
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/oklog/run"
@@ -37,6 +38,8 @@
 	peers     *peers
 	updates   *updates
 	metrics   directoryMetrics
+	// closed are the zones that were reported last as closed.
+	closed []directory.ClosedZone
 	// isolated is what was reported last.
 	isolated bool
 }
@@ -292,8 +295,27 @@
 	}
 }
 
+// reportZones logs which zones have been closed or opened since the last time, each with the
+// revision at which that is known and for how long it has been closed.
+func (r *balancerRole) reportZones(now time.Duration, closed []directory.ClosedZone) {
+	logger := r.executor.journal.logger
+	for _, zone := range closed {
+		if !slices.ContainsFunc(r.closed, func(before directory.ClosedZone) bool { return before.Zone == zone.Zone }) {
+			logger.Warn("zone closed to new flows", "zone_closed", zone.Zone, "revision", uint64(zone.Revision))
+		}
+	}
+	for _, before := range r.closed {
+		if !slices.ContainsFunc(closed, func(zone directory.ClosedZone) bool { return before.Zone == zone.Zone }) {
+			logger.Info("zone opened to new flows", "zone_opened", before.Zone,
+				"revision", uint64(r.directory.Complete()), "closed_ms", (now - before.Since).Milliseconds())
+		}
+	}
+	r.closed = closed
+}
+
 func (r *balancerRole) install(now time.Duration) []relay.Effect {
 	snapshot := r.directory.Snapshot()
+	r.reportZones(now, snapshot.Closed())
 	r.health.SetReady(conditionDirectory)
 	r.metrics.observe(snapshot)
 	r.executor.journal.logger.Info("directory changed",
--- a/internal/relaydaemon/daemon_test.go
+++ b/internal/relaydaemon/daemon_test.go
@@ -178,6 +178,18 @@
 	return response.StatusCode
 }
 
+// scrape returns the metrics of a daemon, nothing while it does not answer.
+func (s site) scrape(port int, ip string) string {
+	response, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", ip, port))
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(body)
+}
+
 func udp(ip string, port int) *net.UDPConn {
 	connection, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ip), Port: port})
 	Expect(err).NotTo(HaveOccurred())
@@ -281,6 +293,34 @@
 		Eventually(log.String).WithTimeout(10 * time.Second).Should(ContainSubstring(`"revision":6`))
 	})
 
+	It("refuses new flows to a zone of whose closing it learns from another balancer, and says so", func() {
+		page := used.listing()
+		page.Items[1].Endpoint.Zone = "zone-1"
+		store := changingStore{
+			fakeStore: fakeStore{page: page}, changes: make(chan struct{}),
+			change: directory.Changes{Items: []directory.Item{{Revision: 6, Zone: "zone-1", Closed: true}}, Through: 6},
+		}
+		start(used.balancer(balancerIP, ""), store, io.Discard)
+		Eventually(status(balancerIP)).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+		told := used
+		told.healthPort = freePort()
+		seed := fmt.Sprintf("%q", fmt.Sprintf("%s:%d", balancerIP, used.exchangePort))
+		start(told.balancer(otherIP, seed), fakeStore{down: true}, log)
+		Eventually(func() int { return told.health(otherIP) }).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+		close(store.changes)
+		Eventually(log.String).WithTimeout(10 * time.Second).Should(ContainSubstring(`"msg":"zone closed to new flows"`))
+		client := udp(clientIP, used.packetPort)
+		caller := segment.Address{IP: [4]byte{127, 0, 1, 4}, Port: 5555}
+		opening := codec.Encode(segment.Header{Source: caller, Destination: route, Flags: segment.Synchronize, Sequence: 9}, nil)
+		_, err := client.WriteToUDP(opening, &net.UDPAddr{IP: net.ParseIP(otherIP), Port: used.packetPort})
+		Expect(err).NotTo(HaveOccurred())
+		header, _ := codec.Decode(receive(client))
+		Expect(header.Flags.Has(segment.Reset)).To(BeTrue())
+		Eventually(log.String).WithTimeout(10 * time.Second).Should(ContainSubstring(`"reason":"zone_closed"`))
+		Expect(used.scrape(told.healthPort, otherIP)).To(SatisfyAll(
+			ContainSubstring("vanetiller_relay_closed_zones 1"), ContainSubstring("vanetiller_relay_closed_zone_endpoints 1")))
+	})
+
 	It("resets a flow that nobody holds, also where the store does not answer and a peer confirms the directory", func() {
 		client := udp(clientIP, used.packetPort)
 		start(used.agent(agentIP), nil, log)
@@ -328,16 +368,7 @@
 
 	It("serves its counters, histograms and the version in force", func() {
 		scrape := func(ip string) func() string {
-			return func() string {
-				response, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", ip, used.healthPort))
-				if err != nil {
-					return ""
-				}
-				defer response.Body.Close()
-				body, err := io.ReadAll(response.Body)
-				Expect(err).NotTo(HaveOccurred())
-				return string(body)
-			}
+			return func() string { return used.scrape(used.healthPort, ip) }
 		}
 		start(used.agent(agentIP), nil, log)
 		start(used.balancer(balancerIP, ""), fakeStore{page: used.listing()}, log)
--- a/internal/relaydaemon/directorymetrics.go
+++ b/internal/relaydaemon/directorymetrics.go
@@ -17,6 +17,8 @@
 	routes    metrics.Gauge
 	endpoints metrics.Gauge
 	age       metrics.Gauge
+	closed    metrics.Gauge
+	leftOut   metrics.Gauge
 	calls     metrics.Counter
 	updates   metrics.Counter
 }
@@ -43,6 +45,8 @@
 		routes:    registered.Gauge("relay_routes", "Routes in force."),
 		endpoints: registered.Gauge("relay_endpoints", "Endpoints known, those that are leaving or gone included."),
 		age:       registered.Gauge("relay_directory_age_seconds", "Time since the store has confirmed the directory, to this balancer or to others."),
+		closed:    registered.Gauge("relay_closed_zones", "Zones that are closed to new flows."),
+		leftOut:   registered.Gauge("relay_closed_zone_endpoints", "Endpoints that get no new flow only since their zone is closed."),
 		calls:     registered.Counter("relay_store_calls_total", "Calls of the store, by kind and outcome.", kindLabel, outcomeLabel),
 		updates:   registered.Counter("relay_updates_total", "Datagrams with changes of the directory, from and to other balancers.", directionLabel),
 	}
@@ -52,6 +56,14 @@
 	m.version.Set(float64(snapshot.Version()))
 	m.routes.Set(float64(snapshot.Routes()))
 	m.endpoints.Set(float64(len(snapshot.All())))
+	m.closed.Set(float64(len(snapshot.Closed())))
+	leftOut := 0
+	for _, candidate := range snapshot.All() {
+		if candidate.Closed && !candidate.Leaving {
+			leftOut++
+		}
+	}
+	m.leftOut.Set(float64(leftOut))
 }
 
 // observeAge shows how old the latest confirmation is, once there is one.
