--- a/cmd/vanetillerctl/change.go
+++ b/cmd/vanetillerctl/change.go
@@ -73,8 +73,11 @@
 		}
 		update.Drain = &drain
 		return nil
+	case "zone":
+		update.Zone = &value
+		return nil
 	}
-	return wrongUsage("column %q: must be weight, connection_limit or drain", column)
+	return wrongUsage("column %q: must be weight, connection_limit, drain or zone", column)
 }
 
 func assignNumber(cell **uint32, column, value string) error {
--- a/cmd/vanetillerctl/command.go
+++ b/cmd/vanetillerctl/command.go
@@ -133,6 +133,10 @@
 		return drain, rest, nil
 	case "undrain":
 		return undrain, rest, nil
+	case "zones":
+		return zones, rest, nil
+	case "zone":
+		return chooseOfZone(rest)
 	case "change":
 		return showChange, rest, nil
 	case "members":
@@ -171,6 +175,19 @@
 	return nil, nil, wrongUsage("unknown command %q of table", words[0])
 }
 
+func chooseOfZone(words []string) (command, []string, error) {
+	if len(words) == 0 {
+		return nil, nil, wrongUsage("zone takes a command")
+	}
+	switch words[0] {
+	case "close":
+		return closeZone, words[1:], nil
+	case "open":
+		return openZone, words[1:], nil
+	}
+	return nil, nil, wrongUsage("unknown command %q of zone", words[0])
+}
+
 // takes checks the number of arguments.
 func (i invocation) takes(least, most int, what string) error {
 	if len(i.arguments) < least || len(i.arguments) > most {
--- a/cmd/vanetillerctl/options.go
+++ b/cmd/vanetillerctl/options.go
@@ -26,7 +26,7 @@
                                                  table and a file differ, or two files
   vanetillerctl [flags] table set ROW COLUMN=VALUE...
                                                  set cells of a row; the columns are
-                                                 weight, connection_limit and drain
+                                                 weight, connection_limit, drain and zone
   vanetillerctl [flags] table import FILE        make the changes that lead to the rows
                                                  of a CSV file or the table of a JSON file
   vanetillerctl [flags] table export             print the table as CSV, or as JSON
@@ -36,6 +36,10 @@
                                                  every member, or name those without it
   vanetillerctl [flags] drain ROW                stop new flows to a row
   vanetillerctl [flags] undrain ROW              let new flows go to a row again
+  vanetillerctl [flags] zones                    print the zones, which are closed and since
+                                                 when, and what is left without each
+  vanetillerctl [flags] zone close ZONE          stop new flows to all rows of a zone
+  vanetillerctl [flags] zone open ZONE           let new flows go to a zone again
   vanetillerctl [flags] change ID                print what became of a change
   vanetillerctl [flags] members                  print the processes that forward
   vanetillerctl token NAME ROLE [TEAM]           print a new token and its entry for
@@ -79,6 +83,7 @@
 	id            string
 	base          int64
 	dryRun        bool
+	force         bool
 	removeMissing bool
 	after         uint64
 	limit         int
@@ -106,6 +111,7 @@
 	flags.StringVar(&values.id, "id", "", "`ID` of the change, to repeat one whose outcome is not known (default: a random one)")
 	flags.Int64Var(&values.base, "base", baseOfServer, "table `VERSION` the change was made at, to repeat one; -1 means the version that the server has")
 	flags.BoolVar(&values.dryRun, "dry-run", false, "print what a change would do without making it (default: make it)")
+	flags.BoolVar(&values.force, "force", false, "let zone close close the last zone of a service (default: refuse that)")
 	flags.BoolVar(&values.removeMissing, "remove-missing", false, "let table import remove rows that the file lacks (default: keep them)")
 	flags.Uint64Var(&values.after, "after", 0, "table `VERSION` after which table history begins (default: the oldest that is remembered)")
 	flags.IntVar(&values.limit, "limit", adminapi.DefaultHistoryLimit, fmt.Sprintf("largest `NUMBER` of records of table history, at most %d", adminapi.MaxHistoryLimit))
--- a/cmd/vanetillerctl/table.go
+++ b/cmd/vanetillerctl/table.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -183,8 +184,14 @@
 func render(output io.Writer, shown *table.Table) error {
 	fmt.Fprintf(output, "version %d\n", shown.Version)
 	columns := grid{header: []string{"service", "address", "owner", "back end", "agent", "weight", "limit", "drain"}}
+	zoned := slices.ContainsFunc(shown.Backends, func(row table.Backend) bool { return row.Zone != "" })
+	if zoned {
+		columns.header = append(columns.header, "zone")
+	}
 	for _, service := range shown.Services {
-		columns.rows = append(columns.rows, serviceLines(shown, service)...)
+		for _, line := range serviceLines(shown, service) {
+			columns.rows = append(columns.rows, line[:len(columns.header)])
+		}
 	}
 	return columns.printAligned(output)
 }
@@ -198,12 +205,12 @@
 		}
 		cells := []string{
 			row.Name, string(row.Agent), strconv.FormatUint(uint64(row.Weight), 10),
-			limitText(row.ConnectionLimit), drainText(row.Drain),
+			limitText(row.ConnectionLimit), drainText(row.Drain), zoneText(row),
 		}
 		lines = append(lines, append(prefix[:len(prefix):len(prefix)], cells...))
 	}
 	if len(lines) == 0 {
-		lines = append(lines, append(prefix, "-", "-", "-", "-", "-"))
+		lines = append(lines, append(prefix, "-", "-", "-", "-", "-", "-"))
 	}
 	return lines
 }
@@ -215,6 +222,16 @@
 	return strconv.FormatUint(uint64(limit), 10)
 }
 
+func zoneText(row table.Backend) string {
+	switch {
+	case row.Zone == "":
+		return "-"
+	case row.Closed:
+		return row.Zone + " (closed)"
+	}
+	return row.Zone
+}
+
 func drainText(drain bool) string {
 	if drain {
 		return "yes"
--- a/internal/adminapi/api.go
+++ b/internal/adminapi/api.go
@@ -41,6 +41,16 @@
 	Weight          *uint32         `json:"weight,omitempty"`
 	ConnectionLimit *uint32         `json:"connection_limit,omitempty"`
 	Drain           *bool           `json:"drain,omitempty"`
+	Zone            *string         `json:"zone,omitempty"`
+}
+
+// ZoneUpdate closes a zone to new flows, or opens it again. It takes the rights of an
+// administrator, since rows of several teams may be in a zone.
+type ZoneUpdate struct {
+	Zone   string `json:"zone"`
+	Closed bool   `json:"closed"`
+	// Force closes it even if a service then has no row that gets new flows.
+	Force bool `json:"force,omitempty"`
 }
 
 // RowVersion is the table version of a row's last change.
@@ -57,12 +67,13 @@
 	SetCells       []CellUpdate      `json:"set_cells,omitempty"`
 	RemoveBackends []table.BackendID `json:"remove_backends,omitempty"`
 	RemoveServices []table.ServiceID `json:"remove_services,omitempty"`
+	SetZones       []ZoneUpdate      `json:"set_zones,omitempty"`
 }
 
 // Empty reports whether there is nothing to do.
 func (p Parts) Empty() bool {
 	return len(p.AddServices) == 0 && len(p.AddBackends) == 0 && len(p.SetCells) == 0 &&
-		len(p.RemoveBackends) == 0 && len(p.RemoveServices) == 0
+		len(p.RemoveBackends) == 0 && len(p.RemoveServices) == 0 && len(p.SetZones) == 0
 }
 
 // Header is what every request for a change has.
@@ -142,6 +153,41 @@
 	retryAfter time.Duration
 }
 
+// ZoneRequest is the body of POST /v1/zones/{zone}.
+type ZoneRequest struct {
+	Header
+	// Closed tells whether the zone shall get no new flows; required.
+	Closed *bool `json:"closed"`
+	Force  bool  `json:"force,omitempty"`
+}
+
+// Zone is a zone in which the principal sees rows.
+type Zone struct {
+	Zone   string `json:"zone"`
+	Closed bool   `json:"closed"`
+	// Since is the table version that closed it, 0 if it is open, and Reach where that
+	// version is in force.
+	Since table.Version `json:"since,omitempty"`
+	Reach *ReachAnswer  `json:"reach,omitempty"`
+	// Backends is the number of rows.
+	Backends int `json:"backends"`
+	// Shares are, for each service with rows in the zone, what is left while it is closed.
+	Shares []ZoneShare `json:"shares"`
+}
+
+// ZoneShare tells which part of a service is outside of a zone.
+type ZoneShare struct {
+	Service string `json:"service"`
+	// Remaining is the part of the weight of rows that get new flows, or would if no zone
+	// was closed, which is in other zones that are open; from 0 to 1.
+	Remaining float64 `json:"remaining"`
+}
+
+// ZonesAnswer is the answer to GET /v1/zones, in the order of names.
+type ZonesAnswer struct {
+	Zones []Zone `json:"zones"`
+}
+
 // TableAnswer is the answer to GET /v1/table.
 type TableAnswer struct {
 	Table       *table.Table `json:"table"`
--- a/internal/adminapi/authorize.go
+++ b/internal/adminapi/authorize.go
@@ -80,6 +80,11 @@
 	if v.unlimited() {
 		return nil
 	}
+	if len(change.Zones) > 0 {
+		return table.CellError{
+			Row: table.ZoneRow(change.Zones[0].Zone), Column: "closed", Rule: "takes the role " + string(tenant.RoleAdministrator),
+		}
+	}
 	if err := v.authorizeAdditions(change); err != nil {
 		return err
 	}
--- a/internal/adminapi/client.go
+++ b/internal/adminapi/client.go
@@ -93,6 +93,16 @@
 	return c.submit(ctx, request.ID, request, "v1", "backends", strconv.FormatUint(uint64(backend), 10), "drain")
 }
 
+// Zones returns the zones in which the caller sees rows.
+func (c *Client) Zones(ctx context.Context) (ZonesAnswer, error) {
+	return get[ZonesAnswer](ctx, c, nil, "v1", "zones")
+}
+
+// CloseZone closes a zone to new flows, or opens it again.
+func (c *Client) CloseZone(ctx context.Context, zone string, request ZoneRequest) (ChangeAnswer, error) {
+	return c.submit(ctx, request.ID, request, "v1", "zones", zone)
+}
+
 // ImportSnapshot makes the change that leads to the table of the request.
 func (c *Client) ImportSnapshot(ctx context.Context, request SnapshotRequest) (ChangeAnswer, error) {
 	return c.submit(ctx, request.ID, request, "v1", "snapshot")
--- a/internal/adminapi/convert.go
+++ b/internal/adminapi/convert.go
@@ -64,6 +64,16 @@
 			return invalid("set_cells must set a cell of row %d", update.Backend)
 		}
 	}
+	for _, row := range p.AddBackends {
+		if row.Closed {
+			return invalid("add_backends must not tell whether a zone is closed")
+		}
+	}
+	for _, update := range p.SetZones {
+		if update.Zone == "" || len(update.Zone) > table.MaxNameLength {
+			return invalid("set_zones must name a zone by 1 to %d bytes", table.MaxNameLength)
+		}
+	}
 	return nil
 }
 
@@ -96,6 +106,9 @@
 	for _, update := range r.SetCells {
 		change.Cells = append(change.Cells, changelog.CellUpdate(update))
 	}
+	for _, update := range r.SetZones {
+		change.Zones = append(change.Zones, changelog.ZoneUpdate(update))
+	}
 	return change
 }
 
--- a/internal/adminapi/endpoints.go
+++ b/internal/adminapi/endpoints.go
@@ -51,6 +51,14 @@
 	return s.drain(ctx, principalOf(ctx), request.(drainRequest))
 }
 
+func (s *service) zonesEndpoint(ctx context.Context, _ any) (any, error) {
+	return s.zones(principalOf(ctx)), nil
+}
+
+func (s *service) closeZoneEndpoint(ctx context.Context, request any) (any, error) {
+	return s.closeZone(ctx, principalOf(ctx), request.(zoneRequest))
+}
+
 func (s *service) importSnapshotEndpoint(ctx context.Context, request any) (any, error) {
 	return s.importSnapshot(ctx, principalOf(ctx), request.(SnapshotRequest))
 }
--- a/internal/adminapi/handler.go
+++ b/internal/adminapi/handler.go
@@ -79,6 +79,8 @@
 	h.add("GET /v1/versions/{version}", viewer(served.reachEndpoint), decodeReach)
 	h.add("GET /v1/members", viewer(served.membersEndpoint), decodeNothing)
 	h.add("POST /v1/backends/{id}/drain", editor(served.drainEndpoint), decodeDrain)
+	h.add("GET /v1/zones", viewer(served.zonesEndpoint), decodeNothing)
+	h.add("POST /v1/zones/{zone}", administrator(served.closeZoneEndpoint), decodeZone)
 	h.add("GET /v1/snapshot", administrator(served.exportSnapshotEndpoint), decodeNothing)
 	h.add("POST /v1/snapshot", administrator(served.importSnapshotEndpoint), decodeSnapshot)
 	h.mux.HandleFunc("/", func(writer http.ResponseWriter, request *http.Request) {
--- a/internal/adminapi/plan.go
+++ b/internal/adminapi/plan.go
@@ -74,6 +74,7 @@
 		existing, exists := index[row.ID]
 		if !exists || existing.Removed {
 			row.Incarnation = max(row.Incarnation, existing.Incarnation+1)
+			row.Closed = false
 			p.AddBackends = append(p.AddBackends, row)
 			continue
 		}
@@ -90,11 +91,14 @@
 		Weight:          changedCell(existing.Weight, row.Weight),
 		ConnectionLimit: changedCell(existing.ConnectionLimit, row.ConnectionLimit),
 		Drain:           changedCell(existing.Drain, row.Drain),
+		Zone:            changedCell(existing.Zone, row.Zone),
 	}
 	row.Incarnation = max(row.Incarnation, existing.Incarnation)
 	existing.Weight = row.Weight
 	existing.ConnectionLimit = row.ConnectionLimit
 	existing.Drain = row.Drain
+	existing.Zone = row.Zone
+	existing.Closed = row.Closed
 	if existing != row {
 		return alteredCell(
 			&table.Table{Backends: []table.Backend{existing}},
--- a/internal/adminapi/requests.go
+++ b/internal/adminapi/requests.go
@@ -33,6 +33,11 @@
 	body    DrainRequest
 }
 
+type zoneRequest struct {
+	zone string
+	body ZoneRequest
+}
+
 // The number of records in an answer of the history.
 const (
 	DefaultHistoryLimit = 100
@@ -46,6 +51,7 @@
 	limitParameter   = "limit"
 	idValue          = "id"
 	versionValue     = "version"
+	zoneValue        = "zone"
 )
 
 // checkParameters refuses query parameters that a path does not take, so that
@@ -125,6 +131,12 @@
 	return decoded, err
 }
 
+func decodeZone(_ context.Context, request *http.Request) (any, error) {
+	decoded := zoneRequest{zone: request.PathValue(zoneValue)}
+	err := decodeBody(request, &decoded.body)
+	return decoded, err
+}
+
 func decodeChange(_ context.Context, request *http.Request) (any, error) {
 	var decoded ChangeRequest
 	err := decodeBody(request, &decoded)
--- a/internal/adminapi/service.go
+++ b/internal/adminapi/service.go
@@ -119,6 +119,17 @@
 	})
 }
 
+// closeZone closes a zone to new flows, or opens it again.
+func (s *service) closeZone(ctx context.Context, principal tenant.Principal, request zoneRequest) (ChangeAnswer, error) {
+	if request.body.Closed == nil {
+		return ChangeAnswer{}, invalid("closed is required")
+	}
+	return s.change(ctx, principal, ChangeRequest{
+		Header: request.body.Header,
+		Parts:  Parts{SetZones: []ZoneUpdate{{Zone: request.zone, Closed: *request.body.Closed, Force: request.body.Force}}},
+	})
+}
+
 // importSnapshot makes the change that leads to the table of a snapshot.
 func (s *service) importSnapshot(ctx context.Context, principal tenant.Principal, request SnapshotRequest) (ChangeAnswer, error) {
 	if err := request.Header.validate(); err != nil {
--- a/internal/changelog/change.go
+++ b/internal/changelog/change.go
@@ -29,6 +29,15 @@
 	Weight          *uint32         `msg:"w"`
 	ConnectionLimit *uint32         `msg:"l"`
 	Drain           *bool           `msg:"d"`
+	Zone            *string         `msg:"z,omitempty"`
+}
+
+// ZoneUpdate closes a zone to new flows, or opens it again.
+type ZoneUpdate struct {
+	Zone   string `msg:"z"`
+	Closed bool   `msg:"c"`
+	// Force closes it even if a service then has no row that gets new flows.
+	Force bool `msg:"f"`
 }
 
 // RowExpectation makes a change depend on a row not having changed since a
@@ -67,6 +76,7 @@
 	Cells           []CellUpdate      `msg:"c"`
 	RemoveBackends  []table.BackendID `msg:"rb"`
 	RemoveServices  []table.ServiceID `msg:"rs"`
+	Zones           []ZoneUpdate      `msg:"z,omitempty"`
 	Import          *Import           `msg:"im"`
 }
 
--- a/internal/changelog/change_gen.go
+++ b/internal/changelog/change_gen.go
@@ -268,6 +268,24 @@
 					return
 				}
 			}
+		case "z":
+			if dc.IsNil() {
+				err = dc.ReadNil()
+				if err != nil {
+					err = msgp.WrapError(err, "Zone")
+					return
+				}
+				z.Zone = nil
+			} else {
+				if z.Zone == nil {
+					z.Zone = new(string)
+				}
+				*z.Zone, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Zone")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -281,67 +299,102 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *CellUpdate) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "b"
-	err = en.Append(0x84, 0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = z.Backend.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Backend")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Zone == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	if z.Weight == nil {
-		err = en.WriteNil()
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "b"
+		err = en.Append(0xa1, 0x62)
 		if err != nil {
 			return
 		}
-	} else {
-		err = en.WriteUint32(*z.Weight)
+		err = z.Backend.EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Weight")
+			err = msgp.WrapError(err, "Backend")
 			return
 		}
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	if z.ConnectionLimit == nil {
-		err = en.WriteNil()
+		// write "w"
+		err = en.Append(0xa1, 0x77)
 		if err != nil {
 			return
 		}
-	} else {
-		err = en.WriteUint32(*z.ConnectionLimit)
-		if err != nil {
-			err = msgp.WrapError(err, "ConnectionLimit")
-			return
+		if z.Weight == nil {
+			err = en.WriteNil()
+			if err != nil {
+				return
+			}
+		} else {
+			err = en.WriteUint32(*z.Weight)
+			if err != nil {
+				err = msgp.WrapError(err, "Weight")
+				return
+			}
 		}
-	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
-	}
-	if z.Drain == nil {
-		err = en.WriteNil()
+		// write "l"
+		err = en.Append(0xa1, 0x6c)
 		if err != nil {
 			return
 		}
-	} else {
-		err = en.WriteBool(*z.Drain)
+		if z.ConnectionLimit == nil {
+			err = en.WriteNil()
+			if err != nil {
+				return
+			}
+		} else {
+			err = en.WriteUint32(*z.ConnectionLimit)
+			if err != nil {
+				err = msgp.WrapError(err, "ConnectionLimit")
+				return
+			}
+		}
+		// write "d"
+		err = en.Append(0xa1, 0x64)
 		if err != nil {
-			err = msgp.WrapError(err, "Drain")
 			return
 		}
+		if z.Drain == nil {
+			err = en.WriteNil()
+			if err != nil {
+				return
+			}
+		} else {
+			err = en.WriteBool(*z.Drain)
+			if err != nil {
+				err = msgp.WrapError(err, "Drain")
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "z"
+			err = en.Append(0xa1, 0x7a)
+			if err != nil {
+				return
+			}
+			if z.Zone == nil {
+				err = en.WriteNil()
+				if err != nil {
+					return
+				}
+			} else {
+				err = en.WriteString(*z.Zone)
+				if err != nil {
+					err = msgp.WrapError(err, "Zone")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -349,34 +402,56 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *CellUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "b"
-	o = append(o, 0x84, 0xa1, 0x62)
-	o, err = z.Backend.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Backend")
-		return
-	}
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	if z.Weight == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o = msgp.AppendUint32(o, *z.Weight)
-	}
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	if z.ConnectionLimit == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o = msgp.AppendUint32(o, *z.ConnectionLimit)
-	}
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	if z.Drain == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o = msgp.AppendBool(o, *z.Drain)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Zone == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o, err = z.Backend.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Backend")
+			return
+		}
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		if z.Weight == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o = msgp.AppendUint32(o, *z.Weight)
+		}
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		if z.ConnectionLimit == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o = msgp.AppendUint32(o, *z.ConnectionLimit)
+		}
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		if z.Drain == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o = msgp.AppendBool(o, *z.Drain)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			if z.Zone == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o = msgp.AppendString(o, *z.Zone)
+			}
+		}
 	}
 	return
 }
@@ -456,6 +531,23 @@
 					return
 				}
 			}
+		case "z":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Zone = nil
+			} else {
+				if z.Zone == nil {
+					z.Zone = new(string)
+				}
+				*z.Zone, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Zone")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -488,6 +580,12 @@
 	} else {
 		s += msgp.BoolSize
 	}
+	s += 2
+	if z.Zone == nil {
+		s += msgp.NilSize
+	} else {
+		s += msgp.StringPrefixSize + len(*z.Zone)
+	}
 	return
 }
 
@@ -716,6 +814,64 @@
 					return
 				}
 			}
+		case "z":
+			var zb0010 uint32
+			zb0010, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Zones")
+				return
+			}
+			if zb0010 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Zones) >= int(zb0010) {
+				z.Zones = (z.Zones)[:zb0010]
+			} else {
+				z.Zones = make([]ZoneUpdate, zb0010)
+			}
+			for za0007 := range z.Zones {
+				var zb0011 uint32
+				zb0011, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Zones", za0007)
+					return
+				}
+				for zb0011 > 0 {
+					zb0011--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Zones", za0007)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "z":
+						z.Zones[za0007].Zone, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Zones", za0007, "Zone")
+							return
+						}
+					case "c":
+						z.Zones[za0007].Closed, err = dc.ReadBool()
+						if err != nil {
+							err = msgp.WrapError(err, "Zones", za0007, "Closed")
+							return
+						}
+					case "f":
+						z.Zones[za0007].Force, err = dc.ReadBool()
+						if err != nil {
+							err = msgp.WrapError(err, "Zones", za0007, "Force")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Zones", za0007)
+							return
+						}
+					}
+				}
+			}
 		case "im":
 			if dc.IsNil() {
 				err = dc.ReadNil()
@@ -747,315 +903,406 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Change) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 13
-	// write "id"
-	err = en.Append(0x8d, 0xa2, 0x69, 0x64)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
+	_ = zb0001Mask
+	if z.Zones == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000
 	}
-	err = en.WriteString(string(z.ID))
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	// write "base"
-	err = en.Append(0xa4, 0x62, 0x61, 0x73, 0x65)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = z.Base.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Base")
-		return
-	}
-	// write "who"
-	err = en.Append(0xa3, 0x77, 0x68, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Who)
-	if err != nil {
-		err = msgp.WrapError(err, "Who")
-		return
-	}
-	// write "when"
-	err = en.Append(0xa4, 0x77, 0x68, 0x65, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.When)
-	if err != nil {
-		err = msgp.WrapError(err, "When")
-		return
-	}
-	// write "why"
-	err = en.Append(0xa3, 0x77, 0x68, 0x79)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Why)
-	if err != nil {
-		err = msgp.WrapError(err, "Why")
-		return
-	}
-	// write "ev"
-	err = en.Append(0xa2, 0x65, 0x76)
-	if err != nil {
-		return
-	}
-	err = z.ExpectedVersion.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "ExpectedVersion")
-		return
-	}
-	// write "er"
-	err = en.Append(0xa2, 0x65, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.ExpectedRows)))
-	if err != nil {
-		err = msgp.WrapError(err, "ExpectedRows")
-		return
-	}
-	for za0001 := range z.ExpectedRows {
-		// map header, size 2
-		// write "b"
-		err = en.Append(0x82, 0xa1, 0x62)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "id"
+		err = en.Append(0xa2, 0x69, 0x64)
 		if err != nil {
 			return
 		}
-		err = z.ExpectedRows[za0001].Backend.EncodeMsg(en)
+		err = en.WriteString(string(z.ID))
 		if err != nil {
-			err = msgp.WrapError(err, "ExpectedRows", za0001, "Backend")
+			err = msgp.WrapError(err, "ID")
 			return
 		}
-		// write "v"
-		err = en.Append(0xa1, 0x76)
+		// write "base"
+		err = en.Append(0xa4, 0x62, 0x61, 0x73, 0x65)
 		if err != nil {
 			return
 		}
-		err = z.ExpectedRows[za0001].Version.EncodeMsg(en)
+		err = z.Base.EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "ExpectedRows", za0001, "Version")
+			err = msgp.WrapError(err, "Base")
 			return
 		}
-	}
-	// write "as"
-	err = en.Append(0xa2, 0x61, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.AddServices)))
-	if err != nil {
-		err = msgp.WrapError(err, "AddServices")
-		return
-	}
-	for za0002 := range z.AddServices {
-		err = z.AddServices[za0002].EncodeMsg(en)
+		// write "who"
+		err = en.Append(0xa3, 0x77, 0x68, 0x6f)
 		if err != nil {
-			err = msgp.WrapError(err, "AddServices", za0002)
 			return
 		}
-	}
-	// write "ab"
-	err = en.Append(0xa2, 0x61, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.AddBackends)))
-	if err != nil {
-		err = msgp.WrapError(err, "AddBackends")
-		return
-	}
-	for za0003 := range z.AddBackends {
-		err = z.AddBackends[za0003].EncodeMsg(en)
+		err = en.WriteString(z.Who)
 		if err != nil {
-			err = msgp.WrapError(err, "AddBackends", za0003)
+			err = msgp.WrapError(err, "Who")
 			return
 		}
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Cells)))
-	if err != nil {
-		err = msgp.WrapError(err, "Cells")
-		return
-	}
-	for za0004 := range z.Cells {
-		err = z.Cells[za0004].EncodeMsg(en)
+		// write "when"
+		err = en.Append(0xa4, 0x77, 0x68, 0x65, 0x6e)
 		if err != nil {
-			err = msgp.WrapError(err, "Cells", za0004)
 			return
 		}
-	}
-	// write "rb"
-	err = en.Append(0xa2, 0x72, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.RemoveBackends)))
-	if err != nil {
-		err = msgp.WrapError(err, "RemoveBackends")
-		return
-	}
-	for za0005 := range z.RemoveBackends {
-		err = z.RemoveBackends[za0005].EncodeMsg(en)
+		err = en.WriteInt64(z.When)
 		if err != nil {
-			err = msgp.WrapError(err, "RemoveBackends", za0005)
+			err = msgp.WrapError(err, "When")
 			return
 		}
-	}
-	// write "rs"
-	err = en.Append(0xa2, 0x72, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.RemoveServices)))
-	if err != nil {
-		err = msgp.WrapError(err, "RemoveServices")
-		return
-	}
-	for za0006 := range z.RemoveServices {
-		err = z.RemoveServices[za0006].EncodeMsg(en)
+		// write "why"
+		err = en.Append(0xa3, 0x77, 0x68, 0x79)
 		if err != nil {
-			err = msgp.WrapError(err, "RemoveServices", za0006)
 			return
 		}
-	}
-	// write "im"
-	err = en.Append(0xa2, 0x69, 0x6d)
-	if err != nil {
-		return
-	}
-	if z.Import == nil {
-		err = en.WriteNil()
+		err = en.WriteString(z.Why)
 		if err != nil {
+			err = msgp.WrapError(err, "Why")
 			return
 		}
-	} else {
-		err = z.Import.EncodeMsg(en)
+		// write "ev"
+		err = en.Append(0xa2, 0x65, 0x76)
 		if err != nil {
-			err = msgp.WrapError(err, "Import")
 			return
 		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Change) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
-	// string "id"
-	o = append(o, 0x8d, 0xa2, 0x69, 0x64)
-	o = msgp.AppendString(o, string(z.ID))
-	// string "base"
-	o = append(o, 0xa4, 0x62, 0x61, 0x73, 0x65)
-	o, err = z.Base.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Base")
-		return
-	}
-	// string "who"
-	o = append(o, 0xa3, 0x77, 0x68, 0x6f)
-	o = msgp.AppendString(o, z.Who)
-	// string "when"
-	o = append(o, 0xa4, 0x77, 0x68, 0x65, 0x6e)
-	o = msgp.AppendInt64(o, z.When)
-	// string "why"
-	o = append(o, 0xa3, 0x77, 0x68, 0x79)
-	o = msgp.AppendString(o, z.Why)
-	// string "ev"
-	o = append(o, 0xa2, 0x65, 0x76)
-	o, err = z.ExpectedVersion.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "ExpectedVersion")
-		return
-	}
-	// string "er"
-	o = append(o, 0xa2, 0x65, 0x72)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.ExpectedRows)))
-	for za0001 := range z.ExpectedRows {
-		// map header, size 2
-		// string "b"
-		o = append(o, 0x82, 0xa1, 0x62)
-		o, err = z.ExpectedRows[za0001].Backend.MarshalMsg(o)
+		err = z.ExpectedVersion.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "ExpectedVersion")
+			return
+		}
+		// write "er"
+		err = en.Append(0xa2, 0x65, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.ExpectedRows)))
+		if err != nil {
+			err = msgp.WrapError(err, "ExpectedRows")
+			return
+		}
+		for za0001 := range z.ExpectedRows {
+			// map header, size 2
+			// write "b"
+			err = en.Append(0x82, 0xa1, 0x62)
+			if err != nil {
+				return
+			}
+			err = z.ExpectedRows[za0001].Backend.EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "ExpectedRows", za0001, "Backend")
+				return
+			}
+			// write "v"
+			err = en.Append(0xa1, 0x76)
+			if err != nil {
+				return
+			}
+			err = z.ExpectedRows[za0001].Version.EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "ExpectedRows", za0001, "Version")
+				return
+			}
+		}
+		// write "as"
+		err = en.Append(0xa2, 0x61, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.AddServices)))
+		if err != nil {
+			err = msgp.WrapError(err, "AddServices")
+			return
+		}
+		for za0002 := range z.AddServices {
+			err = z.AddServices[za0002].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "AddServices", za0002)
+				return
+			}
+		}
+		// write "ab"
+		err = en.Append(0xa2, 0x61, 0x62)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.AddBackends)))
+		if err != nil {
+			err = msgp.WrapError(err, "AddBackends")
+			return
+		}
+		for za0003 := range z.AddBackends {
+			err = z.AddBackends[za0003].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "AddBackends", za0003)
+				return
+			}
+		}
+		// write "c"
+		err = en.Append(0xa1, 0x63)
 		if err != nil {
-			err = msgp.WrapError(err, "ExpectedRows", za0001, "Backend")
 			return
 		}
-		// string "v"
-		o = append(o, 0xa1, 0x76)
-		o, err = z.ExpectedRows[za0001].Version.MarshalMsg(o)
+		err = en.WriteArrayHeader(uint32(len(z.Cells)))
 		if err != nil {
-			err = msgp.WrapError(err, "ExpectedRows", za0001, "Version")
+			err = msgp.WrapError(err, "Cells")
 			return
 		}
-	}
-	// string "as"
-	o = append(o, 0xa2, 0x61, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.AddServices)))
-	for za0002 := range z.AddServices {
-		o, err = z.AddServices[za0002].MarshalMsg(o)
+		for za0004 := range z.Cells {
+			err = z.Cells[za0004].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Cells", za0004)
+				return
+			}
+		}
+		// write "rb"
+		err = en.Append(0xa2, 0x72, 0x62)
 		if err != nil {
-			err = msgp.WrapError(err, "AddServices", za0002)
 			return
 		}
-	}
-	// string "ab"
-	o = append(o, 0xa2, 0x61, 0x62)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.AddBackends)))
-	for za0003 := range z.AddBackends {
-		o, err = z.AddBackends[za0003].MarshalMsg(o)
+		err = en.WriteArrayHeader(uint32(len(z.RemoveBackends)))
 		if err != nil {
-			err = msgp.WrapError(err, "AddBackends", za0003)
+			err = msgp.WrapError(err, "RemoveBackends")
 			return
 		}
-	}
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Cells)))
-	for za0004 := range z.Cells {
-		o, err = z.Cells[za0004].MarshalMsg(o)
+		for za0005 := range z.RemoveBackends {
+			err = z.RemoveBackends[za0005].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "RemoveBackends", za0005)
+				return
+			}
+		}
+		// write "rs"
+		err = en.Append(0xa2, 0x72, 0x73)
 		if err != nil {
-			err = msgp.WrapError(err, "Cells", za0004)
 			return
 		}
-	}
-	// string "rb"
-	o = append(o, 0xa2, 0x72, 0x62)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.RemoveBackends)))
-	for za0005 := range z.RemoveBackends {
-		o, err = z.RemoveBackends[za0005].MarshalMsg(o)
+		err = en.WriteArrayHeader(uint32(len(z.RemoveServices)))
 		if err != nil {
-			err = msgp.WrapError(err, "RemoveBackends", za0005)
+			err = msgp.WrapError(err, "RemoveServices")
 			return
 		}
-	}
-	// string "rs"
-	o = append(o, 0xa2, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.RemoveServices)))
-	for za0006 := range z.RemoveServices {
-		o, err = z.RemoveServices[za0006].MarshalMsg(o)
+		for za0006 := range z.RemoveServices {
+			err = z.RemoveServices[za0006].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "RemoveServices", za0006)
+				return
+			}
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// write "z"
+			err = en.Append(0xa1, 0x7a)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Zones)))
+			if err != nil {
+				err = msgp.WrapError(err, "Zones")
+				return
+			}
+			for za0007 := range z.Zones {
+				// map header, size 3
+				// write "z"
+				err = en.Append(0x83, 0xa1, 0x7a)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.Zones[za0007].Zone)
+				if err != nil {
+					err = msgp.WrapError(err, "Zones", za0007, "Zone")
+					return
+				}
+				// write "c"
+				err = en.Append(0xa1, 0x63)
+				if err != nil {
+					return
+				}
+				err = en.WriteBool(z.Zones[za0007].Closed)
+				if err != nil {
+					err = msgp.WrapError(err, "Zones", za0007, "Closed")
+					return
+				}
+				// write "f"
+				err = en.Append(0xa1, 0x66)
+				if err != nil {
+					return
+				}
+				err = en.WriteBool(z.Zones[za0007].Force)
+				if err != nil {
+					err = msgp.WrapError(err, "Zones", za0007, "Force")
+					return
+				}
+			}
+		}
+		// write "im"
+		err = en.Append(0xa2, 0x69, 0x6d)
 		if err != nil {
-			err = msgp.WrapError(err, "RemoveServices", za0006)
 			return
 		}
+		if z.Import == nil {
+			err = en.WriteNil()
+			if err != nil {
+				return
+			}
+		} else {
+			err = z.Import.EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Import")
+				return
+			}
+		}
 	}
-	// string "im"
-	o = append(o, 0xa2, 0x69, 0x6d)
-	if z.Import == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.Import.MarshalMsg(o)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Change) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
+	_ = zb0001Mask
+	if z.Zones == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "id"
+		o = append(o, 0xa2, 0x69, 0x64)
+		o = msgp.AppendString(o, string(z.ID))
+		// string "base"
+		o = append(o, 0xa4, 0x62, 0x61, 0x73, 0x65)
+		o, err = z.Base.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Base")
+			return
+		}
+		// string "who"
+		o = append(o, 0xa3, 0x77, 0x68, 0x6f)
+		o = msgp.AppendString(o, z.Who)
+		// string "when"
+		o = append(o, 0xa4, 0x77, 0x68, 0x65, 0x6e)
+		o = msgp.AppendInt64(o, z.When)
+		// string "why"
+		o = append(o, 0xa3, 0x77, 0x68, 0x79)
+		o = msgp.AppendString(o, z.Why)
+		// string "ev"
+		o = append(o, 0xa2, 0x65, 0x76)
+		o, err = z.ExpectedVersion.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Import")
+			err = msgp.WrapError(err, "ExpectedVersion")
 			return
 		}
+		// string "er"
+		o = append(o, 0xa2, 0x65, 0x72)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.ExpectedRows)))
+		for za0001 := range z.ExpectedRows {
+			// map header, size 2
+			// string "b"
+			o = append(o, 0x82, 0xa1, 0x62)
+			o, err = z.ExpectedRows[za0001].Backend.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "ExpectedRows", za0001, "Backend")
+				return
+			}
+			// string "v"
+			o = append(o, 0xa1, 0x76)
+			o, err = z.ExpectedRows[za0001].Version.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "ExpectedRows", za0001, "Version")
+				return
+			}
+		}
+		// string "as"
+		o = append(o, 0xa2, 0x61, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.AddServices)))
+		for za0002 := range z.AddServices {
+			o, err = z.AddServices[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "AddServices", za0002)
+				return
+			}
+		}
+		// string "ab"
+		o = append(o, 0xa2, 0x61, 0x62)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.AddBackends)))
+		for za0003 := range z.AddBackends {
+			o, err = z.AddBackends[za0003].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "AddBackends", za0003)
+				return
+			}
+		}
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Cells)))
+		for za0004 := range z.Cells {
+			o, err = z.Cells[za0004].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Cells", za0004)
+				return
+			}
+		}
+		// string "rb"
+		o = append(o, 0xa2, 0x72, 0x62)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.RemoveBackends)))
+		for za0005 := range z.RemoveBackends {
+			o, err = z.RemoveBackends[za0005].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "RemoveBackends", za0005)
+				return
+			}
+		}
+		// string "rs"
+		o = append(o, 0xa2, 0x72, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.RemoveServices)))
+		for za0006 := range z.RemoveServices {
+			o, err = z.RemoveServices[za0006].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "RemoveServices", za0006)
+				return
+			}
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Zones)))
+			for za0007 := range z.Zones {
+				// map header, size 3
+				// string "z"
+				o = append(o, 0x83, 0xa1, 0x7a)
+				o = msgp.AppendString(o, z.Zones[za0007].Zone)
+				// string "c"
+				o = append(o, 0xa1, 0x63)
+				o = msgp.AppendBool(o, z.Zones[za0007].Closed)
+				// string "f"
+				o = append(o, 0xa1, 0x66)
+				o = msgp.AppendBool(o, z.Zones[za0007].Force)
+			}
+		}
+		// string "im"
+		o = append(o, 0xa2, 0x69, 0x6d)
+		if z.Import == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o, err = z.Import.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Import")
+				return
+			}
+		}
 	}
 	return
 }
@@ -1285,6 +1532,64 @@
 					return
 				}
 			}
+		case "z":
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zones")
+				return
+			}
+			if zb0010 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Zones) >= int(zb0010) {
+				z.Zones = (z.Zones)[:zb0010]
+			} else {
+				z.Zones = make([]ZoneUpdate, zb0010)
+			}
+			for za0007 := range z.Zones {
+				var zb0011 uint32
+				zb0011, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Zones", za0007)
+					return
+				}
+				for zb0011 > 0 {
+					zb0011--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Zones", za0007)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "z":
+						z.Zones[za0007].Zone, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Zones", za0007, "Zone")
+							return
+						}
+					case "c":
+						z.Zones[za0007].Closed, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Zones", za0007, "Closed")
+							return
+						}
+					case "f":
+						z.Zones[za0007].Force, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Zones", za0007, "Force")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Zones", za0007)
+							return
+						}
+					}
+				}
+			}
 		case "im":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
@@ -1340,6 +1645,10 @@
 	for za0006 := range z.RemoveServices {
 		s += z.RemoveServices[za0006].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0007 := range z.Zones {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Zones[za0007].Zone) + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+	}
 	s += 3
 	if z.Import == nil {
 		s += msgp.NilSize
@@ -2630,3 +2939,156 @@
 	s = 1 + 2 + z.Backend.Msgsize() + 2 + z.Version.Msgsize()
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *ZoneUpdate) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "z":
+			z.Zone, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "c":
+			z.Closed, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Closed")
+				return
+			}
+		case "f":
+			z.Force, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Force")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ZoneUpdate) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "z"
+	err = en.Append(0x83, 0xa1, 0x7a)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Zone)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Closed)
+	if err != nil {
+		err = msgp.WrapError(err, "Closed")
+		return
+	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Force)
+	if err != nil {
+		err = msgp.WrapError(err, "Force")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ZoneUpdate) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "z"
+	o = append(o, 0x83, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendBool(o, z.Closed)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Force)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ZoneUpdate) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "c":
+			z.Closed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Closed")
+				return
+			}
+		case "f":
+			z.Force, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Force")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ZoneUpdate) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+	return
+}
--- a/internal/changelog/difference.go
+++ b/internal/changelog/difference.go
@@ -34,9 +34,11 @@
 	oldRows := indexBackends(before.Backends)
 	for _, row := range after.Backends {
 		if old := oldRows[row.ID]; old != row {
+			// Whether its zone is closed is told once, of the zone.
 			cells = backendDifference(cells, old, row)
 		}
 	}
+	cells = zoneDifference(cells, before, after)
 	for _, service := range before.Services {
 		if _, gone := oldServices[service.ID]; gone {
 			cells = append(cells, CellChange{Row: serviceName(service.Name, service.ID), Column: "removed", New: "true"})
@@ -45,6 +47,20 @@
 	return cells
 }
 
+func zoneDifference(cells []CellChange, before, after *table.Table) []CellChange {
+	for _, closed := range after.ClosedZones {
+		if _, known := before.ClosedSince(closed.Zone); !known {
+			cells = cellDifference(cells, table.ZoneRow(closed.Zone), closedColumn, "false", "true")
+		}
+	}
+	for _, closed := range before.ClosedZones {
+		if _, known := after.ClosedSince(closed.Zone); !known {
+			cells = cellDifference(cells, table.ZoneRow(closed.Zone), closedColumn, "true", "false")
+		}
+	}
+	return cells
+}
+
 func serviceDifference(cells []CellChange, old, service table.Service) []CellChange {
 	name := serviceName(service.Name, service.ID)
 	cells = cellDifference(cells, name, "name", old.Name, service.Name)
@@ -71,6 +87,7 @@
 	cells = cellDifference(cells, name, "weight", numberText(old.Weight), numberText(row.Weight))
 	cells = cellDifference(cells, name, "connection_limit", numberText(old.ConnectionLimit), numberText(row.ConnectionLimit))
 	cells = cellDifference(cells, name, "drain", strconv.FormatBool(old.Drain), strconv.FormatBool(row.Drain))
+	cells = cellDifference(cells, name, "zone", old.Zone, row.Zone)
 	return cellDifference(cells, name, "removed", strconv.FormatBool(old.Removed), strconv.FormatBool(row.Removed))
 }
 
--- a/internal/changelog/draft.go
+++ b/internal/changelog/draft.go
@@ -1,6 +1,7 @@
 package changelog
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/vanetiller/vanetiller/internal/table"
@@ -50,12 +51,18 @@
 			return err
 		}
 	}
+	for _, update := range change.Zones {
+		if err := d.closeZone(update); err != nil {
+			return err
+		}
+	}
 	if change.Import != nil {
 		if err := d.importRevision(*change.Import); err != nil {
 			return err
 		}
 	}
 	d.table.Sort()
+	d.table.MarkClosed()
 	return d.table.Validate()
 }
 
@@ -131,9 +138,44 @@
 	if update.Drain != nil {
 		row.Drain = *update.Drain
 	}
+	if update.Zone != nil {
+		row.Zone = *update.Zone
+	}
 	return nil
 }
 
+// closeZone closes a zone or opens it again. It does not close the last zone of a service
+// unless it is forced to: new flows would have nowhere to go.
+func (d *draft) closeZone(update ZoneUpdate) error {
+	row := table.ZoneRow(update.Zone)
+	_, closed := d.table.ClosedSince(update.Zone)
+	if closed == update.Closed {
+		rule := "is open already"
+		if closed {
+			rule = "is closed already"
+		}
+		return table.CellError{Row: row, Column: closedColumn, Rule: rule}
+	}
+	if update.Closed && !d.table.HasZone(update.Zone) {
+		return table.CellError{Row: row, Column: "zone", Rule: "names the zone of no row"}
+	}
+	before := d.table.Stranded()
+	d.table.CloseZone(update.Zone, update.Closed, d.table.Version+1)
+	if !update.Closed || update.Force {
+		return nil
+	}
+	for _, service := range d.table.Stranded() {
+		if !slices.Contains(before, service) {
+			return table.CellError{Row: row, Column: closedColumn, Rule: fmt.Sprintf(
+				"would leave %s without a row that gets new flows, unless it is forced", serviceName(service.Name, service.ID))}
+		}
+	}
+	return nil
+}
+
+// closedColumn is the column of zones in refusals and in the history.
+const closedColumn = "closed"
+
 func missingRow(id table.BackendID) error {
 	return table.CellError{Row: rowName("", id), Column: "id", Rule: "names no row of the table"}
 }
--- a/internal/changelog/importing.go
+++ b/internal/changelog/importing.go
@@ -81,6 +81,7 @@
 	importCell(&current.Weight, old.Weight, imported.Weight)
 	importCell(&current.ConnectionLimit, old.ConnectionLimit, imported.ConnectionLimit)
 	importCell(&current.Drain, old.Drain, imported.Drain)
+	importCell(&current.Zone, old.Zone, imported.Zone)
 	importCell(&current.Removed, old.Removed, imported.Removed)
 }
 
--- a/internal/table/csv.go
+++ b/internal/table/csv.go
@@ -16,7 +16,8 @@
 
 // csvHeader is the first line of the exchange form. Services are written by
 // name; the other columns are those of a back end.
-var csvHeader = []string{"service", "id", "name", "incarnation", "agent", "weight", "connection_limit", "drain"}
+// The last column is there only if a row has a zone.
+var csvHeader = []string{"service", "id", "name", "incarnation", "agent", "weight", "connection_limit", "drain", "zone"}
 
 // The positions of the columns of csvHeader.
 const (
@@ -28,20 +29,25 @@
 	csvWeight
 	csvLimit
 	csvDrain
+	csvZone
 )
 
 // WriteCSV writes the rows of a table as comma-separated values with a header
 // line, in order of their identifiers. Removed rows are left out.
 func WriteCSV(output io.Writer, written *Table) error {
 	writer := csv.NewWriter(output)
-	if err := writer.Write(csvHeader); err != nil {
+	columns := csvZone
+	if slices.ContainsFunc(written.Backends, func(row Backend) bool { return row.Zone != "" }) {
+		columns = len(csvHeader)
+	}
+	if err := writer.Write(csvHeader[:columns]); err != nil {
 		return errors.Wrap(err, "CSV")
 	}
 	sorted := written.Clone()
 	sorted.Sort()
 	for _, row := range visible(sorted.Backends) {
 		service, _ := written.Service(row.Service)
-		if err := writer.Write(csvRecord(service.Name, row)); err != nil {
+		if err := writer.Write(csvRecord(service.Name, row)[:columns]); err != nil {
 			return errors.Wrap(err, "CSV")
 		}
 	}
@@ -59,6 +65,7 @@
 		csvWeight:      numberText(row.Weight),
 		csvLimit:       numberText(row.ConnectionLimit),
 		csvDrain:       strconv.FormatBool(row.Drain),
+		csvZone:        row.Zone,
 	}
 }
 
@@ -68,15 +75,14 @@
 // to Validate.
 func ReadCSV(input io.Reader, services []Service) ([]Backend, error) {
 	reader := csv.NewReader(input)
-	reader.FieldsPerRecord = len(csvHeader)
 	header, err := reader.Read()
 	if err != nil {
 		return nil, errors.Wrap(err, "CSV")
 	}
 	// Spreadsheet programs put a byte order mark in front.
 	header[0] = strings.TrimPrefix(header[0], "\ufeff")
-	if !slices.Equal(header, csvHeader) {
-		return nil, errors.Errorf("CSV: the first line must be %q", strings.Join(csvHeader, ","))
+	if !slices.Equal(header, csvHeader) && !slices.Equal(header, csvHeader[:csvZone]) {
+		return nil, errors.Errorf("CSV: the first line must be %q, or end before zone", strings.Join(csvHeader, ","))
 	}
 	var rows []Backend
 	for {
@@ -144,6 +150,9 @@
 		ConnectionLimit: numbers[csvLimit],
 		Drain:           drain,
 	}
+	if len(line.fields) > csvZone {
+		row.Zone = line.fields[csvZone]
+	}
 	return row, line.validate(row)
 }
 
--- a/internal/table/diff.go
+++ b/internal/table/diff.go
@@ -53,6 +53,7 @@
 	{"weight", func(b Backend) string { return numberText(b.Weight) }},
 	{"connection_limit", func(b Backend) string { return numberText(b.ConnectionLimit) }},
 	{"drain", func(b Backend) string { return strconv.FormatBool(b.Drain) }},
+	{"zone", func(b Backend) string { return b.Zone }},
 }
 
 func numberText(number uint32) string { return strconv.FormatUint(uint64(number), 10) }
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -120,19 +120,34 @@
 	// Removed marks a row that an operator has deleted. It is kept, hidden,
 	// so that its remaining flows can still be found.
 	Removed bool `json:"removed,omitempty" msg:"removed"`
+	// Zone is where the back end is; it may be empty.
+	Zone string `json:"zone,omitempty" msg:"zone,omitempty"`
+	// Closed is set while Zone is closed to new flows. It follows from the zones of the
+	// table, and is here so that a row tells all that decides on its flows.
+	Closed bool `json:"closed,omitempty" msg:"closed,omitempty"`
 }
 
 // AcceptsNewFlows reports whether the row may be given new flows.
 func (b Backend) AcceptsNewFlows() bool {
-	return b.Weight > 0 && !b.Drain && !b.Removed
+	return b.Weight > 0 && !b.Drain && !b.Removed && !b.Closed
+}
+
+// ClosedZone is a zone whose rows get no new flows, whatever their own cells say. Rows
+// keep their weights and drain flags for when it is opened again.
+type ClosedZone struct {
+	Zone string `json:"zone" msg:"zone"`
+	// Since is the version of the table that closed it.
+	Since Version `json:"since" msg:"since"`
 }
 
 // Table is one accepted state of the configuration. Services and Backends are
-// sorted by identifier.
+// sorted by identifier, ClosedZones by name.
 type Table struct {
 	Version  Version   `json:"version" msg:"version"`
 	Services []Service `json:"services" msg:"services"`
 	Backends []Backend `json:"backends" msg:"backends"`
+	// ClosedZones are the zones that get no new flows.
+	ClosedZones []ClosedZone `json:"closed_zones,omitempty" msg:"closed_zones,omitempty"`
 }
 
 // Sort puts services and back ends into canonical order.
@@ -147,6 +162,8 @@
 		Version:  t.Version,
 		Services: slices.Clone(t.Services),
 		Backends: slices.Clone(t.Backends),
+
+		ClosedZones: slices.Clone(t.ClosedZones),
 	}
 }
 
@@ -195,6 +212,11 @@
 			part.Backends = append(part.Backends, backend)
 		}
 	}
+	for _, closed := range t.ClosedZones {
+		if part.HasZone(closed.Zone) {
+			part.ClosedZones = append(part.ClosedZones, closed)
+		}
+	}
 	return part
 }
 
--- a/internal/table/table_gen.go
+++ b/internal/table/table_gen.go
@@ -99,6 +99,18 @@
 				err = msgp.WrapError(err, "Removed")
 				return
 			}
+		case "zone":
+			z.Zone, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "closed":
+			z.Closed, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Closed")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -112,96 +124,140 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Backend) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
-	// write "id"
-	err = en.Append(0x89, 0xa2, 0x69, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(uint32(z.ID))
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	// write "service"
-	err = en.Append(0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(uint32(z.Service))
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	// write "name"
-	err = en.Append(0xa4, 0x6e, 0x61, 0x6d, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Name)
-	if err != nil {
-		err = msgp.WrapError(err, "Name")
-		return
-	}
-	// write "incarnation"
-	err = en.Append(0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(uint32(z.Incarnation))
-	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
-		return
-	}
-	// write "agent"
-	err = en.Append(0xa5, 0x61, 0x67, 0x65, 0x6e, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(string(z.Agent))
-	if err != nil {
-		err = msgp.WrapError(err, "Agent")
-		return
-	}
-	// write "weight"
-	err = en.Append(0xa6, 0x77, 0x65, 0x69, 0x67, 0x68, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(z.Weight)
-	if err != nil {
-		err = msgp.WrapError(err, "Weight")
-		return
-	}
-	// write "limit"
-	err = en.Append(0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(z.ConnectionLimit)
-	if err != nil {
-		err = msgp.WrapError(err, "ConnectionLimit")
-		return
-	}
-	// write "drain"
-	err = en.Append(0xa5, 0x64, 0x72, 0x61, 0x69, 0x6e)
+	// check for omitted fields
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
+	_ = zb0001Mask
+	if z.Zone == "" {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.Closed == false {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Drain)
-	if err != nil {
-		err = msgp.WrapError(err, "Drain")
-		return
-	}
-	// write "removed"
-	err = en.Append(0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Removed)
-	if err != nil {
-		err = msgp.WrapError(err, "Removed")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "id"
+		err = en.Append(0xa2, 0x69, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint32(uint32(z.ID))
+		if err != nil {
+			err = msgp.WrapError(err, "ID")
+			return
+		}
+		// write "service"
+		err = en.Append(0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint32(uint32(z.Service))
+		if err != nil {
+			err = msgp.WrapError(err, "Service")
+			return
+		}
+		// write "name"
+		err = en.Append(0xa4, 0x6e, 0x61, 0x6d, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Name)
+		if err != nil {
+			err = msgp.WrapError(err, "Name")
+			return
+		}
+		// write "incarnation"
+		err = en.Append(0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint32(uint32(z.Incarnation))
+		if err != nil {
+			err = msgp.WrapError(err, "Incarnation")
+			return
+		}
+		// write "agent"
+		err = en.Append(0xa5, 0x61, 0x67, 0x65, 0x6e, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(string(z.Agent))
+		if err != nil {
+			err = msgp.WrapError(err, "Agent")
+			return
+		}
+		// write "weight"
+		err = en.Append(0xa6, 0x77, 0x65, 0x69, 0x67, 0x68, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint32(z.Weight)
+		if err != nil {
+			err = msgp.WrapError(err, "Weight")
+			return
+		}
+		// write "limit"
+		err = en.Append(0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint32(z.ConnectionLimit)
+		if err != nil {
+			err = msgp.WrapError(err, "ConnectionLimit")
+			return
+		}
+		// write "drain"
+		err = en.Append(0xa5, 0x64, 0x72, 0x61, 0x69, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Drain)
+		if err != nil {
+			err = msgp.WrapError(err, "Drain")
+			return
+		}
+		// write "removed"
+		err = en.Append(0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Removed)
+		if err != nil {
+			err = msgp.WrapError(err, "Removed")
+			return
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// write "zone"
+			err = en.Append(0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Zone)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// write "closed"
+			err = en.Append(0xa6, 0x63, 0x6c, 0x6f, 0x73, 0x65, 0x64)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Closed)
+			if err != nil {
+				err = msgp.WrapError(err, "Closed")
+				return
+			}
+		}
 	}
 	return
 }
@@ -209,34 +265,61 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Backend) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
-	// string "id"
-	o = append(o, 0x89, 0xa2, 0x69, 0x64)
-	o = msgp.AppendUint32(o, uint32(z.ID))
-	// string "service"
-	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	o = msgp.AppendUint32(o, uint32(z.Service))
-	// string "name"
-	o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
-	o = msgp.AppendString(o, z.Name)
-	// string "incarnation"
-	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint32(o, uint32(z.Incarnation))
-	// string "agent"
-	o = append(o, 0xa5, 0x61, 0x67, 0x65, 0x6e, 0x74)
-	o = msgp.AppendString(o, string(z.Agent))
-	// string "weight"
-	o = append(o, 0xa6, 0x77, 0x65, 0x69, 0x67, 0x68, 0x74)
-	o = msgp.AppendUint32(o, z.Weight)
-	// string "limit"
-	o = append(o, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
-	o = msgp.AppendUint32(o, z.ConnectionLimit)
-	// string "drain"
-	o = append(o, 0xa5, 0x64, 0x72, 0x61, 0x69, 0x6e)
-	o = msgp.AppendBool(o, z.Drain)
-	// string "removed"
-	o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
-	o = msgp.AppendBool(o, z.Removed)
+	// check for omitted fields
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
+	_ = zb0001Mask
+	if z.Zone == "" {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.Closed == false {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "id"
+		o = append(o, 0xa2, 0x69, 0x64)
+		o = msgp.AppendUint32(o, uint32(z.ID))
+		// string "service"
+		o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+		o = msgp.AppendUint32(o, uint32(z.Service))
+		// string "name"
+		o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+		o = msgp.AppendString(o, z.Name)
+		// string "incarnation"
+		o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint32(o, uint32(z.Incarnation))
+		// string "agent"
+		o = append(o, 0xa5, 0x61, 0x67, 0x65, 0x6e, 0x74)
+		o = msgp.AppendString(o, string(z.Agent))
+		// string "weight"
+		o = append(o, 0xa6, 0x77, 0x65, 0x69, 0x67, 0x68, 0x74)
+		o = msgp.AppendUint32(o, z.Weight)
+		// string "limit"
+		o = append(o, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
+		o = msgp.AppendUint32(o, z.ConnectionLimit)
+		// string "drain"
+		o = append(o, 0xa5, 0x64, 0x72, 0x61, 0x69, 0x6e)
+		o = msgp.AppendBool(o, z.Drain)
+		// string "removed"
+		o = append(o, 0xa7, 0x72, 0x65, 0x6d, 0x6f, 0x76, 0x65, 0x64)
+		o = msgp.AppendBool(o, z.Removed)
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "zone"
+			o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+			o = msgp.AppendString(o, z.Zone)
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "closed"
+			o = append(o, 0xa6, 0x63, 0x6c, 0x6f, 0x73, 0x65, 0x64)
+			o = msgp.AppendBool(o, z.Closed)
+		}
+	}
 	return
 }
 
@@ -328,6 +411,18 @@
 				err = msgp.WrapError(err, "Removed")
 				return
 			}
+		case "zone":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "closed":
+			z.Closed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Closed")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -342,7 +437,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Backend) Msgsize() (s int) {
-	s = 1 + 3 + msgp.Uint32Size + 8 + msgp.Uint32Size + 5 + msgp.StringPrefixSize + len(z.Name) + 12 + msgp.Uint32Size + 6 + msgp.StringPrefixSize + len(string(z.Agent)) + 7 + msgp.Uint32Size + 6 + msgp.Uint32Size + 6 + msgp.BoolSize + 8 + msgp.BoolSize
+	s = 1 + 3 + msgp.Uint32Size + 8 + msgp.Uint32Size + 5 + msgp.StringPrefixSize + len(z.Name) + 12 + msgp.Uint32Size + 6 + msgp.StringPrefixSize + len(string(z.Agent)) + 7 + msgp.Uint32Size + 6 + msgp.Uint32Size + 6 + msgp.BoolSize + 8 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Zone) + 7 + msgp.BoolSize
 	return
 }
 
@@ -398,6 +493,142 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ClosedZone) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "zone":
+			z.Zone, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "since":
+			{
+				var zb0002 uint64
+				zb0002, err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Since")
+					return
+				}
+				z.Since = Version(zb0002)
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ClosedZone) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "zone"
+	err = en.Append(0x82, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Zone)
+	if err != nil {
+		err = msgp.WrapError(err, "Zone")
+		return
+	}
+	// write "since"
+	err = en.Append(0xa5, 0x73, 0x69, 0x6e, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(uint64(z.Since))
+	if err != nil {
+		err = msgp.WrapError(err, "Since")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ClosedZone) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "zone"
+	o = append(o, 0x82, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendString(o, z.Zone)
+	// string "since"
+	o = append(o, 0xa5, 0x73, 0x69, 0x6e, 0x63, 0x65)
+	o = msgp.AppendUint64(o, uint64(z.Since))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ClosedZone) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "zone":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "since":
+			{
+				var zb0002 uint64
+				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Since")
+					return
+				}
+				z.Since = Version(zb0002)
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ClosedZone) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Zone) + 6 + msgp.Uint64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Endpoint) DecodeMsg(dc *msgp.Reader) (err error) {
 	{
@@ -907,6 +1138,62 @@
 					return
 				}
 			}
+		case "closed_zones":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "ClosedZones")
+				return
+			}
+			if zb0005 > zb5a809cclimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.ClosedZones) >= int(zb0005) {
+				z.ClosedZones = (z.ClosedZones)[:zb0005]
+			} else {
+				z.ClosedZones = make([]ClosedZone, zb0005)
+			}
+			for za0003 := range z.ClosedZones {
+				var zb0006 uint32
+				zb0006, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "ClosedZones", za0003)
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "ClosedZones", za0003)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "zone":
+						z.ClosedZones[za0003].Zone, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "ClosedZones", za0003, "Zone")
+							return
+						}
+					case "since":
+						{
+							var zb0007 uint64
+							zb0007, err = dc.ReadUint64()
+							if err != nil {
+								err = msgp.WrapError(err, "ClosedZones", za0003, "Since")
+								return
+							}
+							z.ClosedZones[za0003].Since = Version(zb0007)
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "ClosedZones", za0003)
+							return
+						}
+					}
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -920,50 +1207,101 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Table) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "version"
-	err = en.Append(0x83, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.ClosedZones == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(uint64(z.Version))
-	if err != nil {
-		err = msgp.WrapError(err, "Version")
-		return
-	}
-	// write "services"
-	err = en.Append(0xa8, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Services)))
-	if err != nil {
-		err = msgp.WrapError(err, "Services")
-		return
-	}
-	for za0001 := range z.Services {
-		err = z.Services[za0001].EncodeMsg(en)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "version"
+		err = en.Append(0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 		if err != nil {
-			err = msgp.WrapError(err, "Services", za0001)
 			return
 		}
-	}
-	// write "backends"
-	err = en.Append(0xa8, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Backends)))
-	if err != nil {
-		err = msgp.WrapError(err, "Backends")
-		return
-	}
-	for za0002 := range z.Backends {
-		err = z.Backends[za0002].EncodeMsg(en)
+		err = en.WriteUint64(uint64(z.Version))
+		if err != nil {
+			err = msgp.WrapError(err, "Version")
+			return
+		}
+		// write "services"
+		err = en.Append(0xa8, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Services)))
+		if err != nil {
+			err = msgp.WrapError(err, "Services")
+			return
+		}
+		for za0001 := range z.Services {
+			err = z.Services[za0001].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Services", za0001)
+				return
+			}
+		}
+		// write "backends"
+		err = en.Append(0xa8, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Backends)))
 		if err != nil {
-			err = msgp.WrapError(err, "Backends", za0002)
+			err = msgp.WrapError(err, "Backends")
 			return
 		}
+		for za0002 := range z.Backends {
+			err = z.Backends[za0002].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Backends", za0002)
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "closed_zones"
+			err = en.Append(0xac, 0x63, 0x6c, 0x6f, 0x73, 0x65, 0x64, 0x5f, 0x7a, 0x6f, 0x6e, 0x65, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.ClosedZones)))
+			if err != nil {
+				err = msgp.WrapError(err, "ClosedZones")
+				return
+			}
+			for za0003 := range z.ClosedZones {
+				// map header, size 2
+				// write "zone"
+				err = en.Append(0x82, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.ClosedZones[za0003].Zone)
+				if err != nil {
+					err = msgp.WrapError(err, "ClosedZones", za0003, "Zone")
+					return
+				}
+				// write "since"
+				err = en.Append(0xa5, 0x73, 0x69, 0x6e, 0x63, 0x65)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(uint64(z.ClosedZones[za0003].Since))
+				if err != nil {
+					err = msgp.WrapError(err, "ClosedZones", za0003, "Since")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -971,28 +1309,55 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Table) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "version"
-	o = append(o, 0x83, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, uint64(z.Version))
-	// string "services"
-	o = append(o, 0xa8, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
-	for za0001 := range z.Services {
-		o, err = z.Services[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Services", za0001)
-			return
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.ClosedZones == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "version"
+		o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, uint64(z.Version))
+		// string "services"
+		o = append(o, 0xa8, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
+		for za0001 := range z.Services {
+			o, err = z.Services[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Services", za0001)
+				return
+			}
 		}
-	}
-	// string "backends"
-	o = append(o, 0xa8, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Backends)))
-	for za0002 := range z.Backends {
-		o, err = z.Backends[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Backends", za0002)
-			return
+		// string "backends"
+		o = append(o, 0xa8, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Backends)))
+		for za0002 := range z.Backends {
+			o, err = z.Backends[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Backends", za0002)
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "closed_zones"
+			o = append(o, 0xac, 0x63, 0x6c, 0x6f, 0x73, 0x65, 0x64, 0x5f, 0x7a, 0x6f, 0x6e, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.ClosedZones)))
+			for za0003 := range z.ClosedZones {
+				// map header, size 2
+				// string "zone"
+				o = append(o, 0x82, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+				o = msgp.AppendString(o, z.ClosedZones[za0003].Zone)
+				// string "since"
+				o = append(o, 0xa5, 0x73, 0x69, 0x6e, 0x63, 0x65)
+				o = msgp.AppendUint64(o, uint64(z.ClosedZones[za0003].Since))
+			}
 		}
 	}
 	return
@@ -1072,6 +1437,62 @@
 					return
 				}
 			}
+		case "closed_zones":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ClosedZones")
+				return
+			}
+			if zb0005 > zb5a809cclimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.ClosedZones) >= int(zb0005) {
+				z.ClosedZones = (z.ClosedZones)[:zb0005]
+			} else {
+				z.ClosedZones = make([]ClosedZone, zb0005)
+			}
+			for za0003 := range z.ClosedZones {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "ClosedZones", za0003)
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "ClosedZones", za0003)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "zone":
+						z.ClosedZones[za0003].Zone, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ClosedZones", za0003, "Zone")
+							return
+						}
+					case "since":
+						{
+							var zb0007 uint64
+							zb0007, bts, err = msgp.ReadUint64Bytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "ClosedZones", za0003, "Since")
+								return
+							}
+							z.ClosedZones[za0003].Since = Version(zb0007)
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "ClosedZones", za0003)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1094,6 +1515,10 @@
 	for za0002 := range z.Backends {
 		s += z.Backends[za0002].Msgsize()
 	}
+	s += 13 + msgp.ArrayHeaderSize
+	for za0003 := range z.ClosedZones {
+		s += 1 + 5 + msgp.StringPrefixSize + len(z.ClosedZones[za0003].Zone) + 6 + msgp.Uint64Size
+	}
 	return
 }
 
--- a/internal/table/validate.go
+++ b/internal/table/validate.go
@@ -56,6 +56,9 @@
 		names[service.Name] = true
 		addresses[address] = service.Name
 	}
+	if err := t.validateZones(); err != nil {
+		return err
+	}
 	return t.validateBackends(services)
 }
 
@@ -131,6 +134,9 @@
 	if b.Weight > MaxWeight {
 		return CellError{b.rowName(), "weight", fmt.Sprintf("must be at most %d", MaxWeight)}
 	}
+	if len(b.Zone) > MaxNameLength {
+		return CellError{b.rowName(), "zone", fmt.Sprintf("must have at most %d bytes", MaxNameLength)}
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/table/zone.go
@@ -0,0 +1,85 @@
+package table
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+func (z ClosedZone) rowName() string { return ZoneRow(z.Zone) }
+
+// ZoneRow names a zone in a CellError.
+func ZoneRow(zone string) string { return fmt.Sprintf("zone %q", zone) }
+
+// ClosedSince returns the version that closed a zone, false if the zone is open.
+func (t *Table) ClosedSince(zone string) (Version, bool) {
+	position := slices.IndexFunc(t.ClosedZones, func(closed ClosedZone) bool { return closed.Zone == zone })
+	if position < 0 {
+		return 0, false
+	}
+	return t.ClosedZones[position].Since, true
+}
+
+// CloseZone closes a zone as of a version, or opens it again.
+func (t *Table) CloseZone(zone string, closed bool, since Version) {
+	t.ClosedZones = slices.DeleteFunc(t.ClosedZones, func(known ClosedZone) bool { return known.Zone == zone })
+	if closed {
+		t.ClosedZones = append(t.ClosedZones, ClosedZone{zone, since})
+		slices.SortFunc(t.ClosedZones, func(a, b ClosedZone) int { return cmp.Compare(a.Zone, b.Zone) })
+	}
+	t.MarkClosed()
+}
+
+// MarkClosed sets Closed of each row by the zones that are closed.
+func (t *Table) MarkClosed() {
+	for index := range t.Backends {
+		row := &t.Backends[index]
+		_, closed := t.ClosedSince(row.Zone)
+		row.Closed = closed && row.Zone != ""
+	}
+}
+
+// HasZone reports whether a row that is not removed is in a zone.
+func (t *Table) HasZone(zone string) bool {
+	return slices.ContainsFunc(t.Backends, func(row Backend) bool { return !row.Removed && row.Zone == zone })
+}
+
+// Stranded returns the services that have rows and none that gets new flows.
+func (t *Table) Stranded() []Service {
+	var stranded []Service
+	for _, service := range t.Services {
+		rows, accepting := 0, 0
+		for _, row := range t.BackendsOf(service.ID) {
+			if row.Removed {
+				continue
+			}
+			rows++
+			if row.AcceptsNewFlows() {
+				accepting++
+			}
+		}
+		if rows > 0 && accepting == 0 {
+			stranded = append(stranded, service)
+		}
+	}
+	return stranded
+}
+
+func (t *Table) validateZones() error {
+	seen := make(map[string]bool, len(t.ClosedZones))
+	for _, closed := range t.ClosedZones {
+		if closed.Zone == "" || len(closed.Zone) > MaxNameLength {
+			return CellError{closed.rowName(), "zone", fmt.Sprintf("must have 1 to %d bytes", MaxNameLength)}
+		}
+		if seen[closed.Zone] {
+			return CellError{closed.rowName(), "zone", "must be unique"}
+		}
+		seen[closed.Zone] = true
+	}
+	for _, row := range t.Backends {
+		if row.Closed != (row.Zone != "" && seen[row.Zone]) {
+			return CellError{row.rowName(), "closed", "must tell whether the zone of the row is closed"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/table/zone_test.go
@@ -0,0 +1,97 @@
+package table_test
+
+import (
+	"bytes"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/table"
+)
+
+var _ = Describe("Table, with zones", func() {
+	zoned := func() *table.Table {
+		return &table.Table{
+			Version: 3,
+			Services: []table.Service{
+				{ID: 1, Name: "lookup", Address: "198.51.100.1:80", Protocol: table.ProtocolTCP},
+				{ID: 2, Name: "export", Address: "198.51.100.2:80", Protocol: table.ProtocolTCP},
+			},
+			Backends: []table.Backend{
+				{ID: 1, Service: 1, Name: "lookup-1", Agent: "192.0.2.1:6081", Weight: 5, Zone: "north"},
+				{ID: 2, Service: 1, Name: "lookup-2", Agent: "192.0.2.2:6081", Weight: 5, Zone: "south"},
+				{ID: 3, Service: 2, Name: "export-1", Agent: "192.0.2.3:6081", Weight: 5, Zone: "north"},
+				{ID: 4, Service: 1, Name: "lookup-3", Agent: "192.0.2.4:6081", Weight: 5},
+			},
+		}
+	}
+	accepting := func(shown *table.Table) []table.BackendID {
+		var ids []table.BackendID
+		for _, row := range shown.Backends {
+			if row.AcceptsNewFlows() {
+				ids = append(ids, row.ID)
+			}
+		}
+		return ids
+	}
+
+	It("gives the rows of a closed zone no new flows and leaves their cells alone", func() {
+		closed := zoned()
+		closed.CloseZone("north", true, 4)
+		Expect(accepting(closed)).To(Equal([]table.BackendID{2, 4}))
+		Expect(closed.Validate()).To(Succeed())
+		Expect(closed.Backends[0].Drain).To(BeFalse())
+		Expect(closed.ClosedZones).To(Equal([]table.ClosedZone{{Zone: "north", Since: 4}}))
+		Expect(closed.Stranded()).To(ConsistOf(HaveField("Name", "export")))
+		closed.CloseZone("north", false, 5)
+		Expect(closed).To(Equal(func() *table.Table { open := zoned(); open.ClosedZones = []table.ClosedZone{}; return open }()))
+	})
+
+	It("keeps what is closed in copies, parts and on the wire", func() {
+		closed := zoned()
+		closed.CloseZone("north", true, 4)
+		Expect(closed.Clone()).To(Equal(closed))
+		Expect(closed.Slice([]table.ServiceID{2}).ClosedZones).To(HaveLen(1))
+		closed.CloseZone("south", true, 5)
+		Expect(closed.Slice([]table.ServiceID{2}).ClosedZones).To(HaveLen(1), "a zone without rows of the part")
+		encoded, err := closed.MarshalMsg(nil)
+		Expect(err).NotTo(HaveOccurred())
+		var decoded table.Table
+		_, err = decoded.UnmarshalMsg(encoded)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(&decoded).To(Equal(closed))
+		text, err := closed.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(table.Parse(text)).To(Equal(closed))
+	})
+
+	DescribeTable("refuses zones that do not fit", func(change func(*table.Table), column, rule string) {
+		broken := zoned()
+		change(broken)
+		Expect(broken.Validate()).To(MatchError(And(ContainSubstring("column "+column), ContainSubstring(rule))))
+	},
+		Entry("a row that is not marked", func(t *table.Table) {
+			t.ClosedZones = []table.ClosedZone{{Zone: "north"}}
+		}, "closed", "must tell whether the zone of the row is closed"),
+		Entry("a row that is marked", func(t *table.Table) { t.Backends[3].Closed = true }, "closed", "must tell"),
+		Entry("a zone twice", func(t *table.Table) {
+			t.ClosedZones = []table.ClosedZone{{Zone: "east"}, {Zone: "east"}}
+		}, "zone", "must be unique"),
+		Entry("a zone without a name", func(t *table.Table) { t.ClosedZones = []table.ClosedZone{{}} }, "zone", "must have 1 to 64 bytes"),
+		Entry("a long name", func(t *table.Table) { t.Backends[0].Zone = strings.Repeat("z", 65) }, "zone", "must have at most 64 bytes"),
+	)
+
+	It("is written with a column for zones, and read with or without", func() {
+		var written bytes.Buffer
+		Expect(table.WriteCSV(&written, zoned())).To(Succeed())
+		Expect(written.String()).To(HavePrefix("service,id,name,incarnation,agent,weight,connection_limit,drain,zone\nlookup,1,"))
+		Expect(table.ReadCSV(&written, zoned().Services)).To(Equal(zoned().Backends))
+		old := "service,id,name,incarnation,agent,weight,connection_limit,drain\nlookup,1,lookup-1,0,192.0.2.1:6081,5,0,false\n"
+		rows, err := table.ReadCSV(strings.NewReader(old), zoned().Services)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rows).To(ConsistOf(HaveField("Zone", "")))
+		_, err = table.ReadCSV(strings.NewReader(old+"lookup,2,lookup-2,0,192.0.2.2:6081,5,0,false,north\n"), zoned().Services)
+		Expect(err).To(HaveOccurred(), "a line with another number of columns")
+	})
+})
