Let connections to the store go silent in the emulator and the soak, and close zones there

Soak: all open connections through the proxies carry nothing more and stay open while new ones work; a zone is closed for 7 s, and a flow that opens there 4 s later in a calm time breaks a promise. Emulator: watches that wait are never answered. Specs of the link and of the ledger; the emulator's specs as before.

--- a/bench/flownet/balancer.go
+++ b/bench/flownet/balancer.go
@@ -35,7 +35,7 @@
 	fetchTimeout = 800 * time.Millisecond
 )
 
-var timing = directory.Timing{ApplyTimeout: applyTimeout}
+var timing = directory.Timing{ApplyTimeout: applyTimeout, ContactTimeout: contactTime}
 
 // balancerPart is the deciding part of a balancer, of the product or of a
 // baseline.
--- a/bench/flownet/fault.go
+++ b/bench/flownet/fault.go
@@ -40,6 +40,7 @@
 		{"store silent", outage, func(w *world) { w.storeState(storeSilent, outage) }},
 		{"store slow", outage, func(w *world) { w.slowStore(outage) }},
 		{"store forgets history", time.Second, func(w *world) { w.store.compact() }},
+		{"store connections silent", time.Second, func(w *world) { w.store.hush() }},
 		{"balancer cut off", outage, func(w *world) { w.cutBalancer(outage) }},
 		{"store cut from a balancer", outage, func(w *world) { w.cutStore(outage) }},
 		{"store turns balancers away", outage, func(w *world) { w.turnAway(outage) }},
--- a/bench/flownet/store.go
+++ b/bench/flownet/store.go
@@ -188,6 +188,14 @@
 	s.watchers = nil
 }
 
+// hush lets the connections of those who watch go silent: they get no answer.
+func (s *store) hush() {
+	for _, waiting := range s.watchers {
+		waiting.closed = true
+	}
+	s.watchers = nil
+}
+
 // configure accepts a new version of the configuration.
 func (s *store) configure(routes []directory.Route) {
 	s.version += 1 + uint64(s.world.random.IntN(3))
--- a/bench/soak/endpoint.go
+++ b/bench/soak/endpoint.go
@@ -61,6 +61,7 @@
 	world   *world
 	id      directory.EndpointID
 	service int
+	zone    string
 	socket  *net.UDPConn
 	agent   *net.UDPAddr
 	living  atomic.Bool
@@ -119,7 +120,7 @@
 	}
 	key := segment.FlowKey{Client: header.Source, Service: header.Destination}
 	if header.Opening() {
-		e.world.ledger.openedAt(e.id)
+		e.world.ledger.openedAt(e.id, e.zone)
 		e.receiveOpening(key, header)
 		return
 	}
--- a/bench/soak/fault.go
+++ b/bench/soak/fault.go
@@ -58,6 +58,14 @@
 			link.Reset()
 		}
 	}},
+	{name: "store connections silent", run: func(ctx context.Context, w *world, random *rand.Rand) {
+		for _, link := range w.links {
+			link.Hush()
+		}
+	}},
+	{name: "zone closed", calm: true, run: func(ctx context.Context, w *world, random *rand.Rand) {
+		w.closeZone(ctx, random.IntN(zoneCount))
+	}},
 	{name: "store busy", run: storeFault(platformtest.Busy)},
 	{name: "store throttles", run: storeFault(platformtest.Throttling)},
 	{name: "store silent", run: storeFault(platformtest.Silent)},
--- a/bench/soak/ledger.go
+++ b/bench/soak/ledger.go
@@ -19,6 +19,8 @@
 	// and drainSlack allows for the timing of real processes.
 	drainTimeout = 3 * time.Second
 	drainSlack   = time.Second
+	// closeTimeout is the time after which endpoints of a closed zone must get no new flow.
+	closeTimeout = 3 * time.Second
 	// calmTime is how long nothing may have been disturbed for the rules with a time
 	// bound to hold.
 	calmTime = 4 * time.Second
@@ -36,6 +38,8 @@
 	DoubleRuns int `json:"double_runs"`
 	// LateOpenings: an endpoint that leaves got a new flow.
 	LateOpenings int `json:"late_openings"`
+	// ClosedOpenings: an endpoint of a closed zone got a new flow.
+	ClosedOpenings int `json:"closed_openings"`
 	// Forged: a packet arrived not as it was written.
 	Forged int `json:"forged"`
 	// Mixed: a client got the answer to another request.
@@ -48,7 +52,7 @@
 
 // Total returns the number of broken promises.
 func (b Broken) Total() int {
-	return b.ResetOpen + b.Misrouted + b.DoubleRuns + b.LateOpenings + b.Forged + b.Mixed + b.OwnExits + b.Unrecovered
+	return b.ResetOpen + b.Misrouted + b.DoubleRuns + b.LateOpenings + b.ClosedOpenings + b.Forged + b.Mixed + b.OwnExits + b.Unrecovered
 }
 
 // flowRecord is what the ledger knows of a flow.
@@ -72,8 +76,11 @@
 	runs      map[uint64]int
 	leaving   map[directory.EndpointID]time.Duration
 	disturbed time.Duration
-	asked     int
-	served    int
+	// closedZone is the zone that is closed, empty if none is, and closedSince since when.
+	closedZone  string
+	closedSince time.Duration
+	asked       int
+	served      int
 	// judged are the requests that were sent after the last fault.
 	judgedFrom  time.Duration
 	judgedAsked int
@@ -185,10 +192,32 @@
 	l.leaving[id] = l.now()
 }
 
-// openedAt tells that an endpoint got an opening packet.
-func (l *ledger) openedAt(id directory.EndpointID) {
+// closeZone tells that a zone is closed from now on. It reports false if another is.
+func (l *ledger) closeZone(zone string) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if l.closedZone != "" {
+		return false
+	}
+	l.closedZone, l.closedSince = zone, l.now()
+	return true
+}
+
+// openZone tells that the closed zone is open again.
+func (l *ledger) openZone() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.closedZone = ""
+}
+
+// openedAt tells that an endpoint in a zone got an opening packet.
+func (l *ledger) openedAt(id directory.EndpointID, zone string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	closed := zone == l.closedZone && zone != "" && l.now()-l.closedSince > closeTimeout+drainSlack
+	if closed && l.disturbed < l.closedSince-calmTime {
+		l.breaks(&l.broken.ClosedOpenings, "%s got a new flow %v after %s was closed", id, l.now()-l.closedSince, zone)
+	}
 	since, leaving := l.leaving[id]
 	late := leaving && l.now()-since > drainTimeout+drainSlack
 	if late && l.disturbed < since-calmTime {
--- a/bench/soak/link.go
+++ b/bench/soak/link.go
@@ -40,6 +40,8 @@
 	mode        LinkMode
 	changed     chan struct{}
 	connections map[net.Conn]bool
+	// hushed counts how often the connections that were open went silent for good.
+	hushed int
 }
 
 // NewLink listens at an address. It fails if the address cannot be bound.
@@ -93,10 +95,20 @@
 	}
 }
 
+// Hush makes all connections that are open carry nothing more, for good and without a
+// word; new ones work.
+func (l *Link) Hush() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.hushed++
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
 func (l *Link) carry(ctx context.Context, client net.Conn) {
 	defer l.drop(client)
-	l.keep(client)
-	if !l.pass(ctx, func(mode LinkMode) bool { return mode != LinkSilent }) {
+	begun := l.keep(client)
+	if !l.pass(ctx, begun, func(mode LinkMode) bool { return mode != LinkSilent }) {
 		return
 	}
 	server, err := net.DialTimeout("tcp4", l.server.String(), time.Second)
@@ -107,18 +119,20 @@
 	l.keep(server)
 	var copying sync.WaitGroup
 	copying.Go(func() {
-		l.copy(ctx, server, client, func(mode LinkMode) bool { return mode != LinkMute && mode != LinkSilent })
+		l.copy(ctx, begun, server, client, func(mode LinkMode) bool { return mode != LinkMute && mode != LinkSilent })
 	})
 	copying.Go(func() {
-		l.copy(ctx, client, server, func(mode LinkMode) bool { return mode != LinkDeaf && mode != LinkSilent })
+		l.copy(ctx, begun, client, server, func(mode LinkMode) bool { return mode != LinkDeaf && mode != LinkSilent })
 	})
 	copying.Wait()
 }
 
-func (l *Link) keep(connection net.Conn) {
+// keep notes a connection. It returns how often connections had gone silent before it.
+func (l *Link) keep(connection net.Conn) int {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.connections[connection] = true
+	return l.hushed
 }
 
 func (l *Link) drop(connection net.Conn) {
@@ -129,13 +143,13 @@
 }
 
 // copy carries bytes in one direction until an end closes, and then closes both.
-func (l *Link) copy(ctx context.Context, to io.WriteCloser, from io.ReadCloser, passes func(LinkMode) bool) {
+func (l *Link) copy(ctx context.Context, begun int, to io.WriteCloser, from io.ReadCloser, passes func(LinkMode) bool) {
 	defer to.Close()
 	defer from.Close()
 	buffer := make([]byte, 32<<10)
 	for {
 		count, err := from.Read(buffer)
-		if count > 0 && l.pass(ctx, passes) {
+		if count > 0 && l.pass(ctx, begun, passes) {
 			if _, failed := to.Write(buffer[:count]); failed != nil {
 				return
 			}
@@ -146,13 +160,16 @@
 	}
 }
 
-// pass waits until bytes may pass, and for the delay of the link. It returns false
-// when ctx ends.
-func (l *Link) pass(ctx context.Context, passes func(LinkMode) bool) bool {
+// pass waits until bytes of a connection may pass, and for the delay of the link. It returns
+// false for one that has gone silent, and when ctx ends.
+func (l *Link) pass(ctx context.Context, begun int, passes func(LinkMode) bool) bool {
 	for {
 		l.mutex.Lock()
-		mode, changed := l.mode, l.changed
+		mode, changed, silent := l.mode, l.changed, l.hushed > begun
 		l.mutex.Unlock()
+		if silent {
+			return false
+		}
 		if passes(mode) {
 			return mode != LinkDelayed || pause(ctx, linkDelay)
 		}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -96,16 +97,30 @@
 	It("sees a new flow at an endpoint that leaves, after its time and in calm", func() {
 		judged.left("e")
 		time0.at += drainTimeout
-		judged.openedAt("e")
+		judged.openedAt("e", "")
 		Expect(judged.broken).To(Equal(Broken{}))
 		time0.at += 2 * drainSlack
-		judged.openedAt("e")
+		judged.openedAt("e", "")
 		Expect(judged.broken).To(Equal(Broken{LateOpenings: 1}))
 		judged.disturb()
-		judged.openedAt("e")
+		judged.openedAt("e", "")
 		Expect(judged.broken).To(Equal(Broken{LateOpenings: 1}))
 	})
 
+	It("sees a new flow in a closed zone, after its time and in calm, until it is open again", func() {
+		Expect(judged.closeZone("z")).To(BeTrue())
+		Expect(judged.closeZone("y")).To(BeFalse(), "one at a time")
+		judged.openedAt("e", "z")
+		time0.at += closeTimeout + 2*drainSlack
+		judged.openedAt("e", "y")
+		Expect(judged.broken).To(Equal(Broken{}))
+		judged.openedAt("e", "z")
+		Expect(judged.broken).To(Equal(Broken{ClosedOpenings: 1}))
+		judged.openZone()
+		judged.openedAt("e", "z")
+		Expect(judged.broken.Total()).To(Equal(1))
+	})
+
 	It("sees too few served requests after the last fault", func() {
 		judged.ended(0, false)
 		judged.judge()
@@ -239,6 +254,25 @@
 		Expect(call(time.Minute)).To(Equal("answer"))
 	})
 
+	It("lets open connections go silent without an end, while new ones work", func() {
+		connection, err := net.Dial("tcp4", link.listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer connection.Close()
+		ask := func() error {
+			_, err := connection.Write([]byte("GET / HTTP/1.1\r\nHost: server\r\n\r\n"))
+			return err
+		}
+		Expect(ask()).To(Succeed())
+		_, err = connection.Read(make([]byte, 1024))
+		Expect(err).NotTo(HaveOccurred())
+		link.Hush()
+		Expect(ask()).To(Succeed())
+		Expect(connection.SetReadDeadline(time.Now().Add(50 * time.Millisecond))).To(Succeed())
+		_, err = connection.Read(make([]byte, 1024))
+		Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+		Expect(call(time.Minute)).To(Equal("answer"))
+	})
+
 	It("resets connections", func() {
 		connection, err := net.Dial("tcp4", link.listener.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -146,6 +146,9 @@
 	id := directory.EndpointID(fmt.Sprint("e-", w.identities))
 	w.mutex.Unlock()
 	started, err := newEndpoint(w, id, at.service, w.network.ip(netSides, at.number))
+	if err == nil {
+		started.zone = zoneName(at.number % zoneCount)
+	}
 	if err != nil {
 		return err
 	}
@@ -182,6 +185,20 @@
 	w.store.PutConfiguration(configuration)
 }
 
+// closedTime is how long a zone is closed: long enough to be judged.
+const closedTime = 7 * time.Second
+
+// closeZone closes a zone to new flows for a while, unless another is closed.
+func (w *world) closeZone(ctx context.Context, zone int) {
+	if !w.ledger.closeZone(zoneName(zone)) {
+		return
+	}
+	w.store.CloseZone(zoneName(zone))
+	pause(ctx, closedTime)
+	w.ledger.openZone()
+	w.store.Delete(platformtest.ZoneKey(zoneName(zone)))
+}
+
 // crash ends an endpoint without notice; another incarnation comes later.
 func (w *world) crash(ctx context.Context, victim *side, away time.Duration) {
 	w.mutex.Lock()
