Tell from logs how long processes take after their starts

vanetiller-bench timeline reads the JSON logs of daemons and sums up, for each start, the time to the directory, the first packet that waited, the first placed flow, the first request given and answered; with a plot.

--- /dev/null
+++ b/bench/timeline/timeline.go
@@ -0,0 +1,163 @@
+// Package timeline tells from the logs of vanetiller-relay how long processes took after
+// their start until they knew the directory, placed a flow, or gave their endpoint one.
+package timeline
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// longestLine bounds a line of a log, in bytes.
+const longestLine = 1 << 20
+
+// startMessage is the message of a process that has been started.
+const startMessage = "daemon started"
+
+// Step is something that a process does for the first time after its start.
+type Step string
+
+// The steps, by the message or the event of the log line that shows them.
+const (
+	// StepDirectory: a balancer knows routes and endpoints.
+	StepDirectory Step = "directory changed"
+	// StepReleased: a balancer handles a packet that came before that.
+	StepReleased Step = "released"
+	// StepPlaced: an endpoint has answered an opening packet of a balancer's.
+	StepPlaced Step = "placed"
+	// StepGiven: an agent gives its endpoint a request.
+	StepGiven Step = "given"
+	// StepAnswered: an agent's endpoint begins to answer one.
+	StepAnswered Step = "answered"
+)
+
+// Steps lists all steps in the order in which they follow each other.
+func Steps() []Step { return []Step{StepDirectory, StepReleased, StepPlaced, StepGiven, StepAnswered} }
+
+// Start is one start of a process.
+type Start struct {
+	Process string
+	At      time.Time
+	// After tells how long after it steps were taken; those that were not are left out.
+	After map[Step]time.Duration
+}
+
+// line is what is read of a line of a log.
+type line struct {
+	Time    time.Time `json:"time"`
+	Name    string    `json:"name"`
+	Message string    `json:"msg"`
+	Event   string    `json:"event"`
+}
+
+// Read returns the starts that a log shows, of any number of processes, in the order of
+// time. It takes lines that are JSON objects, whatever stands before these. It fails if the
+// input does.
+func Read(input io.Reader) ([]Start, error) {
+	scanner := bufio.NewScanner(input)
+	scanner.Buffer(nil, longestLine)
+	var lines []line
+	for scanner.Scan() {
+		begin := bytes.IndexByte(scanner.Bytes(), '{')
+		if begin < 0 {
+			continue
+		}
+		var read line
+		if json.Unmarshal(scanner.Bytes()[begin:], &read) == nil && read.Name != "" {
+			lines = append(lines, read)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, errors.Wrap(err, "log")
+	}
+	slices.SortStableFunc(lines, func(a, b line) int { return a.Time.Compare(b.Time) })
+	return startsOf(lines), nil
+}
+
+func startsOf(lines []line) []Start {
+	var starts []*Start
+	latest := make(map[string]*Start)
+	for _, read := range lines {
+		if read.Message == startMessage {
+			begun := &Start{Process: read.Name, At: read.Time, After: make(map[Step]time.Duration)}
+			starts = append(starts, begun)
+			latest[read.Name] = begun
+			continue
+		}
+		begun, known := latest[read.Name]
+		step := Step(cmp.Or(read.Event, read.Message))
+		if !known || !slices.Contains(Steps(), step) {
+			continue
+		}
+		if _, taken := begun.After[step]; !taken {
+			begun.After[step] = read.Time.Sub(begun.At)
+		}
+	}
+	found := make([]Start, len(starts))
+	for index, begun := range starts {
+		found[index] = *begun
+	}
+	return found
+}
+
+// Between returns the starts from one time to another, each since the first start.
+func Between(starts []Start, from, to time.Duration) []Start {
+	if len(starts) == 0 {
+		return nil
+	}
+	first := slices.MinFunc(starts, func(a, b Start) int { return a.At.Compare(b.At) }).At
+	return slices.DeleteFunc(slices.Clone(starts), func(begun Start) bool {
+		since := begun.At.Sub(first)
+		return since < from || since > to
+	})
+}
+
+// Summary tells how long a step took after the starts that came to it.
+type Summary struct {
+	Step Step `json:"step"`
+	// Starts is the number of starts that came to the step.
+	Starts int `json:"starts"`
+	// The times are in milliseconds.
+	Median   float64 `json:"median_ms"`
+	NineOf10 float64 `json:"p90_ms"`
+	Longest  float64 `json:"longest_ms"`
+}
+
+// Summarize returns a summary for each step that any start came to.
+func Summarize(starts []Start) []Summary {
+	var summaries []Summary
+	for _, step := range Steps() {
+		times := TimesOf(starts, step)
+		if len(times) == 0 {
+			continue
+		}
+		summaries = append(summaries, Summary{
+			Step: step, Starts: len(times), Median: quantile(times, 0.5), NineOf10: quantile(times, 0.9), Longest: quantile(times, 1),
+		})
+	}
+	return summaries
+}
+
+// TimesOf returns how long a step took, in milliseconds and in order.
+func TimesOf(starts []Start, step Step) []float64 {
+	var times []float64
+	for _, begun := range starts {
+		if after, taken := begun.After[step]; taken {
+			times = append(times, float64(after.Microseconds())/1000)
+		}
+	}
+	slices.Sort(times)
+	return times
+}
+
+// quantile returns the least of sorted times that is not below a part of them.
+func quantile(sorted []float64, part float64) float64 {
+	index := int(part*float64(len(sorted))+0.5) - 1
+	return sorted[min(max(index, 0), len(sorted)-1)]
+}
--- a/cmd/vanetiller-bench/main.go
+++ b/cmd/vanetiller-bench/main.go
@@ -23,7 +23,8 @@
   vanetiller-bench demo [flags]             the whole path in less than a minute
   vanetiller-bench run [flags] EXPERIMENT   one experiment; flags may follow the name
   vanetiller-bench soak [flags]             real processes under random faults from outside
-  vanetiller-bench list                     the experiments and shapes
+  vanetiller-bench timeline [flags] FILE... how long processes took after their starts, from logs
+  vanetiller-bench list the experiments and shapes
 
 Run a command with -help for its flags. Progress goes to stderr. The exit status
 is 0 when every promise was kept, 1 when one was broken or the run failed, and 2
@@ -48,6 +49,8 @@
 		return run(ctx, arguments[1:])
 	case "soak":
 		return soakCommand(ctx, arguments[1:])
+	case "timeline":
+		return timelineCommand(arguments[1:])
 	case "list":
 		return list()
 	case "help", "-help", "--help", "-h":
--- /dev/null
+++ b/cmd/vanetiller-bench/timeline.go
@@ -0,0 +1,83 @@
+// This file implements the command timeline.
+
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/bench/timeline"
+)
+
+// timelineParameters are the values of the flags of timeline.
+type timelineParameters struct {
+	from, to time.Duration
+	plot     string
+	json     bool
+}
+
+const wholeLog = 1000 * time.Hour
+
+func timelineCommand(arguments []string) int {
+	var values timelineParameters
+	flags := flag.NewFlagSet("timeline", flag.ContinueOnError)
+	flags.SetOutput(os.Stderr)
+	flags.DurationVar(&values.from, "from", 0, "`time` since the first start in the logs from which starts count")
+	flags.DurationVar(&values.to, "to", wholeLog, "`time` since the first start in the logs until which starts count")
+	flags.StringVar(&values.plot, "plot", "", "`file` for a plot, which ends in png, svg or pdf (default: none)")
+	flags.BoolVar(&values.json, "json", false, "print a JSON array")
+	err := flags.Parse(arguments)
+	if err == nil && flags.NArg() == 0 {
+		err = errors.New("timeline takes files of logs")
+	}
+	if err != nil {
+		return usageError(err)
+	}
+	if err := showTimeline(values, flags.Args()); err != nil {
+		fmt.Fprintln(os.Stderr, "vanetiller-bench:", err)
+		return exitBroken
+	}
+	return exitKept
+}
+
+func showTimeline(values timelineParameters, paths []string) error {
+	var starts []timeline.Start
+	for _, path := range paths {
+		read, err := readTimeline(path)
+		if err != nil {
+			return errors.Wrap(err, path)
+		}
+		starts = append(starts, read...)
+	}
+	chosen := timeline.Between(starts, values.from, values.to)
+	if values.plot != "" {
+		if err := timeline.Plot(chosen, values.plot); err != nil {
+			return err
+		}
+	}
+	summaries := timeline.Summarize(chosen)
+	if values.json {
+		return errors.Wrap(json.NewEncoder(os.Stdout).Encode(summaries), "output")
+	}
+	columns := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(columns, "STEP\tSTARTS\tMEDIAN MS\tP90 MS\tLONGEST MS")
+	for _, each := range summaries {
+		fmt.Fprintf(columns, "%s\t%d\t%.1f\t%.1f\t%.1f\n", each.Step, each.Starts, each.Median, each.NineOf10, each.Longest)
+	}
+	return errors.Wrap(columns.Flush(), "output")
+}
+
+func readTimeline(path string) ([]timeline.Start, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return timeline.Read(file)
+}
