--- a/internal/directory/model_test.go
+++ b/internal/directory/model_test.go
@@ -95,9 +95,8 @@
 type plantedFault uint8
 
 const (
-	plantedNone plantedFault = iota
 	// plantedOmitsGone: updates leave out endpoints that have gone.
-	plantedOmitsGone
+	plantedOmitsGone plantedFault = iota + 1
 	// plantedOmitsZones: updates leave out zones that were closed or opened.
 	plantedOmitsZones
 	// plantedOmitsOpened: updates and states leave out zones that were opened.
