--- a/cmd/vanetillerctl/table.go
+++ b/cmd/vanetillerctl/table.go
@@ -153,7 +153,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, path)
 	}
-	read := &table.Table{Version: services.Version, Services: services.Services, Backends: rows}
+	// A spreadsheet does not tell which zones are closed; they stay as they are.
+	read := &table.Table{Version: services.Version, Services: services.Services, Backends: rows, ClosedZones: services.ClosedZones}
+	read.MarkClosed()
 	return read, errors.Wrap(read.Validate(), path)
 }
 
--- a/cmd/vanetillerctl/zone_test.go
+++ b/cmd/vanetillerctl/zone_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"strings"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -31,6 +33,15 @@
 		Expect(fleet.done("zones")).NotTo(ContainSubstring("closed"))
 	})
 
+	It("leaves closed zones closed when a spreadsheet is imported", func() {
+		fleet.done("zone", "close", "south", "-reason", "work")
+		exported := fleet.done("table", "export")
+		Expect(exported).To(ContainSubstring(",south\n"))
+		edited := file("rows.csv", strings.Replace(exported, ",5,3,false,north", ",6,3,false,north", 1))
+		Expect(fleet.done("-remove-missing", "table", "import", edited, "-reason", "edit")).To(HavePrefix("accepted"))
+		Expect(fleet.done("table", "show")).To(ContainSubstring("south (closed)"))
+	})
+
 	It("refuses to close the last zone of a service unless it is forced to", func() {
 		fleet.done("zone", "close", "north", "-reason", "work")
 		refused := fleet.execute("zone", "close", "south", "-reason", "work")
--- a/internal/adminapi/plan.go
+++ b/internal/adminapi/plan.go
@@ -37,9 +37,28 @@
 	if missing == RemoveMissing {
 		parts.planRemovals(current, wanted)
 	}
+	parts.planZones(current, wanted, missing)
 	return parts, nil
 }
 
+// planZones closes the zones that are closed in the wanted table. Others that are closed
+// count as missing there.
+func (p *Parts) planZones(current, wanted *table.Table, missing Missing) {
+	for _, closed := range wanted.ClosedZones {
+		if _, already := current.ClosedSince(closed.Zone); !already {
+			p.SetZones = append(p.SetZones, ZoneUpdate{Zone: closed.Zone, Closed: true, Force: true})
+		}
+	}
+	if missing != RemoveMissing {
+		return
+	}
+	for _, closed := range current.ClosedZones {
+		if _, still := wanted.ClosedSince(closed.Zone); !still {
+			p.SetZones = append(p.SetZones, ZoneUpdate{Zone: closed.Zone})
+		}
+	}
+}
+
 func (p *Parts) planServices(current, wanted *table.Table) error {
 	for _, service := range wanted.Services {
 		existing, exists := current.Service(service.ID)
--- a/internal/adminapi/plan_test.go
+++ b/internal/adminapi/plan_test.go
@@ -20,6 +20,25 @@
 		Expect(parts.Empty()).To(BeTrue())
 	})
 
+	It("closes the zones that are closed in the wanted table, and opens others only if asked to remove what is missing", func() {
+		zoned := func(closed ...table.ClosedZone) *table.Table {
+			created := exampleTable()
+			created.Backends[0].Zone = "north"
+			created.Backends[1].Zone = "south"
+			created.ClosedZones = closed
+			created.MarkClosed()
+			return created
+		}
+		north := table.ClosedZone{Zone: "north", Since: 2}
+		Expect(adminapi.Plan(zoned(), zoned(north), adminapi.KeepMissing)).To(Equal(adminapi.Parts{
+			SetZones: []adminapi.ZoneUpdate{{Zone: "north", Closed: true, Force: true}},
+		}))
+		Expect(adminapi.Plan(zoned(north), zoned(), adminapi.KeepMissing)).To(Equal(adminapi.Parts{}))
+		Expect(adminapi.Plan(zoned(north), zoned(), adminapi.RemoveMissing)).To(Equal(adminapi.Parts{
+			SetZones: []adminapi.ZoneUpdate{{Zone: "north"}},
+		}))
+	})
+
 	It("sets the cells that differ and no others", func() {
 		wanted := exampleTable()
 		wanted.Backends[0].Weight = 0
--- a/internal/changelog/change.go
+++ b/internal/changelog/change.go
@@ -54,6 +54,8 @@
 	Revision Revision        `msg:"r"`
 	Services []table.Service `msg:"s"`
 	Backends []table.Backend `msg:"b"`
+	// ClosedZones are those that the platform has closed.
+	ClosedZones []table.ClosedZone `msg:"z,omitempty"`
 }
 
 // Change is one change of the table. Its parts are applied in the order of the
--- a/internal/changelog/change_gen.go
+++ b/internal/changelog/change_gen.go
@@ -1784,6 +1784,29 @@
 					return
 				}
 			}
+		case "z":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "ClosedZones")
+				return
+			}
+			if zb0005 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.ClosedZones) >= int(zb0005) {
+				z.ClosedZones = (z.ClosedZones)[:zb0005]
+			} else {
+				z.ClosedZones = make([]table.ClosedZone, zb0005)
+			}
+			for za0003 := range z.ClosedZones {
+				err = z.ClosedZones[za0003].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "ClosedZones", za0003)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1797,50 +1820,85 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Import) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "r"
-	err = en.Append(0x83, 0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(uint64(z.Revision))
-	if err != nil {
-		err = msgp.WrapError(err, "Revision")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.ClosedZones == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Services)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Services")
 		return
 	}
-	for za0001 := range z.Services {
-		err = z.Services[za0001].EncodeMsg(en)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "r"
+		err = en.Append(0xa1, 0x72)
 		if err != nil {
-			err = msgp.WrapError(err, "Services", za0001)
 			return
 		}
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Backends)))
-	if err != nil {
-		err = msgp.WrapError(err, "Backends")
-		return
-	}
-	for za0002 := range z.Backends {
-		err = z.Backends[za0002].EncodeMsg(en)
+		err = en.WriteUint64(uint64(z.Revision))
+		if err != nil {
+			err = msgp.WrapError(err, "Revision")
+			return
+		}
+		// write "s"
+		err = en.Append(0xa1, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Services)))
 		if err != nil {
-			err = msgp.WrapError(err, "Backends", za0002)
+			err = msgp.WrapError(err, "Services")
 			return
 		}
+		for za0001 := range z.Services {
+			err = z.Services[za0001].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Services", za0001)
+				return
+			}
+		}
+		// write "b"
+		err = en.Append(0xa1, 0x62)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Backends)))
+		if err != nil {
+			err = msgp.WrapError(err, "Backends")
+			return
+		}
+		for za0002 := range z.Backends {
+			err = z.Backends[za0002].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Backends", za0002)
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "z"
+			err = en.Append(0xa1, 0x7a)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.ClosedZones)))
+			if err != nil {
+				err = msgp.WrapError(err, "ClosedZones")
+				return
+			}
+			for za0003 := range z.ClosedZones {
+				err = z.ClosedZones[za0003].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "ClosedZones", za0003)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -1848,28 +1906,53 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Import) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "r"
-	o = append(o, 0x83, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, uint64(z.Revision))
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
-	for za0001 := range z.Services {
-		o, err = z.Services[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Services", za0001)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.ClosedZones == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Backends)))
-	for za0002 := range z.Backends {
-		o, err = z.Backends[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Backends", za0002)
-			return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendUint64(o, uint64(z.Revision))
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
+		for za0001 := range z.Services {
+			o, err = z.Services[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Services", za0001)
+				return
+			}
+		}
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Backends)))
+		for za0002 := range z.Backends {
+			o, err = z.Backends[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Backends", za0002)
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.ClosedZones)))
+			for za0003 := range z.ClosedZones {
+				o, err = z.ClosedZones[za0003].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "ClosedZones", za0003)
+					return
+				}
+			}
 		}
 	}
 	return
@@ -1949,6 +2032,29 @@
 					return
 				}
 			}
+		case "z":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ClosedZones")
+				return
+			}
+			if zb0005 > ze34be19flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.ClosedZones) >= int(zb0005) {
+				z.ClosedZones = (z.ClosedZones)[:zb0005]
+			} else {
+				z.ClosedZones = make([]table.ClosedZone, zb0005)
+			}
+			for za0003 := range z.ClosedZones {
+				bts, err = z.ClosedZones[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "ClosedZones", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1971,6 +2077,10 @@
 	for za0002 := range z.Backends {
 		s += z.Backends[za0002].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.ClosedZones {
+		s += z.ClosedZones[za0003].Msgsize()
+	}
 	return
 }
 
--- a/internal/changelog/importing.go
+++ b/internal/changelog/importing.go
@@ -15,15 +15,22 @@
 		return tableError("revision", fmt.Sprintf(
 			"revision %d is not newer than %d", revision.Revision, d.imported.Revision))
 	}
-	platform := table.Table{Services: slices.Clone(revision.Services), Backends: slices.Clone(revision.Backends)}
+	platform := table.Table{
+		Services: slices.Clone(revision.Services), Backends: slices.Clone(revision.Backends),
+		ClosedZones: slices.Clone(revision.ClosedZones),
+	}
 	platform.Sort()
+	platform.MarkClosed()
 	if err := platform.Validate(); err != nil {
 		return err
 	}
 	d.importServices(platform.Services)
 	d.importBackends(platform.Backends)
+	d.importZones(platform.ClosedZones)
 	d.dropServices(platform.Services)
-	d.imported = Import{Revision: revision.Revision, Services: platform.Services, Backends: platform.Backends}
+	d.imported = Import{
+		Revision: revision.Revision, Services: platform.Services, Backends: platform.Backends, ClosedZones: platform.ClosedZones,
+	}
 	return nil
 }
 
@@ -85,6 +92,24 @@
 	importCell(&current.Removed, old.Removed, imported.Removed)
 }
 
+// importZones closes the zones that the platform has closed since, and opens those that it
+// has opened. What operators have closed stays closed.
+func (d *draft) importZones(zones []table.ClosedZone) {
+	before := table.Table{ClosedZones: d.imported.ClosedZones}
+	after := table.Table{ClosedZones: zones}
+	for _, closed := range zones {
+		_, known := before.ClosedSince(closed.Zone)
+		if _, already := d.table.ClosedSince(closed.Zone); !known && !already {
+			d.table.CloseZone(closed.Zone, true, d.table.Version+1)
+		}
+	}
+	for _, closed := range d.imported.ClosedZones {
+		if _, still := after.ClosedSince(closed.Zone); !still {
+			d.table.CloseZone(closed.Zone, false, 0)
+		}
+	}
+}
+
 // importCell sets a cell if the platform altered it.
 func importCell[T comparable](cell *T, old, imported T) {
 	if imported != old {
--- a/internal/changelog/importing_test.go
+++ b/internal/changelog/importing_test.go
@@ -44,6 +44,27 @@
 		Expect(row(1)).To(And(HaveField("Weight", uint32(99)), HaveField("ConnectionLimit", uint32(7))))
 	})
 
+	It("closes the zones that the platform closes, and leaves those that operators have closed", func() {
+		placed := []table.Backend{rowOf(1, 1), rowOf(2, 1), rowOf(3, 1)}
+		for index, zone := range []string{"north", "south", "west"} {
+			placed[index].Zone = zone
+		}
+		Expect(revision(6, placed...).Accepted).To(BeTrue())
+		operator := []changelog.ZoneUpdate{{Zone: "south", Closed: true}}
+		Expect(apply(changelog.Change{ID: "zone", Zones: operator}).Accepted).To(BeTrue())
+		closing := func(number changelog.Revision, zones ...table.ClosedZone) changelog.Outcome {
+			marked := table.Table{Backends: append([]table.Backend{}, placed...), ClosedZones: zones}
+			marked.MarkClosed()
+			return apply(changelog.Change{ID: changelog.ChangeID("zones-" + string(rune('a'+number))), Import: &changelog.Import{
+				Revision: number, Services: []table.Service{serviceOf(1)}, Backends: marked.Backends, ClosedZones: zones,
+			}})
+		}
+		Expect(closing(7, table.ClosedZone{Zone: "north", Since: 1}).Accepted).To(BeTrue())
+		Expect([]bool{row(1).Closed, row(2).Closed, row(3).Closed}).To(Equal([]bool{true, true, false}))
+		Expect(closing(8).Accepted).To(BeTrue())
+		Expect([]bool{row(1).Closed, row(2).Closed, row(3).Closed}).To(Equal([]bool{false, true, false}))
+	})
+
 	It("takes a cell that the platform altered", func() {
 		changed := rowOf(1, 1)
 		changed.Weight = 50
--- a/internal/daemon/source.go
+++ b/internal/daemon/source.go
@@ -83,6 +83,8 @@
 			Revision: changelog.Revision(revision),
 			Services: configuration.Table.Services,
 			Backends: configuration.Table.Backends,
+
+			ClosedZones: configuration.Table.ClosedZones,
 		},
 	})
 	switch {
