Show that a peer which goes silent half way does not keep a balancer from its directory

Spec: a seed tells half of the directory and says nothing more; another balancer tells it whole. It fails if a fetch has no time-out (800 s instead of 0.8 s).

--- a/internal/relaydaemon/daemon_test.go
+++ b/internal/relaydaemon/daemon_test.go
@@ -293,6 +293,33 @@
 		Eventually(log.String).WithTimeout(10 * time.Second).Should(ContainSubstring(`"revision":6`))
 	})
 
+	It("learns the directory though a peer goes silent half way through telling it", func() {
+		asked := make(chan struct{}, 100)
+		release := make(chan struct{})
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.1.6:%d", used.exchangePort))
+		Expect(err).NotTo(HaveOccurred())
+		silent := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "1000")
+			_, _ = w.Write([]byte("the first half"))
+			w.(http.Flusher).Flush()
+			asked <- struct{}{}
+			<-release
+		})}
+		go func() { _ = silent.Serve(listener) }()
+		DeferCleanup(func() {
+			close(release)
+			Expect(silent.Close()).To(Succeed())
+		})
+		seed := fmt.Sprintf("%q", fmt.Sprintf("127.0.1.6:%d", used.exchangePort))
+		start(used.balancer(otherIP, seed), fakeStore{down: true}, log)
+		Eventually(asked).WithTimeout(10 * time.Second).Should(Receive())
+		told := used
+		told.healthPort = freePort()
+		informing := fmt.Sprintf("%q", fmt.Sprintf("%s:%d", otherIP, used.exchangePort))
+		start(told.balancer(balancerIP, informing), fakeStore{page: used.listing()}, io.Discard)
+		Eventually(status(otherIP)).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+	})
+
 	It("refuses new flows to a zone of whose closing it learns from another balancer, and says so", func() {
 		page := used.listing()
 		page.Items[1].Endpoint.Zone = "zone-1"
