--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -169,3 +169,60 @@
 	}
 	return found
 }
+
+// drivenAgent is an agent with the inputs that specs give it.
+type drivenAgent struct {
+	*relay.Agent
+	// terms are those of what is offered, and lastResort is set if others have returned it.
+	terms      relay.Terms
+	lastResort bool
+}
+
+func drive(agent *relay.Agent) *drivenAgent {
+	return &drivenAgent{Agent: agent, terms: relay.Terms{Slots: 2, Target: 250, Timeout: 2000}}
+}
+
+func (a *drivenAgent) offer(now time.Duration, number int, sequence uint32) []relay.Effect {
+	return a.Receive(now, balancerA, relay.Message{
+		Kind: relay.KindOffer, Service: service, Terms: a.terms, LastResort: a.lastResort, Packet: opening(number, sequence),
+	})
+}
+
+func (a *drivenAgent) forward(now time.Duration, kind relay.Kind, packet []byte) []relay.Effect {
+	return a.Receive(now, balancerB, relay.Message{Kind: kind, Service: service, Packet: packet})
+}
+
+func (a *drivenAgent) locate(now time.Duration, packet []byte) []relay.Effect {
+	return a.Receive(now, balancerB, question(packet))
+}
+
+func (a *drivenAgent) answer(now time.Duration, number int, sequence uint32) []relay.Effect {
+	return a.Emitted(now, fromEndpoint(number, segment.Synchronize|segment.Acknowledge, sequence, 101, ""))
+}
+
+// open opens a flow whose endpoint's initial sequence number is 500.
+func (a *drivenAgent) open(now time.Duration, number int) {
+	a.offer(now, number, 100)
+	a.answer(now, number, 500)
+	a.forward(now, relay.KindForward, fromClient(number, segment.Acknowledge, 101, 501, "request"))
+}
+
+// question is a search for the owner of a packet's flow.
+func question(packet []byte) relay.Message {
+	header, _ := codec.Decode(packet)
+	key := segment.FlowKey{Client: header.Source, Service: header.Destination}
+	return relay.Message{
+		Kind: relay.KindLocate, Service: service, Flow: relay.FlowOf(key),
+		Flags: header.Flags, Acknowledgment: header.Acknowledgment,
+	}
+}
+
+// delivered returns what an agent gave its endpoint.
+func delivered(effects []relay.Effect) []relay.Effect { return ofKind(effects, relay.EffectEndpoint) }
+
+// returned is a packet as an endpoint returns it that does not take it.
+func returned(packet []byte) []byte {
+	copied := append([]byte(nil), packet...)
+	codec.MarkReturned(copied)
+	return copied
+}
