--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -121,6 +121,25 @@
 	})
 }
 
+// balancerOfThree returns a balancer with a directory of three endpoints of a route.
+func balancerOfThree() (*relay.Balancer, *fleet) {
+	balancer, known := newBalancer(), newFleet()
+	known.configure(directory.Share{Service: service, Weight: 1})
+	for number := range 3 {
+		known.endpoint(0, number, nil)
+	}
+	balancer.Install(0, known.machine.Snapshot())
+	balancer.Confirm(0)
+	return balancer, known
+}
+
+// placed lets an agent tell a balancer that its endpoint has answered a flow.
+func placed(balancer *relay.Balancer, now time.Duration, agent segment.Address, number int, sequence uint32) []relay.Effect {
+	return balancer.Receive(now, agent, relay.Message{
+		Kind: relay.KindPlaced, Service: service, Flow: relay.FlowOf(keyOf(number)), Sequence: sequence,
+	})
+}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
 
 func newAgent(complete bool) *relay.Agent {
