Make zones follow from the table's own list, and their commands use the shared submission

Found by reading the whole change. No assertion changed; specs of table, change log, API, command, daemon pass.

--- a/cmd/vanetillerctl/zone.go
+++ b/cmd/vanetillerctl/zone.go
@@ -84,15 +84,10 @@
 			return err
 		}
 	}
-	zone := i.arguments[0]
-	answer, err := client.CloseZone(ctx, zone, adminapi.ZoneRequest{Header: made, Closed: &closed, Force: i.options.force})
-	if err != nil {
-		return err
-	}
-	if err := i.printAnswer(answer); err != nil {
-		return err
-	}
-	return outcomeOf(answer, *made.BaseVersion)
+	update := adminapi.ZoneUpdate{Zone: i.arguments[0], Closed: closed, Force: closed && i.options.force}
+	return i.submit(ctx, client, adminapi.ChangeRequest{
+		Header: made, Parts: adminapi.Parts{SetZones: []adminapi.ZoneUpdate{update}},
+	})
 }
 
 func (i invocation) printRemaining(ctx context.Context, client *adminapi.Client) error {
--- a/internal/adminapi/service.go
+++ b/internal/adminapi/service.go
@@ -165,6 +165,7 @@
 }
 
 func planSnapshot(current, wanted *table.Table) (Parts, error) {
+	wanted.MarkClosed()
 	if err := wanted.Validate(); err != nil {
 		return Parts{}, err
 	}
--- a/internal/changelog/importing.go
+++ b/internal/changelog/importing.go
@@ -93,7 +93,7 @@
 }
 
 // importZones closes the zones that the platform has closed since, and opens those that it
-// has opened. What operators have closed stays closed.
+// has opened, whatever operators did with them. All others stay as operators have set them.
 func (d *draft) importZones(zones []table.ClosedZone) {
 	before := table.Table{ClosedZones: d.imported.ClosedZones}
 	after := table.Table{ClosedZones: zones}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -220,13 +220,15 @@
 	return part
 }
 
-// Parse reads a table in its JSON form, checks it and sorts it. It fails for
-// unknown members and for any rule that Validate names.
+// Parse reads a table in its JSON form, checks it and sorts it. Which rows are closed
+// follows from the zones, whatever the rows say. It fails for unknown members and for any
+// rule that Validate names.
 func Parse(data []byte) (*Table, error) {
 	var parsed Table
 	if err := decodeStrict(data, &parsed); err != nil {
 		return nil, errors.Wrap(err, "table")
 	}
+	parsed.MarkClosed()
 	if err := parsed.Validate(); err != nil {
 		return nil, err
 	}
--- a/internal/table/zone_test.go
+++ b/internal/table/zone_test.go
@@ -66,6 +66,15 @@
 		Expect(table.Parse(text)).To(Equal(closed))
 	})
 
+	It("takes from its JSON form which zones are closed, and need not be told of each row", func() {
+		text := `{"version":3,"services":[{"id":1,"name":"lookup","address":"198.51.100.1:80","protocol":"tcp","owner":""}],` +
+			`"backends":[{"id":1,"service":1,"name":"a","incarnation":1,"agent":"192.0.2.1:6081","weight":5,` +
+			`"connection_limit":0,"drain":false,"zone":"north"}],"closed_zones":[{"zone":"north","since":2}]}`
+		parsed, err := table.Parse([]byte(text))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(accepting(parsed)).To(BeEmpty())
+	})
+
 	DescribeTable("refuses zones that do not fit", func(change func(*table.Table), column, rule string) {
 		broken := zoned()
 		change(broken)
