Send packets of requests twice where offers are lost

Ruled out: lost offers (a further one is made after 45 ms).

Change: a balancer estimates from its offers how much is lost; from one in fifty on packets with data go to their agent twice, and agents send answers to opening packets twice.

Failing first: the specs of copies; before, nothing was sent twice.

--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -111,13 +111,15 @@
 	// ejectionsEnd is when the last ejection ends of which agents have told.
 	ejectionsEnd time.Duration
 	// paces is room for the paces of a service.
-	paces     []uint32
-	sharing   map[segment.Address]*sharing
-	budget    budget
-	searches  *rate.Limiter
-	reach     reach
-	nextSweep time.Duration
-	effects   []Effect
+	paces   []uint32
+	sharing map[segment.Address]*sharing
+	budget  budget
+	// redundancy tells whether packets of requests are sent twice.
+	redundancy redundancy
+	searches   *rate.Limiter
+	reach      reach
+	nextSweep  time.Duration
+	effects    []Effect
 }
 
 // NewBalancer returns a balancer without a directory.
@@ -225,7 +227,7 @@
 	case flowOwnerless:
 		b.reset(key, header)
 	default:
-		b.send(known.agent, Message{Kind: KindForward, Service: known.service, Packet: packet})
+		b.forward(known, header, packet)
 		b.noteClosing(known, header)
 	}
 }
