Weigh flows that clients keep by what they ask

Cause: placement counts flows, and a kept one that rests costs nothing: endpoints that come back without any get all new flows.

Change: after its first second a flow counts as its service's requests a second for each kept flow times the usual time to an answer, both measured.

--- a/bench/flownet/flownet_test.go
+++ b/bench/flownet/flownet_test.go
@@ -137,7 +137,8 @@
 
 	DescribeTable("needs every part of the proof that nobody holds a flow", func(planted flownet.Planted) {
 		broken := 0
-		for seed := uint64(1); seed <= 24 && broken == 0; seed++ {
+		// Some 1 in 50 runs shows the fault; the search ends with the first.
+		for seed := uint64(1); seed <= 96 && broken == 0; seed++ {
 			for _, shape := range flownet.Shapes() {
 				chosen := options(shape.Name, seed)
 				chosen.Planted = planted
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -73,8 +73,12 @@
 // balancerFlow is what a balancer remembers of a flow. It is a cache: the
 // agent of the flow's endpoint knows better.
 type balancerFlow struct {
-	state    balancerFlowState
+	state balancerFlowState
+	// counted is set while the flow counts for its endpoint, and kept once it does so as a
+	// flow for many requests, the last of which began at asked.
 	counted  bool
+	kept     bool
+	asked    time.Duration
 	sequence uint32
 	agent    segment.Address
 	endpoint directory.EndpointID
@@ -110,6 +114,9 @@
 	health  map[directory.EndpointID]*health
 	// ejectionsEnd is when the last ejection ends of which agents have told.
 	ejectionsEnd time.Duration
+	// demands are what the kept flows of services ask for, measured at swept.
+	demands map[string]*demand
+	swept   time.Duration
 	// paces is room for the paces of a service.
 	paces   []uint32
 	sharing map[segment.Address]*sharing
@@ -129,6 +136,7 @@
 		snapshot: directory.New().Snapshot(),
 		flows:    make(map[segment.FlowKey]*balancerFlow),
 		health:   make(map[directory.EndpointID]*health),
+		demands:  make(map[string]*demand),
 		sharing:  make(map[segment.Address]*sharing),
 		budget:   newBudget(),
 		searches: rate.NewLimiter(searchRate, searchBurst),
@@ -227,6 +235,7 @@
 	case flowOwnerless:
 		b.reset(key, header)
 	default:
+		b.noteRequest(now, known, header)
 		b.forward(known, header, packet)
 		b.noteClosing(known, header)
 	}
@@ -313,6 +322,10 @@
 }
 
 func (b *Balancer) sweep(now time.Duration) {
+	for _, known := range b.demands {
+		known.measure(now - b.swept)
+	}
+	b.swept = now
 	for key, known := range b.flows {
 		retention := b.config.FlowLifetime
 		switch known.state {
@@ -321,7 +334,9 @@
 		}
 		if now-known.touched > retention {
 			b.forget(key, known)
+			continue
 		}
+		b.keepOld(now, known)
 	}
 }
 
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -27,6 +27,9 @@
 	// outstanding is the number of flows that this balancer gave the endpoint
 	// and whose clients have not closed them.
 	outstanding int
+	// kept is the number of those that are kept open for many requests; they are not among
+	// outstanding.
+	kept        int
 	silences    int
 	suspicion   time.Duration
 	suspectEnds time.Duration
@@ -68,10 +71,15 @@
 }
 
 func (b *Balancer) count(flow *balancerFlow) {
-	if !flow.counted {
-		flow.counted = true
-		b.healthOf(flow.endpoint).outstanding++
+	if flow.counted {
+		return
+	}
+	flow.counted = true
+	if flow.kept {
+		b.healthOf(flow.endpoint).kept++
+		return
 	}
+	b.healthOf(flow.endpoint).outstanding++
 }
 
 func (b *Balancer) uncount(flow *balancerFlow) {
@@ -79,8 +87,13 @@
 		return
 	}
 	flow.counted = false
-	if known, exists := b.health[flow.endpoint]; exists && known.outstanding > 0 {
-		known.outstanding--
+	known, exists := b.health[flow.endpoint]
+	switch {
+	case !exists:
+	case flow.kept:
+		known.kept = max(known.kept-1, 0)
+	default:
+		known.outstanding = max(known.outstanding-1, 0)
 	}
 }
 
@@ -197,11 +210,12 @@
 	leastScore := 0.0
 	ties := 0
 	usual := b.usualPace(service)
+	asks := b.demandOf(service).slots(usual)
 	for _, candidate := range b.snapshot.Candidates(service) {
 		if !accepts(candidate) || slices.Contains(tried, candidate.ID) {
 			continue
 		}
-		score := b.score(now, candidate, usual)
+		score := b.score(now, candidate, usual, asks)
 		switch {
 		case !found || score < leastScore:
 			best, found, leastScore, ties = candidate, true, score, 1
@@ -220,11 +234,11 @@
 const zoneBonus = 0.01
 
 // score is the utilisation that the endpoint would have with one more flow, given
-// the pace that is usual for its service.
-func (b *Balancer) score(now time.Duration, candidate directory.Candidate, usual uint32) float64 {
+// the pace that is usual for its service and the slots that one of its kept flows takes.
+func (b *Balancer) score(now time.Duration, candidate directory.Candidate, usual uint32, asks float64) float64 {
 	slots := float64(max(candidate.Endpoint.Slots, 1))
 	known := b.healthOf(candidate.ID)
-	score := float64(known.outstanding+1) / slots
+	score := (float64(known.outstanding+1) + asks*float64(known.kept)) / slots
 	slowness := known.slowness(usual)
 	if slowness > 1 {
 		b.refreshPace(now, candidate, known)
