Let endpoints of the soak fail, hang and take no flow while they look well

Cause: the soak had endpoints that crash and are replaced, none whose entry says that it is ready while it answers nothing right; their answers had no head that an agent could read.

Change: answers begin with a head as on the platform; three faults.

--- a/bench/soak/client.go
+++ b/bench/soak/client.go
@@ -200,19 +200,19 @@
 		}
 		return
 	}
-	if !f.open || len(data) < requestSize+1 || data[1] >= answerParts {
+	if !f.open || len(data) < answerSize || data[offsetPart] >= answerParts {
 		return
 	}
-	if binary.BigEndian.Uint64(data[2:]) != f.request.number {
+	if binary.BigEndian.Uint64(data[offsetRequest:]) != f.request.number {
 		f.host.world.ledger.mixed(f.key)
 		return
 	}
-	if data[0] == answerRefused {
+	if kind := data[offsetKind]; kind != answerServed {
 		f.send(segment.Acknowledge|segment.Finish, f.sequence+1+requestSize, nil)
-		f.host.fail(f, true)
+		f.host.fail(f, kind == answerRefused)
 		return
 	}
-	f.parts[data[1]] = true
+	f.parts[data[offsetPart]] = true
 	if f.parts == [answerParts]bool{true, true, true} {
 		f.send(segment.Acknowledge|segment.Finish, f.sequence+1+requestSize, nil)
 		f.host.succeed(f)
--- a/bench/soak/endpoint.go
+++ b/bench/soak/endpoint.go
@@ -12,6 +12,7 @@
 
 	"github.com/vanetiller/vanetiller/internal/directory"
 	"github.com/vanetiller/vanetiller/internal/segment"
+	"github.com/vanetiller/vanetiller/platform/platformtest"
 )
 
 const (
@@ -34,6 +35,29 @@
 const (
 	answerServed byte = iota + 1
 	answerRefused
+	answerFailed
+)
+
+// The offsets in the data of each packet of an answer, behind its head.
+const (
+	offsetKind = platformtest.AnswerHeadSize + iota
+	offsetPart
+	offsetRequest
+	answerSize = offsetRequest + 8
+)
+
+// illness is what is wrong with an endpoint that looks well from outside.
+type illness uint8
+
+// The illnesses.
+const (
+	illnessNone illness = iota
+	// illnessFails: it answers every request with a failure.
+	illnessFails
+	// illnessHangs: it takes requests and answers none.
+	illnessHangs
+	// illnessReturns: it takes no new flow.
+	illnessReturns
 )
 
 // requestSize is the encoded size of a request: its number and whether it may be
@@ -49,6 +73,7 @@
 	asked    bool
 	answered bool
 	refused  bool
+	failed   bool
 	ended    bool
 	request  uint64
 	// repeatable is set if the request may run again.
@@ -70,6 +95,7 @@
 	flows   map[segment.FlowKey]*heldFlow
 	working int
 	waiting []*heldFlow
+	ill     illness
 }
 
 func newEndpoint(w *world, id directory.EndpointID, service int, ip [4]byte) (*endpoint, error) {
@@ -121,16 +147,27 @@
 	key := segment.FlowKey{Client: header.Source, Service: header.Destination}
 	if header.Opening() {
 		e.world.ledger.openedAt(e.id, e.zone)
-		e.receiveOpening(key, header)
+		e.receiveOpening(key, header, packet)
 		return
 	}
 	e.receiveSegment(key, header, packet)
 }
 
-func (e *endpoint) receiveOpening(key segment.FlowKey, header segment.Header) {
+// setIllness makes the endpoint ill, or well again.
+func (e *endpoint) setIllness(ill illness) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.ill = ill
+}
+
+func (e *endpoint) receiveOpening(key segment.FlowKey, header segment.Header, packet []byte) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	known, exists := e.flows[key]
+	if !exists && e.ill == illnessReturns {
+		e.bounce(packet)
+		return
+	}
 	if !exists || known.sequence != header.Sequence {
 		known = &heldFlow{key: key, sequence: header.Sequence, answer: rand.Uint32()}
 		e.flows[key] = known
@@ -185,6 +222,7 @@
 	known.request = binary.BigEndian.Uint64(data)
 	known.repeatable = data[8] != 0
 	switch {
+	case e.ill == illnessHangs:
 	case e.working < int(services[e.service].slots):
 		e.work(known)
 	case len(e.waiting) < queueLength:
@@ -209,6 +247,7 @@
 	defer e.mutex.Unlock()
 	e.working--
 	known.answered = true
+	known.failed = e.ill == illnessFails
 	e.respond(known)
 	e.repeat(known, firstRepeat)
 	if len(e.waiting) > 0 {
@@ -220,14 +259,18 @@
 
 // respond sends the answer. The mutex must be held.
 func (e *endpoint) respond(known *heldFlow) {
-	kind := answerServed
-	if known.refused {
-		kind = answerRefused
+	kind, head := answerServed, platformtest.AnswerHead(segment.AnswerSuccess)
+	switch {
+	case known.refused:
+		kind, head = answerRefused, platformtest.AnswerHead(segment.AnswerRefusal)
+	case known.failed:
+		kind, head = answerFailed, platformtest.AnswerHead(segment.AnswerFailure)
 	}
 	for part := range answerParts {
 		data := make([]byte, partSize)
-		data[0], data[1] = kind, byte(part)
-		binary.BigEndian.PutUint64(data[2:], known.request)
+		copy(data, head)
+		data[offsetKind], data[offsetPart] = kind, byte(part)
+		binary.BigEndian.PutUint64(data[offsetRequest:], known.request)
 		e.emit(known, segment.Acknowledge, known.answer+1+uint32(part*partSize), data)
 	}
 }
--- a/bench/soak/fault.go
+++ b/bench/soak/fault.go
@@ -43,6 +43,9 @@
 	{name: "endpoint crashes", run: func(ctx context.Context, w *world, random *rand.Rand) {
 		w.crash(ctx, w.takeSide(random), between(random, 300*time.Millisecond, 3*time.Second))
 	}},
+	{name: "endpoint fails", run: illnessFault(illnessFails)},
+	{name: "endpoint hangs", run: illnessFault(illnessHangs)},
+	{name: "endpoint returns all", run: illnessFault(illnessReturns)},
 	{name: "endpoint replaced", calm: true, run: func(ctx context.Context, w *world, random *rand.Rand) {
 		w.replace(ctx, w.takeSide(random))
 	}},
@@ -108,6 +111,18 @@
 	}
 }
 
+// illnessFault makes an endpoint ill for a while, which its entry in the store does not
+// show.
+func illnessFault(ill illness) func(context.Context, *world, *rand.Rand) {
+	return func(ctx context.Context, w *world, random *rand.Rand) {
+		victim := w.endpointOf(w.anySide(random))
+		lasts := between(random, time.Second, 6*time.Second)
+		victim.setIllness(ill)
+		pause(ctx, lasts)
+		victim.setIllness(illnessNone)
+	}
+}
+
 func storeFault(mode platformtest.Mode) func(context.Context, *world, *rand.Rand) {
 	return func(ctx context.Context, w *world, random *rand.Rand) {
 		lasts := between(random, time.Second, 6*time.Second)
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -199,11 +199,16 @@
 	w.store.Delete(platformtest.ZoneKey(zoneName(zone)))
 }
 
+// endpointOf returns the endpoint of a machine.
+func (w *world) endpointOf(at *side) *endpoint {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return at.endpoint
+}
+
 // crash ends an endpoint without notice; another incarnation comes later.
 func (w *world) crash(ctx context.Context, victim *side, away time.Duration) {
-	w.mutex.Lock()
-	lost := victim.endpoint
-	w.mutex.Unlock()
+	lost := w.endpointOf(victim)
 	lost.end()
 	pause(ctx, away)
 	w.store.Delete(platformtest.EndpointKey(lost.id))
