--- a/cmd/vanetillerctl/explain_test.go
+++ b/cmd/vanetillerctl/explain_test.go
@@ -22,6 +22,7 @@
 const agentLog = `side-1 {"time":"2026-06-20T07:42:35.003056Z","level":"info","msg":"decision","name":"side-1","event":"endpoint_lost_flow","client":"100.64.0.15:1068","service":"198.18.0.1:8080","request":"3294b2d0"}
 side-2 {"time":"2026-06-20T07:42:40.237495Z","level":"info","msg":"decision","name":"side-2","event":"held","client":"100.65.0.25:1125","service":"198.18.0.1:8443","request":"fecfac1a"}
 side-2 {"time":"2026-06-20T07:42:40.437697Z","level":"info","msg":"decision","name":"side-2","event":"admitted","client":"100.65.0.25:1125","service":"198.18.0.1:8443","request":"fecfac1a","elapsed_ms":200.2}
+side-2 {"time":"2026-06-20T07:42:40.500000Z","level":"info","msg":"decision","name":"side-2","event":"ejected","failures":3,"outcomes":10,"reason":"failure","elapsed_ms":1000}
 side-3 {"time":"2026-06-20T07:42:40.300000Z","level":"info","msg":"daemon started","name":"side-3"}
 `
 
@@ -54,12 +55,13 @@
 `))
 	})
 
-	It("shows where a late request waited, and for how long", func() {
+	It("shows where a late request waited, for how long, and that its endpoint was ejected", func() {
 		Expect(explained("fecfac1a", "-output", "csv")).To(Equal(
 			`time,process,what,details
 07:42:40.234767,edge-1,placed,client=100.65.0.25:1125 elapsed_ms=1.456 peer=10.3.0.18:8452 service=198.18.0.1:8443 version=3
 07:42:40.237495,side-2,held,client=100.65.0.25:1125 request=fecfac1a service=198.18.0.1:8443
 07:42:40.437697,side-2,admitted,client=100.65.0.25:1125 elapsed_ms=200.2 request=fecfac1a service=198.18.0.1:8443
+07:42:40.500000,side-2,ejected,elapsed_ms=1000 failures=3 outcomes=10 reason=failure
 `))
 	})
 
