Send packets once again: copies cost small balancers more than they gain

A balancer of 0.061 cores that does not read its datagrams in time loses some, takes that for losses of the network and sends packets of uploads twice. Ruled out: passive health, the weight of kept flows.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -59,10 +59,6 @@
 	balancer segment.Address
 	// zone is that of the client, as far as the balancer told it when the flow was opened.
 	zone string
-	// repeats is set if the endpoint's answer to the opening packet is sent twice.
-	repeats bool
-	// latest is the sequence number of the client's latest packet with data.
-	latest uint32
 	// written is how far the endpoint has written, once wrote is set.
 	written uint32
 	wrote   bool
@@ -347,8 +343,7 @@
 	a.cold.gives(now)
 	a.flows[key] = &agentFlow{
 		state: stateOffered, sequence: header.Sequence, balancer: from, zone: message.Zone, opened: now, touched: now,
-		repeats: message.Repeat,
-		work:    work{terms: message.Terms, asked: now - milliseconds(message.Terms.Waited), sent: header.Sequence + 1},
+		work: work{terms: message.Terms, asked: now - milliseconds(message.Terms.Waited), sent: header.Sequence + 1},
 	}
 	a.running++
 	a.detector.Gave(now)
@@ -381,11 +376,7 @@
 // receiveSegment handles a client's packet that does not open a flow.
 func (a *Agent) receiveSegment(now time.Duration, from segment.Address, key segment.FlowKey, header segment.Header, message Message) {
 	known, exists := a.flows[key]
-	if message.Copy && (!exists || known.latest == header.Sequence) {
-		return
-	}
 	if exists && a.owns(known, header) {
-		known.latest = header.Sequence
 		a.receiveOwned(now, from, key, known, header, message)
 		return
 	}
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -118,15 +118,13 @@
 	demands map[string]*demand
 	swept   time.Duration
 	// paces is room for the paces of a service.
-	paces   []uint32
-	sharing map[segment.Address]*sharing
-	budget  budget
-	// redundancy tells whether packets of requests are sent twice.
-	redundancy redundancy
-	searches   *rate.Limiter
-	reach      reach
-	nextSweep  time.Duration
-	effects    []Effect
+	paces     []uint32
+	sharing   map[segment.Address]*sharing
+	budget    budget
+	searches  *rate.Limiter
+	reach     reach
+	nextSweep time.Duration
+	effects   []Effect
 }
 
 // NewBalancer returns a balancer without a directory.
@@ -236,7 +234,7 @@
 		b.reset(key, header)
 	default:
 		b.noteRequest(now, known, header)
-		b.forward(known, header, packet)
+		b.send(known.agent, Message{Kind: KindForward, Service: known.service, Packet: packet})
 		b.noteClosing(known, header)
 	}
 }
--- a/internal/relay/effect.go
+++ b/internal/relay/effect.go
@@ -105,9 +105,6 @@
 	EventProbation
 	// EventRestored: an endpoint that was ejected gets its share of new flows again.
 	EventRestored
-	// EventRedundancy: packets of requests are sent twice from now on, or once again, since
-	// packets are lost between daemons or are not.
-	EventRedundancy
 	eventKindCount
 )
 
@@ -116,7 +113,6 @@
 	"no_endpoint", "not_ready", "suspected", "recovered", "endpoint_lost_flow", "not_owned", "probed",
 	"returned", "isolated", "reconnected", "held", "given", "expired", "denied", "ownerless", "released", "restarted",
 	"relapsed", "ejected", "probation", "restored",
-	"redundancy",
 }
 
 // Event is one decision with what decided it.
--- a/internal/relay/emitted.go
+++ b/internal/relay/emitted.go
@@ -115,9 +115,6 @@
 		a.end(now, known)
 	}
 	a.effects = append(a.effects, Effect{Kind: EffectClient, To: key.Client, Packet: packet})
-	if header.Flags.Has(segment.Synchronize) && known.repeats {
-		a.effects = append(a.effects, Effect{Kind: EffectClient, To: key.Client, Packet: packet})
-	}
 }
 
 // adopt remembers a flow that the endpoint turns out to hold.
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -213,11 +213,6 @@
 	// Insist tells in an offer that the endpoint shall get the flow although its agent
 	// holds it back, since the others of its service do no better.
 	Insist bool
-	// Copy tells of a packet that it was sent a moment ago, in case that was lost.
-	Copy bool
-	// Repeat asks in an offer for the endpoint's answer to be sent to the client twice,
-	// since packets are lost.
-	Repeat bool
 	// Zone is that of the balancer's clients, in offers.
 	Zone string
 	// Age is how long the agent has been there, in KindUncertain and KindDenied.
--- a/internal/relay/message_gen.go
+++ b/internal/relay/message_gen.go
@@ -471,8 +471,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 19 {
-		err = msgp.ArrayError{Wanted: 19, Got: zb0001}
+	if zb0001 != 17 {
+		err = msgp.ArrayError{Wanted: 17, Got: zb0001}
 		return
 	}
 	{
@@ -523,16 +523,6 @@
 		err = msgp.WrapError(err, "Insist")
 		return
 	}
-	z.Copy, err = dc.ReadBool()
-	if err != nil {
-		err = msgp.WrapError(err, "Copy")
-		return
-	}
-	z.Repeat, err = dc.ReadBool()
-	if err != nil {
-		err = msgp.WrapError(err, "Repeat")
-		return
-	}
 	z.Zone, err = dc.ReadString()
 	if err != nil {
 		err = msgp.WrapError(err, "Zone")
@@ -722,8 +712,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Message) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 19
-	err = en.Append(0xdc, 0x0, 0x13)
+	// array header, size 17
+	err = en.Append(0xdc, 0x0, 0x11)
 	if err != nil {
 		return
 	}
@@ -767,16 +757,6 @@
 		err = msgp.WrapError(err, "Insist")
 		return
 	}
-	err = en.WriteBool(z.Copy)
-	if err != nil {
-		err = msgp.WrapError(err, "Copy")
-		return
-	}
-	err = en.WriteBool(z.Repeat)
-	if err != nil {
-		err = msgp.WrapError(err, "Repeat")
-		return
-	}
 	err = en.WriteString(z.Zone)
 	if err != nil {
 		err = msgp.WrapError(err, "Zone")
@@ -894,8 +874,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 19
-	o = append(o, 0xdc, 0x0, 0x13)
+	// array header, size 17
+	o = append(o, 0xdc, 0x0, 0x11)
 	o = msgp.AppendUint8(o, uint8(z.Kind))
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendBytes(o, (z.Flow)[:])
@@ -904,8 +884,6 @@
 	o = msgp.AppendUint8(o, uint8(z.Flags))
 	o = msgp.AppendBool(o, z.LastResort)
 	o = msgp.AppendBool(o, z.Insist)
-	o = msgp.AppendBool(o, z.Copy)
-	o = msgp.AppendBool(o, z.Repeat)
 	o = msgp.AppendString(o, z.Zone)
 	o = msgp.AppendDuration(o, z.Age)
 	o = msgp.AppendBytes(o, []byte(z.ReplyTo))
@@ -955,8 +933,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 19 {
-		err = msgp.ArrayError{Wanted: 19, Got: zb0001}
+	if zb0001 != 17 {
+		err = msgp.ArrayError{Wanted: 17, Got: zb0001}
 		return
 	}
 	{
@@ -1007,16 +985,6 @@
 		err = msgp.WrapError(err, "Insist")
 		return
 	}
-	z.Copy, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Copy")
-		return
-	}
-	z.Repeat, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Repeat")
-		return
-	}
 	z.Zone, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Zone")
@@ -1264,7 +1232,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Message) Msgsize() (s int) {
-	s = 3 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Zone) + msgp.DurationSize + msgp.BytesPrefixSize + len([]byte(z.ReplyTo)) + msgp.ArrayHeaderSize
+	s = 3 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (flowSize * (msgp.ByteSize)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Zone) + msgp.DurationSize + msgp.BytesPrefixSize + len([]byte(z.ReplyTo)) + msgp.ArrayHeaderSize
 	for za0002 := range z.Targets {
 		s += 1 + msgp.StringPrefixSize + len(z.Targets[za0002].Service) + msgp.Uint16Size + msgp.BytesPrefixSize + len(z.Targets[za0002].IPs)
 	}
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -144,7 +144,7 @@
 	opened.terms.Cold = b.coldOf(now, chosen.Candidate)
 	b.send(opened.agent, Message{
 		Kind: KindOffer, Service: opened.service, Zone: b.config.Zone, Terms: opened.terms,
-		Insist: chosen.overruled, Repeat: b.redundancy.repeats, Packet: opened.offer.packet,
+		Insist: chosen.overruled, Packet: opened.offer.packet,
 	})
 	return true
 }
@@ -177,7 +177,7 @@
 	if !exists || known.sequence != message.Sequence {
 		return
 	}
-	b.heard(now, key, known, from, message.Load)
+	b.heard(now, known, from, message.Load)
 	if known.state != flowOffering {
 		return
 	}
@@ -214,14 +214,10 @@
 	}
 	key := segment.FlowKey{Client: header.Source, Service: header.Destination}
 	known, exists := b.flows[key]
-	if !exists || known.state != flowOffering || known.sequence != header.Sequence {
+	if !exists || known.state != flowOffering || known.sequence != header.Sequence || known.agent != from {
 		return
 	}
-	if known.agent != from {
-		b.answeredElsewhere(from, key)
-		return
-	}
-	b.heard(now, key, known, from, message.Load)
+	b.heard(now, known, from, message.Load)
 	switch {
 	case message.LastResort:
 		known.offer.noteLastResort(from, message.Load)
@@ -297,7 +293,7 @@
 		waiting.done = true
 		return
 	}
-	b.silent(now, waiting.key, known)
+	b.silent(now, known)
 	if b.budget.spend() && (b.offerFurther(now, known, "silence") || b.offerLastResort(now, known)) {
 		return
 	}
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -41,8 +41,6 @@
 	// holds the endpoint back.
 	report       outlier.Report
 	ejectionEnds time.Duration
-	// unanswered are offers that its agent has not answered in time.
-	unanswered []unansweredOffer
 	// avoidedUntil is until when it is left out since it has returned a flow.
 	avoidedUntil time.Duration
 	// heldUntil is until when it takes no request since it is cold.
@@ -108,12 +106,10 @@
 }
 
 // heard notes that an agent has answered about a flow.
-func (b *Balancer) heard(now time.Duration, key segment.FlowKey, flow *balancerFlow, from segment.Address, load Load) {
+func (b *Balancer) heard(now time.Duration, flow *balancerFlow, from segment.Address, load Load) {
 	if flow.agent != from {
-		b.answeredElsewhere(from, key)
 		return
 	}
-	b.noteAnswer(now, b.healthOf(flow.endpoint), key)
 	b.noteHeld(now, flow.endpoint, load)
 	known := b.healthOf(flow.endpoint)
 	if known.suspicion > 0 {
@@ -126,9 +122,8 @@
 }
 
 // silent notes that an agent has not answered an offer.
-func (b *Balancer) silent(now time.Duration, key segment.FlowKey, flow *balancerFlow) {
+func (b *Balancer) silent(now time.Duration, flow *balancerFlow) {
 	known := b.healthOf(flow.endpoint)
-	known.noteUnanswered(now, key)
 	known.silences++
 	if known.silences < silencesToSuspect && known.suspicion == 0 {
 		return
