Let no answer count where ejections for answers are switched off

Cause: reading. With outlier_failures = 0 a bad answer still ejected an endpoint again that was on probation for another reason, since only the first ejection asked for the setting.

Change: the setting is asked once, before an answer is taken into account.

Measured: the spec goes on with an endpoint on probation and failed before.

--- a/internal/outlier/detector.go
+++ b/internal/outlier/detector.go
@@ -110,15 +110,18 @@
 // wants to be spared after a refusal.
 func (d *Detector) Answered(now time.Duration, zone string, class Class, wait time.Duration) {
 	d.advance(now)
+	if class != Success && d.limits.Failures == 0 {
+		return
+	}
 	own := d.zone(zone)
 	for _, each := range []*track{own, &d.shared} {
 		each.add(now, zone, class)
 	}
 	count, _ := own.failures()
-	enough := class != Success && d.limits.Failures > 0 && (count >= d.limits.Failures || class == Refusal)
+	enough := class != Success && (count >= d.limits.Failures || class == Refusal)
 	d.judge(now, zone, own, class, wait, enough)
 	all, zones := d.shared.failures()
-	enough = class != Success && d.limits.Failures > 0 && all >= d.limits.Failures && zones > 1
+	enough = class != Success && all >= d.limits.Failures && zones > 1
 	d.judge(now, "", &d.shared, class, wait, enough)
 }
 
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -185,6 +185,10 @@
 		answers(0, north, repeated(outlier.Failure, 20)...)
 		answers(0, south, outlier.Refusal)
 		Expect(detector.Admits(0, north)).To(BeTrue())
+		detector.Hung(0)
+		Expect(detector.Admits(time.Second, north)).To(BeTrue(), "a trial")
+		answers(time.Second, north, outlier.Failure)
+		Expect(detector.Admits(1200*millisecond, north)).To(BeTrue(), "the next trial")
 	})
 
 	It("tells no more zones apart than a fleet has, whatever balancers say", func() {
