Refuse single entries that other writers put into the store, and tell incarnations apart

Cause: a listing or a watch was given up at the first entry that could not be read, so one entry of another writer took the whole directory from every balancer: one that starts never has one, one that runs learns of no change. And an endpoint that started again under its name was taken for its past: what a balancer had counted for it (flows, silences, pace, ejection) went on.

Ruled out: dropping such entries where they are read. The directory has to hear of them, since they take the place of what stood under their key, and the log has to name them. A start time that orders incarnations: the endpoint's clock may step back, so the revision of the entry orders, and the start only tells one from another.

Change: an item of the store says why it is refused; the machine counts its endpoint as gone for good, never as lapsed, and reports each revision once (log, counter, gauge, vanetillerctl explain). An entry of a service that is not configured takes no address. An unreadable configuration leaves the last one in force. directory.EndpointID is name and start; the machine keeps the latest incarnation of each name. What a peer tells of an endpoint is checked by the same rule.

--- a/bench/flownet/planted.go
+++ b/bench/flownet/planted.go
@@ -47,7 +47,7 @@
 	switch p {
 	case PlantedIgnoreLeaving:
 		return slices.DeleteFunc(slices.Clone(items), func(item directory.Item) bool {
-			return item.EndpointID != "" && (item.Endpoint == nil || item.Endpoint.Draining)
+			return item.EndpointID.Name != "" && (item.Endpoint == nil || item.Endpoint.Draining)
 		})
 	case PlantedIgnoreZones:
 		return slices.DeleteFunc(slices.Clone(items), func(item directory.Item) bool { return item.Zone != "" })
--- a/bench/soak/endpoint.go
+++ b/bench/soak/endpoint.go
@@ -141,7 +141,7 @@
 	header, outcome := codec.Decode(packet)
 	foreign := header.Flags.Has(segment.Returned) || header.Flags.Has(segment.Synchronize|segment.Acknowledge)
 	if outcome != segment.Decoded || foreign || !codec.Sealed(packet) {
-		e.world.ledger.forged(string(e.id))
+		e.world.ledger.forged(e.id.String())
 		return
 	}
 	key := segment.FlowKey{Client: header.Source, Service: header.Destination}
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -143,7 +143,7 @@
 func (w *world) startEndpoint(ctx context.Context, at *side) error {
 	w.mutex.Lock()
 	w.identities++
-	id := directory.EndpointID(fmt.Sprint("e-", w.identities))
+	id := directory.Named(fmt.Sprint("e-", w.identities))
 	w.mutex.Unlock()
 	started, err := newEndpoint(w, id, at.service, w.network.ip(netSides, at.number))
 	if err == nil {
--- a/cmd/vanetillerctl/explain.go
+++ b/cmd/vanetillerctl/explain.go
@@ -38,6 +38,7 @@
 	Client  string    `json:"client"`
 	Service string    `json:"service"`
 	Request string    `json:"request"`
+	Entry   string    `json:"entry"`
 	// text is the whole line.
 	text []byte
 }
@@ -45,12 +46,18 @@
 // flow returns the client's address and the one it called.
 func (l logLine) flow() [2]string { return [2]string{l.Client, l.Service} }
 
+// about reports whether the line is about an entry of the store, given its key or the last
+// part of that.
+func (l logLine) about(entry string) bool {
+	return l.Entry != "" && (l.Entry == entry || strings.HasSuffix(l.Entry, "/"+entry))
+}
+
 // explain prints in the order of time what several processes did with the flows of a
 // request, given its identifier or the address of its client, and what happened to
 // these processes meanwhile.
 func explain(_ context.Context, called invocation) error {
 	if len(called.arguments) < 2 {
-		return wrongUsage("explain takes the identifier of a request, or a client's address and port, and FILES of logs")
+		return wrongUsage("explain takes the identifier of a request, a client's address and port, or an entry of the store, and FILES of logs")
 	}
 	lines, err := readLogs(called.arguments[1:])
 	if err != nil {
@@ -106,9 +113,13 @@
 	return lines, scanner.Err()
 }
 
-// explaining returns the lines of all flows of a request, and those about the
-// processes that had them from shortly before to shortly after.
+// explaining returns the lines about an entry of the store or, of a request, those of all
+// its flows and those about the processes that had them from shortly before to shortly after.
 func explaining(lines []logLine, wanted string) []logLine {
+	ofEntry := slices.DeleteFunc(slices.Clone(lines), func(line logLine) bool { return !line.about(wanted) })
+	if len(ofEntry) > 0 {
+		return ofEntry
+	}
 	flows := make(map[[2]string]bool)
 	for _, line := range lines {
 		if line.Client != "" && (line.Request == wanted || line.Client == wanted) {
--- a/cmd/vanetillerctl/explain_test.go
+++ b/cmd/vanetillerctl/explain_test.go
@@ -15,6 +15,7 @@
 {"time":"2026-06-20T07:42:34.999781Z","level":"info","msg":"decision","name":"edge-1","event":"placed","client":"100.64.0.15:1068","service":"198.18.0.1:8080","peer":"10.2.0.10:8452","version":3,"elapsed_ms":1.565}
 {"time":"2026-06-20T07:42:35.100000Z","level":"info","msg":"decision","name":"edge-1","event":"suspected","peer":"10.2.0.10:8452"}
 {"time":"2026-06-20T07:42:36.000000Z","level":"info","msg":"decision","name":"edge-1","event":"no_route","client":"100.64.0.16:1070","service":"198.18.0.9:443","version":3,"reason":"reset"}
+{"time":"2026-06-20T07:42:37.500000Z","level":"warn","msg":"entry refused","name":"edge-1","entry":"endpoints/e-9","revision":71,"reason":"wrong_type"}
 {"time":"2026-06-20T07:42:40.234767Z","level":"info","msg":"decision","name":"edge-1","event":"placed","client":"100.65.0.25:1125","service":"198.18.0.1:8443","peer":"10.3.0.18:8452","version":3,"elapsed_ms":1.456}
 not JSON
 `
@@ -55,6 +56,11 @@
 `))
 	})
 
+	It("shows why an entry of the store is not used", func() {
+		Expect(explained("e-9", "-output", "csv")).To(Equal(
+			"time,process,what,details\n07:42:37.500000,edge-1,entry refused,entry=endpoints/e-9 reason=wrong_type revision=71\n"))
+	})
+
 	It("shows where a late request waited, for how long, and that its endpoint was ejected", func() {
 		Expect(explained("fecfac1a", "-output", "csv")).To(Equal(
 			`time,process,what,details
--- a/internal/directory/difference_test.go
+++ b/internal/directory/difference_test.go
@@ -26,7 +26,7 @@
 		for _, each := range state.Endpoints {
 			told = append(told, each.ID)
 		}
-		Expect(told).To(ConsistOf(directory.EndpointID("left"), directory.EndpointID("new")))
+		Expect(told).To(ConsistOf(directory.Named("left"), directory.Named("new")))
 	})
 
 	It("does not make a process ready that has no configuration", func() {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -8,6 +8,7 @@
 package directory
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/vanetiller/vanetiller/internal/segment"
@@ -16,13 +17,34 @@
 //go:generate go tool msgp -tests=false
 //msgp:limit arrays:65536
 //msgp:ignore Candidate Snapshot Machine held Item Page Changes StoreError Follower Confirmer Call Exchange Timing pacer
-//msgp:tuple Share Route Configuration ColdStart Endpoint
+//msgp:ignore Refusal refusals RefusalReason
+//msgp:tuple Share Route Configuration ColdStart Endpoint EndpointID
 
 // Revision orders the changes of the store. It rises with every change.
 type Revision uint64
 
-// EndpointID identifies one incarnation of an endpoint.
-type EndpointID string
+// EndpointID identifies one incarnation of an endpoint: a process that has been started
+// again under its name holds no flow of the one before, and nothing that was learned of
+// that one holds for it.
+type EndpointID struct {
+	// Name is the name under which the endpoint announces itself.
+	Name string
+	// Started is when it was started, in milliseconds of Unix time by its own clock; 0 if
+	// it does not tell. It tells incarnations apart and does not order them, since that
+	// clock may step back: the revision of the entry does.
+	Started int64
+}
+
+// Named returns the identifier of an endpoint that does not tell when it was started.
+func Named(name string) EndpointID { return EndpointID{Name: name} }
+
+// String returns the name, and the time of the start if it is known.
+func (id EndpointID) String() string {
+	if id.Started == 0 {
+		return id.Name
+	}
+	return id.Name + "@" + strconv.FormatInt(id.Started, 10)
+}
 
 // Share is a service that takes part in a route.
 type Share struct {
@@ -58,6 +80,8 @@
 	IdleTimeout time.Duration
 	// ColdStarts are those of services whose endpoints carry little after a start.
 	ColdStarts []ColdStart
+	// Services are the names of all services; it is empty if they are not told.
+	Services []string
 }
 
 // ColdStart tells how much an endpoint of a service carries at first. One that gets more
@@ -90,7 +114,7 @@
 func (e *Endpoint) Address() segment.Address { return segment.Address{IP: e.IP, Port: e.Port} }
 
 // Item is one entry of the store at one revision. Neither Configuration nor
-// Endpoint is set if the entry is gone; both may be nil for entries that
+// Endpoint is set if the entry is gone or refused; both may be nil for entries that
 // concern nobody.
 //
 // An entry with a Zone closes that zone to new flows for as long as it is there.
@@ -98,9 +122,12 @@
 	Key           string
 	Revision      Revision
 	Configuration *Configuration
-	// EndpointID is set for entries of endpoints, also when gone.
+	// EndpointID is set for entries of endpoints; when gone or refused it has the name
+	// alone.
 	EndpointID EndpointID
 	Endpoint   *Endpoint
+	// Refused is set for an entry that is there and cannot be used.
+	Refused RefusalReason
 	// Zone is set for entries that close a zone, also when gone; Closed is set while
 	// the entry is there.
 	Zone   string
--- a/internal/directory/directory_gen.go
+++ b/internal/directory/directory_gen.go
@@ -130,8 +130,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Version, err = dc.ReadUint64()
@@ -212,13 +212,35 @@
 			return
 		}
 	}
+	var zb0005 uint32
+	zb0005, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Services")
+		return
+	}
+	if zb0005 > zfeee5312limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Services) >= int(zb0005) {
+		z.Services = (z.Services)[:zb0005]
+	} else {
+		z.Services = make([]string, zb0005)
+	}
+	for za0003 := range z.Services {
+		z.Services[za0003], err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Services", za0003)
+			return
+		}
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Configuration) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -271,14 +293,26 @@
 			return
 		}
 	}
+	err = en.WriteArrayHeader(uint32(len(z.Services)))
+	if err != nil {
+		err = msgp.WrapError(err, "Services")
+		return
+	}
+	for za0003 := range z.Services {
+		err = en.WriteString(z.Services[za0003])
+		if err != nil {
+			err = msgp.WrapError(err, "Services", za0003)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Configuration) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendUint64(o, z.Version)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Routes)))
 	for za0001 := range z.Routes {
@@ -297,6 +331,10 @@
 		o = msgp.AppendDuration(o, z.ColdStarts[za0002].Lasts)
 		o = msgp.AppendFloat64(o, z.ColdStarts[za0002].Rate)
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
+	for za0003 := range z.Services {
+		o = msgp.AppendString(o, z.Services[za0003])
+	}
 	return
 }
 
@@ -308,8 +346,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
@@ -386,6 +424,28 @@
 			return
 		}
 	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Services")
+		return
+	}
+	if zb0005 > zfeee5312limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Services) >= int(zb0005) {
+		z.Services = (z.Services)[:zb0005]
+	} else {
+		z.Services = make([]string, zb0005)
+	}
+	for za0003 := range z.Services {
+		z.Services[za0003], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Services", za0003)
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -400,6 +460,10 @@
 	for za0002 := range z.ColdStarts {
 		s += 1 + msgp.StringPrefixSize + len(z.ColdStarts[za0002].Service) + msgp.DurationSize + msgp.Float64Size
 	}
+	s += msgp.ArrayHeaderSize
+	for za0003 := range z.Services {
+		s += msgp.StringPrefixSize + len(z.Services[za0003])
+	}
 	return
 }
 
@@ -576,23 +640,48 @@
 
 // DecodeMsg implements msgp.Decodable
 func (z *EndpointID) DecodeMsg(dc *msgp.Reader) (err error) {
-	{
-		var zb0001 string
-		zb0001, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		(*z) = EndpointID(zb0001)
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zfeee5312limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Name, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	z.Started, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Started")
+		return
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z EndpointID) EncodeMsg(en *msgp.Writer) (err error) {
-	err = en.WriteString(string(z))
+	// array header, size 2
+	err = en.Append(0x92)
 	if err != nil {
-		err = msgp.WrapError(err)
+		return
+	}
+	err = en.WriteString(z.Name)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	err = en.WriteInt64(z.Started)
+	if err != nil {
+		err = msgp.WrapError(err, "Started")
 		return
 	}
 	return
@@ -601,20 +690,34 @@
 // MarshalMsg implements msgp.Marshaler
 func (z EndpointID) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	o = msgp.AppendString(o, string(z))
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Name)
+	o = msgp.AppendInt64(o, z.Started)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *EndpointID) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	{
-		var zb0001 string
-		zb0001, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		(*z) = EndpointID(zb0001)
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Name, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	z.Started, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Started")
+		return
 	}
 	o = bts
 	return
@@ -622,7 +725,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z EndpointID) Msgsize() (s int) {
-	s = msgp.StringPrefixSize + len(string(z))
+	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.Int64Size
 	return
 }
 
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -14,17 +14,23 @@
 
 // held is what the machine keeps of one endpoint.
 type held struct {
+	// started tells the incarnation.
+	started  int64
 	revision Revision
 	endpoint Endpoint
 	warmAt   time.Duration
 	gone     bool
 	goneAt   time.Duration
+	// refused is set if it has gone since its entry became one that cannot be used.
+	refused bool
 }
 
 // Machine merges items of the store. It is not safe for concurrent use.
 type Machine struct {
 	configuration *Item
-	endpoints     map[EndpointID]*held
+	// endpoints are the latest incarnations, by name: those before hold no flow any more.
+	endpoints map[string]*held
+	refusals  refusals
 	// complete is the revision up to which all changes are known.
 	complete Revision
 	// floor is the revision from which on all changes are remembered: who knows less
@@ -46,7 +52,8 @@
 // New returns a machine that knows nothing.
 func New() *Machine {
 	return &Machine{
-		endpoints: make(map[EndpointID]*held),
+		endpoints: make(map[string]*held),
+		refusals:  newRefusals(),
 		zones:     make(map[string]heldZone),
 		since:     never,
 		snapshot:  newSnapshot(contents{since: never}),
@@ -86,10 +93,11 @@
 // snapshot changed.
 func (m *Machine) Listing(now time.Duration, items []Item, begun Revision) bool {
 	changed := false
-	listed := make(map[EndpointID]bool, len(items))
+	listed := make(map[string]bool, len(items))
 	closed := make(map[string]bool)
+	m.refusals.forgetUnless(items)
 	for _, item := range items {
-		listed[item.EndpointID] = true
+		listed[item.EndpointID.Name] = item.Endpoint != nil
 		closed[item.Zone] = item.Closed
 		changed = m.merge(now, item) || changed
 	}
@@ -102,10 +110,10 @@
 
 // leaveUnless notes that endpoints have gone which are not among those that were there
 // at a revision. It reports whether there are any.
-func (m *Machine) leaveUnless(now time.Duration, there map[EndpointID]bool, at Revision) bool {
+func (m *Machine) leaveUnless(now time.Duration, there map[string]bool, at Revision) bool {
 	left := false
-	for id, known := range m.endpoints {
-		if !known.gone && !there[id] && known.revision <= at {
+	for name, known := range m.endpoints {
+		if !known.gone && !there[name] && known.revision <= at {
 			known.leave(now, at)
 			left = true
 		}
@@ -133,10 +141,11 @@
 }
 
 func (m *Machine) merge(now time.Duration, item Item) bool {
+	m.refusals.note(item)
 	if item.Configuration != nil {
 		return m.mergeConfiguration(item)
 	}
-	if item.EndpointID != "" {
+	if item.EndpointID.Name != "" {
 		return m.mergeEndpoint(now, item)
 	}
 	if item.Zone != "" {
@@ -198,19 +207,23 @@
 	return merged[max(len(merged)-formerServices, 0):]
 }
 
+// mergeEndpoint lets the later revision decide, whatever the starts: an endpoint's clock
+// may step back. What comes under the name of another incarnation replaces it.
 func (m *Machine) mergeEndpoint(now time.Duration, item Item) bool {
-	known, exists := m.endpoints[item.EndpointID]
+	known, exists := m.endpoints[item.EndpointID.Name]
 	if exists && item.Revision <= known.revision {
 		return false
 	}
 	if item.Endpoint == nil {
-		if !exists || known.gone {
+		if !exists || known.gone && !item.Refused.Refused() {
 			return false
 		}
 		known.leave(now, item.Revision)
+		known.refused = item.Refused.Refused()
 		return true
 	}
-	m.endpoints[item.EndpointID] = &held{
+	m.endpoints[item.EndpointID.Name] = &held{
+		started:  item.EndpointID.Started,
 		revision: item.Revision,
 		endpoint: *item.Endpoint,
 		warmAt:   now + item.Endpoint.Warming,
@@ -227,10 +240,10 @@
 func (m *Machine) forget(now time.Duration) bool {
 	m.forgetZones(now)
 	forgotten := false
-	for id, known := range m.endpoints {
+	for name, known := range m.endpoints {
 		if known.gone && now-known.goneAt > Retention {
 			m.floor = max(m.floor, known.revision)
-			delete(m.endpoints, id)
+			delete(m.endpoints, name)
 			forgotten = true
 		}
 	}
@@ -243,34 +256,45 @@
 		built.configuration = m.configuration.Configuration
 	}
 	starts := coldStartsOf(built.configuration)
-	latest := m.latestAt()
+	services := m.knownServices()
+	foreign := make(map[string]Refusal)
+	latest := m.latestAt(services)
 	candidates := make([]Candidate, 0, len(m.endpoints))
-	for id, known := range m.endpoints {
+	for name, known := range m.endpoints {
+		if !services.has(known.endpoint.Service) {
+			if !known.gone {
+				foreign[name] = Refusal{name, known.revision, RefusedUnknownService}
+			}
+			continue
+		}
 		gone := known.gone || latest[known.endpoint.IP] != known
 		zone := m.zones[known.endpoint.Zone]
 		candidates = append(candidates, Candidate{
-			ID:       id,
+			ID:       EndpointID{name, known.started},
 			Endpoint: known.endpoint,
 			Leaving:  gone || known.endpoint.Draining,
 			Gone:     gone,
+			Refused:  known.refused,
 			GoneAt:   known.goneAt,
 			WarmAt:   m.warmAt(known, starts),
 			Told:     max(known.revision, zone.revision),
 			Closed:   zone.closed,
 		})
 	}
+	m.refusals.setForeign(foreign)
 	built.candidates = candidates
 	m.snapshot = newSnapshot(built)
 }
 
 // latestAt returns, by address, the entry that was written last of those that are
-// there. An endpoint that has been started again has a new entry, while that of the
+// there and of a known service. An endpoint that has been started again has a new entry, while that of the
 // one before, which writes no more, takes some time to lapse.
-func (m *Machine) latestAt() map[[4]byte]*held {
+func (m *Machine) latestAt(services serviceSet) map[[4]byte]*held {
 	latest := make(map[[4]byte]*held, len(m.endpoints))
 	for _, known := range m.endpoints {
 		other := latest[known.endpoint.IP]
-		if !known.gone && (other == nil || other.revision < known.revision) {
+		usable := !known.gone && services.has(known.endpoint.Service)
+		if usable && (other == nil || other.revision < known.revision) {
 			latest[known.endpoint.IP] = known
 		}
 	}
--- a/internal/directory/machine_test.go
+++ b/internal/directory/machine_test.go
@@ -21,7 +21,7 @@
 }
 
 func endpointItem(id string, revision directory.Revision, value *directory.Endpoint) directory.Item {
-	return directory.Item{EndpointID: directory.EndpointID(id), Revision: revision, Endpoint: value}
+	return directory.Item{EndpointID: directory.Named(id), Revision: revision, Endpoint: value}
 }
 
 func configurationItem(version uint64, revision directory.Revision) directory.Item {
@@ -34,7 +34,7 @@
 	BeforeEach(func() { machine = directory.New() })
 
 	leaving := func(id string) bool {
-		candidate, exists := machine.Snapshot().Candidate(directory.EndpointID(id))
+		candidate, exists := machine.Snapshot().Candidate(directory.Named(id))
 		Expect(exists).To(BeTrue(), id)
 		return candidate.Leaving
 	}
@@ -112,7 +112,7 @@
 		machine.Changes(0, []directory.Item{endpointItem("a", 2, nil), endpointItem("b", 3, endpoint("t", false))}, 3)
 		found, exists := machine.Snapshot().At([4]byte{10, 0, 0, 1})
 		Expect(exists).To(BeTrue())
-		Expect(found.ID).To(Equal(directory.EndpointID("b")))
+		Expect(found.ID).To(Equal(directory.Named("b")))
 	})
 
 	It("tells how long a lapsed entry is gone, but never of an endpoint that drained", func() {
@@ -120,8 +120,8 @@
 			endpointItem("lapsed", 3, endpoint("s", false)), endpointItem("drained", 3, endpoint("s", true)),
 		}, 3)
 		machine.Changes(time.Second, []directory.Item{endpointItem("lapsed", 5, nil), endpointItem("drained", 5, nil)}, 5)
-		lapsed, _ := machine.Snapshot().Candidate("lapsed")
-		drained, _ := machine.Snapshot().Candidate("drained")
+		lapsed, _ := machine.Snapshot().Candidate(directory.Named("lapsed"))
+		drained, _ := machine.Snapshot().Candidate(directory.Named("drained"))
 		Expect(lapsed.LapsedSince(3 * time.Second)).To(Equal(2 * time.Second))
 		Expect(drained.LapsedSince(3 * time.Second)).To(BeNumerically(">", time.Hour))
 	})
@@ -135,9 +135,9 @@
 		Expect(other.Adopt(time.Minute, machine.State(3*time.Second))).To(BeTrue())
 		Expect(other.Ready()).To(BeTrue())
 		Expect(other.Snapshot().Version()).To(Equal(uint64(4)))
-		drained, _ := other.Snapshot().Candidate("a")
+		drained, _ := other.Snapshot().Candidate(directory.Named("a"))
 		Expect(drained.Draining()).To(BeTrue())
-		gone, _ := other.Snapshot().Candidate("b")
+		gone, _ := other.Snapshot().Candidate(directory.Named("b"))
 		Expect(gone.LapsedSince(time.Minute)).To(Equal(2 * time.Second))
 	})
 
@@ -192,7 +192,7 @@
 		machine.Changes(0, []directory.Item{endpointItem("m-third", 3, endpoint("s", false))}, 3)
 		Expect(leaving("a-second")).To(BeTrue())
 		found, _ := machine.Snapshot().At([4]byte{10, 0, 0, 1})
-		Expect(found.ID).To(Equal(directory.EndpointID("m-third")))
+		Expect(found.ID).To(Equal(directory.Named("m-third")))
 	})
 
 	It("keeps what it knows better than the other", func() {
@@ -257,7 +257,7 @@
 		Expect(next()).To(And(HaveField("Listing", true), HaveField("After", "")))
 		Expect(delay(0)).To(BeZero())
 		follower.Listed(0, directory.Page{At: 9})
-		candidate, _ := machine.Snapshot().Candidate("a")
+		candidate, _ := machine.Snapshot().Candidate(directory.Named("a"))
 		Expect(candidate.Leaving).To(BeTrue())
 	})
 
@@ -372,7 +372,7 @@
 		next()
 		follower.Listed(0, directory.Page{Items: []directory.Item{second}, Last: "b", At: 6})
 		for _, candidate := range machine.Snapshot().All() {
-			Expect(candidate.Gone).To(BeFalse(), string(candidate.ID))
+			Expect(candidate.Gone).To(BeFalse(), candidate.ID.Name)
 		}
 		Expect(next()).To(HaveField("Listing", false))
 	})
--- a/internal/directory/model_test.go
+++ b/internal/directory/model_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,9 +25,10 @@
 	s.history = append(s.history, item)
 }
 
-// at returns the entries that are there at a revision, and the configuration's version.
-func (s *storeModel) at(revision directory.Revision) (map[directory.EndpointID]directory.Item, uint64) {
-	entries := make(map[directory.EndpointID]directory.Item)
+// at returns the entries that are there at a revision, by the names of their endpoints, and
+// the configuration's version. Those that cannot be used are not there.
+func (s *storeModel) at(revision directory.Revision) (map[string]directory.Item, uint64) {
+	entries := make(map[string]directory.Item)
 	version := uint64(0)
 	for _, item := range s.history[:revision] {
 		switch {
@@ -34,9 +36,9 @@
 		case item.Configuration != nil:
 			version = item.Configuration.Version
 		case item.Endpoint != nil:
-			entries[item.EndpointID] = item
+			entries[item.EndpointID.Name] = item
 		default:
-			delete(entries, item.EndpointID)
+			delete(entries, item.EndpointID.Name)
 		}
 	}
 	return entries, version
@@ -103,11 +105,18 @@
 	plantedOmitsOpened
 	// plantedStateOmitsZones: whole states leave out zones that are closed.
 	plantedStateOmitsZones
+	// plantedOmitsStart: updates and states do not tell which incarnation an endpoint is.
+	plantedOmitsStart
 )
 
 // tells returns what is told of a state by balancers with the fault.
 func (p plantedFault) tells(state directory.State, update bool) directory.State {
 	switch {
+	case p == plantedOmitsStart:
+		state.Endpoints = slices.Clone(state.Endpoints)
+		for index := range state.Endpoints {
+			state.Endpoints[index].ID.Started = 0
+		}
 	case p == plantedOmitsGone && update:
 		var kept []directory.EndpointState
 		for _, described := range state.Endpoints {
@@ -155,19 +164,27 @@
 	m.now += time.Duration(rapid.IntRange(1, 400).Draw(t, "passed")) * time.Millisecond
 	index := rapid.IntRange(0, len(m.fleet)-1).Draw(t, "balancer")
 	chosen, peer := m.fleet[index], directory.Peer(index+1)
-	switch rapid.SampledFrom([]string{"write", "write", "leave", "close", "open", "configure", "list", "watch", "watch", "deliver", "deliver", "deliver", "double", "lose", "fetch", "restart"}).Draw(t, "step") {
+	switch rapid.SampledFrom([]string{"write", "write", "restart endpoint", "leave", "refuse", "close", "open", "configure", "list", "watch", "watch", "deliver", "deliver", "deliver", "double", "lose", "fetch", "restart"}).Draw(t, "step") {
 	case "write":
 		m.next++
 		value := endpoint("s", rapid.Bool().Draw(t, "draining"))
 		value.IP = [4]byte{10, 0, 0, byte(m.next)}
 		m.store.write(endpointItem(fmt.Sprintf("e%d", rapid.IntRange(max(m.next-3, 1), m.next).Draw(t, "id")), 0, value))
+	case "restart endpoint":
+		// Its clock may have stepped back.
+		if item, exists := m.anEndpoint(); exists {
+			item.EndpointID.Started = rapid.Int64Range(1, 4).Draw(t, "started")
+			m.store.write(item)
+		}
 	case "leave":
-		entries, _ := m.store.at(m.store.revision())
-		for id := range m.next + 1 {
-			if gone := directory.EndpointID(fmt.Sprintf("e%d", id)); entries[gone].Endpoint != nil {
-				m.store.write(endpointItem(string(gone), 0, nil))
-				return
-			}
+		if gone, exists := m.anEndpoint(); exists {
+			m.store.write(endpointItem(gone.EndpointID.Name, 0, nil))
+		}
+	case "refuse":
+		if spoiled, exists := m.anEndpoint(); exists {
+			item := endpointItem(spoiled.EndpointID.Name, 0, nil)
+			item.Refused = directory.RefusedUnreadable
+			m.store.write(item)
 		}
 	case "close":
 		m.store.write(zoneItem(fmt.Sprintf("z%d", rapid.IntRange(1, 2).Draw(t, "zone")), 0, true))
@@ -200,6 +217,17 @@
 	}
 }
 
+// anEndpoint returns the entry of the endpoint that has been there for longest.
+func (m *spreadModel) anEndpoint() (directory.Item, bool) {
+	entries, _ := m.store.at(m.store.revision())
+	for number := range m.next + 1 {
+		if item, exists := entries[fmt.Sprintf("e%d", number)]; exists {
+			return item, true
+		}
+	}
+	return directory.Item{}, false
+}
+
 // deliver hands over an update that is on its way, in any order.
 func (m *spreadModel) deliver(t *rapid.T) {
 	if len(m.way) == 0 {
@@ -229,15 +257,20 @@
 		return wrong
 	}
 	newest, _ := m.store.at(m.store.revision())
-	for id, entry := range entries {
-		candidate, exists := each.machine.Snapshot().Candidate(id)
-		if !exists || candidate.Gone && newest[id].Revision == entry.Revision {
-			return fmt.Sprintf("%s, which is there, missing at revision %d", id, complete)
+	known := make(map[string]directory.Candidate)
+	for _, candidate := range each.machine.Snapshot().All() {
+		known[candidate.ID.Name] = candidate
+	}
+	for name, entry := range entries {
+		candidate, exists := known[name]
+		current := newest[name].Revision == entry.Revision
+		if !exists || current && (candidate.Gone || candidate.ID != entry.EndpointID) {
+			return fmt.Sprintf("%s, which is there, missing at revision %d", entry.EndpointID, complete)
 		}
 	}
 	for _, candidate := range each.machine.Snapshot().All() {
-		_, there := entries[candidate.ID]
-		if _, later := newest[candidate.ID]; !there && !later && !candidate.Gone && !m.changedAfter(candidate.ID, complete) {
+		there := entries[candidate.ID.Name].EndpointID == candidate.ID
+		if !there && !candidate.Gone && !m.changedAfter(candidate.ID.Name, complete) {
 			return fmt.Sprintf("%s, which has gone, is there at revision %d", candidate.ID, complete)
 		}
 	}
@@ -272,9 +305,9 @@
 }
 
 // changedAfter reports whether an endpoint has changed after a revision.
-func (m *spreadModel) changedAfter(id directory.EndpointID, revision directory.Revision) bool {
+func (m *spreadModel) changedAfter(name string, revision directory.Revision) bool {
 	for _, item := range m.store.history[revision:] {
-		if item.EndpointID == id {
+		if item.EndpointID.Name == name {
 			return true
 		}
 	}
@@ -311,7 +344,7 @@
 // TestSpreadModelSeesFaults shows that the check finds balancers that do not tell all they
 // claim.
 func TestSpreadModelSeesFaults(t *testing.T) {
-	for _, planted := range []plantedFault{plantedOmitsGone, plantedOmitsZones, plantedOmitsOpened, plantedStateOmitsZones} {
+	for _, planted := range []plantedFault{plantedOmitsGone, plantedOmitsZones, plantedOmitsOpened, plantedStateOmitsZones, plantedOmitsStart} {
 		t.Run(fmt.Sprint(planted), func(t *testing.T) {
 			seeded(t)
 			found := false
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -17,6 +17,8 @@
 	Leaving bool
 	// Gone is set if its entry is gone.
 	Gone bool
+	// Refused is set if it has gone since its entry became one that cannot be used.
+	Refused bool
 	// GoneAt is when its entry was found to be gone.
 	GoneAt time.Duration
 	// WarmAt is when it is no longer slow after its start.
@@ -34,9 +36,10 @@
 const never = time.Duration(math.MaxInt64)
 
 // LapsedSince returns how long the entry of an endpoint that did not announce
-// its end has been gone; it is the longest duration for all others.
+// its end has been gone; it is the longest duration for all others, those whose entry
+// cannot be used among them.
 func (c Candidate) LapsedSince(now time.Duration) time.Duration {
-	if !c.Gone || c.Draining() {
+	if !c.Gone || c.Refused || c.Draining() {
 		return never
 	}
 	return now - c.GoneAt
@@ -148,7 +151,7 @@
 			built.routes[route.Address()] = route
 		}
 	}
-	slices.SortFunc(candidates, func(a, b Candidate) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(candidates, func(a, b Candidate) int { return cmp.Compare(a.ID.Name, b.ID.Name) })
 	for _, candidate := range candidates {
 		service := candidate.Endpoint.Service
 		built.services[service] = append(built.services[service], candidate)
--- a/internal/directory/spread_test.go
+++ b/internal/directory/spread_test.go
@@ -338,7 +338,7 @@
 		Expect(state.Whole).To(BeTrue(), "the teller does not know what happened since 3")
 		Expect(told.Adopt(0, state)).To(BeTrue())
 		Expect(told.Complete()).To(Equal(directory.Revision(9)))
-		candidate, _ := told.Snapshot().Candidate("old")
+		candidate, _ := told.Snapshot().Candidate(directory.Named("old"))
 		Expect(candidate.Gone).To(BeTrue())
 	})
 
@@ -351,7 +351,7 @@
 		late.Listing(0, []directory.Item{configurationItem(1, 1), endpointItem("a", 4, endpoint("s", false))}, 4)
 		told.Adopt(0, late.ChangesAfter(0, 3))
 		told.Adopt(0, late.State(0))
-		candidate, _ := told.Snapshot().Candidate("a")
+		candidate, _ := told.Snapshot().Candidate(directory.Named("a"))
 		Expect(candidate.Gone).To(BeTrue())
 	})
 
@@ -362,7 +362,7 @@
 		teller.Listing(0, []directory.Item{configurationItem(1, 1)}, 5)
 		told.Listing(0, []directory.Item{configurationItem(1, 1), endpointItem("a", 4, endpoint("s", false))}, 4)
 		told.Adopt(0, teller.StateAfter(0, told.Digest()))
-		candidate, _ := told.Snapshot().Candidate("a")
+		candidate, _ := told.Snapshot().Candidate(directory.Named("a"))
 		Expect(candidate.Gone).To(BeTrue())
 	})
 
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -12,7 +12,7 @@
 //go:generate go tool msgp -tests=false
 //msgp:limit arrays:65536
 //msgp:tuple Digest State EndpointState FormerRoute ZoneState
-//msgp:ignore heldZone ClosedZone contents
+//msgp:ignore heldZone ClosedZone contents serviceSet
 
 // Digest tells how much a process knows. It is small enough to travel with
 // every message between balancers.
@@ -79,6 +79,8 @@
 	// Gone is set if its entry is gone, for as long as GoneFor.
 	Gone    bool
 	GoneFor time.Duration
+	// Refused is set if it has gone since its entry became one that cannot be used.
+	Refused bool
 }
 
 // Digest returns how much is known.
@@ -103,10 +105,10 @@
 		state.Configuration = m.configuration.Configuration
 		state.ConfigurationRevision = m.configuration.Revision
 	}
-	for id, each := range m.endpoints {
+	for name, each := range m.endpoints {
 		behind := state.Complete < known.Complete
 		if state.Whole || behind || each.gone || each.revision > known.Complete {
-			state.Endpoints = append(state.Endpoints, each.describe(now, id))
+			state.Endpoints = append(state.Endpoints, each.describe(now, name))
 		}
 	}
 	return state
@@ -129,19 +131,21 @@
 		return state
 	}
 	state.Zones = m.zonesAfter(now, known)
-	for id, each := range m.endpoints {
+	for name, each := range m.endpoints {
 		if each.revision > known {
-			state.Endpoints = append(state.Endpoints, each.describe(now, id))
+			state.Endpoints = append(state.Endpoints, each.describe(now, name))
 		}
 	}
 	slices.SortFunc(state.Endpoints, func(a, b EndpointState) int {
-		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.ID.Name, b.ID.Name))
 	})
 	return state
 }
 
-func (h *held) describe(now time.Duration, id EndpointID) EndpointState {
-	described := EndpointState{ID: id, Revision: h.revision, Endpoint: h.endpoint, Gone: h.gone}
+func (h *held) describe(now time.Duration, name string) EndpointState {
+	described := EndpointState{
+		ID: EndpointID{name, h.started}, Revision: h.revision, Endpoint: h.endpoint, Gone: h.gone, Refused: h.refused,
+	}
 	described.Endpoint.Warming = max(h.warmAt-now, 0)
 	if h.gone {
 		described.GoneFor = now - h.goneAt
@@ -192,9 +196,9 @@
 // leaveMissing notes that endpoints have gone which are not there in a whole state. One that
 // has gone in it may have come back and gone again, of which its teller has not heard.
 func (m *Machine) leaveMissing(now time.Duration, state State) bool {
-	there := make(map[EndpointID]bool, len(state.Endpoints))
+	there := make(map[string]bool, len(state.Endpoints))
 	for _, described := range state.Endpoints {
-		there[described.ID] = !described.Gone
+		there[described.ID.Name] = !described.Gone
 	}
 	return m.leaveUnless(now, there, state.Complete)
 }
@@ -227,22 +231,25 @@
 
 // adoptEndpoint takes what another process says of an endpoint if it is newer. An entry
 // that this process does not know, though it knows all changes since it was written, has
-// gone: the other has not heard of that. The same endpoint may have had one before.
+// gone: the other has not heard of that. The same endpoint may have had one before. One
+// that cannot be used, as a fault of the other may bring, is left out.
 func (m *Machine) adoptEndpoint(now time.Duration, described EndpointState) bool {
-	known, exists := m.endpoints[described.ID]
-	if exists && described.Revision <= known.revision {
+	known, exists := m.endpoints[described.ID.Name]
+	if exists && described.Revision <= known.revision || !described.usable() {
 		return false
 	}
 	adopted := &held{
+		started:  described.ID.Started,
 		revision: described.Revision,
 		endpoint: described.Endpoint,
 		warmAt:   now + described.Endpoint.Warming,
 		gone:     described.Gone,
 		goneAt:   now - described.GoneFor,
+		refused:  described.Refused,
 	}
 	if !described.Gone && described.Revision <= m.complete {
 		adopted.leave(now, m.complete)
 	}
-	m.endpoints[described.ID] = adopted
+	m.endpoints[described.ID.Name] = adopted
 	return true
 }
--- a/internal/directory/state_gen.go
+++ b/internal/directory/state_gen.go
@@ -118,8 +118,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	err = z.ID.DecodeMsg(dc)
@@ -147,13 +147,18 @@
 		err = msgp.WrapError(err, "GoneFor")
 		return
 	}
+	z.Refused, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Refused")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *EndpointState) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 6
+	err = en.Append(0x96)
 	if err != nil {
 		return
 	}
@@ -182,14 +187,19 @@
 		err = msgp.WrapError(err, "GoneFor")
 		return
 	}
+	err = en.WriteBool(z.Refused)
+	if err != nil {
+		err = msgp.WrapError(err, "Refused")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *EndpointState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o, err = z.ID.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "ID")
@@ -207,6 +217,7 @@
 	}
 	o = msgp.AppendBool(o, z.Gone)
 	o = msgp.AppendDuration(o, z.GoneFor)
+	o = msgp.AppendBool(o, z.Refused)
 	return
 }
 
@@ -218,8 +229,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	bts, err = z.ID.UnmarshalMsg(bts)
@@ -247,13 +258,18 @@
 		err = msgp.WrapError(err, "GoneFor")
 		return
 	}
+	z.Refused, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Refused")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EndpointState) Msgsize() (s int) {
-	s = 1 + z.ID.Msgsize() + z.Revision.Msgsize() + z.Endpoint.Msgsize() + msgp.BoolSize + msgp.DurationSize
+	s = 1 + z.ID.Msgsize() + z.Revision.Msgsize() + z.Endpoint.Msgsize() + msgp.BoolSize + msgp.DurationSize + msgp.BoolSize
 	return
 }
 
--- a/internal/directory/update.go
+++ b/internal/directory/update.go
@@ -38,7 +38,7 @@
 
 // size returns how much room an endpoint takes in an Update, in bytes.
 func (e *EndpointState) size() int {
-	return endpointRoom + len(e.ID) + len(e.Endpoint.Service) + len(e.Endpoint.Zone)
+	return endpointRoom + len(e.ID.Name) + len(e.Endpoint.Service) + len(e.Endpoint.Zone)
 }
 
 // updatesOf divides changes of endpoints, which are in the order of their revisions,
--- a/internal/directory/zone_test.go
+++ b/internal/directory/zone_test.go
@@ -45,17 +45,17 @@
 
 	It("shows which endpoints must get no new flow, and since when", func() {
 		machine.Changes(time.Second, []directory.Item{zoneItem(closedZone, 3, true)}, 3)
-		Expect(closed("a")).To(BeTrue())
+		Expect(closed(directory.Named("a"))).To(BeTrue())
 		Expect(machine.Snapshot().Closed()).To(Equal([]directory.ClosedZone{{Zone: closedZone, Revision: 3, Since: time.Second}}))
 		machine.Changes(2*time.Second, []directory.Item{endpointItem("b", 4, inZone())}, 4)
-		Expect(closed("b")).To(BeTrue(), "one that starts while the zone is closed")
+		Expect(closed(directory.Named("b"))).To(BeTrue(), "one that starts while the zone is closed")
 		machine.Changes(3*time.Second, []directory.Item{zoneItem(closedZone, 5, false)}, 5)
-		Expect(closed("a")).To(BeFalse())
+		Expect(closed(directory.Named("a"))).To(BeFalse())
 	})
 
 	It("does not end the flows of its endpoints", func() {
 		machine.Changes(0, []directory.Item{zoneItem(closedZone, 3, true)}, 3)
-		candidate, _ := machine.Snapshot().Candidate("a")
+		candidate, _ := machine.Snapshot().Candidate(directory.Named("a"))
 		Expect(candidate.Leaving).To(BeFalse())
 		Expect(candidate.Gone).To(BeFalse())
 	})
@@ -63,13 +63,13 @@
 	It("opens it again if a listing does not have its entry, as after a compaction", func() {
 		machine.Changes(0, []directory.Item{zoneItem(closedZone, 3, true)}, 3)
 		machine.Listing(time.Second, []directory.Item{endpointItem("a", 2, inZone())}, 9)
-		Expect(closed("a")).To(BeFalse())
+		Expect(closed(directory.Named("a"))).To(BeFalse())
 	})
 
 	It("keeps one closed that was closed after a listing had begun", func() {
 		machine.Changes(0, []directory.Item{zoneItem(closedZone, 8, true)}, 3)
 		machine.Listing(time.Second, []directory.Item{endpointItem("a", 2, inZone())}, 5)
-		Expect(closed("a")).To(BeTrue())
+		Expect(closed(directory.Named("a"))).To(BeTrue())
 	})
 
 	It("is not closed again by anything older", func() {
@@ -123,13 +123,13 @@
 	It("takes endpoints for cold after it was opened only where they have a limit then", func() {
 		machine.Changes(0, []directory.Item{zoneItem(closedZone, 3, true)}, 3)
 		machine.Changes(5*time.Second, []directory.Item{zoneItem(closedZone, 4, false)}, 4)
-		candidate, _ := machine.Snapshot().Candidate("a")
+		candidate, _ := machine.Snapshot().Candidate(directory.Named("a"))
 		Expect(candidate.WarmAt).To(BeZero())
 		limited := &directory.Configuration{Version: 2, ColdStarts: []directory.ColdStart{
 			{Service: "s", Lasts: 2 * time.Second, Rate: 12},
 		}}
 		machine.Changes(6*time.Second, []directory.Item{{Revision: 5, Configuration: limited}}, 5)
-		candidate, _ = machine.Snapshot().Candidate("a")
+		candidate, _ = machine.Snapshot().Candidate(directory.Named("a"))
 		Expect(candidate.WarmAt).To(Equal(7 * time.Second))
 	})
 })
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -89,13 +89,13 @@
 	if change != nil {
 		change(value)
 	}
-	id := directory.EndpointID(rune('a' + number))
+	id := directory.Named(string(rune('a' + number)))
 	f.machine.Changes(now, []directory.Item{{EndpointID: id, Revision: f.revision, Endpoint: value}}, f.revision)
 }
 
 func (f *fleet) gone(now time.Duration, number int) {
 	f.revision++
-	id := directory.EndpointID(rune('a' + number))
+	id := directory.Named(string(rune('a' + number)))
 	f.machine.Changes(now, []directory.Item{{EndpointID: id, Revision: f.revision}}, f.revision)
 }
 
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -198,7 +198,7 @@
 func (b *Balancer) moveTo(known *balancerFlow, agent segment.Address) {
 	b.uncount(known)
 	known.agent = agent
-	known.endpoint = ""
+	known.endpoint = directory.EndpointID{}
 	if candidate, exists := b.snapshot.At(agent.IP); exists {
 		known.endpoint = candidate.ID
 		known.service = candidate.Endpoint.Service
--- a/internal/relay/relay_bench_test.go
+++ b/internal/relay/relay_bench_test.go
@@ -26,7 +26,7 @@
 		for index := range 8 {
 			id := number*8 + index
 			items = append(items, directory.Item{
-				EndpointID: directory.EndpointID(fmt.Sprintf("i-%010x", id)), Revision: directory.Revision(id + 2),
+				EndpointID: directory.Named(fmt.Sprintf("i-%010x", id)), Revision: directory.Revision(id + 2),
 				Endpoint: &directory.Endpoint{
 					Service: name, IP: [4]byte{10, byte(id >> 16), byte(id >> 8), byte(id)}, Port: 8080, Zone: ownZone, Slots: 7,
 				},
@@ -130,7 +130,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				revision++
-				machine.Changes(0, []directory.Item{{EndpointID: "i-0000000000", Revision: revision, Endpoint: endpoint}}, revision)
+				machine.Changes(0, []directory.Item{{EndpointID: directory.Named("i-0000000000"), Revision: revision, Endpoint: endpoint}}, revision)
 			}
 		})
 	}
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -13,6 +13,7 @@
 	"github.com/vanetiller/vanetiller/internal/directory"
 	"github.com/vanetiller/vanetiller/internal/membership"
 	"github.com/vanetiller/vanetiller/internal/observability"
+	"github.com/vanetiller/vanetiller/internal/observability/registry"
 	"github.com/vanetiller/vanetiller/internal/relay"
 	"github.com/vanetiller/vanetiller/internal/settings"
 )
@@ -38,13 +39,14 @@
 	peers     *peers
 	updates   *updates
 	metrics   directoryMetrics
+	refusals  *refusalLog
 	// closed are the zones that were reported last as closed.
 	closed []directory.ClosedZone
 	// isolated is what was reported last.
 	isolated bool
 }
 
-func newBalancerRole(surroundings Surroundings, checked *settings.Settings, health *observability.Health, journal *journal, metrics directoryMetrics) (*balancerRole, error) {
+func newBalancerRole(surroundings Surroundings, checked *settings.Settings, health *observability.Health, journal *journal, registered *registry.Registry) (*balancerRole, error) {
 	given := checked.Relay.Balancer
 	balancer := relay.NewBalancer(relay.BalancerConfig{
 		Zone:         checked.Zone,
@@ -72,7 +74,8 @@
 		spread:    spread,
 		wake:      make(chan struct{}, 1),
 		store:     surroundings.NewStore(given.Store),
-		metrics:   metrics,
+		metrics:   newDirectoryMetrics(registered),
+		refusals:  newRefusalLog(journal.logger, registered),
 
 		confirmations: make(chan struct{}, 1),
 	}
@@ -283,6 +286,7 @@
 // installIf puts the directory in force if it has changed.
 func (r *balancerRole) installIf(changed bool, now time.Duration) []relay.Effect {
 	r.peers.announce(r.directory.Digest())
+	r.refusals.report(r.directory)
 	if !changed || !r.directory.Ready() {
 		return nil
 	}
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -80,7 +80,7 @@
 	}
 	watch := newJournal(created.logger, metrics)
 	if checked.Relay.Balancer != nil {
-		created.role, err = newBalancerRole(surroundings, checked, health, watch, newDirectoryMetrics(metrics))
+		created.role, err = newBalancerRole(surroundings, checked, health, watch, metrics)
 	} else {
 		created.role, err = newAgentRole(surroundings, checked.Relay, watch)
 	}
--- a/internal/relaydaemon/daemon_test.go
+++ b/internal/relaydaemon/daemon_test.go
@@ -220,7 +220,7 @@
 		{Revision: 1, Configuration: &directory.Configuration{Version: 4, Routes: []directory.Route{{
 			IP: route.IP, Port: route.Port, Shares: []directory.Share{{Service: "lookup", Weight: 1}},
 		}}}},
-		{Revision: 2, EndpointID: "e-1", Endpoint: &directory.Endpoint{
+		{Revision: 2, EndpointID: directory.Named("e-1"), Endpoint: &directory.Endpoint{
 			Service: "lookup", IP: [4]byte{127, 0, 1, 3}, Port: uint16(s.appPort), Slots: 3,
 		}},
 	}}
@@ -275,7 +275,7 @@
 	})
 
 	It("learns of changes from another balancer where the store does not answer", func() {
-		arrival := directory.Item{Revision: 6, EndpointID: "e-2", Endpoint: &directory.Endpoint{
+		arrival := directory.Item{Revision: 6, EndpointID: directory.Named("e-2"), Endpoint: &directory.Endpoint{
 			Service: "lookup", IP: [4]byte{127, 0, 1, 9}, Port: uint16(used.appPort), Slots: 3,
 		}}
 		store := changingStore{
@@ -348,6 +348,21 @@
 			ContainSubstring("vanetiller_relay_closed_zones 1"), ContainSubstring("vanetiller_relay_closed_zone_endpoints 1")))
 	})
 
+	It("says which entry it cannot use, once, and serves with the others", func() {
+		page := used.listing()
+		page.Items = append(page.Items, directory.Item{
+			Key: "endpoints/e-9", Revision: 4, EndpointID: directory.Named("e-9"), Refused: directory.RefusedWrongType,
+		})
+		start(used.balancer(balancerIP, ""), fakeStore{page: page}, log)
+		Eventually(status(balancerIP)).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+		refused := MatchRegexp(`"msg":"entry refused".*"entry":"endpoints/e-9","revision":4,"reason":"wrong_type"`)
+		Eventually(log.String).WithTimeout(10 * time.Second).Should(refused)
+		Expect(used.scrape(used.healthPort, balancerIP)).To(SatisfyAll(
+			ContainSubstring(`vanetiller_relay_entries_refused_total{reason="wrong_type"} 1`),
+			ContainSubstring(`vanetiller_relay_refused_entries{reason="wrong_type"} 1`),
+			ContainSubstring("vanetiller_relay_endpoints 1")))
+	})
+
 	It("resets a flow that nobody holds, also where the store does not answer and a peer confirms the directory", func() {
 		client := udp(clientIP, used.packetPort)
 		start(used.agent(agentIP), nil, log)
