Free what the requests of a crashed endpoint occupy, and let it tell at once which flows it has lost

Cause: an agent counts the requests that its endpoint has and has not answered. After a crash with all slots taken those of the life before went on counting until a minute was over, so that the agent returned every new flow as busy to an endpoint that had come back idle; slots were freed after 4 s only while a request waited, which none does if all are returned. The clients of lost flows learned of it with their next packet, or not at all.

Ruled out: to tell the agent the incarnation in offers. The endpoint itself proves what it holds, by returning what it does not; an entry of another writer must not reset flows that are alive.

Change: slots are freed whether or not a request waits. When a flow shows that the endpoint was started again, or it speaks after a silence that looks like it, it gets a copy of a packet of each flow in which it has written nothing since; those it returns are reset. A balancer takes what an agent says for the incarnation that is there, and a silence for that to which the flow was offered.

--- a/bench/flownet/store.go
+++ b/bench/flownet/store.go
@@ -209,17 +209,29 @@
 		}
 	}
 	s.put(directory.Item{Key: "configuration", Configuration: configuration}, false)
+	s.refuse()
 	s.world.ledger.configured(routes)
 }
 
 func (s *store) announce(each *side) {
-	s.put(directory.Item{Key: entryKey(each), EndpointID: each.id, Endpoint: entryOf(each)}, false)
+	id := each.id
+	id.Started = int64(each.endpoint.life) + 1
+	s.put(directory.Item{Key: entryKey(each), EndpointID: id, Endpoint: entryOf(each)}, false)
 }
 
 func (s *store) remove(each *side) {
 	s.put(directory.Item{Key: entryKey(each), EndpointID: each.id}, true)
 }
 
+// refuse puts an entry of another writer that names no endpoint.
+func (s *store) refuse() {
+	reasons := directory.RefusalReasons()
+	name := fmt.Sprintf("other-%d", s.version)
+	s.put(directory.Item{
+		Key: "endpoints/" + name, EndpointID: directory.Named(name), Refused: reasons[int(s.version)%len(reasons)],
+	}, false)
+}
+
 // closeZone closes a zone to new flows, or opens it again.
 func (s *store) closeZone(zone string, closed bool) {
 	s.put(directory.Item{Key: "zones/" + zone, Zone: zone, Closed: closed}, !closed)
--- a/bench/soak/fault.go
+++ b/bench/soak/fault.go
@@ -41,7 +41,7 @@
 		freeze(ctx, w.anySide(random).agent, between(random, 200*time.Millisecond, 3*time.Second))
 	}},
 	{name: "endpoint crashes", run: func(ctx context.Context, w *world, random *rand.Rand) {
-		w.crash(ctx, w.takeSide(random), between(random, 300*time.Millisecond, 3*time.Second))
+		w.crash(ctx, w.takeSide(random), between(random, 300*time.Millisecond, 3*time.Second), random.IntN(2) == 0)
 	}},
 	{name: "endpoint fails", run: illnessFault(illnessFails)},
 	{name: "endpoint hangs", run: illnessFault(illnessHangs)},
@@ -49,6 +49,9 @@
 	{name: "endpoint replaced", calm: true, run: func(ctx context.Context, w *world, random *rand.Rand) {
 		w.replace(ctx, w.takeSide(random))
 	}},
+	{name: "another writer", calm: true, run: func(ctx context.Context, w *world, random *rand.Rand) {
+		w.putRubbish(random)
+	}},
 	{name: "configuration changes", calm: true, run: func(ctx context.Context, w *world, random *rand.Rand) {
 		w.configure()
 	}},
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -130,7 +130,7 @@
 	}
 	created := &side{number: number, service: service, agent: agent}
 	w.running.Go(func() { agent.run(ctx) })
-	if err := w.startEndpoint(ctx, created); err != nil {
+	if err := w.startEndpoint(ctx, created, w.newIdentity()); err != nil {
 		return err
 	}
 	w.mutex.Lock()
@@ -139,12 +139,16 @@
 	return nil
 }
 
-// startEndpoint begins a new incarnation of a machine's endpoint.
-func (w *world) startEndpoint(ctx context.Context, at *side) error {
+// newIdentity returns a name that no endpoint has had.
+func (w *world) newIdentity() directory.EndpointID {
 	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	w.identities++
-	id := directory.Named(fmt.Sprint("e-", w.identities))
-	w.mutex.Unlock()
+	return directory.Named(fmt.Sprint("e-", w.identities))
+}
+
+// startEndpoint begins a new incarnation of a machine's endpoint.
+func (w *world) startEndpoint(ctx context.Context, at *side, id directory.EndpointID) error {
 	started, err := newEndpoint(w, id, at.service, w.network.ip(netSides, at.number))
 	if err == nil {
 		started.zone = zoneName(at.number % zoneCount)
@@ -163,12 +167,21 @@
 
 // announce writes the entry of a machine's endpoint.
 func (w *world) announce(at *side, draining bool) {
-	w.store.PutEndpoint(at.endpoint.id, directory.Endpoint{
+	entry := w.entry(at)
+	entry.Draining = draining
+	w.store.PutEndpoint(at.endpoint.id, entry)
+}
+
+func (w *world) entry(at *side) directory.Endpoint {
+	return directory.Endpoint{
 		Service: services[at.service].name, IP: w.network.ip(netSides, at.number), Port: appPort,
-		Zone: zoneName(at.number % zoneCount), Slots: services[at.service].slots, Draining: draining,
-	})
+		Zone: zoneName(at.number % zoneCount), Slots: services[at.service].slots,
+	}
 }
 
+// putRubbish writes an entry that names no endpoint, at the address of one.
+func (w *world) putRubbish(random *rand.Rand) { w.store.PutRubbish(random, w.entry(w.anySide(random))) }
+
 // configure writes a new version of the configuration.
 func (w *world) configure() {
 	w.mutex.Lock()
@@ -206,14 +219,22 @@
 	return at.endpoint
 }
 
-// crash ends an endpoint without notice; another incarnation comes later.
-func (w *world) crash(ctx context.Context, victim *side, away time.Duration) {
+// clockSteps bounds how far the clock of an endpoint may have stepped back when it starts.
+const clockSteps = 10_000
+
+// crash ends an endpoint without notice; another incarnation comes later, under a name of
+// its own or, with again, under the one before, whose entry may still be there.
+func (w *world) crash(ctx context.Context, victim *side, away time.Duration, again bool) {
 	lost := w.endpointOf(victim)
 	lost.end()
 	pause(ctx, away)
-	w.store.Delete(platformtest.EndpointKey(lost.id))
+	id := directory.EndpointID{Name: lost.id.Name, Started: time.Now().UnixMilli() - rand.Int64N(clockSteps)}
+	if !again {
+		w.store.Delete(platformtest.EndpointKey(lost.id))
+		id = w.newIdentity()
+	}
 	if ctx.Err() == nil {
-		if err := w.startEndpoint(ctx, victim); err != nil {
+		if err := w.startEndpoint(ctx, victim, id); err != nil {
 			w.ledger.ownExit(err.Error(), -1)
 		}
 	}
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -70,7 +70,10 @@
 	// known.
 	opened  time.Duration
 	touched time.Duration
-	work    work
+	// life is the endpoint's, as far as it is told apart, in which it has written in the
+	// flow last.
+	life uint64
+	work work
 }
 
 // running reports whether the endpoint has the flow and it has not ended.
@@ -118,6 +121,8 @@
 	unanswered unanswered
 	detector   *outlier.Detector
 	cold       coldLimit
+	// life counts the times that the endpoint seemed to have been started again.
+	life uint64
 	surveys    map[segment.FlowKey]*survey
 	// drainEnds is until when the endpoint is believed to be draining.
 	drainEnds time.Duration
@@ -342,7 +347,7 @@
 	a.forget(now, key)
 	a.cold.gives(now)
 	a.flows[key] = &agentFlow{
-		state: stateOffered, sequence: header.Sequence, balancer: from, zone: message.Zone, opened: now, touched: now,
+		state: stateOffered, sequence: header.Sequence, balancer: from, zone: message.Zone, opened: now, touched: now, life: a.life,
 		work: work{terms: message.Terms, asked: now - milliseconds(message.Terms.Waited), sent: header.Sequence + 1},
 	}
 	a.running++
--- a/internal/relay/emitted.go
+++ b/internal/relay/emitted.go
@@ -77,18 +77,6 @@
 	a.bringBack(balancer, key, header, packet, "endpoint")
 }
 
-// lost resets a flow that the endpoint held and does not know any more, since
-// it was restarted.
-func (a *Agent) lost(now time.Duration, key segment.FlowKey, known *agentFlow, header segment.Header) {
-	a.noteRelapse(a.cold.lost(now, known.opened))
-	a.event(Event{Kind: EventEndpointLostFlow, Flow: key, Request: known.work.request})
-	a.effects = append(a.effects, Effect{
-		Kind:   EffectClient,
-		To:     key.Client,
-		Packet: a.config.Codec.AppendReset(nil, key, header.Acknowledgment),
-	})
-}
-
 // emittedOwn handles a packet that the endpoint wrote.
 func (a *Agent) emittedOwn(now time.Duration, header segment.Header, packet []byte) {
 	key := segment.FlowKey{Client: header.Destination, Service: header.Source}
@@ -101,9 +89,11 @@
 		if a.cold.takes(now) {
 			a.detector.Reset()
 			a.event(Event{Kind: EventRestarted})
+			a.noteRestart()
 		}
 		a.answer(key, known, header)
 	}
+	known.life = a.life
 	known.follow(header.Sequence)
 	a.wrote(now, known, header, packet)
 	// An endpoint may end its side of the flow with the answer or, in another packet,
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -110,8 +110,13 @@
 	if flow.agent != from {
 		return
 	}
-	b.noteHeld(now, flow.endpoint, load)
-	known := b.healthOf(flow.endpoint)
+	// The endpoint may have been started again since the flow was offered to it.
+	id := flow.endpoint
+	if occupant, exists := b.snapshot.At(from.IP); exists {
+		id = occupant.ID
+	}
+	b.noteHeld(now, id, load)
+	known := b.healthOf(id)
 	if known.suspicion > 0 {
 		b.event(Event{Kind: EventRecovered, Peer: from})
 	}
@@ -121,8 +126,12 @@
 	}
 }
 
-// silent notes that an agent has not answered an offer.
+// silent notes that an agent has not answered an offer. It says nothing of an endpoint that
+// has been started since.
 func (b *Balancer) silent(now time.Duration, flow *balancerFlow) {
+	if _, exists := b.snapshot.Candidate(flow.endpoint); !exists {
+		return
+	}
 	known := b.healthOf(flow.endpoint)
 	known.silences++
 	if known.silences < silencesToSuspect && known.suspicion == 0 {
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -52,6 +52,9 @@
 	unread  bool
 	begins  uint32
 	follows bool
+	// latest is the first packet of the latest request, which may be given to the endpoint
+	// again to learn whether it still holds the flow.
+	latest []byte
 	// held are the packets of a request that waits.
 	held [][]byte
 }
@@ -216,6 +219,7 @@
 		return false
 	default:
 		known.work.request = a.config.Codec.RequestID(packet)
+		known.work.latest = append(known.work.latest[:0], packet...)
 		a.occupy(now, known)
 		a.event(Event{Kind: EventGiven, Flow: key, Request: known.work.request, Peer: known.balancer})
 	}
@@ -293,7 +297,7 @@
 			Kind: EventAdmitted, Flow: next.key, Request: work.request, Peer: next.flow.balancer, Elapsed: now - work.asked,
 		})
 		held := work.held
-		work.held = nil
+		work.held, work.latest = nil, held[0]
 		a.occupy(now, next.flow)
 		work.fed = now
 		for _, packet := range held {
@@ -309,11 +313,9 @@
 }
 
 // expire frees slots of requests that are never answered, as after a crash of
-// the endpoint.
+// the endpoint. Without it an endpoint whose slots were all taken when it crashed got no
+// new flow for a minute after it had come back: its agent returned them all as busy.
 func (a *Agent) expire(now time.Duration) {
-	if len(a.queue.waiting) == 0 {
-		return
-	}
 	for _, known := range a.flows {
 		if known.work.occupies && now-known.work.since > longestWork {
 			a.release(now, known)
