--- a/internal/directory/spread.go
+++ b/internal/directory/spread.go
@@ -11,13 +11,8 @@
 	// subscription is how long a process that has asked is told of changes: by then it
 	// is known to the membership.
 	subscription = 5 * time.Second
-	// subscriberLimit bounds those that are told, and sourceLimit the processes that are
-	// named to others which start.
+	// subscriberLimit bounds those that are told.
 	subscriberLimit = 256
-	sourceLimit     = 16
-	// sourceLifetime is how long after it has shown a directory a process is named to
-	// others: when all start together, one of them has the rest fetch from many.
-	sourceLifetime = 2 * time.Second
 	// fetchPatience is how long a process that starts waits for the directory of another
 	// before it lists the store: some fetches on a slow link.
 	fetchPatience = 150 * time.Millisecond
@@ -63,20 +58,18 @@
 	told        []Revision
 	toldAt      time.Duration
 	toldVersion uint64
+	// subscribers are processes that know something and have asked lately.
 	subscribers map[Peer]time.Duration
-	// sources are processes that have shown that they have a directory.
-	sources []source
+	sources     sources
+	// teller is who has named a source to this process, zero if nobody has.
+	teller Peer
 	// toldBy is until when one of them may be expected to give it.
 	toldBy time.Duration
 	// introduced is set once a seed has shown that it has a directory, so that others
 	// which start are told of one.
 	introduced bool
-}
-
-// source is a process that has a directory, and shown when it has shown that last.
-type source struct {
-	peer  Peer
-	shown time.Duration
+	// announced is set once this process has told a seed that it has a directory.
+	announced bool
 }
 
 // NewSpread returns the spread of what a machine knows, for a process which asks the
@@ -95,7 +88,7 @@
 // balancer it does so if it has listed the store itself or nobody has told it anything.
 func (s *Spread) Watching() bool {
 	if s.alone {
-		return s.asked || len(s.sources) == 0
+		return s.asked || !s.sources.any()
 	}
 	return s.watching
 }
@@ -140,31 +133,56 @@
 // now, and returns what to tell others.
 func (s *Spread) Answered(now time.Duration) []Outgoing {
 	s.confirmed = max(s.confirmed, now)
-	return s.tell(now, slices.Concat(s.neighbours, s.heads), 0)
+	outgoing := s.tell(now, slices.Concat(s.neighbours, s.heads), 0)
+	outgoing = append(outgoing, s.introduce(now, s.seeds)...)
+	return append(outgoing, s.serveWaiting(now)...)
+}
+
+// introduce returns what tells seeds at once that this process has a directory.
+func (s *Spread) introduce(now time.Duration, seeds []Peer) []Outgoing {
+	if s.announced || !s.machine.Ready() {
+		return nil
+	}
+	s.announced = true
+	return s.address([]Update{{Asks: true, State: s.Announced(now)}}, seeds)
+}
+
+// serveWaiting names sources to processes that know nothing and have waited for one.
+func (s *Spread) serveWaiting(now time.Duration) []Outgoing {
+	if s.machine.Ready() {
+		s.sources.note(now, s.self.Peer)
+	}
+	var outgoing []Outgoing
+	for _, each := range s.sources.serve(now) {
+		outgoing = append(outgoing, Outgoing{To: each.to, Update: Update{State: s.Announced(now), Source: each.source}})
+	}
+	return outgoing
 }
 
 // Receive handles an update of another balancer. It reports whether the snapshot
 // changed, and whether it lacks what the other knows.
 func (s *Spread) Receive(now time.Duration, from Peer, update Update) (changed, lacks bool, answers []Outgoing) {
 	before := s.machine.Digest()
-	if update.Asks {
+	if update.Asks && update.State.Complete > 0 {
 		s.subscribe(now, from)
 	}
 	changed = s.machine.Adopt(now, update.State)
 	digest := Digest{update.State.Version, update.State.Complete}
 	lacks = digest.ahead(s.machine.Digest()) || update.Source != 0 && !s.machine.Ready()
 	if digest.Complete > 0 || update.Source != 0 {
-		if len(s.sources) == 0 {
+		if !s.sources.any() {
 			s.toldBy = now + fetchPatience
 		}
 		s.noteSource(now, update.SourceOf(from))
+		s.noteTeller(from)
 		s.introduced = s.introduced || slices.Contains(s.seeds, from)
+		answers = s.serveWaiting(now)
 	}
 	if update.State.Confirmed && !lacks {
 		s.confirmed = max(s.confirmed, now-max(update.State.Age, 0))
 	}
 	if update.Asks && !update.Confirms {
-		answers = s.answer(now, from, update)
+		answers = append(answers, s.answer(now, from, update)...)
 	}
 	if !lacks && !update.Asks && s.passesOn(now, from, before) {
 		answers = append(answers, s.tell(now, s.neighbours, from)...)
@@ -191,24 +209,14 @@
 // answer tells another process what it does not know, or who can tell it.
 func (s *Spread) answer(now time.Duration, to Peer, question Update) []Outgoing {
 	known := question.State.Complete
-	if s.machine.Ready() && known > 0 {
+	switch {
+	case known > 0 && s.machine.Ready():
 		return s.address(s.updates(now, known), []Peer{to})
-	}
-	var named []Peer
-	for _, each := range s.sources {
-		if each.peer != to && now-each.shown <= sourceLifetime {
-			named = append(named, each.peer)
-		}
-	}
-	if s.machine.Ready() {
-		named = append(named, s.self.Peer)
-	}
-	if len(named) == 0 {
+	case known > 0:
 		return nil
 	}
-	return []Outgoing{{
-		To: to, Update: Update{State: s.Announced(now), Source: named[s.random.IntN(len(named))]},
-	}}
+	s.sources.wait(to)
+	return s.serveWaiting(now)
 }
 
 // Answer returns what to tell a process that wanted the store to be asked, which has
@@ -227,10 +235,21 @@
 	if state.Confirmed && !behind {
 		s.confirmed = max(s.confirmed, asked-max(state.Age, 0))
 	}
+	var outgoing []Outgoing
+	if s.teller != 0 {
+		outgoing = s.introduce(now, []Peer{s.teller})
+	}
 	if !s.head || s.machine.Snapshot().Version() <= s.toldVersion {
-		return nil
+		return outgoing
+	}
+	return append(outgoing, s.tell(now, s.neighbours, from)...)
+}
+
+// noteTeller remembers the seed that has named a source first.
+func (s *Spread) noteTeller(from Peer) {
+	if s.teller == 0 && slices.Contains(s.seeds, from) {
+		s.teller = from
 	}
-	return s.tell(now, s.neighbours, from)
 }
 
 // Fetched notes that another process has been given the directory.
@@ -243,21 +262,14 @@
 }
 
 func (s *Spread) noteSource(now time.Duration, peer Peer) {
-	if peer == s.self.Peer {
-		return
+	if peer != s.self.Peer {
+		s.sources.note(now, peer)
 	}
-	s.forgetSource(peer)
-	s.sources = append(s.sources, source{peer, now})
-	s.sources = s.sources[max(len(s.sources)-sourceLimit, 0):]
-}
-
-func (s *Spread) forgetSource(peer Peer) {
-	s.sources = slices.DeleteFunc(s.sources, func(each source) bool { return each.peer == peer })
 }
 
 // Lost forgets a process that has failed.
 func (s *Spread) Lost(peer Peer) {
-	s.forgetSource(peer)
+	s.sources.forget(peer)
 	delete(s.subscribers, peer)
 }
 
--- a/internal/directory/spread_test.go
+++ b/internal/directory/spread_test.go
@@ -243,29 +243,57 @@
 		seed := newParticipant(directory.Member{Peer: 1})
 		fast := newParticipant(directory.Member{Peer: 2}, 1)
 		slow := newParticipant(directory.Member{Peer: 3}, 1)
-		ask := func(now time.Duration, asking *participant, from directory.Peer) (directory.Update, bool) {
+		ask := func(now time.Duration, asking *participant, from directory.Peer) []directory.Outgoing {
 			question, exists := asking.spread.Question(now)
 			Expect(exists).To(BeTrue())
 			Expect(question.To).To(Equal(directory.Peer(1)))
 			_, _, answers := seed.spread.Receive(now, from, question.Update)
-			if len(answers) == 0 {
-				return directory.Update{}, false
-			}
-			Expect(answers).To(HaveLen(1))
-			Expect(answers[0].To).To(Equal(from))
-			return answers[0].Update, true
+			return answers
 		}
-		_, answered := ask(0, slow, 3)
-		Expect(answered).To(BeFalse(), "nobody knows")
-		fast.list(40*millisecond, 5)
-		ask(50*millisecond, fast, 2)
-		answer, answered := ask(50*millisecond, slow, 3)
-		Expect(answered).To(BeTrue())
-		_, lacks, _ := slow.spread.Receive(51*millisecond, 1, answer)
+		Expect(ask(0, slow, 3)).To(BeEmpty(), "nobody knows")
+		listed := fast.list(40*millisecond, 5)
+		Expect(listed).To(HaveLen(1), "it tells its seed at once")
+		_, _, answers := seed.spread.Receive(41*millisecond, 2, listed[0].Update)
+		Expect(answers).To(HaveLen(1), "who tells the one that waits at once")
+		Expect(answers[0].To).To(Equal(directory.Peer(3)))
+		_, lacks, _ := slow.spread.Receive(42*millisecond, 1, answers[0].Update)
 		Expect(lacks).To(BeTrue())
-		Expect(answer.SourceOf(1)).To(Equal(directory.Peer(2)))
-		_, answered = ask(3*time.Second, slow, 3)
-		Expect(answered).To(BeFalse(), "that was long ago")
+		Expect(answers[0].Update.SourceOf(1)).To(Equal(directory.Peer(2)))
+		again := ask(150*millisecond, slow, 3)
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].To).To(Equal(directory.Peer(3)))
+		Expect(again[0].Update.SourceOf(1)).To(Equal(directory.Peer(2)))
+		Expect(ask(3*time.Second, slow, 3)).To(BeEmpty(), "that was long ago")
+	})
+
+	It("names one source to no more processes at once than it can serve, and those that it has served to the next", func() {
+		seed := newParticipant(directory.Member{Peer: 1})
+		question := directory.Update{Asks: true}
+		for peer := directory.Peer(10); peer < 30; peer++ {
+			_, _, answers := seed.spread.Receive(0, peer, question)
+			Expect(answers).To(BeEmpty())
+		}
+		named := make(map[directory.Peer]int)
+		told := make(map[directory.Peer]bool)
+		take := func(outgoing []directory.Outgoing) int {
+			count := 0
+			for _, each := range outgoing {
+				if each.Update.Source != 0 {
+					named[each.Update.Source]++
+					told[each.To] = true
+					count++
+				}
+			}
+			return count
+		}
+		Expect(take(seed.list(50*millisecond, 5))).To(Equal(4))
+		for peer := directory.Peer(10); peer < 14; peer++ {
+			Expect(told).To(HaveKey(peer), "first come, first served")
+			_, _, answers := seed.spread.Receive(70*millisecond, peer, directory.Update{Asks: true, State: seed.spread.Announced(70 * millisecond)})
+			Expect(take(answers)).To(BeNumerically(">=", 4))
+		}
+		Expect(told).To(HaveLen(20))
+		Expect(named).To(Equal(map[directory.Peer]int{1: 4, 10: 4, 11: 4, 12: 4, 13: 4}))
 	})
 
 	It("asks no seed any more once both know the directory", func() {
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -100,10 +100,6 @@
 	return created, err
 }
 
-// listingDelay is how long a process that starts waits for a seed to say who has the
-// directory before it lists the store: some round trips.
-const listingDelay = 20 * time.Millisecond
-
 // timingOf returns how much time the news of the store have. Where there is nobody to ask,
 // a process that starts lists the store at once.
 func timingOf(given *settings.RelayBalancer) directory.Timing {
@@ -111,8 +107,9 @@
 		ApplyTimeout:   min(given.ApplyTimeout, given.DrainTimeout, given.CloseTimeout),
 		ContactTimeout: given.ContactTimeout,
 	}
-	if len(seedsOf(given)) > 0 {
-		timing.ListingDelay = listingDelay
+	if others := seedsOf(given); len(others) > 0 {
+		isSeed := len(others) < len(given.Seeds)
+		timing.ListingDelay = directory.ListingDelay(isSeed, rand.Float64())
 	}
 	return timing
 }
