--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -122,8 +122,8 @@
 	detector   *outlier.Detector
 	cold       coldLimit
 	// life counts the times that the endpoint seemed to have been started again.
-	life uint64
-	surveys    map[segment.FlowKey]*survey
+	life    uint64
+	surveys map[segment.FlowKey]*survey
 	// drainEnds is until when the endpoint is believed to be draining.
 	drainEnds time.Duration
 	stopping  bool
