--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -101,8 +101,6 @@
 	PollAt() time.Duration
 	// ToldBy returns until when a process that knows nothing may expect others to tell it.
 	ToldBy() time.Duration
-	// Appointed reports whether it shall list the store though others may tell it.
-	Appointed() bool
 }
 
 // Follower decides which calls keep a directory current: a listing, page by page, if
@@ -154,9 +152,6 @@
 		f.hasStarted = true
 		f.started = now
 	}
-	if f.machine.Complete() == 0 && f.duty.Appointed() {
-		return f.page(), f.earliest
-	}
 	if f.machine.Complete() == 0 {
 		return f.page(), max(f.earliest, f.started+f.timing.ListingDelay, f.duty.ToldBy())
 	}
--- a/internal/directory/spread.go
+++ b/internal/directory/spread.go
@@ -68,10 +68,9 @@
 	// introduced is set once a seed has shown that it has a directory, so that others
 	// which start are told of one.
 	introduced bool
-	// listers bounds whom this process asks to list the store, and appointed is set once a
-	// seed has asked this process to.
-	listers   listers
-	appointed bool
+	// patience is until when a seed that knows nothing yet is waited for, zero if none has
+	// answered.
+	patience time.Duration
 	// announced is set once this process has told a seed that it has a directory.
 	announced bool
 }
@@ -107,10 +106,7 @@
 
 // ToldBy returns until when another that has the directory may be expected to give it,
 // zero if none is known.
-func (s *Spread) ToldBy() time.Duration { return s.toldBy }
-
-// Appointed reports whether a seed has asked this process to list the store.
-func (s *Spread) Appointed() bool { return s.appointed }
+func (s *Spread) ToldBy() time.Duration { return max(s.toldBy, s.patience) }
 
 // Confirmed returns the latest time for which the directory is known to be current.
 func (s *Spread) Confirmed() time.Duration { return s.confirmed }
@@ -174,7 +170,9 @@
 		s.subscribe(now, from)
 	}
 	changed = s.machine.Adopt(now, update.State)
-	s.appointed = s.appointed || update.Lists && slices.Contains(s.seeds, from)
+	if update.Waits && s.patience == 0 && slices.Contains(s.seeds, from) {
+		s.patience = now + fetchPatience + ListingDelay(s.random.Float64())
+	}
 	digest := Digest{update.State.Version, update.State.Complete}
 	lacks = digest.ahead(s.machine.Digest()) || update.Source != 0 && !s.machine.Ready()
 	if digest.Complete > 0 || update.Source != 0 {
@@ -225,8 +223,8 @@
 	}
 	s.sources.wait(to)
 	served := s.serveWaiting(now)
-	if !s.machine.Ready() && !s.sources.any() && s.listers.appoint(now) {
-		served = append(served, Outgoing{To: to, Update: Update{State: s.Announced(now), Lists: true}})
+	if !s.machine.Ready() && !s.sources.any() {
+		served = append(served, Outgoing{To: to, Update: Update{State: s.Announced(now), Waits: true}})
 	}
 	return served
 }
--- a/internal/directory/suppression.go
+++ b/internal/directory/suppression.go
@@ -18,45 +18,30 @@
 	suppressionSlope = 8
 )
 
-const (
-	// listersAtOnce is how many processes a seed asks to list the store at first, so that all
-	// of a small fleet do without waiting: 8 take a store's link of 1,000 Mbit/s for 15 ms.
-	listersAtOnce = 8
-	// listerInterval is the time after which it asks one more: by then one on a link of 200
-	// Mbit/s has listed 682 endpoints.
-	listerInterval = 30 * time.Millisecond
-)
-
-// listers bounds how many processes a seed that knows nothing asks to list the store. Those
-// that ask it first are on the fastest machines.
-type listers struct {
-	asked int
-	last  time.Duration
-}
-
-// appoint reports whether one more process shall list the store now.
-func (l *listers) appoint(now time.Duration) bool {
-	if l.asked >= listersAtOnce && now-l.last < listerInterval {
-		return false
+// FirstListing returns how long a process that starts leaves it to others to tell it the
+// directory, before it lists the store itself; random is from 0 to below 1. A seed lists at
+// once, since all others ask it. When the whole fleet starts for the first time there is no
+// traffic that would wait. Later there is: a process waits no longer than a seed takes to
+// answer, and goes on waiting only if one does.
+func FirstListing(seed, firstStart bool, random float64) time.Duration {
+	switch {
+	case seed:
+		return 0
+	case firstStart:
+		return ListingDelay(random)
 	}
-	l.asked++
-	l.last = now
-	return true
+	return askingTime
 }
 
-// ListingDelay returns how long a process that starts leaves it to others to tell it the
-// directory, before it lists the store itself; random is from 0 to below 1. A seed lists at
-// once, since all others ask it.
+// ListingDelay draws how long a process leaves it to others to list the store; random is
+// from 0 to below 1.
 //
 // When a whole fleet returns at once and each process lists, the store's own link is what
 // all of them wait for: 300 that list 682 endpoints on four pages take 0.5 s. So processes
 // draw delays of which few are short (exponentially distributed timers for feedback
 // suppression: Nonnenmacher and Biersack, "Optimal Multicast Feedback", INFOCOM 1998). Some
 // fifteen list, whether there are 300 or 2,500, and the others hear of one of them.
-func ListingDelay(seed bool, random float64) time.Duration {
-	if seed {
-		return 0
-	}
+func ListingDelay(random float64) time.Duration {
 	drawn := math.Log1p(random*math.Expm1(suppressionSlope)) / suppressionSlope
 	return askingTime + time.Duration(drawn*float64(suppressionTime))
 }
--- a/internal/directory/update.go
+++ b/internal/directory/update.go
@@ -17,9 +17,8 @@
 	State    State
 	// Source is who can be asked for what State shows, the sender if it is zero.
 	Source Peer
-	// Lists asks the receiver to list the store, since the sender knows of nobody that has a
-	// directory.
-	Lists bool
+	// Waits tells that the sender is listing the store, so that the receiver need not.
+	Waits bool
 }
 
 // Peer names a balancer.
--- a/internal/directory/update_gen.go
+++ b/internal/directory/update_gen.go
@@ -108,9 +108,9 @@
 		}
 		z.Source = Peer(zb0002)
 	}
-	z.Lists, err = dc.ReadBool()
+	z.Waits, err = dc.ReadBool()
 	if err != nil {
-		err = msgp.WrapError(err, "Lists")
+		err = msgp.WrapError(err, "Waits")
 		return
 	}
 	return
@@ -148,9 +148,9 @@
 		err = msgp.WrapError(err, "Source")
 		return
 	}
-	err = en.WriteBool(z.Lists)
+	err = en.WriteBool(z.Waits)
 	if err != nil {
-		err = msgp.WrapError(err, "Lists")
+		err = msgp.WrapError(err, "Waits")
 		return
 	}
 	return
@@ -170,7 +170,7 @@
 		return
 	}
 	o = msgp.AppendUint64(o, uint64(z.Source))
-	o = msgp.AppendBool(o, z.Lists)
+	o = msgp.AppendBool(o, z.Waits)
 	return
 }
 
@@ -215,9 +215,9 @@
 		}
 		z.Source = Peer(zb0002)
 	}
-	z.Lists, bts, err = msgp.ReadBoolBytes(bts)
+	z.Waits, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Lists")
+		err = msgp.WrapError(err, "Waits")
 		return
 	}
 	o = bts
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -109,7 +109,7 @@
 	}
 	if others := seedsOf(given); len(others) > 0 {
 		isSeed := len(others) < len(given.Seeds)
-		timing.ListingDelay = directory.ListingDelay(isSeed, rand.Float64())
+		timing.ListingDelay = directory.FirstListing(isSeed, given.FirstStart, rand.Float64())
 	}
 	return timing
 }
--- a/internal/relaydaemon/updates.go
+++ b/internal/relaydaemon/updates.go
@@ -73,9 +73,6 @@
 	if lacks {
 		role.peers.lacks(now, membership.Address(update.SourceOf(from)))
 	}
-	if role.spread.Appointed() && !role.directory.Ready() {
-		role.wakeFollow()
-	}
 	role.balancer.Confirm(role.spread.Confirmed())
 	effects := role.installIf(changed, now)
 	switch {
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -58,6 +58,9 @@
 	Seeds []netip.AddrPort
 	// Zones are the names of all zones, in the same order everywhere.
 	Zones []string
+	// FirstStart is set if the whole fleet starts for the first time, so that no traffic
+	// waits for this process.
+	FirstStart bool
 }
 
 // RelayAgent holds the settings of an agent that carries packets whole.
@@ -124,6 +127,7 @@
 	Updates        any `toml:"updates"`
 	Seeds          any `toml:"seeds"`
 	Zones          any `toml:"zones"`
+	FirstStart     any `toml:"first_start"`
 }
 
 type relayAgentDocument struct {
@@ -179,6 +183,8 @@
 		Updates:  netip.AddrPortFrom(peers.Addr(), peers.Port()+1),
 		Seeds:    c.seeds("relay.balancer.seeds", raw.Seeds),
 		Zones:    c.names("relay.balancer.zones", raw.Zones, membership.MaximumZones),
+
+		FirstStart: c.boolean("relay.balancer.first_start", withDefault(raw.FirstStart, false)),
 	}
 	checked.CloseTimeout = checked.DrainTimeout
 	if raw.CloseTimeout != nil {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -198,6 +198,12 @@
 		}))
 	})
 
+	It("takes from a relay balancer whether the whole fleet starts for the first time", func() {
+		parsed, err := settings.Parse("r.toml", []byte(strings.Replace(relayBalancerFile, "store = ", "first_start = true\nstore = ", 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(parsed.Relay.Balancer.FirstStart).To(BeTrue())
+	})
+
 	It("takes another address for updates", func() {
 		parsed, err := settings.Parse("r.toml", []byte(strings.Replace(relayBalancerFile, "store = ",
 			"updates = \"192.0.2.1:7735\"\nstore = ", 1)))
