Tell what is known of endpoints on before there is a configuration

Cause: at the first start of a fleet the configuration is written later than balancers start. Until then none counted as knowing anything, so that each listed the store and then watched it, and fetched from others every 50 ms in vain: 248 of 304 balancers listed it, and 2,400 fetches in 0.7 s, although few list by then.

Change: the endpoints alone make a directory that others can be told. A state whose teller knows no configuration lacks none.

--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -117,14 +117,14 @@
 }
 
 func (e *Exchange[Peer]) interval() time.Duration {
-	if !e.machine.Ready() {
+	if !e.machine.Known() {
 		return startFetchInterval
 	}
 	return fetchInterval
 }
 
 func (e *Exchange[Peer]) choose(now time.Duration) (chosen Peer, wanted bool) {
-	if e.behind && (e.lacks || now-e.since >= e.timing.patience() || !e.machine.Ready()) {
+	if e.behind && (e.lacks || now-e.since >= e.timing.patience() || !e.machine.Known()) {
 		return e.informed, true
 	}
 	known := slices.Concat(e.peers, e.seeds)
@@ -152,7 +152,7 @@
 	e.lacks = false
 	changed := e.machine.Adopt(now, state)
 	// A peer that has just been started itself may have had nothing to tell.
-	e.fetched = e.fetched || e.machine.Ready()
+	e.fetched = e.fetched || e.machine.Known()
 	return changed
 }
 
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -82,6 +82,11 @@
 // first listing.
 func (m *Machine) Complete() Revision { return m.complete }
 
+// Known reports whether the endpoints are known, from a listing or from another process.
+// There may be no configuration yet when a whole fleet starts: it can be told like any later
+// change, and nobody has to list the store for it.
+func (m *Machine) Known() bool { return m.complete > 0 }
+
 // Ready reports whether there is a configuration and the endpoints are known,
 // from a listing or from another process.
 func (m *Machine) Ready() bool {
--- a/internal/directory/spread.go
+++ b/internal/directory/spread.go
@@ -123,7 +123,7 @@
 // Question returns what a process that has been started sends a seed: until it knows the
 // directory and the seed does too.
 func (s *Spread) Question(now time.Duration) (Outgoing, bool) {
-	if len(s.seeds) == 0 || s.introduced && s.machine.Ready() {
+	if len(s.seeds) == 0 || s.introduced && s.machine.Known() {
 		return Outgoing{}, false
 	}
 	return Outgoing{To: s.seeds[s.random.IntN(len(s.seeds))], Update: Update{Asks: true, State: s.Announced(now)}}, true
@@ -143,7 +143,7 @@
 
 // introduce returns what tells seeds at once that this process has a directory.
 func (s *Spread) introduce(now time.Duration, seeds []Peer) []Outgoing {
-	if s.announced || !s.machine.Ready() {
+	if s.announced || !s.machine.Known() {
 		return nil
 	}
 	s.announced = true
@@ -152,7 +152,7 @@
 
 // serveWaiting names sources to processes that know nothing and have waited for one.
 func (s *Spread) serveWaiting(now time.Duration) []Outgoing {
-	if s.machine.Ready() {
+	if s.machine.Known() {
 		s.sources.note(now, s.self.Peer)
 	}
 	var outgoing []Outgoing
@@ -174,7 +174,7 @@
 		s.patience = now + fetchPatience + ListingDelay(s.random.Float64())
 	}
 	digest := Digest{update.State.Version, update.State.Complete}
-	lacks = digest.ahead(s.machine.Digest()) || update.Source != 0 && !s.machine.Ready()
+	lacks = digest.ahead(s.machine.Digest()) || update.Source != 0 && !s.machine.Known()
 	if digest.Complete > 0 || update.Source != 0 {
 		if !s.sources.any() {
 			s.toldBy = now + fetchPatience
@@ -216,14 +216,14 @@
 func (s *Spread) answer(now time.Duration, to Peer, question Update) []Outgoing {
 	known := question.State.Complete
 	switch {
-	case known > 0 && s.machine.Ready():
+	case known > 0 && s.machine.Known():
 		return s.address(s.updates(now, known), []Peer{to})
 	case known > 0:
 		return nil
 	}
 	s.sources.wait(to)
 	served := s.serveWaiting(now)
-	if !s.machine.Ready() && !s.sources.any() {
+	if !s.machine.Known() && !s.sources.any() {
 		served = append(served, Outgoing{To: to, Update: Update{State: s.Announced(now), Waits: true}})
 	}
 	return served
@@ -286,7 +286,7 @@
 // tell returns what others are told, except for one: all changes since they were told
 // before.
 func (s *Spread) tell(now time.Duration, to []Peer, except Peer) []Outgoing {
-	if !s.machine.Ready() {
+	if !s.machine.Known() {
 		return nil
 	}
 	receivers := slices.DeleteFunc(slices.Clone(to), func(peer Peer) bool { return peer == except })
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -185,10 +185,15 @@
 // Follows reports whether the machine knows all changes up to the state's Complete once
 // it has adopted it.
 func (m *Machine) Follows(state State) bool {
-	if m.configuration == nil || m.configuration.Configuration.Version < state.Version {
-		if state.Configuration == nil || state.Configuration.Version < state.Version {
-			return false
-		}
+	version := uint64(0)
+	if m.configuration != nil {
+		version = m.configuration.Configuration.Version
+	}
+	if state.Configuration != nil {
+		version = max(version, state.Configuration.Version)
+	}
+	if version < state.Version {
+		return false
 	}
 	return state.Complete >= m.complete && (state.Whole || state.From <= m.complete)
 }
--- a/internal/relaydaemon/peers.go
+++ b/internal/relaydaemon/peers.go
@@ -271,7 +271,7 @@
 func (p *peers) tick() time.Duration {
 	known, asking := false, false
 	p.role.executor.do(func(now time.Duration) []relay.Effect {
-		known = p.role.directory.Ready()
+		known = p.role.directory.Known()
 		asking = now <= introductionTime
 		p.role.metrics.observeAge(now, p.role.spread.Confirmed())
 		return nil
