Watch the store only once about as many balancers are known as others know

Change: updates tell how many balancers their sender knows, and who knows less than half of that does not watch; it polls if it hears nothing.

Also: ports of the daemon's specs are chosen together.

--- a/internal/directory/rank.go
+++ b/internal/directory/rank.go
@@ -36,6 +36,7 @@
 	slices.SortFunc(ordered, compareRanks)
 	heads := firstOfZones(ordered)
 	s.alone = len(ordered) < 2
+	s.members = uint32(len(ordered))
 	s.heads, s.neighbours = nil, nil
 	s.place, s.head = 0, false
 	before := 0
--- a/internal/directory/spread.go
+++ b/internal/directory/spread.go
@@ -49,6 +49,11 @@
 	watchers   []Peer
 	place      float64
 	head       bool
+	// members is how many balancers are known to run, and heard the most that others have
+	// told of lately, at heardAt.
+	members uint32
+	heard   uint32
+	heardAt time.Duration
 	// asked is set once this process has listed the store itself.
 	asked bool
 	// confirmed is the latest time for which the directory is known to be current.
@@ -93,7 +98,25 @@
 	if s.alone {
 		return s.asked || !s.sources.any()
 	}
-	return s.watching
+	return s.watching && membershipShare*float64(s.heard) <= float64(s.members)
+}
+
+const (
+	// membershipShare is the part of the balancers that others know of which a process has to
+	// know to take itself for a watcher. While the membership spreads, each of 304 processes
+	// that start together is among the first of the few that it knows: 60 watched the store
+	// for two seconds and made 250 calls.
+	membershipShare = 0.5
+	// membershipMemory is how long it counts what others have told of their number, longer
+	// than the membership takes to spread. Meanwhile a process that hears nothing polls.
+	membershipMemory = 5 * time.Second
+)
+
+// noteMembers takes account of how many balancers another knows.
+func (s *Spread) noteMembers(now time.Duration, told uint32) {
+	if told >= s.heard || now-s.heardAt > membershipMemory {
+		s.heard, s.heardAt = told, now
+	}
 }
 
 // Alone reports whether no other balancer is known to run.
@@ -169,6 +192,7 @@
 	if update.Asks && update.State.Complete > 0 {
 		s.subscribe(now, from)
 	}
+	s.noteMembers(now, update.State.Members)
 	changed = s.machine.Adopt(now, update.State)
 	if update.Waits && s.patience == 0 && slices.Contains(s.seeds, from) {
 		s.patience = now + fetchPatience + ListingDelay(s.random.Float64())
@@ -327,6 +351,7 @@
 
 // aged completes a state with the time for which the directory is current.
 func (s *Spread) aged(now time.Duration, state State) State {
+	state.Members = s.members
 	state.Age = now - s.confirmed
 	state.Confirmed = state.Age <= Retention
 	if !state.Confirmed {
--- a/internal/directory/spread_test.go
+++ b/internal/directory/spread_test.go
@@ -111,6 +111,28 @@
 		Expect(after).To(ContainElements(before[1:]))
 	})
 
+	It("does not watch while it knows far fewer balancers than others do, and for no longer", func() {
+		few := fleetOf(3, 1)
+		early := newParticipant(few[0])
+		early.list(0, 5)
+		for _, each := range few {
+			seen := newParticipant(each)
+			seen.spread.SetMembers(few)
+			if seen.spread.Watching() {
+				early = seen
+			}
+		}
+		Expect(early.spread.Watching()).To(BeTrue())
+		informed := newParticipant(directory.Member{Peer: 9})
+		informed.list(0, 5)
+		informed.spread.SetMembers(fleetOf(300, 5))
+		early.spread.Receive(0, 9, directory.Update{State: informed.spread.Announced(0)})
+		Expect(early.spread.Watching()).To(BeFalse())
+		informed.spread.SetMembers(fleetOf(2, 1))
+		early.spread.Receive(6*time.Second, 9, directory.Update{State: informed.spread.Announced(6 * time.Second)})
+		Expect(early.spread.Watching()).To(BeTrue(), "the fleet has shrunk")
+	})
+
 	It("watches while it knows nobody, unless others have told it the directory", func() {
 		alone, told, listed := newParticipant(directory.Member{Peer: 1}), newParticipant(directory.Member{Peer: 2}), newParticipant(directory.Member{Peer: 3})
 		listed.list(0, 5)
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -51,6 +51,8 @@
 	KnownFor time.Duration
 	// Zones are those that were closed or opened since.
 	Zones []ZoneState
+	// Members is how many balancers its teller knows to run.
+	Members uint32
 }
 
 // FormerRoute tells which services an address had in earlier configurations, the
--- a/internal/directory/state_gen.go
+++ b/internal/directory/state_gen.go
@@ -439,8 +439,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 12 {
-		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
+	if zb0001 != 13 {
+		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
 		return
 	}
 	err = z.Complete.DecodeMsg(dc)
@@ -566,13 +566,18 @@
 			return
 		}
 	}
+	z.Members, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *State) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 12
-	err = en.Append(0x9c)
+	// array header, size 13
+	err = en.Append(0x9d)
 	if err != nil {
 		return
 	}
@@ -664,14 +669,19 @@
 			return
 		}
 	}
+	err = en.WriteUint32(z.Members)
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 12
-	o = append(o, 0x9c)
+	// array header, size 13
+	o = append(o, 0x9d)
 	o, err = z.Complete.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Complete")
@@ -725,6 +735,7 @@
 			return
 		}
 	}
+	o = msgp.AppendUint32(o, z.Members)
 	return
 }
 
@@ -736,8 +747,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 12 {
-		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
+	if zb0001 != 13 {
+		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
 		return
 	}
 	bts, err = z.Complete.UnmarshalMsg(bts)
@@ -862,6 +873,11 @@
 			return
 		}
 	}
+	z.Members, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
 	o = bts
 	return
 }
@@ -886,6 +902,7 @@
 	for za0003 := range z.Zones {
 		s += z.Zones[za0003].Msgsize()
 	}
+	s += msgp.Uint32Size
 	return
 }
 
--- a/internal/relaydaemon/daemon_test.go
+++ b/internal/relaydaemon/daemon_test.go
@@ -97,15 +97,9 @@
 	packetPort, peerPort, healthPort, exchangePort, appPort, emittedPort, updatePort int
 }
 
-func freePort() int {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
-}
-
 func newSite() site {
-	return site{freePort(), freePort(), freePort(), freePort(), freePort(), freePort(), freePort()}
+	ports := freePorts(7)
+	return site{ports[0], ports[1], ports[2], ports[3], ports[4], ports[5], ports[6]}
 }
 
 func load(text string) *settings.Settings {
