--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -142,11 +142,7 @@
 		sought.replies[agent] = answered
 		unasked = append(unasked, candidate)
 	}
-	if len(unasked) == 0 {
-		return
-	}
-	b.confirmSince(sought)
-	if b.survey(sought, unasked, true) {
+	if len(unasked) == 0 || b.survey(sought, unasked, true) {
 		return
 	}
 	for _, candidate := range unasked {
--- a/internal/relay/survey.go
+++ b/internal/relay/survey.go
@@ -17,17 +17,6 @@
 	surveyLifetime = 500 * time.Millisecond
 	// surveyLimit bounds the surveys that an agent has under way.
 	surveyLimit = 1024
-	// repeatMinimum is the number of agents from which a survey asks those again that are
-	// behind the others. A datagram is lost now and then, so that among 100 agents most
-	// rounds lack an answer. Left to the next round of the balancer, 100 ms later, a dead
-	// flow took 0.23 s to prove in the middle (80 agents).
-	repeatMinimum = surveyFirstMinimum
-	// repeatLimit is how often that is done, repeatFactor after how many times as long as
-	// half of the agents took to answer, and shortestRepeat the least time for it: some
-	// round trips in a region.
-	repeatLimit    = 2
-	repeatFactor   = 3
-	shortestRepeat = 10 * time.Millisecond
 )
 
 // survey is the search for the owner of a flow among other agents, which an agent makes
@@ -41,16 +30,6 @@
 	// about; unsure are those that do not know.
 	pending map[segment.Address]string
 	unsure  []Targets
-	// question is what each was asked, at begun, and count the number of those.
-	question Message
-	begun    time.Duration
-	count    int
-	// patience is how long an answer may take before it counts as lost, once half of the
-	// agents have answered; repeatAt is when those are asked again that have not, never if
-	// that is not to be done, and repeats how often it was.
-	patience time.Duration
-	repeatAt time.Duration
-	repeats  int
 	// oldest is the greatest age of those that have answered.
 	oldest time.Duration
 	// reportAt is when the balancer is told who has not answered, never once it was.
@@ -67,7 +46,7 @@
 	key := message.Flow.Key()
 	begun := &survey{
 		flow: key, balancer: from, number: message.Sequence, pending: make(map[segment.Address]string),
-		begun: now, repeatAt: never, reportAt: now + surveyPatience, ends: now + surveyLifetime,
+		reportAt: now + surveyPatience, ends: now + surveyLifetime,
 	}
 	a.surveys[key] = begun
 	question := Message{
@@ -81,8 +60,6 @@
 		a.receiveVerify(now, from, question)
 	}
 	question.ReplyTo = EncodeAddress(from)
-	question.Packet = slices.Clone(question.Packet)
-	begun.question = question
 	for _, group := range message.Targets {
 		question.Service = group.Service
 		for _, target := range group.Addresses() {
@@ -90,34 +67,6 @@
 			a.send(target, question)
 		}
 	}
-	begun.count = len(begun.pending)
-}
-
-// noteAnswered takes account of one more answer. Once half have come it is known how long
-// the others should take.
-func (s *survey) noteAnswered(now time.Duration) {
-	half := s.count >= repeatMinimum && 2*len(s.pending) <= s.count
-	if !half || s.patience > 0 {
-		return
-	}
-	s.patience = max(repeatFactor*(now-s.begun), shortestRepeat)
-	s.repeatAt = s.begun + s.patience
-}
-
-// repeat asks those agents of a survey again that are behind the others.
-func (a *Agent) repeat(now time.Duration, known *survey) {
-	known.repeats++
-	known.repeatAt = never
-	if known.repeats < repeatLimit {
-		known.repeatAt = now + known.patience
-	}
-	question := known.question
-	for _, group := range known.silent() {
-		question.Service = group.Service
-		for _, target := range group.Addresses() {
-			a.send(target, question)
-		}
-	}
 }
 
 // receiveNotOwned notes that another agent does not own a flow, or does not know. The
@@ -132,7 +81,6 @@
 		return
 	}
 	delete(known.pending, from)
-	known.noteAnswered(a.now)
 	known.oldest = max(known.oldest, message.Age)
 	if message.Kind == KindUncertain {
 		known.unsure = appendTarget(known.unsure, service, from)
@@ -165,8 +113,8 @@
 	return groups
 }
 
-// expireSurveys asks agents again that are late, tells balancers of those that have not
-// answered, and later forgets the surveys.
+// expireSurveys tells balancers of the agents that have not answered, and later forgets
+// the surveys.
 func (a *Agent) expireSurveys(now time.Duration) {
 	var due []*survey
 	for key, known := range a.surveys {
@@ -174,7 +122,7 @@
 			delete(a.surveys, key)
 			continue
 		}
-		if now >= min(known.reportAt, known.repeatAt) {
+		if now >= known.reportAt {
 			due = append(due, known)
 		}
 	}
@@ -182,13 +130,8 @@
 		return cmp.Or(cmp.Compare(a.reportAt, b.reportAt), slices.Compare(flowBytes(a), flowBytes(b)))
 	})
 	for _, known := range due {
-		if now >= known.repeatAt {
-			a.repeat(now, known)
-		}
-		if now >= known.reportAt {
-			known.reportAt = never
-			a.reportSurvey(known)
-		}
+		known.reportAt = never
+		a.reportSurvey(known)
 	}
 }
 
@@ -201,7 +144,7 @@
 func (a *Agent) nextSurvey() time.Duration {
 	next := never
 	for _, known := range a.surveys {
-		next = min(next, known.reportAt, known.repeatAt)
+		next = min(next, known.reportAt)
 	}
 	return next
 }
--- a/internal/relay/survey_test.go
+++ b/internal/relay/survey_test.go
@@ -371,7 +371,6 @@
 		parts := slices.Clone(sent(balancer.Receive(asked, first.To, relay.Message{
 			Kind: relay.KindSurveyed, Flow: relay.FlowOf(keyOf(1)), Sequence: 1, Age: asked, Unsure: first.Message.Targets,
 		})))
-		Expect(parts).NotTo(BeEmpty())
 		for index, part := range parts {
 			answered := func(kind relay.Kind) []relay.Effect {
 				return balancer.Receive(asked+millisecond, part.To, relay.Message{
@@ -385,95 +384,3 @@
 		Expect(resets(balancer.Current(asked+9*millisecond, asked+4*millisecond))).To(HaveLen(1))
 	})
 })
-
-var _ = Describe("Agent, asked for a survey of many", func() {
-	const count = 40
-	var agent *relay.Agent
-
-	answer := func(now time.Duration, number int) []relay.Effect {
-		return agent.Receive(now, agentAddress(number), relay.Message{
-			Kind: relay.KindDenied, Service: service, Flow: relay.FlowOf(keyOf(1)), Age: time.Second,
-		})
-	}
-	// begin asks agents 1 to 40, with a packet in a buffer that is used again.
-	begin := func() {
-		numbers := make([]int, count)
-		for index := range numbers {
-			numbers[index] = index + 1
-		}
-		packet := slices.Clone(surveyRequest)
-		asked := agent.Receive(0, balancerA, relay.Message{
-			Kind: relay.KindSurvey, Service: service, Flow: relay.FlowOf(keyOf(1)), Sequence: 5,
-			Acknowledgment: 501, Flags: segment.Acknowledge, Targets: targets(numbers...), Packet: packet,
-		})
-		Expect(ofKind(asked, relay.EffectPeer)).To(HaveLen(count + 1))
-		clear(packet)
-	}
-
-	BeforeEach(func() {
-		agent = newAgent(true)
-		agent.Tick(0)
-	})
-
-	It("asks those again whose answers are lost, soon after the others have answered, and tells the balancer then", func() {
-		begin()
-		for number := 1; number <= count-2; number++ {
-			answer(4*millisecond, number)
-		}
-		Expect(agent.NextTick(5 * millisecond)).To(Equal(12 * millisecond))
-		again := sent(agent.Tick(12 * millisecond))
-		Expect(again).To(HaveLen(2))
-		for _, effect := range again {
-			Expect(effect.To).To(BeElementOf(agentAddress(count-1), agentAddress(count)))
-			Expect(effect.Message.Packet).To(Equal(surveyRequest))
-			Expect(effect.Message.ReplyTo.Address()).To(Equal(balancerA))
-		}
-		answer(16*millisecond, count-1)
-		told := onlyMessage(answer(16*millisecond, count))
-		Expect(told.To).To(Equal(balancerA))
-		Expect(told.Message.Silent).To(BeEmpty())
-	})
-
-	It("asks them twice at the most, later if all are slow, and tells the balancer in time who are silent", func() {
-		begin()
-		for number := 1; number <= count/2; number++ {
-			answer(8*millisecond, number)
-		}
-		repeats := 0
-		for now := 9 * millisecond; now < 60*millisecond; now += millisecond {
-			messages := sent(agent.Tick(now))
-			if len(messages) > 0 {
-				Expect(messages).To(HaveLen(count / 2))
-				Expect(now).To(BeElementOf(24*millisecond, 48*millisecond))
-				repeats++
-			}
-		}
-		Expect(repeats).To(Equal(2))
-		told := onlyMessage(agent.Tick(60 * millisecond))
-		Expect(told.To).To(Equal(balancerA))
-		Expect(namedIn(told.Message.Silent)).To(HaveLen(count / 2))
-	})
-})
-
-var _ = Describe("Balancer, while endpoints are asked about a flow", func() {
-	It("has the directory confirmed meanwhile, once", func() {
-		balancer, known := newBalancer(), newFleet()
-		known.configure(directory.Share{Service: service, Weight: 1})
-		for number := range 20 {
-			known.endpoint(0, number, nil)
-		}
-		known.follow(0)
-		balancer.Install(0, known.machine.Snapshot())
-		asked := time.Second
-		first := onlyMessage(balancer.Arrive(asked, surveyRequest))
-		balancer.Receive(asked, first.To, relay.Message{Kind: relay.KindUncertain, Service: service, Flow: relay.FlowOf(keyOf(1)), Age: asked})
-		surveyed := relay.Message{
-			Kind: relay.KindSurveyed, Service: service, Flow: relay.FlowOf(keyOf(1)), Sequence: first.Message.Sequence,
-			Age: asked, Unsure: first.Message.Targets,
-		}
-		effects := balancer.Receive(asked+millisecond, first.To, surveyed)
-		Expect(ofKind(effects, relay.EffectConfirm)).To(HaveLen(1))
-		Expect(onlyMessage(effects).Message.Packet).To(Equal(surveyRequest), "endpoints are asked")
-		Expect(ofKind(balancer.Receive(asked+2*millisecond, first.To, surveyed), relay.EffectConfirm)).To(BeEmpty())
-	})
-})
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -187,21 +187,12 @@
 	case len(unsure) > 0:
 		b.surveyOrProbe(sought, unsure)
 	case b.current < sought.begun:
-		b.confirmSince(sought)
+		b.effects = append(b.effects, Effect{Kind: EffectConfirm})
 	default:
 		b.declareOwnerless(known)
 	}
 }
 
-// confirmSince wants the directory to be confirmed, unless it was since the search began.
-// While endpoints are still asked that takes no extra time: a confirmation takes half of the
-// least time between two in the mean.
-func (b *Balancer) confirmSince(sought *search) {
-	if b.current < sought.begun {
-		b.effects = append(b.effects, Effect{Kind: EffectConfirm})
-	}
-}
-
 // undecide ends the rounds of a search in which all agents have answered and which proves
 // nothing: an endpoint may have left before the directory begins. The owner may still
 // answer when the client repeats its packet.
