Let a balancer watch the store once the only other has failed

Cause: since balancers count themselves among the sources that they name to others, one that had been told the directory still took itself for one of several after the only other had failed, and only polled. Found by reading; the spec fails first. Change: what decides is whether a source beside itself is known.

--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -291,9 +291,9 @@
 	m.snapshot = newSnapshot(built)
 }
 
-// latestAt returns, by address, the entry that was written last of those that are
-// there and of a known service. An endpoint that has been started again has a new entry, while that of the
-// one before, which writes no more, takes some time to lapse.
+// latestAt returns, by address, the entry that was written last of those that are there and
+// of a known service. An endpoint that has been started again has a new entry, while that
+// of the one before, which writes no more, takes some time to lapse.
 func (m *Machine) latestAt(services serviceSet) map[[4]byte]*held {
 	latest := make(map[[4]byte]*held, len(m.endpoints))
 	for _, known := range m.endpoints {
--- a/internal/directory/source.go
+++ b/internal/directory/source.go
@@ -46,13 +46,17 @@
 // Whoever has been given the directory becomes a source, so that it reaches a fleet in a tree
 // whose height grows with the logarithm of its size.
 type sources struct {
+	// self is the process that keeps them, which is among them once it has a directory.
+	self  Peer
 	known []source
 	// waiting are processes that know nothing, in the order in which they have asked.
 	waiting []Peer
 }
 
-// any reports whether a source is known.
-func (s *sources) any() bool { return len(s.known) > 0 }
+// others reports whether a source beside this process is known.
+func (s *sources) others() bool {
+	return slices.ContainsFunc(s.known, func(each source) bool { return each.peer != s.self })
+}
 
 // note takes account of a process that has shown a directory. The latest are kept.
 func (s *sources) note(now time.Duration, peer Peer) {
--- a/internal/directory/spread.go
+++ b/internal/directory/spread.go
@@ -85,7 +85,7 @@
 func NewSpread(machine *Machine, timing Timing, self Member, seeds []Peer, random *rand.Rand) *Spread {
 	return &Spread{
 		machine: machine, timing: timing, random: random, self: self, seeds: seeds, alone: true,
-		confirmed: math.MinInt64 / 2, subscribers: make(map[Peer]time.Duration),
+		confirmed: math.MinInt64 / 2, subscribers: make(map[Peer]time.Duration), sources: sources{self: self.Peer},
 	}
 }
 
@@ -96,7 +96,7 @@
 // balancer it does so if it has listed the store itself or nobody has told it anything.
 func (s *Spread) Watching() bool {
 	if s.alone {
-		return s.asked || !s.sources.any()
+		return s.asked || !s.sources.others()
 	}
 	return s.watching && membershipShare*float64(s.heard) <= float64(s.members)
 }
@@ -200,7 +200,7 @@
 	digest := Digest{update.State.Version, update.State.Complete}
 	lacks = digest.ahead(s.machine.Digest()) || update.Source != 0 && !s.machine.Known()
 	if digest.Complete > 0 || update.Source != 0 {
-		if !s.sources.any() {
+		if !s.sources.others() {
 			s.toldBy = now + fetchPatience
 		}
 		s.noteSource(now, update.SourceOf(from))
@@ -247,7 +247,7 @@
 	}
 	s.sources.wait(to)
 	served := s.serveWaiting(now)
-	if !s.machine.Known() && !s.sources.any() {
+	if !s.machine.Known() && !s.sources.others() {
 		served = append(served, Outgoing{To: to, Update: Update{State: s.Announced(now), Waits: true}})
 	}
 	return served
--- a/internal/directory/spread_test.go
+++ b/internal/directory/spread_test.go
@@ -111,6 +111,17 @@
 		Expect(after).To(ContainElements(before[1:]))
 	})
 
+	It("watches again once the only other, which had told it the directory, has failed", func() {
+		other, told := newParticipant(directory.Member{Peer: 1}), newParticipant(directory.Member{Peer: 2})
+		other.list(0, 5)
+		told.spread.Receive(0, 1, directory.Update{State: other.spread.Announced(0)})
+		told.machine.Adopt(0, other.spread.State(0, directory.Digest{}))
+		told.spread.Receive(0, 1, directory.Update{State: other.spread.Announced(0)})
+		Expect(told.spread.Watching()).To(BeFalse())
+		told.spread.Lost(1)
+		Expect(told.spread.Watching()).To(BeTrue())
+	})
+
 	It("does not watch while it knows far fewer balancers than others do, and for no longer", func() {
 		few := fleetOf(3, 1)
 		early := newParticipant(few[0])
