--- a/internal/directory/spread.go
+++ b/internal/directory/spread.go
@@ -7,29 +7,6 @@
 	"time"
 )
 
-const (
-	// subscription is how long a process that has asked is told of changes. Until the
-	// membership knows a process it asks again whenever it hears nothing: of 304 that start
-	// together the first of a zone knew nine in ten only after 35 s.
-	subscription = 30 * time.Second
-	// renewalShare is how much longer than the time between two confirmations a process
-	// waits for one before it asks a watcher, which is before it asks the store.
-	renewalShare = 1.15
-	// subscriberLimit bounds those that are told.
-	subscriberLimit = 256
-	// fetchPatience is how long a process that starts waits for the directory of another
-	// before it lists the store: some fetches on a slow link.
-	fetchPatience = 150 * time.Millisecond
-	// toldOverlap is how many updates back an update reaches, so that one that is lost
-	// costs nothing.
-	toldOverlap = 2
-	// repeatDelay is how long after an update it is sent again: longer than a queue at a link
-	// lasts. A datagram is lost now and then; among 304 balancers some missed every change
-	// and learned of it with the next update, 3.5 s after the first in the middle of 19
-	// changes, or asked the store.
-	repeatDelay = 100 * time.Millisecond
-)
-
 // Outgoing is an update for another balancer.
 type Outgoing struct {
 	To     Peer
@@ -92,25 +69,6 @@
 	announced bool
 }
 
-// Renewal returns what asks a watcher for changes, if this process has not heard in time that
-// its directory is current. The watcher tells it of changes from then on.
-func (s *Spread) Renewal(now time.Duration) []Outgoing {
-	patience := time.Duration(renewalShare * float64(s.timing.watchWait()))
-	if s.Watching() || len(s.watchers) == 0 || !s.machine.Known() || now-max(s.confirmed, s.renewed) < patience {
-		return nil
-	}
-	s.renewed = now
-	watcher := s.watchers[s.random.IntN(len(s.watchers))]
-	return s.address([]Update{{Asks: true, State: s.Announced(now)}}, []Peer{watcher})
-}
-
-// repetition is what is to be sent again: all changes after a revision.
-type repetition struct {
-	at    time.Duration
-	after Revision
-	to    []Peer
-}
-
 // NewSpread returns the spread of what a machine knows, for a process which asks the
 // seeds at its start.
 func NewSpread(machine *Machine, timing Timing, self Member, seeds []Peer, random *rand.Rand) *Spread {
@@ -158,10 +116,6 @@
 	return s.confirmed + s.timing.pollPatience() + time.Duration(s.place*float64(s.timing.pollSpread()))
 }
 
-// ToldBy returns until when another that has the directory may be expected to give it,
-// zero if none is known.
-func (s *Spread) ToldBy() time.Duration { return max(s.toldBy, s.patience) }
-
 // Confirmed returns the latest time for which the directory is known to be current.
 func (s *Spread) Confirmed() time.Duration { return s.confirmed }
 
@@ -174,15 +128,6 @@
 	return s.watchers[s.random.IntN(len(s.watchers))], true
 }
 
-// Question returns what a process that has been started sends a seed: until it knows the
-// directory and the seed does too.
-func (s *Spread) Question(now time.Duration) (Outgoing, bool) {
-	if len(s.seeds) == 0 || s.introduced && s.machine.Known() {
-		return Outgoing{}, false
-	}
-	return Outgoing{To: s.seeds[s.random.IntN(len(s.seeds))], Update: Update{Asks: true, State: s.Announced(now)}}, true
-}
-
 // Listed notes that this process has listed the store itself.
 func (s *Spread) Listed() { s.asked = true }
 
@@ -195,27 +140,6 @@
 	return append(outgoing, s.serveWaiting(now)...)
 }
 
-// introduce returns what tells seeds at once that this process has a directory.
-func (s *Spread) introduce(now time.Duration, seeds []Peer) []Outgoing {
-	if s.announced || !s.machine.Known() {
-		return nil
-	}
-	s.announced = true
-	return s.address([]Update{{Asks: true, State: s.Announced(now)}}, seeds)
-}
-
-// serveWaiting names sources to processes that know nothing and have waited for one.
-func (s *Spread) serveWaiting(now time.Duration) []Outgoing {
-	if s.machine.Known() {
-		s.sources.note(now, s.self.Peer)
-	}
-	var outgoing []Outgoing
-	for _, each := range s.sources.serve(now) {
-		outgoing = append(outgoing, Outgoing{To: each.to, Update: Update{State: s.Announced(now), Source: each.source}})
-	}
-	return outgoing
-}
-
 // Receive handles an update of another balancer. It reports whether the snapshot
 // changed, and whether it lacks what the other knows.
 func (s *Spread) Receive(now time.Duration, from Peer, update Update) (changed, lacks bool, answers []Outgoing) {
@@ -225,20 +149,9 @@
 	}
 	s.noteMembers(now, update.State.Members)
 	changed = s.machine.Adopt(now, update.State)
-	if update.Waits && s.patience == 0 && slices.Contains(s.seeds, from) {
-		s.patience = now + fetchPatience + ListingDelay(s.random.Float64())
-	}
 	digest := Digest{update.State.Version, update.State.Complete}
 	lacks = digest.ahead(s.machine.Digest()) || update.Source != 0 && !s.machine.Known()
-	if digest.Complete > 0 || update.Source != 0 {
-		if !s.sources.others() {
-			s.toldBy = now + fetchPatience
-		}
-		s.noteSource(now, update.SourceOf(from))
-		s.noteTeller(from)
-		s.introduced = s.introduced || slices.Contains(s.seeds, from)
-		answers = s.serveWaiting(now)
-	}
+	answers = s.meet(now, from, update)
 	if update.State.Confirmed && !lacks {
 		s.confirmed = max(s.confirmed, now-max(update.State.Age, 0))
 	}
@@ -310,114 +223,8 @@
 	return append(outgoing, s.tell(now, s.neighbours, from)...)
 }
 
-// noteTeller remembers the seed that has named a source first.
-func (s *Spread) noteTeller(from Peer) {
-	if s.teller == 0 && slices.Contains(s.seeds, from) {
-		s.teller = from
-	}
-}
-
-// Fetched notes that another process has been given the directory.
-func (s *Spread) Fetched(now time.Duration, by Peer) { s.subscribe(now, by) }
-
-func (s *Spread) subscribe(now time.Duration, peer Peer) {
-	if _, exists := s.subscribers[peer]; exists || len(s.subscribers) < subscriberLimit {
-		s.subscribers[peer] = now
-	}
-}
-
-func (s *Spread) noteSource(now time.Duration, peer Peer) {
-	if peer != s.self.Peer {
-		s.sources.note(now, peer)
-	}
-}
-
 // Lost forgets a process that has failed.
 func (s *Spread) Lost(peer Peer) {
 	s.sources.forget(peer)
 	delete(s.subscribers, peer)
 }
-
-// tell returns what others are told, except for one: all changes since they were told
-// before.
-func (s *Spread) tell(now time.Duration, to []Peer, except Peer) []Outgoing {
-	if !s.machine.Known() {
-		return nil
-	}
-	receivers := slices.DeleteFunc(slices.Clone(to), func(peer Peer) bool { return peer == except })
-	receivers = append(receivers, s.subscribed(now, receivers, except)...)
-	base := s.machine.Complete()
-	if len(s.told) > 0 {
-		base = s.told[0]
-	}
-	s.told = append(s.told, s.machine.Complete())
-	s.told = s.told[max(len(s.told)-toldOverlap, 0):]
-	s.toldAt = now
-	s.toldVersion = s.machine.Snapshot().Version()
-	s.repeat = repetition{at: now + repeatDelay, after: base, to: receivers}
-	return s.address(s.updates(now, base), receivers)
-}
-
-// Repeat returns what others were told last, once repeatDelay has passed. It is to be called
-// about as often.
-func (s *Spread) Repeat(now time.Duration) []Outgoing {
-	due := s.repeat
-	if len(due.to) == 0 || now < due.at {
-		return nil
-	}
-	s.repeat = repetition{}
-	return s.address(s.updates(now, due.after), due.to)
-}
-
-// subscribed returns those that have asked lately and are not among others, in order.
-func (s *Spread) subscribed(now time.Duration, others []Peer, except Peer) []Peer {
-	var peers []Peer
-	for peer, since := range s.subscribers {
-		if now-since > subscription {
-			delete(s.subscribers, peer)
-			continue
-		}
-		if peer != except && !slices.Contains(others, peer) {
-			peers = append(peers, peer)
-		}
-	}
-	slices.Sort(peers)
-	return peers
-}
-
-// Announced returns how much is known, and of when that is.
-func (s *Spread) Announced(now time.Duration) State {
-	state := s.machine.stateFrom(s.machine.Complete())
-	state.Whole = false
-	return s.aged(now, state)
-}
-
-// aged completes a state with the time for which the directory is current.
-func (s *Spread) aged(now time.Duration, state State) State {
-	state.Members = s.members
-	state.Age = now - s.confirmed
-	state.Confirmed = state.Age <= Retention
-	if !state.Confirmed {
-		state.Age = 0
-	}
-	return state
-}
-
-// State returns what is known beyond a digest, with its age.
-func (s *Spread) State(now time.Duration, known Digest) State {
-	return s.aged(now, s.machine.StateAfter(now, known))
-}
-
-func (s *Spread) updates(now time.Duration, known Revision) []Update {
-	return updatesOf(s.aged(now, s.machine.ChangesAfter(now, known)))
-}
-
-func (s *Spread) address(updates []Update, to []Peer) []Outgoing {
-	outgoing := make([]Outgoing, 0, len(updates)*len(to))
-	for _, peer := range to {
-		for _, update := range updates {
-			outgoing = append(outgoing, Outgoing{To: peer, Update: update})
-		}
-	}
-	return outgoing
-}
--- /dev/null
+++ b/internal/directory/startup.go
@@ -0,0 +1,79 @@
+// This file implements what a Spread does while processes start: it meets them at the seeds
+// and names those to them that have a directory.
+
+package directory
+
+import (
+	"slices"
+	"time"
+)
+
+// fetchPatience is how long a process that starts waits for the directory of another
+// before it lists the store: some fetches on a slow link.
+const fetchPatience = 150 * time.Millisecond
+
+// ToldBy returns until when another that has the directory may be expected to give it,
+// zero if none is known.
+func (s *Spread) ToldBy() time.Duration { return max(s.toldBy, s.patience) }
+
+// Question returns what a process that has been started sends a seed: until it knows the
+// directory and the seed does too.
+func (s *Spread) Question(now time.Duration) (Outgoing, bool) {
+	if len(s.seeds) == 0 || s.introduced && s.machine.Known() {
+		return Outgoing{}, false
+	}
+	return Outgoing{To: s.seeds[s.random.IntN(len(s.seeds))], Update: Update{Asks: true, State: s.Announced(now)}}, true
+}
+
+// introduce returns what tells seeds at once that this process has a directory.
+func (s *Spread) introduce(now time.Duration, seeds []Peer) []Outgoing {
+	if s.announced || !s.machine.Known() {
+		return nil
+	}
+	s.announced = true
+	return s.address([]Update{{Asks: true, State: s.Announced(now)}}, seeds)
+}
+
+// serveWaiting names sources to processes that know nothing and have waited for one.
+func (s *Spread) serveWaiting(now time.Duration) []Outgoing {
+	if s.machine.Known() {
+		s.sources.note(now, s.self.Peer)
+	}
+	var outgoing []Outgoing
+	for _, each := range s.sources.serve(now) {
+		outgoing = append(outgoing, Outgoing{To: each.to, Update: Update{State: s.Announced(now), Source: each.source}})
+	}
+	return outgoing
+}
+
+// meet takes account of what an update shows of who has a directory, or is about to. It
+// returns what to send those that have waited for that.
+func (s *Spread) meet(now time.Duration, from Peer, update Update) []Outgoing {
+	isSeed := slices.Contains(s.seeds, from)
+	if update.Waits && s.patience == 0 && isSeed {
+		s.patience = now + fetchPatience + ListingDelay(s.random.Float64())
+	}
+	if update.State.Complete == 0 && update.Source == 0 {
+		return nil
+	}
+	if !s.sources.others() {
+		s.toldBy = now + fetchPatience
+	}
+	s.noteSource(now, update.SourceOf(from))
+	s.noteTeller(from)
+	s.introduced = s.introduced || isSeed
+	return s.serveWaiting(now)
+}
+
+// noteTeller remembers the seed that has named a source first.
+func (s *Spread) noteTeller(from Peer) {
+	if s.teller == 0 && slices.Contains(s.seeds, from) {
+		s.teller = from
+	}
+}
+
+func (s *Spread) noteSource(now time.Duration, peer Peer) {
+	if peer != s.self.Peer {
+		s.sources.note(now, peer)
+	}
+}
