--- a/bench/timeline/timeline.go
+++ b/bench/timeline/timeline.go
@@ -54,12 +54,25 @@
 	Name    string    `json:"name"`
 	Message string    `json:"msg"`
 	Event   string    `json:"event"`
+	// Version and Revision are those of the directory, in lines about its change.
+	Version  uint64 `json:"version"`
+	Revision uint64 `json:"revision"`
 }
 
 // Read returns the starts that a log shows, of any number of processes, in the order of
 // time. It takes lines that are JSON objects, whatever stands before these. It fails if the
 // input does.
 func Read(input io.Reader) ([]Start, error) {
+	lines, err := readLines(input)
+	if err != nil {
+		return nil, err
+	}
+	return startsOf(lines), nil
+}
+
+// readLines returns the lines of a log that are JSON objects of a process, in the order of
+// time.
+func readLines(input io.Reader) ([]line, error) {
 	scanner := bufio.NewScanner(input)
 	scanner.Buffer(nil, longestLine)
 	var lines []line
@@ -77,7 +90,7 @@
 		return nil, errors.Wrap(err, "log")
 	}
 	slices.SortStableFunc(lines, func(a, b line) int { return a.Time.Compare(b.Time) })
-	return startsOf(lines), nil
+	return lines, nil
 }
 
 func startsOf(lines []line) []Start {
--- a/cmd/vanetiller-bench/main.go
+++ b/cmd/vanetiller-bench/main.go
@@ -24,7 +24,8 @@
   vanetiller-bench run [flags] EXPERIMENT   one experiment; flags may follow the name
   vanetiller-bench soak [flags]             real processes under random faults from outside
   vanetiller-bench timeline [flags] FILE... how long processes took after their starts, from logs
-  vanetiller-bench list the experiments and shapes
+  vanetiller-bench reach [flags] FILE       how long changes took until all balancers knew them, from logs
+  vanetiller-bench list                     the experiments and shapes
 
 Run a command with -help for its flags. Progress goes to stderr. The exit status
 is 0 when every promise was kept, 1 when one was broken or the run failed, and 2
@@ -51,6 +52,8 @@
 		return soakCommand(ctx, arguments[1:])
 	case "timeline":
 		return timelineCommand(arguments[1:])
+	case "reach":
+		return reachCommand(arguments[1:])
 	case "list":
 		return list()
 	case "help", "-help", "--help", "-h":
--- /dev/null
+++ b/cmd/vanetiller-bench/reach.go
@@ -0,0 +1,74 @@
+// This file implements the command reach.
+
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanetiller/vanetiller/bench/timeline"
+)
+
+// reachParameters are the values of the flags of reach.
+type reachParameters struct {
+	part float64
+	json bool
+}
+
+// defaultReachPart leaves out what was lost before nearly all knew it.
+const defaultReachPart = 0.98
+
+func reachCommand(arguments []string) int {
+	var values reachParameters
+	flags := flag.NewFlagSet("reach", flag.ContinueOnError)
+	flags.SetOutput(os.Stderr)
+	flags.Float64Var(&values.part, "part", defaultReachPart, "`share` of the balancers that must have come to know a change for it to be shown")
+	flags.BoolVar(&values.json, "json", false, "print a JSON array")
+	err := flags.Parse(arguments)
+	if err == nil && flags.NArg() != 1 {
+		err = errors.New("reach takes one file with the logs of all balancers")
+	}
+	if err != nil {
+		return usageError(err)
+	}
+	if err := showReach(values, flags.Arg(0)); err != nil {
+		fmt.Fprintln(os.Stderr, "vanetiller-bench:", err)
+		return exitBroken
+	}
+	return exitKept
+}
+
+func showReach(values reachParameters, path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "log")
+	}
+	defer file.Close()
+	changes, err := timeline.ReadReach(file, values.part)
+	if err != nil {
+		return errors.Wrap(err, path)
+	}
+	if values.json {
+		return errors.Wrap(json.NewEncoder(os.Stdout).Encode(changes), "output")
+	}
+	columns := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(columns, "FIRST\tVERSION\tREVISION\tBALANCERS\tMEDIAN MS\tP99 MS\tLONGEST MS")
+	for _, each := range changes {
+		fmt.Fprintf(columns, "%s\t%s\t%s\t%d\t%.1f\t%.1f\t%.1f\n", each.First.Format("15:04:05.000"),
+			number(each.Version), number(each.Revision), each.Processes, each.Median, each.NinetyNth, each.Longest)
+	}
+	return errors.Wrap(columns.Flush(), "output")
+}
+
+// number is empty for none.
+func number(value uint64) string {
+	if value == 0 {
+		return ""
+	}
+	return fmt.Sprint(value)
+}
