Give an endpoint all packets of a flow until it returns one

Started again it took the flow's next packet, an acknowledgment without data, gave it to its endpoint as a probe, and got no word: an endpoint that holds a flow need not answer that. The packet with data that came 0.4 s later it brought back as not its own, so that the balancer searched and let six other endpoints look at packets, two in two seconds, while the owner got none.

Change: while a probed flow has not been returned, further packets go to the endpoint too, also from a balancer that takes the agent for the owner; what returns them is answered as it was asked last. Both specs fail before and pass after.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -388,11 +388,15 @@
 	switch {
 	case a.mayOwn(now, known):
 		a.probe(now, from, key, header, message)
-	case message.Kind == KindForward:
-		a.bringBack(from, key, header, message.Packet, "not_owned")
 	case known != nil && known.state == stateProbed:
+		// An endpoint returns what it does not hold and need not answer a packet without data
+		// that it does. Sent elsewhere, the packets of a flow that was alive reached six other
+		// endpoints and not its own for 6 s, after its agent had been killed.
 		known.balancer, known.prober = balancerOf(from, message), from
+		known.forwarded = message.Kind == KindForward
 		a.deliver(message.Packet)
+	case message.Kind == KindForward:
+		a.bringBack(from, key, header, message.Packet, "not_owned")
 	case a.disowns(now, known):
 		a.deny(now, from, key)
 	}
--- a/internal/relay/agent_test.go
+++ b/internal/relay/agent_test.go
@@ -223,6 +223,27 @@
 			Expect(verify(time.Second, service).Kind).To(Equal(relay.KindDenied))
 		})
 
+		It("goes on giving its endpoint packets of a flow of which that has returned none, if it is taken for the owner", func() {
+			agent = drive(newAgent(false))
+			bare := fromClient(1, segment.Acknowledge, 101, 501, "")
+			Expect(delivered(agent.forward(0, relay.KindForward, bare))).To(HaveLen(1), "an endpoint that holds the flow need not answer this")
+			effects := agent.forward(400*millisecond, relay.KindForward, request)
+			Expect(delivered(effects)).To(HaveLen(1))
+			Expect(sent(effects)).To(BeEmpty())
+			told := onlyMessage(agent.Emitted(401*millisecond, returned(request)))
+			Expect(told.Message.Kind).To(Equal(relay.KindUnknown), "now it is certain that it does not")
+			Expect(delivered(agent.forward(500*millisecond, relay.KindForward, request))).To(BeEmpty())
+		})
+
+		It("answers who asked last if its endpoint does not take the packet, as that was asked", func() {
+			agent = drive(newAgent(false))
+			agent.forward(0, relay.KindForward, fromClient(1, segment.Acknowledge, 101, 501, ""))
+			agent.Receive(10*millisecond, balancerA, relay.Message{Kind: relay.KindProbe, Service: service, Packet: request})
+			told := onlyMessage(agent.Emitted(11*millisecond, returned(request)))
+			Expect(told.To).To(Equal(balancerA))
+			Expect(told.Message.Kind).To(Equal(relay.KindDenied))
+		})
+
 		It("brings a packet back that its endpoint does not take, if it was taken for the owner", func() {
 			agent = drive(newAgent(false))
 			agent.forward(0, relay.KindForward, request)
