--- a/internal/directory/announce.go
+++ b/internal/directory/announce.go
@@ -68,11 +68,14 @@
 // its directory is current. The watcher tells it of changes from then on.
 func (s *Spread) Renewal(now time.Duration) []Outgoing {
 	patience := time.Duration(renewalShare * float64(s.timing.watchWait()))
-	if s.Watching() || len(s.watchers) == 0 || !s.machine.Known() || now-max(s.confirmed, s.renewed) < patience {
+	if !s.machine.Known() || now-max(s.confirmed, s.renewed) < patience {
+		return nil
+	}
+	watcher, exists := s.Asker()
+	if !exists {
 		return nil
 	}
 	s.renewed = now
-	watcher := s.watchers[s.random.IntN(len(s.watchers))]
 	return s.address([]Update{{Asks: true, State: s.Announced(now)}}, []Peer{watcher})
 }
 
