Confirm the directory once for all searches without two waits in a row

A balancer waited up to 120 ms before it might ask a watcher, and the watcher up to 120 ms before it might call the store; only then, when all agents had denied the flow.

Ruled out: the processor (--no-cpu alike), lost answers, the rate of searches.

Change: only watchers bound the calls (one in 40 ms); who asks them does so at once, no more often than they can answer; a search asks when endpoints begin to be asked, once, instead of with each answer after the last. The spec of a search in parts counted a confirmation at the end; it now expects one when endpoints begin to be asked, none later, and no reset before it has come.

--- a/bench/flownet/spread.go
+++ b/bench/flownet/spread.go
@@ -99,7 +99,7 @@
 		return false
 	}
 	watcher, exists := n.spread.Asker()
-	if !exists || !n.confirmer.Begin(now) {
+	if !exists || !n.confirmer.Ask(now) {
 		return false
 	}
 	n.asked = now
--- a/internal/directory/confirmer.go
+++ b/internal/directory/confirmer.go
@@ -3,8 +3,13 @@
 import "time"
 
 const (
-	// confirmInterval is the least time between two confirmations. Each costs a call.
-	confirmInterval = 120 * time.Millisecond
+	// confirmInterval is the least time between two confirmations, each of which costs a
+	// call. A client whose flow is dead waits for one before it is told, out of a latency
+	// objective of some hundreds of milliseconds.
+	confirmInterval = 40 * time.Millisecond
+	// askRate bounds the questions a second that a watcher gets of all balancers together: a
+	// small part of a slow machine's processor.
+	askRate = 1000
 	// confirmRateShare is the part of the store's rate that the confirmations of all
 	// balancers together may take.
 	confirmRateShare = 0.25
@@ -24,6 +29,10 @@
 	wanted   bool
 	busy     bool
 	next     time.Duration
+	// askInterval is the least time between two questions to watchers, and nextAsk when the
+	// next may be sent.
+	askInterval time.Duration
+	nextAsk     time.Duration
 	// begun is when the present call, or the first of two, began.
 	begun time.Duration
 	// target is the revision that the directory has to reach; it is zero until the
@@ -40,6 +49,7 @@
 // answers of all of them together.
 func (c *Confirmer) Share(balancers int, rate float64) {
 	c.interval = max(confirmInterval, secondsOf(float64(balancers)/(rate*confirmRateShare)))
+	c.askInterval = secondsOf(float64(balancers) / float64(watchersAmong(balancers)*askRate))
 }
 
 func secondsOf(count float64) time.Duration { return time.Duration(count * float64(time.Second)) }
@@ -79,6 +89,17 @@
 	return true
 }
 
+// Ask begins a confirmation that a watcher shall make, which bounds the calls for all who
+// ask it. It reports whether one is wanted and may begin.
+func (c *Confirmer) Ask(now time.Duration) bool {
+	if c.busy || !c.wanted || now < c.nextAsk {
+		return false
+	}
+	c.wanted = false
+	c.nextAsk = now + c.askInterval
+	return true
+}
+
 // Unanswered tells that the other balancer which was to confirm the directory has not
 // answered: what was begun without a call of the store is wanted again, now by a call.
 func (c *Confirmer) Unanswered() { c.wanted = true }
--- a/internal/directory/confirmer_test.go
+++ b/internal/directory/confirmer_test.go
@@ -89,7 +89,7 @@
 
 	It("calls the store if the balancer that was asked in its place does not answer", func() {
 		confirmer.Want()
-		Expect(confirmer.Begin(0)).To(BeTrue())
+		Expect(confirmer.Ask(0)).To(BeTrue())
 		_, wanted := confirmer.Next(300 * millisecond)
 		Expect(wanted).To(BeFalse(), "an answer is awaited")
 		confirmer.Unanswered()
@@ -97,6 +97,28 @@
 		Expect(wanted).To(BeTrue())
 	})
 
+	It("lets a balancer ask a watcher again as soon as that has answered, since it bounds the calls", func() {
+		confirmer.Want()
+		Expect(confirmer.Ask(0)).To(BeTrue())
+		Expect(confirmer.Ask(0)).To(BeFalse(), "nothing is wanted any more")
+		confirmer.Want()
+		Expect(confirmer.Ask(millisecond)).To(BeTrue())
+	})
+
+	It("keeps the questions of many balancers to what a watcher can answer", func() {
+		const balancers, watchers, period = 1100, 5, 10 * time.Second
+		confirmer.Share(balancers, 2000)
+		asked := 0
+		for now := time.Duration(0); now < period; now += millisecond {
+			confirmer.Want()
+			if confirmer.Ask(now) {
+				asked++
+			}
+		}
+		perWatcher := float64(asked) * balancers / watchers / period.Seconds()
+		Expect(perWatcher).To(BeNumerically("~", 1000, 50))
+	})
+
 	It("makes no call before the first listing, but lets a peer confirm, no more often", func() {
 		confirmer = directory.NewConfirmer(directory.New())
 		Expect(confirmer.Begin(0)).To(BeFalse(), "nobody wants it")
--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -52,6 +52,9 @@
 	// verified how often that was begun.
 	verifyAt time.Duration
 	verified int
+	// confirmAgain is when a confirmation of the directory may be asked for again, 0 if none
+	// was.
+	confirmAgain time.Duration
 	// replies are what agents have answered, by their addresses.
 	replies map[segment.Address]reply
 	// undecided is set once all agents have answered without a proof: they are asked again
--- a/internal/relay/survey_test.go
+++ b/internal/relay/survey_test.go
@@ -368,18 +368,21 @@
 		long := fromClient(1, segment.Acknowledge, 101, 501, string(make([]byte, 1200)))
 		first := onlyMessage(balancer.Arrive(asked, long))
 		balancer.Receive(asked, first.To, relay.Message{Kind: relay.KindUncertain, Flow: relay.FlowOf(keyOf(1)), Age: asked})
-		parts := slices.Clone(sent(balancer.Receive(asked, first.To, relay.Message{
+		probing := slices.Clone(balancer.Receive(asked, first.To, relay.Message{
 			Kind: relay.KindSurveyed, Flow: relay.FlowOf(keyOf(1)), Sequence: 1, Age: asked, Unsure: first.Message.Targets,
-		})))
-		for index, part := range parts {
+		}))
+		Expect(ofKind(probing, relay.EffectConfirm)).To(HaveLen(1), "the directory is confirmed while endpoints are asked")
+		for _, part := range sent(probing) {
 			answered := func(kind relay.Kind) []relay.Effect {
 				return balancer.Receive(asked+millisecond, part.To, relay.Message{
 					Kind: kind, Flow: relay.FlowOf(keyOf(1)), Sequence: part.Message.Sequence, Age: asked,
 				})
 			}
-			Expect(ofKind(answered(relay.KindDenied), relay.EffectConfirm)).To(BeEmpty())
-			confirms := ofKind(answered(relay.KindSurveyed), relay.EffectConfirm)
-			Expect(confirms).To(HaveLen(map[bool]int{true: 1, false: 0}[index == len(parts)-1]))
+			for _, kind := range []relay.Kind{relay.KindDenied, relay.KindSurveyed} {
+				effects := answered(kind)
+				Expect(ofKind(effects, relay.EffectConfirm)).To(BeEmpty(), "one confirmation is under way")
+				Expect(resets(effects)).To(BeEmpty(), "it has not come")
+			}
 		}
 		Expect(resets(balancer.Current(asked+9*millisecond, asked+4*millisecond))).To(HaveLen(1))
 	})
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -186,13 +186,26 @@
 		sought.undecide(now)
 	case len(unsure) > 0:
 		b.surveyOrProbe(sought, unsure)
-	case b.current < sought.begun:
-		b.effects = append(b.effects, Effect{Kind: EffectConfirm})
+		b.confirmFor(now, sought)
+	case b.confirmFor(now, sought):
 	default:
 		b.declareOwnerless(known)
 	}
 }
 
+// confirmFor asks for a confirmation of the directory as of the time at which a search
+// began, unless that is under way. It reports whether there is none yet.
+func (b *Balancer) confirmFor(now time.Duration, sought *search) bool {
+	if b.current >= sought.begun {
+		return false
+	}
+	if now >= sought.confirmAgain {
+		sought.confirmAgain = now + verifyInterval
+		b.effects = append(b.effects, Effect{Kind: EffectConfirm})
+	}
+	return true
+}
+
 // undecide ends the rounds of a search in which all agents have answered and which proves
 // nothing: an endpoint may have left before the directory begins. The owner may still
 // answer when the client repeats its packet.
--- a/internal/relaydaemon/confirm.go
+++ b/internal/relaydaemon/confirm.go
@@ -11,7 +11,7 @@
 )
 
 // confirmPoll is how often a wanted confirmation is considered that may not begin yet.
-const confirmPoll = 20 * time.Millisecond
+const confirmPoll = 5 * time.Millisecond
 
 // errUnconfirmed tells that the store had changes which did not come.
 var errUnconfirmed = errors.New("the directory could not be confirmed")
--- a/internal/relaydaemon/updates.go
+++ b/internal/relaydaemon/updates.go
@@ -119,8 +119,9 @@
 }
 
 // confirmPatience is how long a balancer waits for a watcher to confirm its directory
-// before it asks the store. Most wait for half of the time between two confirmations.
-const confirmPatience = 300 * time.Millisecond
+// before it asks the store. It is several times as long as a watcher takes, and short enough
+// for a client whose flow is dead to be served in time if a datagram is lost.
+const confirmPatience = 150 * time.Millisecond
 
 // confirmByWatcher lets a balancer that watches the store confirm the directory. It
 // returns the time for which it is confirmed, false if no watcher has answered.
@@ -132,7 +133,7 @@
 	sent := false
 	u.role.executor.do(func(now time.Duration) []relay.Effect {
 		watcher, exists := u.role.spread.Asker()
-		if !exists || !u.role.confirmer.Begin(now) {
+		if !exists || !u.role.confirmer.Ask(now) {
 			return nil
 		}
 		sent = true
