Leave a search for an owner to one agent of each zone

Change: the agents of each zone are asked by one among them; two messages pass between zones for each other zone.

Cost: three messages of the balancer's budget for each zone instead of three in all. Spec: leaves the agents of each zone to one of them.

--- a/internal/relay/delegate.go
+++ b/internal/relay/delegate.go
@@ -35,27 +35,27 @@
 	asked []directory.Candidate
 }
 
-// surveyParts divides the agents to ask so that each part fits into one message beside
-// a packet of a length: the number of messages to find an owner grows by one with some
-// hundreds of agents.
+// surveyParts divides the agents to ask so that each part is of one zone, whose agents are
+// near to each other, and fits into one message beside a packet of a length: two messages
+// between zones find out what all agents of another zone say.
 func surveyParts(asked []directory.Candidate, packet int) [][]directory.Candidate {
 	sorted := slices.Clone(asked)
 	slices.SortStableFunc(sorted, func(a, b directory.Candidate) int {
-		return cmp.Compare(a.Endpoint.Service, b.Endpoint.Service)
+		return cmp.Or(cmp.Compare(a.Endpoint.Zone, b.Endpoint.Zone), cmp.Compare(a.Endpoint.Service, b.Endpoint.Service))
 	})
 	var parts [][]directory.Candidate
-	room, service := 0, ""
+	room, zone, service := 0, "", ""
 	for _, candidate := range sorted {
 		size := ipSize
 		if candidate.Endpoint.Service != service {
 			size += groupSize + len(candidate.Endpoint.Service)
 		}
-		if len(parts) == 0 || room < size {
+		if len(parts) == 0 || room < size || candidate.Endpoint.Zone != zone {
 			parts = append(parts, nil)
 			room = surveyRoom - packet
 			size = ipSize + groupSize + len(candidate.Endpoint.Service)
 		}
-		service = candidate.Endpoint.Service
+		zone, service = candidate.Endpoint.Zone, candidate.Endpoint.Service
 		room -= size
 		parts[len(parts)-1] = append(parts[len(parts)-1], candidate)
 	}
--- a/internal/relay/survey_test.go
+++ b/internal/relay/survey_test.go
@@ -178,6 +178,22 @@
 		Expect(surveyor.Message.Flags).To(Equal(segment.Acknowledge))
 	})
 
+	It("leaves the agents of each zone to one of them", func() {
+		for number := range agents {
+			known.endpoint(0, number, func(e *directory.Endpoint) { e.Zone = []string{ownZone, otherZone}[number%2] })
+		}
+		install()
+		parts := sent(balancer.Arrive(asked, surveyRequest))
+		Expect(parts).To(HaveLen(2))
+		for _, part := range parts {
+			asked := append(namedIn(part.Message.Targets), part.To)
+			Expect(asked).To(HaveLen(agents / 2))
+			for _, agent := range asked {
+				Expect(agent.IP[3]%2).To(Equal(part.To.IP[3]%2), "it asks those of its own zone")
+			}
+		}
+	})
+
 	It("resets the flow once that one and all others have denied it, and the directory is confirmed", func() {
 		surveyor := onlyMessage(balancer.Arrive(asked, surveyRequest)).To
 		Expect(resets(report(surveyor, nil, nil))).To(BeEmpty())
