Have the same few watchers confirm the directory for all, and often

All agents had denied the flow after 5 ms; the rest was the confirmation: 35 ms in the median by one of three watchers, 150 ms if the one that was asked did not take itself for a watcher, asked another and waited as well. A call of the store takes 6 ms.

Change: who is asked calls the store itself; one watcher for each fifty balancers is asked, so that it can call every 15 ms, any of them for two seconds after one has not answered.

--- a/bench/flownet/spread.go
+++ b/bench/flownet/spread.go
@@ -13,7 +13,7 @@
 	// failureDelay is how long the membership takes to find that a balancer has failed.
 	failureDelay = 4 * time.Second
 	// confirmPatience is how long a balancer waits for another to confirm its directory.
-	confirmPatience = 300 * time.Millisecond
+	confirmPatience = 150 * time.Millisecond
 )
 
 // seedPeers returns the seeds of a balancer as the spread names them.
@@ -96,10 +96,11 @@
 		// It did not answer; the store is asked.
 		n.asked = 0
 		n.confirmer.Unanswered()
+		n.spread.Unanswered(now)
 		return false
 	}
-	watcher, exists := n.spread.Asker()
-	if !exists || !n.confirmer.Ask(now) {
+	watcher, exists := n.spread.Confirming(now)
+	if !exists || n.questions.Any() || !n.confirmer.Ask(now) {
 		return false
 	}
 	n.asked = now
--- a/internal/directory/confirmer.go
+++ b/internal/directory/confirmer.go
@@ -6,8 +6,8 @@
 	// confirmInterval is the least time between two confirmations, each of which costs a
 	// call. A client whose flow is dead waits for one before it is told, out of a latency
 	// objective of some hundreds of milliseconds.
-	confirmInterval = 40 * time.Millisecond
-	// askRate bounds the questions a second that a watcher gets of all balancers together: a
+	confirmInterval = 15 * time.Millisecond
+	// askRate is how many questions a second a watcher gets at the most of those who ask it: a
 	// small part of a slow machine's processor.
 	askRate = 1000
 	// confirmRateShare is the part of the store's rate that the confirmations of all
@@ -49,7 +49,12 @@
 // answers of all of them together.
 func (c *Confirmer) Share(balancers int, rate float64) {
 	c.interval = max(confirmInterval, secondsOf(float64(balancers)/(rate*confirmRateShare)))
-	c.askInterval = secondsOf(float64(balancers) / float64(watchersAmong(balancers)*askRate))
+	c.askInterval = secondsOf(float64(balancers) / float64(askedAmong(balancers)*askRate))
+}
+
+// askedAmong returns how many watchers a number of balancers ask.
+func askedAmong(balancers int) int {
+	return min(watchersAmong(balancers), 1+balancers/askersOfWatcher)
 }
 
 func secondsOf(count float64) time.Duration { return time.Duration(count * float64(time.Second)) }
--- a/internal/directory/question.go
+++ b/internal/directory/question.go
@@ -17,6 +17,9 @@
 	q.waiting = append(q.waiting, Question{From: from, Update: update, at: now})
 }
 
+// Any reports whether there are any.
+func (q *Questions) Any() bool { return len(q.waiting) > 0 }
+
 // TakeThrough removes and returns the questions that came until a time, for which the
 // directory is confirmed, or for which it could not be.
 func (q *Questions) TakeThrough(through time.Duration) []Question {
--- a/internal/directory/spread.go
+++ b/internal/directory/spread.go
@@ -33,8 +33,10 @@
 	heads      []Peer
 	neighbours []Peer
 	watchers   []Peer
-	place      float64
-	head       bool
+	// askAnyUntil is until when any watcher may be asked for a confirmation.
+	askAnyUntil time.Duration
+	place       float64
+	head        bool
 	// members is how many balancers are known to run, and heard the most that others have
 	// told of lately, at heardAt.
 	members uint32
@@ -119,15 +121,38 @@
 // Confirmed returns the latest time for which the directory is known to be current.
 func (s *Spread) Confirmed() time.Duration { return s.confirmed }
 
-// Asker returns a watcher which can confirm the directory, false if that is this process
-// or none is known.
-func (s *Spread) Asker() (Peer, bool) {
-	if s.Watching() || len(s.watchers) == 0 {
+const (
+	// askersOfWatcher is how many balancers ask the same watcher to confirm the directory. The
+	// fewer watchers are asked, the fewer calls of the store serve all.
+	askersOfWatcher = 50
+	// askedElsewhere is for how long a balancer asks any watcher after one has not answered:
+	// until the membership has noticed if that one has failed.
+	askedElsewhere = 2 * time.Second
+)
+
+// Asker returns a watcher which can tell of changes, false if that is this process or none
+// is known.
+func (s *Spread) Asker() (Peer, bool) { return s.watcherAmong(len(s.watchers)) }
+
+// Confirming returns the watcher to ask for a confirmation of the directory, false if that is
+// this process or none is known.
+func (s *Spread) Confirming(now time.Duration) (Peer, bool) {
+	if now < s.askAnyUntil {
+		return s.watcherAmong(len(s.watchers))
+	}
+	return s.watcherAmong(min(len(s.watchers), askedAmong(int(s.members))))
+}
+
+func (s *Spread) watcherAmong(first int) (Peer, bool) {
+	if s.Watching() || first == 0 {
 		return 0, false
 	}
-	return s.watchers[s.random.IntN(len(s.watchers))], true
+	return s.watchers[s.random.IntN(first)], true
 }
 
+// Unanswered notes that a watcher has not confirmed the directory in time.
+func (s *Spread) Unanswered(now time.Duration) { s.askAnyUntil = now + askedElsewhere }
+
 // Listed notes that this process has listed the store itself.
 func (s *Spread) Listed() { s.asked = true }
 
--- a/internal/directory/spread_test.go
+++ b/internal/directory/spread_test.go
@@ -323,13 +323,35 @@
 		Expect(receiversOf(source.spread.Answered(32 * time.Second))).To(BeEmpty())
 	})
 
+	It("has the same few watchers confirm the directory for all, and any other once one does not answer", func() {
+		all := fleet(91, 5)
+		asked := make(map[directory.Peer]int)
+		var last *participant
+		for range 20 {
+			for _, each := range all {
+				if watcher, exists := each.spread.Confirming(0); exists {
+					asked[watcher]++
+					last = each
+				}
+			}
+		}
+		Expect(asked).To(HaveLen(2))
+		clear(asked)
+		last.spread.Unanswered(0)
+		for range 200 {
+			watcher, _ := last.spread.Confirming(time.Second)
+			asked[watcher]++
+		}
+		Expect(len(asked)).To(BeNumerically(">", 2))
+	})
+
 	It("lets another that watches confirm the directory, and answers with what is missing", func() {
 		all := fleet(91, 5)
 		asking := all[1]
 		if asking.spread.Watching() {
 			asking = all[2]
 		}
-		watcher, exists := asking.spread.Asker()
+		watcher, exists := asking.spread.Confirming(0)
 		Expect(exists).To(BeTrue())
 		Expect(watching(all)).To(ContainElement(watcher))
 		all[watcher].machine.Changes(time.Second, announcing(6, 3), 8)
@@ -342,7 +364,7 @@
 		_, lacks, _ := asking.spread.Receive(time.Second, watcher, answers[0].Update)
 		Expect(lacks).To(BeFalse())
 		Expect(asking.machine.Complete()).To(Equal(directory.Revision(8)))
-		_, exists = all[watcher].spread.Asker()
+		_, exists = all[watcher].spread.Confirming(0)
 		Expect(exists).To(BeFalse(), "it asks the store itself")
 	})
 })
--- a/internal/relaydaemon/updates.go
+++ b/internal/relaydaemon/updates.go
@@ -123,8 +123,9 @@
 // for a client whose flow is dead to be served in time if a datagram is lost.
 const confirmPatience = 150 * time.Millisecond
 
-// confirmByWatcher lets a balancer that watches the store confirm the directory. It
-// returns the time for which it is confirmed, false if no watcher has answered.
+// confirmByWatcher lets a balancer that watches the store confirm the directory, unless
+// others wait for this one to do it. It returns the time for which it is confirmed, false if
+// no watcher has answered.
 func (u *updates) confirmByWatcher(ctx context.Context) (through time.Duration, confirmed bool) {
 	select {
 	case <-u.answered:
@@ -132,8 +133,8 @@
 	}
 	sent := false
 	u.role.executor.do(func(now time.Duration) []relay.Effect {
-		watcher, exists := u.role.spread.Asker()
-		if !exists || !u.role.confirmer.Ask(now) {
+		watcher, exists := u.role.spread.Confirming(now)
+		if !exists || u.questions.Any() || !u.role.confirmer.Ask(now) {
 			return nil
 		}
 		sent = true
@@ -153,11 +154,12 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	u.role.executor.do(func(time.Duration) []relay.Effect {
+	u.role.executor.do(func(now time.Duration) []relay.Effect {
 		through, confirmed = u.asked.at, u.asked.confirmed
 		u.asked = question{}
 		if !confirmed {
 			u.role.confirmer.Unanswered()
+			u.role.spread.Unanswered(now)
 		}
 		return nil
 	})
