--- a/internal/directory/confirmer.go
+++ b/internal/directory/confirmer.go
@@ -6,7 +6,7 @@
 	// confirmInterval is the least time between two confirmations, each of which costs a
 	// call. A client whose flow is dead waits for one before it is told, out of a latency
 	// objective of some hundreds of milliseconds.
-	confirmInterval = 15 * time.Millisecond
+	confirmInterval = 25 * time.Millisecond
 	// askRate is how many questions a second a watcher gets at the most of those who ask it: a
 	// small part of a slow machine's processor.
 	askRate = 1000
--- a/internal/directory/rank.go
+++ b/internal/directory/rank.go
@@ -77,10 +77,11 @@
 // takes one of them at the most.
 func (s *Spread) chooseWatchers(ordered, heads []Member) {
 	others := slices.DeleteFunc(slices.Clone(ordered), func(member Member) bool { return slices.Contains(heads, member) })
-	s.watchers, s.watching = nil, false
-	for _, member := range slices.Concat(heads, others)[:min(watchersAmong(len(ordered)), len(ordered))] {
+	s.watchers, s.watching, s.confirms = nil, false, false
+	for index, member := range slices.Concat(heads, others)[:min(watchersAmong(len(ordered)), len(ordered))] {
 		if member == s.self {
 			s.watching = true
+			s.confirms = index < askedAmong(len(ordered))
 			continue
 		}
 		s.watchers = append(s.watchers, member.Peer)
--- a/internal/directory/spread.go
+++ b/internal/directory/spread.go
@@ -27,6 +27,8 @@
 	// alone is set while no other balancer is known to run.
 	alone    bool
 	watching bool
+	// confirms is set if it is one of those that others ask for confirmations.
+	confirms bool
 	// heads are the first of each zone, without this process, and neighbours the others
 	// of its own zone; place is its own among those of its zone, and head is set if it is
 	// the first.
@@ -132,11 +134,19 @@
 
 // Asker returns a watcher which can tell of changes, false if that is this process or none
 // is known.
-func (s *Spread) Asker() (Peer, bool) { return s.watcherAmong(len(s.watchers)) }
+func (s *Spread) Asker() (Peer, bool) {
+	if s.Watching() {
+		return 0, false
+	}
+	return s.watcherAmong(len(s.watchers))
+}
 
 // Confirming returns the watcher to ask for a confirmation of the directory, false if that is
 // this process or none is known.
 func (s *Spread) Confirming(now time.Duration) (Peer, bool) {
+	if s.confirms {
+		return 0, false
+	}
 	if now < s.askAnyUntil {
 		return s.watcherAmong(len(s.watchers))
 	}
@@ -144,7 +154,7 @@
 }
 
 func (s *Spread) watcherAmong(first int) (Peer, bool) {
-	if s.Watching() || first == 0 {
+	if first == 0 {
 		return 0, false
 	}
 	return s.watchers[s.random.IntN(first)], true
--- a/internal/directory/spread_test.go
+++ b/internal/directory/spread_test.go
@@ -336,6 +336,10 @@
 			}
 		}
 		Expect(asked).To(HaveLen(2))
+		for watcher := range asked {
+			_, exists := all[watcher].spread.Confirming(0)
+			Expect(exists).To(BeFalse(), "it calls the store itself")
+		}
 		clear(asked)
 		last.spread.Unanswered(0)
 		for range 200 {
