Move the order of waiting requests into a package of its own

What decides about the order (hope, compareWork) becomes internal/requestqueue: a Request, its Outlook and an Order without input and output, which a replay of the load can drive. hope is Outlook now.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/vanetiller/vanetiller/internal/outlier"
+	"github.com/vanetiller/vanetiller/internal/requestqueue"
 	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
@@ -148,6 +149,7 @@
 		balancers: make(map[segment.Address]knownBalancer),
 		cold:      newColdLimit(config.ColdBound),
 		detector:  outlier.NewDetector(config.Outliers),
+		queue:     queue{order: requestqueue.NewestFirst{}},
 	}
 }
 
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -1,11 +1,11 @@
 package relay
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/vanetiller/vanetiller/internal/requestqueue"
 	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
@@ -101,44 +101,28 @@
 	flow *agentFlow
 }
 
-// hope is what a request that waits can still come to.
-type hope uint8
-
-const (
-	// hopeInTime: it can be answered within its latency objective.
-	hopeInTime hope = iota
-	// hopeLate: it can be answered before its client gives up.
-	hopeLate
-	// hopeNone: its client has given up or will before the answer.
-	hopeNone
-)
+func milliseconds(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
 
-// hope returns what the request can come to if it takes as long as others.
-func (w *work) hope(now time.Duration, working float64) hope {
-	answered := now - w.asked + time.Duration(working*float64(time.Second))
-	switch {
-	case answered <= milliseconds(w.terms.Target):
-		return hopeInTime
-	case w.terms.Timeout == 0 || answered <= milliseconds(w.terms.Timeout):
-		return hopeLate
+// wanted is the request as the queue sees it.
+func (w *work) wanted() requestqueue.Request {
+	return requestqueue.Request{
+		Priority: w.terms.Priority, Began: w.asked,
+		Objective: milliseconds(w.terms.Target), Timeout: milliseconds(w.terms.Timeout),
 	}
-	return hopeNone
 }
 
-func milliseconds(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
-
-// queue holds the flows whose requests wait for the endpoint. Those that can be
-// answered in time go first, the newest of them before the others, since serving
-// the oldest first makes all late under overload (adaptive LIFO: Maurer, "Fail
-// at Scale", ACM Queue 2015). The others follow in the order in which their
-// clients give up.
-type queue struct{ waiting []waiting }
+// queue holds the flows whose requests wait for the endpoint.
+type queue struct {
+	order    requestqueue.Order
+	waiting  []waiting
+	requests []requestqueue.Request
+}
 
 // expire removes and returns the requests whose clients have given up.
-func (q *queue) expire(now time.Duration, working float64) []waiting {
+func (q *queue) expire(now, working time.Duration) []waiting {
 	var expired []waiting
 	q.waiting = slices.DeleteFunc(q.waiting, func(w waiting) bool {
-		if w.flow.work.hope(now, working) != hopeNone {
+		if w.flow.work.wanted().Outlook(now, working) != requestqueue.Expired {
 			return false
 		}
 		w.flow.work.held = nil
@@ -150,29 +134,29 @@
 
 // next removes and returns what shall be served next. It returns false if there is
 // nothing to serve.
-func (q *queue) next(now time.Duration, working float64) (waiting, bool) {
+func (q *queue) next(now time.Duration, capacity requestqueue.Capacity) (waiting, bool) {
 	if len(q.waiting) == 0 {
 		return waiting{}, false
 	}
-	best := slices.MinFunc(q.waiting, func(a, b waiting) int { return compareWork(now, working, &a.flow.work, &b.flow.work) })
-	q.remove(best.flow)
-	return best, true
-}
-
-// compareWork orders requests by what shall be served first.
-func compareWork(now time.Duration, working float64, a, b *work) int {
-	hoped := a.hope(now, working)
-	order := cmp.Or(cmp.Compare(hoped, b.hope(now, working)), cmp.Compare(a.terms.Priority, b.terms.Priority))
-	if hoped == hopeInTime {
-		return cmp.Or(order, cmp.Compare(b.asked, a.asked))
+	q.requests = q.requests[:0]
+	for _, w := range q.waiting {
+		q.requests = append(q.requests, w.flow.work.wanted())
 	}
-	return cmp.Or(order, cmp.Compare(a.asked+milliseconds(a.terms.Timeout), b.asked+milliseconds(b.terms.Timeout)))
+	index := q.order.Next(now, capacity, q.requests)
+	chosen := q.waiting[index]
+	q.waiting = slices.Delete(q.waiting, index, index+1)
+	return chosen, true
 }
 
 func (q *queue) remove(flow *agentFlow) {
 	q.waiting = slices.DeleteFunc(q.waiting, func(w waiting) bool { return w.flow == flow })
 }
 
+// capacity is what the endpoint can do, as far as it is known.
+func (a *Agent) capacity() requestqueue.Capacity {
+	return requestqueue.Capacity{Slots: a.pace.slots, Work: time.Duration(a.pace.working * float64(time.Second))}
+}
+
 // overloaded reports whether the endpoint would take longer for the requests
 // that wait than a client waits for an answer, so that a new flow is better
 // offered to another or refused before anything of it has run.
@@ -283,12 +267,12 @@
 }
 
 func (a *Agent) admitWaiting(now time.Duration) {
-	for _, expired := range a.queue.expire(now, a.pace.working) {
+	for _, expired := range a.queue.expire(now, a.capacity().Work) {
 		request := &expired.flow.work
 		a.event(Event{Kind: EventExpired, Flow: expired.key, Request: request.request, Elapsed: now - request.asked})
 	}
 	for !a.pace.full() {
-		next, exists := a.queue.next(now, a.pace.working)
+		next, exists := a.queue.next(now, a.capacity())
 		if !exists {
 			return
 		}
--- /dev/null
+++ b/internal/requestqueue/request.go
@@ -0,0 +1,48 @@
+package requestqueue
+
+import "time"
+
+// Request is a request that waits.
+type Request struct {
+	// Priority orders kinds of requests; 0 is the most urgent.
+	Priority uint8
+	// Began is when the client began with the request, as far as is known.
+	Began time.Duration
+	// Objective is the time from Began in which the client should have the answer.
+	Objective time.Duration
+	// Timeout is the time from Began after which the client gives up; 0 means that it
+	// never does.
+	Timeout time.Duration
+}
+
+// due is when the request has to be answered to meet its objective.
+func (r Request) due() time.Duration { return r.Began + r.Objective }
+
+// deadline is when the client gives up.
+func (r Request) deadline() time.Duration { return r.Began + r.Timeout }
+
+// Outlook is what a request can still achieve.
+type Outlook uint8
+
+// The outlooks, the best first.
+const (
+	// InTime: it can be answered within its objective.
+	InTime Outlook = iota
+	// Late: it can be answered before its client gives up.
+	Late
+	// Expired: its client has given up or will before the answer.
+	Expired
+)
+
+// Outlook returns what the request can achieve if it is begun now and takes as long as
+// work.
+func (r Request) Outlook(now, work time.Duration) Outlook {
+	answered := now + work
+	switch {
+	case answered <= r.due():
+		return InTime
+	case r.Timeout == 0 || answered <= r.deadline():
+		return Late
+	}
+	return Expired
+}
