Compare orders of waiting requests on a replay, and add earliest due date and a floor

Cause: newest first makes requests late that could have waited less, also while there is room for all of them.

--- /dev/null
+++ b/internal/requestqueue/comparison_test.go
@@ -0,0 +1,125 @@
+package requestqueue_test
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/requestqueue"
+)
+
+// earliestDeadline serves by when the client gives up, whatever can be in time.
+type earliestDeadline struct{}
+
+func (earliestDeadline) Next(_ time.Duration, _ requestqueue.Capacity, waiting []requestqueue.Request) int {
+	return least(waiting, func(request requestqueue.Request) time.Duration { return request.Began + request.Timeout })
+}
+
+// least returns the index of the request with the least time.
+func least(waiting []requestqueue.Request, of func(requestqueue.Request) time.Duration) int {
+	index := 0
+	for other := range waiting {
+		if of(waiting[other]) < of(waiting[index]) {
+			index = other
+		}
+	}
+	return index
+}
+
+// slackFirst serves what can be in time by slack, whatever its priority, while all of it
+// can be, and newest first once it cannot. If lateFirst is set, a late request whose client
+// is about to give up goes first while all others stay in time after it.
+type slackFirst struct{ lateFirst bool }
+
+// reserved is how many requests that are yet to come leave those in time enough slack.
+const reserved = 4
+
+func (s slackFirst) Next(now time.Duration, capacity requestqueue.Capacity, waiting []requestqueue.Request) int {
+	due := func(request requestqueue.Request) time.Duration { return request.Began + request.Objective }
+	var inTime, late []requestqueue.Request
+	for _, request := range waiting {
+		if request.Outlook(now, capacity.Work) == requestqueue.InTime {
+			inTime = append(inTime, request)
+			continue
+		}
+		late = append(late, request)
+	}
+	slices.SortFunc(inTime, func(a, b requestqueue.Request) int { return cmp.Compare(due(a), due(b)) })
+	feasible := len(inTime) > 0
+	for position, request := range inTime {
+		begun := now + time.Duration(position+reserved)*capacity.Work/time.Duration(capacity.Limit)
+		feasible = feasible && begun+capacity.Work <= due(request)
+	}
+	switch {
+	case !feasible:
+		return requestqueue.NewestFirst{}.Next(now, capacity, waiting)
+	case s.lateFirst && len(late) > 0:
+		urgent := late[earliestDeadline{}.Next(now, capacity, late)]
+		if urgent.Outlook(now, 2*capacity.Work) == requestqueue.Expired {
+			return slices.Index(waiting, urgent)
+		}
+	}
+	return slices.Index(waiting, inTime[0])
+}
+
+var _ = Describe("Orders on the same load", func() {
+	newOrders := map[string]func() requestqueue.Order{
+		"newest first":           func() requestqueue.Order { return requestqueue.NewestFirst{} },
+		"earliest deadline":      func() requestqueue.Order { return earliestDeadline{} },
+		"slack":                  func() requestqueue.Order { return slackFirst{} },
+		"slack, late before":     func() requestqueue.Order { return slackFirst{lateFirst: true} },
+		"earliest due":           func() requestqueue.Order { return requestqueue.EarliestDue{} },
+		"newest first, half":     func() requestqueue.Order { return requestqueue.NewFairShare(requestqueue.NewestFirst{}, 0.5) },
+		"earliest due, a fifth":  func() requestqueue.Order { return requestqueue.NewFairShare(requestqueue.EarliestDue{}, 0.2) },
+		"earliest due, one half": func() requestqueue.Order { return requestqueue.NewFairShare(requestqueue.EarliestDue{}, 0.5) },
+	}
+	loads := map[string]func(*rand.Rand) load{"power loss": afterPowerLoss, "overload": overload, "returning": returning}
+	results := map[string]map[string]map[uint8]outcome{}
+
+	BeforeEach(func() {
+		if len(results) > 0 {
+			return
+		}
+		for name, newLoad := range loads {
+			results[name] = map[string]map[uint8]outcome{}
+			for order, newOrder := range newOrders {
+				results[name][order] = total(newOrder, newLoad)
+			}
+		}
+	})
+
+	It("prints what becomes of the requests", func() {
+		for _, name := range []string{"power loss", "overload", "returning"} {
+			for _, order := range slices.Sorted(maps.Keys(newOrders)) {
+				result := results[name][order]
+				GinkgoWriter.Printf("%-11s %-23s priority 1 %v priority 2 %v\n", name, order, result[1], result[2])
+				Expect(result[1].asked()+result[2].asked()).To(BeNumerically(">", 10_000), "a load is replayed")
+			}
+		}
+	})
+
+	DescribeTable("serves more in time by when objectives end than newest first, and no more urgent request later",
+		func(name string) {
+			newest, earliest := results[name]["newest first"], results[name]["earliest due"]
+			Expect(earliest[1].inTime).To(BeNumerically(">=", newest[1].inTime))
+			Expect(earliest[2].inTime).To(BeNumerically(">", newest[2].inTime))
+		},
+		Entry("after a loss of power", "power loss"),
+		Entry("under overload", "overload"),
+		Entry("when late ones return", "returning"),
+	)
+
+	It("loses hardly any urgent request that returns late for less urgent ones in time", func() {
+		Expect(results["returning"]["earliest due"][1].failed).To(BeNumerically("<=", results["returning"]["newest first"][1].failed))
+	})
+
+	It("leaves the less urgent more while it is overloaded if there is a floor", func() {
+		without, with := results["overload"]["earliest due"], results["overload"]["earliest due, one half"]
+		Expect(with[2].failed).To(BeNumerically("<", without[2].failed))
+	})
+})
--- /dev/null
+++ b/internal/requestqueue/policy.go
@@ -0,0 +1,43 @@
+package requestqueue
+
+import "github.com/vanetiller/vanetiller/internal/label"
+
+// Discipline names an Order.
+type Discipline uint8
+
+// The disciplines.
+const (
+	// DisciplineNewestFirst is NewestFirst.
+	DisciplineNewestFirst Discipline = iota
+	// DisciplineEarliestDue is EarliestDue.
+	DisciplineEarliestDue
+	disciplineCount
+)
+
+var disciplineNames = []string{"newest_first", "earliest_due"}
+
+// String returns the discipline in the form used in settings.
+func (d Discipline) String() string { return label.Of(disciplineNames, d) }
+
+// Disciplines lists every discipline.
+func Disciplines() []Discipline { return label.All(disciplineCount) }
+
+// Policy holds the settings of a queue. The zero value is newest first without a floor.
+type Policy struct {
+	Discipline Discipline
+	// FairShare is the least part of the slots that requests of less urgent priorities get
+	// together while they wait, from 0 to 1; 0 means none.
+	FairShare float64
+}
+
+// NewOrder returns the order of a queue. It must not be shared between queues.
+func (p Policy) NewOrder() Order {
+	var order Order = NewestFirst{}
+	if p.Discipline == DisciplineEarliestDue {
+		order = EarliestDue{}
+	}
+	if p.FairShare > 0 {
+		order = NewFairShare(order, p.FairShare)
+	}
+	return order
+}
--- a/internal/requestqueue/requestqueue_test.go
+++ b/internal/requestqueue/requestqueue_test.go
@@ -56,7 +56,7 @@
 })
 
 var _ = Describe("NewestFirst", func() {
-	capacity := requestqueue.Capacity{Slots: 3, Work: 50 * ms}
+	capacity := requestqueue.Capacity{Limit: 4, Work: 50 * ms}
 
 	It("serves what can be in time first, by priority and newest first, then what gives up first", func() {
 		Expect(served(requestqueue.NewestFirst{}, time.Second, capacity,
@@ -65,3 +65,93 @@
 		)).To(Equal([]int{5, 4, 3, 1, 0, 2}))
 	})
 })
+
+var _ = Describe("EarliestDue", func() {
+	capacity := requestqueue.Capacity{Limit: 4, Work: 50 * ms}
+	order := requestqueue.EarliestDue{}
+
+	It("serves what is safely in time by when its objective ends, by priority first", func() {
+		Expect(served(order, time.Second, capacity,
+			request(900*ms, 2), request(850*ms, 2), request(950*ms, 1), request(800*ms, 1),
+		)).To(Equal([]int{3, 2, 1, 0}))
+	})
+
+	It("serves what is just in time after what is safely so, the newest first", func() {
+		Expect(served(order, time.Second, capacity,
+			request(755*ms, 1), request(900*ms, 1), request(765*ms, 1),
+		)).To(Equal([]int{1, 2, 0}))
+	})
+
+	It("serves the late last, in the order in which their clients give up", func() {
+		Expect(served(order, time.Second, capacity,
+			request(600*ms, 1), request(500*ms, 1), request(900*ms, 2),
+		)).To(Equal([]int{2, 1, 0}))
+	})
+
+	It("serves a late one whose client is about to give up before the less urgent", func() {
+		lastChance := request(0, 1)
+		Expect(served(order, 1910*ms, capacity,
+			request(1900*ms, 2), request(1850*ms, 1), request(100*ms, 0), lastChance,
+		)).To(Equal([]int{1, 3, 0, 2}))
+	})
+})
+
+var _ = Describe("FairShare", func() {
+	capacity := requestqueue.Capacity{Limit: 4, Work: 50 * ms}
+
+	// countOf returns how many of a hundred slots go to a priority while requests of all
+	// the given ones always wait.
+	countOf := func(order requestqueue.Order, counted uint8, priorities ...uint8) int {
+		count := 0
+		for slot := range 100 {
+			now := time.Duration(slot) * 10 * ms
+			var waiting []requestqueue.Request
+			for _, priority := range priorities {
+				waiting = append(waiting, request(now, priority))
+			}
+			if waiting[order.Next(now, capacity, waiting)].Priority == counted {
+				count++
+			}
+		}
+		return count
+	}
+
+	It("gives the less urgent their part, and no more, while they wait", func() {
+		Expect(countOf(requestqueue.EarliestDue{}, 2, 1, 2)).To(BeZero())
+		Expect(countOf(requestqueue.NewFairShare(requestqueue.EarliestDue{}, 0.25), 2, 1, 2)).To(Equal(25))
+	})
+
+	It("divides the part among several priorities", func() {
+		for _, priority := range []uint8{1, 2} {
+			Expect(countOf(requestqueue.NewFairShare(requestqueue.NewestFirst{}, 0.5), priority, 0, 1, 2)).
+				To(BeNumerically("~", 25, 1), "both are owed a slot at the same time, and one is still due")
+		}
+	})
+
+	It("changes nothing while one priority waits, and saves nothing up", func() {
+		order := requestqueue.NewFairShare(requestqueue.NewestFirst{}, 0.5)
+		Expect(countOf(order, 2, 2)).To(Equal(100))
+		now := time.Duration(0)
+		Expect(order.Next(now, capacity, []requestqueue.Request{request(now, 2), request(now, 1)})).To(Equal(1))
+	})
+
+	It("counts what the order gives to the less urgent", func() {
+		order := requestqueue.NewFairShare(requestqueue.NewestFirst{}, 0.5)
+		late := request(-time.Second, 1)
+		for range 10 {
+			Expect(order.Next(0, capacity, []requestqueue.Request{late, request(0, 2)})).To(Equal(1))
+		}
+		Expect(order.Next(0, capacity, []requestqueue.Request{request(0, 1), request(0, 2)})).To(Equal(0))
+	})
+})
+
+var _ = Describe("Policy", func() {
+	It("is newest first without a floor unless set", func() {
+		Expect(requestqueue.Policy{}.NewOrder()).To(Equal(requestqueue.NewestFirst{}))
+	})
+
+	It("names its order", func() {
+		Expect(requestqueue.Policy{Discipline: requestqueue.DisciplineEarliestDue}.NewOrder()).To(Equal(requestqueue.EarliestDue{}))
+		Expect(requestqueue.Policy{FairShare: 0.2}.NewOrder()).To(Equal(requestqueue.NewFairShare(requestqueue.NewestFirst{}, 0.2)))
+	})
+})
