Set the order of waiting requests and a floor for less urgent ones

relay.agent.queue_discipline is newest_first or earliest_due, relay.agent.fair_share the least part of the slots that less urgent requests get while they wait (0 unless set, 0.5 at most). An Agent without a policy serves the newest first as before.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -27,6 +27,8 @@
 	ColdBound ColdBound
 	// Outliers are the limits within which the endpoint counts as well.
 	Outliers outlier.Limits
+	// QueuePolicy decides which request that waits is served first.
+	QueuePolicy requestqueue.Policy
 }
 
 // agentFlowState is the progress of a flow as its agent sees it.
@@ -149,7 +151,7 @@
 		balancers: make(map[segment.Address]knownBalancer),
 		cold:      newColdLimit(config.ColdBound),
 		detector:  outlier.NewDetector(config.Outliers),
-		queue:     queue{order: requestqueue.NewestFirst{}},
+		queue:     queue{order: config.QueuePolicy.NewOrder()},
 	}
 }
 
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -154,7 +154,7 @@
 
 // capacity is what the endpoint can do, as far as it is known.
 func (a *Agent) capacity() requestqueue.Capacity {
-	return requestqueue.Capacity{Slots: a.pace.slots, Work: time.Duration(a.pace.working * float64(time.Second))}
+	return requestqueue.Capacity{Limit: a.pace.limit(), Work: time.Duration(a.pace.working * float64(time.Second))}
 }
 
 // overloaded reports whether the endpoint would take longer for the requests
--- a/internal/relaydaemon/agent.go
+++ b/internal/relaydaemon/agent.go
@@ -29,6 +29,7 @@
 		FlowLimit:    checked.FlowLimit,
 		ColdBound:    relay.ColdBound{Overrun: checked.Agent.ColdOverrun, Slack: checked.Agent.ColdSlack},
 		Outliers:     checked.Agent.Outliers,
+		QueuePolicy:  checked.Agent.QueuePolicy,
 	})
 	created := &agentRole{*checked, newExecutor(agent, checked.Peers.Port(), journal), agent}
 	created.executor.endpoint = segment.AddressOf(checked.Agent.Endpoint)
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -7,6 +7,7 @@
 
 	"github.com/vanetiller/vanetiller/internal/membership"
 	"github.com/vanetiller/vanetiller/internal/outlier"
+	"github.com/vanetiller/vanetiller/internal/requestqueue"
 )
 
 // Relay holds the settings of a process that carries the packets of flows
@@ -80,6 +81,8 @@
 	ColdSlack   float64
 	// Outliers are the limits within which the endpoint counts as well.
 	Outliers outlier.Limits
+	// QueuePolicy decides which request that waits for the endpoint is served first.
+	QueuePolicy requestqueue.Policy
 }
 
 // The values and bounds of relay settings.
@@ -94,6 +97,8 @@
 	MaxColdOverrun        = 100
 	MaxColdSlack          = 100_000
 	DefaultContactTimeout = "5s"
+	// DefaultQueueDiscipline meets more objectives while an endpoint is overloaded.
+	DefaultQueueDiscipline = requestqueue.DisciplineEarliestDue
 	// MaxOutlierWindow is as many outcomes as an agent can tell of.
 	MaxOutlierWindow = 100
 	MinEjection      = 100 * time.Millisecond
@@ -101,9 +106,11 @@
 	MinChangeTimeout = 500 * time.Millisecond
 	MaxChangeTimeout = 30 * time.Second
 	MaxStoreRate     = 1_000_000
-	MinFlowLifetime  = time.Second
-	MaxFlowLifetime  = time.Hour
-	maxSeeds         = 64
+	// MaxFairShare leaves the most urgent priority half of the slots at least.
+	MaxFairShare    = 0.5
+	MinFlowLifetime = time.Second
+	MaxFlowLifetime = time.Hour
+	maxSeeds        = 64
 )
 
 type relayDocument struct {
@@ -143,6 +150,9 @@
 	OutlierFailures any `toml:"outlier_failures"`
 	FirstEjection   any `toml:"first_ejection"`
 	LongestEjection any `toml:"longest_ejection"`
+
+	QueueDiscipline any `toml:"queue_discipline"`
+	FairShare       any `toml:"fair_share"`
 }
 
 func (c *checker) relay(raw *relayDocument, zone string) *Relay {
@@ -210,7 +220,26 @@
 		ColdSlack: c.number("relay.agent.cold_slack",
 			withDefault(raw.ColdSlack, DefaultColdSlack), 0, MaxColdSlack),
 		Outliers: c.outliers(raw),
+		QueuePolicy: requestqueue.Policy{
+			Discipline: c.discipline("relay.agent.queue_discipline",
+				withDefault(raw.QueueDiscipline, DefaultQueueDiscipline.String())),
+			FairShare: c.number("relay.agent.fair_share", withDefault(raw.FairShare, 0.0), 0, MaxFairShare),
+		},
+	}
+}
+
+func (c *checker) discipline(key string, value any) requestqueue.Discipline {
+	text, isText := c.text(key, value)
+	if !isText {
+		return DefaultQueueDiscipline
+	}
+	for _, discipline := range requestqueue.Disciplines() {
+		if discipline.String() == text {
+			return discipline
+		}
 	}
+	c.broken(key, "must be one of %v", requestqueue.Disciplines())
+	return DefaultQueueDiscipline
 }
 
 func (c *checker) outliers(raw *relayAgentDocument) outlier.Limits {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanetiller/vanetiller/internal/outlier"
+	"github.com/vanetiller/vanetiller/internal/requestqueue"
 	"github.com/vanetiller/vanetiller/internal/settings"
 )
 
@@ -198,6 +199,15 @@
 		}))
 	})
 
+	It("takes the order of requests that wait and a floor for the less urgent", func() {
+		parsed, err := settings.Parse("r.toml", []byte(strings.Replace(relayAgentFile, "first_start",
+			"queue_discipline = \"newest_first\"\nfair_share = 0.2\nfirst_start", 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(parsed.Relay.Agent.QueuePolicy).To(Equal(requestqueue.Policy{
+			Discipline: requestqueue.DisciplineNewestFirst, FairShare: 0.2,
+		}))
+	})
+
 	It("takes from a relay balancer whether the whole fleet starts for the first time", func() {
 		parsed, err := settings.Parse("r.toml", []byte(strings.Replace(relayBalancerFile, "store = ", "first_start = true\nstore = ", 1)))
 		Expect(err).NotTo(HaveOccurred())
@@ -221,6 +231,7 @@
 				Service: "lookup", Endpoint: endpoint("192.0.2.1:8081"), Emitted: endpoint("192.0.2.1:8082"), FirstStart: true,
 				Outliers:    outlier.Limits{Window: 10, Failures: 3, FirstEjection: time.Second, LongestEjection: 8 * time.Second},
 				ColdOverrun: 1,
+				QueuePolicy: requestqueue.Policy{Discipline: requestqueue.DisciplineEarliestDue},
 			},
 		}))
 	})
@@ -250,6 +261,12 @@
 				"r.toml:11: relay.agent.outlier_window: must be from 1 to 100"),
 		Entry("a longest ejection below the first", relayAgentFile, "first_start", "longest_ejection = \"500ms\"\nfirst_start",
 			"r.toml:11: relay.agent.longest_ejection: must not be less than first_ejection, 1s"),
+		Entry("an unknown order of requests", relayAgentFile, "first_start", "queue_discipline = \"random\"\nfirst_start",
+			"r.toml:11: relay.agent.queue_discipline: must be one of [newest_first earliest_due]"),
+		Entry("an order that is no text", relayAgentFile, "first_start", "queue_discipline = 1\nfirst_start",
+			"r.toml:11: relay.agent.queue_discipline: must be a string"),
+		Entry("more than half for the less urgent", relayAgentFile, "first_start", "fair_share = 0.6\nfirst_start",
+			"r.toml:11: relay.agent.fair_share: must be a number from 0 to 0.5"),
 		Entry("text for a truth value", relayAgentFile, "first_start = true", `first_start = "yes"`,
 			"r.toml:11: relay.agent.first_start: must be true or false"),
 		Entry("a role of the other kind beside it", relayAgentFile, "[relay.agent]", "[cluster]\n[relay.agent]",
