Serve the newest first again once not all requests can be in time

Earliest due date alone makes the requests first whose ages are unknown and that look newer than they are. It now holds while all requests of the priority can be in time, two more counted in; else the newest goes first.

--- a/internal/requestqueue/order.go
+++ b/internal/requestqueue/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -41,66 +42,69 @@
 }
 
 const (
-	// safeWork is how many times the expected work a request is expected to need at the
-	// most: one that has as long is in time although work varies.
-	safeWork = 1.5
-	// lastChanceWork is the same for a late request, which is lost if it is not begun before:
-	// at least one other answer comes while it waits on.
+	// lastChanceWork is how many times the expected work a late request may need at the most
+	// to be lost if it is not begun now: at least one other answer comes while it waits on.
 	lastChanceWork = 2
+	// reservedPlaces is how many requests are expected to come and go before those that
+	// wait, so that these stay in time although others follow.
+	reservedPlaces = 2
 )
 
-// rank orders requests of one priority under EarliestDue.
-type rank uint8
-
-const (
-	// rankSafe: the request will be in time.
-	rankSafe rank = iota
-	// rankTight: it is in time unless its work takes longer than the mean.
-	rankTight
-	// rankLastChance: it is late and its client is about to give up.
-	rankLastChance
-	// rankLate: it is late and can wait.
-	rankLate
-)
+// EarliestDue serves requests by priority. Of one priority, those that can be in time go by
+// when their objective ends while all of them can be (earliest due date: Jackson, 1955), so
+// that none becomes late for one that could have waited, and the newest first once they
+// cannot. Late ones whose clients are about to give up follow. Other late requests, whatever
+// their priority, wait for all of these.
+type EarliestDue struct{}
 
-// rankOf returns the rank of a request that is begun now.
-func rankOf(now, work time.Duration, request Request) rank {
+// Next implements Order.
+func (EarliestDue) Next(now time.Duration, capacity Capacity, waiting []Request) int {
+	inTime, lastChance := mostUrgent(now, capacity, waiting)
 	switch {
-	case request.Outlook(now, scaled(work, safeWork)) == InTime:
-		return rankSafe
-	case request.Outlook(now, work) == InTime:
-		return rankTight
-	case request.Outlook(now, scaled(work, lastChanceWork)) == Expired:
-		return rankLastChance
+	case len(inTime) > 0:
+		return nextInTime(now, capacity, waiting, inTime)
+	case len(lastChance) > 0:
+		return slices.MinFunc(lastChance, func(a, b int) int {
+			return cmp.Compare(waiting[a].deadline(), waiting[b].deadline())
+		})
 	}
-	return rankLate
+	return NewestFirst{}.Next(now, capacity, waiting)
 }
 
-func scaled(work time.Duration, factor float64) time.Duration {
-	return time.Duration(factor * float64(work))
+// mostUrgent returns the indices of the requests that can be in time, and of the late ones
+// whose clients are about to give up, of the most urgent priority that has any.
+func mostUrgent(now time.Duration, capacity Capacity, waiting []Request) (inTime, lastChance []int) {
+	urgent := -1
+	for index, request := range waiting {
+		isInTime := request.Outlook(now, capacity.Work) == InTime
+		if !isInTime && request.Outlook(now, lastChanceWork*capacity.Work) != Expired {
+			continue
+		}
+		if urgent < 0 || int(request.Priority) < urgent {
+			urgent = int(request.Priority)
+			inTime, lastChance = nil, nil
+		}
+		switch {
+		case int(request.Priority) > urgent:
+		case isInTime:
+			inTime = append(inTime, index)
+		default:
+			lastChance = append(lastChance, index)
+		}
+	}
+	return inTime, lastChance
 }
 
-// EarliestDue serves requests by priority. Of one priority, those that are safely in time go
-// by when their objective ends, so that none becomes late for one that could have waited
-// (earliest due date: Jackson, 1955); then come those that are just in time, the newest
-// first, and then the late ones whose clients are about to give up. Other late requests,
-// whatever their priority, wait for all of these.
-type EarliestDue struct{}
-
-// Next implements Order.
-func (EarliestDue) Next(now time.Duration, capacity Capacity, waiting []Request) int {
-	return first(waiting, func(a, b Request) int {
-		rankA, rankB := rankOf(now, capacity.Work, a), rankOf(now, capacity.Work, b)
-		canWait := cmp.Compare(rankA/rankLate, rankB/rankLate)
-		order := cmp.Or(canWait, cmp.Compare(a.Priority, b.Priority), cmp.Compare(rankA, rankB))
-		switch rankA {
-		case rankSafe:
-			return cmp.Or(order, cmp.Compare(a.due(), b.due()))
-		case rankTight:
-			return cmp.Or(order, cmp.Compare(b.Began, a.Began))
+// nextInTime chooses among requests of one priority that can be in time.
+func nextInTime(now time.Duration, capacity Capacity, waiting []Request, inTime []int) int {
+	slices.SortStableFunc(inTime, func(a, b int) int { return cmp.Compare(waiting[a].due(), waiting[b].due()) })
+	for position, index := range inTime {
+		begun := now + time.Duration(position+reservedPlaces)*capacity.interval()
+		if waiting[index].Outlook(begun, capacity.Work) != InTime {
+			return slices.MaxFunc(inTime, func(a, b int) int { return cmp.Compare(waiting[a].Began, waiting[b].Began) })
 		}
-		return cmp.Or(order, cmp.Compare(a.deadline(), b.deadline()))
-	})
+	}
+	return inTime[0]
 }
 
 // first returns the index of the least request, the first of equal ones.
