--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -12,6 +12,7 @@
 	"github.com/vanetiller/vanetiller/internal/directory"
 	"github.com/vanetiller/vanetiller/internal/outlier"
 	"github.com/vanetiller/vanetiller/internal/relay"
+	"github.com/vanetiller/vanetiller/internal/requestqueue"
 	"github.com/vanetiller/vanetiller/internal/segment"
 	"github.com/vanetiller/vanetiller/internal/segment/segmenttest"
 )
@@ -144,10 +145,12 @@
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
 
-func newAgent(complete bool) *relay.Agent {
+func newAgent(complete bool) *relay.Agent { return newAgentWith(complete, requestqueue.Policy{}) }
+
+func newAgentWith(complete bool, policy requestqueue.Policy) *relay.Agent {
 	return relay.NewAgent(relay.AgentConfig{
 		Service: service, Codec: codec, Complete: complete, FlowLifetime: flowLifetime, FlowLimit: 1000,
-		Outliers: outlier.DefaultLimits(),
+		Outliers: outlier.DefaultLimits(), QueuePolicy: policy,
 	})
 }
 
--- a/internal/relay/queue_test.go
+++ b/internal/relay/queue_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/vanetiller/vanetiller/internal/relay"
+	"github.com/vanetiller/vanetiller/internal/requestqueue"
 	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
@@ -110,6 +111,37 @@
 		Expect(given(respond(7*millisecond, 2))).To(Equal([]int{10}), "it can only be late")
 	})
 
+	// fill begins the requests that an agent with a policy gives to its endpoint at once.
+	fill := func(policy requestqueue.Policy) {
+		agent = drive(newAgentWith(true, policy))
+		for number := range 3 {
+			agent.open(0, number)
+		}
+		agent.lastResort = true
+	}
+
+	It("admits the flow whose objective ends first, if that is set and all can be in time", func() {
+		fill(requestqueue.Policy{Discipline: requestqueue.DisciplineEarliestDue})
+		handshake(1*millisecond, 10)
+		handshake(2*millisecond, 11)
+		request(3*millisecond, 11)
+		request(4*millisecond, 10)
+		Expect(given(respond(5*millisecond, 0))).To(Equal([]int{10}))
+		Expect(given(respond(6*millisecond, 1))).To(Equal([]int{11}))
+	})
+
+	It("admits a less urgent flow for its share, if there is a floor", func() {
+		fill(requestqueue.Policy{FairShare: 0.5})
+		for number := 10; number < 14; number++ {
+			agent.terms.Priority = uint8(1 + number%2)
+			handshake(1*millisecond, number)
+			request(2*millisecond, number)
+		}
+		Expect(given(respond(3*millisecond, 0))).To(Equal([]int{10}))
+		Expect(given(respond(4*millisecond, 1))).To(Equal([]int{11}), "less urgent")
+		Expect(given(respond(5*millisecond, 2))).To(Equal([]int{12}))
+	})
+
 	It("admits the more urgent before the newer", func() {
 		agent.terms.Priority = 1
 		handshake(1*millisecond, 10)
