Tell why a request that waited was served first

An order returns a Choice with its reason; the decision line 'admitted' and vanetiller_relay_admitted_total{reason} show it, so that an operator sees a floor work and whether newest first is what overload has come to.

--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -132,20 +132,20 @@
 	return expired
 }
 
-// next removes and returns what shall be served next. It returns false if there is
+// next removes and returns what shall be served next, and why. It returns false if there is
 // nothing to serve.
-func (q *queue) next(now time.Duration, capacity requestqueue.Capacity) (waiting, bool) {
+func (q *queue) next(now time.Duration, capacity requestqueue.Capacity) (waiting, requestqueue.Reason, bool) {
 	if len(q.waiting) == 0 {
-		return waiting{}, false
+		return waiting{}, 0, false
 	}
 	q.requests = q.requests[:0]
 	for _, w := range q.waiting {
 		q.requests = append(q.requests, w.flow.work.wanted())
 	}
-	index := q.order.Next(now, capacity, q.requests)
-	chosen := q.waiting[index]
-	q.waiting = slices.Delete(q.waiting, index, index+1)
-	return chosen, true
+	choice := q.order.Next(now, capacity, q.requests)
+	chosen := q.waiting[choice.Index]
+	q.waiting = slices.Delete(q.waiting, choice.Index, choice.Index+1)
+	return chosen, choice.Reason, true
 }
 
 func (q *queue) remove(flow *agentFlow) {
@@ -272,13 +272,14 @@
 		a.event(Event{Kind: EventExpired, Flow: expired.key, Request: request.request, Elapsed: now - request.asked})
 	}
 	for !a.pace.full() {
-		next, exists := a.queue.next(now, a.capacity())
+		next, reason, exists := a.queue.next(now, a.capacity())
 		if !exists {
 			return
 		}
 		work := &next.flow.work
 		a.event(Event{
 			Kind: EventAdmitted, Flow: next.key, Request: work.request, Peer: next.flow.balancer, Elapsed: now - work.asked,
+			Reason: reason.String(),
 		})
 		held := work.held
 		work.held, work.latest = nil, held[0]
--- a/internal/relay/queue_test.go
+++ b/internal/relay/queue_test.go
@@ -138,7 +138,10 @@
 			request(2*millisecond, number)
 		}
 		Expect(given(respond(3*millisecond, 0))).To(Equal([]int{10}))
-		Expect(given(respond(4*millisecond, 1))).To(Equal([]int{11}), "less urgent")
+		effects := respond(4*millisecond, 1)
+		Expect(given(effects)).To(Equal([]int{11}), "less urgent")
+		Expect(ofKind(effects, relay.EffectEvent)).To(ContainElement(HaveField("Event", And(
+			HaveField("Kind", relay.EventAdmitted), HaveField("Reason", "fair_share")))))
 		Expect(given(respond(5*millisecond, 2))).To(Equal([]int{12}))
 	})
 
--- a/internal/relaydaemon/journal.go
+++ b/internal/relaydaemon/journal.go
@@ -8,6 +8,7 @@
 	"github.com/vanetiller/vanetiller/internal/observability/registry"
 	"github.com/vanetiller/vanetiller/internal/outlier"
 	"github.com/vanetiller/vanetiller/internal/relay"
+	"github.com/vanetiller/vanetiller/internal/requestqueue"
 )
 
 // The labels of the counters of events and of ejections.
@@ -38,6 +39,7 @@
 	elapsed map[relay.EventKind]metrics.Histogram
 	// ejections count by the reason.
 	ejections map[string]metrics.Counter
+	admitted  map[string]metrics.Counter
 }
 
 // limited is a part of the log with a bound.
@@ -76,6 +78,11 @@
 	for _, class := range outlier.Classes()[outlier.Failure:] {
 		created.ejections[class.String()] = ejections.With(reasonLabel, class.String())
 	}
+	admitted := registered.Counter("relay_admitted_total", "Requests that waited and were given to the endpoint, by why each went first.", reasonLabel)
+	created.admitted = make(map[string]metrics.Counter)
+	for _, reason := range requestqueue.Reasons() {
+		created.admitted[reason.String()] = admitted.With(reasonLabel, reason.String())
+	}
 	return created
 }
 
@@ -92,6 +99,9 @@
 	if event.Kind == relay.EventEjected {
 		j.ejections[event.Reason].Add(1)
 	}
+	if event.Kind == relay.EventAdmitted {
+		j.admitted[event.Reason].Add(1)
+	}
 	bound := &j.unusual
 	if isRoutine(event.Kind) {
 		bound = &j.routine
--- a/internal/requestqueue/comparison_test.go
+++ b/internal/requestqueue/comparison_test.go
@@ -16,8 +16,9 @@
 // earliestDeadline serves by when the client gives up, whatever can be in time.
 type earliestDeadline struct{}
 
-func (earliestDeadline) Next(_ time.Duration, _ requestqueue.Capacity, waiting []requestqueue.Request) int {
-	return least(waiting, func(request requestqueue.Request) time.Duration { return request.Began + request.Timeout })
+func (earliestDeadline) Next(_ time.Duration, _ requestqueue.Capacity, waiting []requestqueue.Request) requestqueue.Choice {
+	index := least(waiting, func(request requestqueue.Request) time.Duration { return request.Began + request.Timeout })
+	return requestqueue.Choice{Index: index, Reason: requestqueue.ReasonLate}
 }
 
 // least returns the index of the request with the least time.
@@ -39,7 +40,7 @@
 // reserved is how many requests that are yet to come leave those in time enough slack.
 const reserved = 4
 
-func (s slackFirst) Next(now time.Duration, capacity requestqueue.Capacity, waiting []requestqueue.Request) int {
+func (s slackFirst) Next(now time.Duration, capacity requestqueue.Capacity, waiting []requestqueue.Request) requestqueue.Choice {
 	due := func(request requestqueue.Request) time.Duration { return request.Began + request.Objective }
 	var inTime, late []requestqueue.Request
 	for _, request := range waiting {
@@ -59,12 +60,12 @@
 	case !feasible:
 		return requestqueue.NewestFirst{}.Next(now, capacity, waiting)
 	case s.lateFirst && len(late) > 0:
-		urgent := late[earliestDeadline{}.Next(now, capacity, late)]
+		urgent := late[earliestDeadline{}.Next(now, capacity, late).Index]
 		if urgent.Outlook(now, 2*capacity.Work) == requestqueue.Expired {
-			return slices.Index(waiting, urgent)
+			return requestqueue.Choice{Index: slices.Index(waiting, urgent), Reason: requestqueue.ReasonLastChance}
 		}
 	}
-	return slices.Index(waiting, inTime[0])
+	return requestqueue.Choice{Index: slices.Index(waiting, inTime[0]), Reason: requestqueue.ReasonEarliestDue}
 }
 
 var _ = Describe("Orders on the same load", func() {
--- a/internal/requestqueue/fairshare.go
+++ b/internal/requestqueue/fairshare.go
@@ -22,7 +22,7 @@
 }
 
 // Next implements Order.
-func (f *FairShare) Next(now time.Duration, capacity Capacity, waiting []Request) int {
+func (f *FairShare) Next(now time.Duration, capacity Capacity, waiting []Request) Choice {
 	lessUrgent := prioritiesOf(waiting)[1:]
 	f.grant(lessUrgent)
 	next := f.order.Next(now, capacity, waiting)
@@ -32,7 +32,7 @@
 			break
 		}
 	}
-	f.charge(waiting[next].Priority)
+	f.charge(waiting[next.Index].Priority)
 	return next
 }
 
@@ -55,8 +55,8 @@
 	}
 }
 
-// nextOf returns the index of the first request of a priority.
-func (f *FairShare) nextOf(priority uint8, now time.Duration, capacity Capacity, waiting []Request) int {
+// nextOf chooses among the requests of a priority.
+func (f *FairShare) nextOf(priority uint8, now time.Duration, capacity Capacity, waiting []Request) Choice {
 	var indices []int
 	var requests []Request
 	for index, request := range waiting {
@@ -65,7 +65,7 @@
 			requests = append(requests, request)
 		}
 	}
-	return indices[f.order.Next(now, capacity, requests)]
+	return Choice{indices[f.order.Next(now, capacity, requests).Index], ReasonFairShare}
 }
 
 // prioritiesOf returns the priorities of requests, the most urgent first.
--- a/internal/requestqueue/order.go
+++ b/internal/requestqueue/order.go
@@ -19,8 +19,8 @@
 
 // Order decides which request is served first.
 type Order interface {
-	// Next returns the index of the request that gets a slot now. There is at least one.
-	Next(now time.Duration, capacity Capacity, waiting []Request) int
+	// Next chooses the request that gets a slot now. There is at least one.
+	Next(now time.Duration, capacity Capacity, waiting []Request) Choice
 }
 
 // NewestFirst serves requests that can be in time before others, by priority and then the
@@ -30,8 +30,8 @@
 type NewestFirst struct{}
 
 // Next implements Order.
-func (NewestFirst) Next(now time.Duration, capacity Capacity, waiting []Request) int {
-	return first(waiting, func(a, b Request) int {
+func (NewestFirst) Next(now time.Duration, capacity Capacity, waiting []Request) Choice {
+	index := first(waiting, func(a, b Request) int {
 		outlook := a.Outlook(now, capacity.Work)
 		order := cmp.Or(cmp.Compare(outlook, b.Outlook(now, capacity.Work)), cmp.Compare(a.Priority, b.Priority))
 		if outlook == InTime {
@@ -39,6 +39,10 @@
 		}
 		return cmp.Or(order, cmp.Compare(a.deadline(), b.deadline()))
 	})
+	if waiting[index].Outlook(now, capacity.Work) == InTime {
+		return Choice{index, ReasonNewest}
+	}
+	return Choice{index, ReasonLate}
 }
 
 // The times by which EarliestDue decides, as multiples of the expected work.
@@ -63,18 +67,20 @@
 type EarliestDue struct{}
 
 // Next implements Order.
-func (EarliestDue) Next(now time.Duration, capacity Capacity, waiting []Request) int {
+func (EarliestDue) Next(now time.Duration, capacity Capacity, waiting []Request) Choice {
 	inTime, giveUp := mostUrgent(now, capacity, waiting)
 	slices.SortStableFunc(inTime, func(a, b int) int { return cmp.Compare(waiting[a].due(), waiting[b].due()) })
 	switch {
 	case len(giveUp) > 0 && allInTime(now+ampleSlack*capacity.Work, capacity, waiting, inTime):
-		return slices.MinFunc(giveUp, func(a, b int) int { return cmp.Compare(waiting[a].deadline(), waiting[b].deadline()) })
+		index := slices.MinFunc(giveUp, func(a, b int) int { return cmp.Compare(waiting[a].deadline(), waiting[b].deadline()) })
+		return Choice{index, ReasonLastChance}
 	case len(inTime) == 0:
 		return NewestFirst{}.Next(now, capacity, waiting)
 	case allInTime(now+scaled(capacity.Work, safeSlack), capacity, waiting, inTime):
-		return inTime[0]
+		return Choice{inTime[0], ReasonEarliestDue}
 	}
-	return slices.MaxFunc(inTime, func(a, b int) int { return cmp.Compare(waiting[a].Began, waiting[b].Began) })
+	newest := slices.MaxFunc(inTime, func(a, b int) int { return cmp.Compare(waiting[a].Began, waiting[b].Began) })
+	return Choice{newest, ReasonNewest}
 }
 
 func scaled(work time.Duration, factor float64) time.Duration {
--- a/internal/requestqueue/replay_test.go
+++ b/internal/requestqueue/replay_test.go
@@ -188,7 +188,7 @@
 		for index, waiting := range r.waiting {
 			requests[index] = waiting.Request
 		}
-		next := r.order.Next(r.now, requestqueue.Capacity{Limit: replayGiven, Work: r.working}, requests)
+		next := r.order.Next(r.now, requestqueue.Capacity{Limit: replayGiven, Work: r.working}, requests).Index
 		r.begin(r.waiting[next])
 		r.waiting = slices.Delete(r.waiting, next, next+1)
 	}
--- a/internal/requestqueue/requestqueue_test.go
+++ b/internal/requestqueue/requestqueue_test.go
@@ -30,7 +30,7 @@
 	}
 	var result []int
 	for len(waiting) > 0 {
-		next := order.Next(now, capacity, waiting)
+		next := order.Next(now, capacity, waiting).Index
 		result = append(result, indices[next])
 		waiting = append(waiting[:next:next], waiting[next+1:]...)
 		indices = append(indices[:next:next], indices[next+1:]...)
@@ -101,6 +101,23 @@
 	})
 })
 
+var _ = Describe("Choice", func() {
+	capacity := requestqueue.Capacity{Limit: 4, Work: 50 * ms}
+
+	DescribeTable("tells why a request is served next",
+		func(order requestqueue.Order, expected string, waiting ...requestqueue.Request) {
+			Expect(order.Next(2*time.Second, capacity, waiting).Reason.String()).To(Equal(expected))
+		},
+		Entry("all can be in time", requestqueue.EarliestDue{}, "earliest_due", request(1900*ms, 1), request(1950*ms, 1)),
+		Entry("not all can", requestqueue.EarliestDue{}, "newest", request(1751*ms, 1), request(1950*ms, 1)),
+		Entry("its client is about to give up", requestqueue.EarliestDue{}, "last_chance", request(80*ms, 1), request(1950*ms, 1)),
+		Entry("nothing can be in time", requestqueue.EarliestDue{}, "late", request(time.Second, 1)),
+		Entry("newest first, in time", requestqueue.NewestFirst{}, "newest", request(1900*ms, 1)),
+		Entry("newest first, late", requestqueue.NewestFirst{}, "late", request(time.Second, 1)),
+		Entry("a floor", requestqueue.NewFairShare(requestqueue.NewestFirst{}, 1), "fair_share", request(1900*ms, 1), request(1900*ms, 2)),
+	)
+})
+
 var _ = Describe("FairShare", func() {
 	capacity := requestqueue.Capacity{Limit: 4, Work: 50 * ms}
 
@@ -114,7 +131,7 @@
 			for _, priority := range priorities {
 				waiting = append(waiting, request(now, priority))
 			}
-			if waiting[order.Next(now, capacity, waiting)].Priority == counted {
+			if waiting[order.Next(now, capacity, waiting).Index].Priority == counted {
 				count++
 			}
 		}
@@ -137,16 +154,16 @@
 		order := requestqueue.NewFairShare(requestqueue.NewestFirst{}, 0.5)
 		Expect(countOf(order, 2, 2)).To(Equal(100))
 		now := time.Duration(0)
-		Expect(order.Next(now, capacity, []requestqueue.Request{request(now, 2), request(now, 1)})).To(Equal(1))
+		Expect(order.Next(now, capacity, []requestqueue.Request{request(now, 2), request(now, 1)}).Index).To(Equal(1))
 	})
 
 	It("counts what the order gives to the less urgent", func() {
 		order := requestqueue.NewFairShare(requestqueue.NewestFirst{}, 0.5)
 		late := request(-time.Second, 1)
 		for range 10 {
-			Expect(order.Next(0, capacity, []requestqueue.Request{late, request(0, 2)})).To(Equal(1))
+			Expect(order.Next(0, capacity, []requestqueue.Request{late, request(0, 2)}).Index).To(Equal(1))
 		}
-		Expect(order.Next(0, capacity, []requestqueue.Request{request(0, 1), request(0, 2)})).To(Equal(0))
+		Expect(order.Next(0, capacity, []requestqueue.Request{request(0, 1), request(0, 2)}).Index).To(Equal(0))
 	})
 })
 
