Let networks of clients take turns where settings ask for it

With relay.agent.fair_network_bits the requests of one priority and outlook go by start-time fair queuing over the clients' networks, so that one cannot take what the others ask for. Off unless set. FairShare asks its order once for each choice now, since an order may keep state.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -151,7 +151,7 @@
 		balancers: make(map[segment.Address]knownBalancer),
 		cold:      newColdLimit(config.ColdBound),
 		detector:  outlier.NewDetector(config.Outliers),
-		queue:     queue{order: config.QueuePolicy.NewOrder()},
+		queue:     newQueue(config.QueuePolicy),
 	}
 }
 
--- a/internal/requestqueue/fairshare.go
+++ b/internal/requestqueue/fairshare.go
@@ -25,15 +25,19 @@
 func (f *FairShare) Next(now time.Duration, capacity Capacity, waiting []Request) Choice {
 	lessUrgent := prioritiesOf(waiting)[1:]
 	f.grant(lessUrgent)
-	next := f.order.Next(now, capacity, waiting)
+	choice := f.choose(now, capacity, waiting, lessUrgent)
+	f.charge(waiting[choice.Index].Priority)
+	return choice
+}
+
+// choose asks the order once, for all requests or for those of a priority that is owed a slot.
+func (f *FairShare) choose(now time.Duration, capacity Capacity, waiting []Request, lessUrgent []uint8) Choice {
 	for _, priority := range lessUrgent {
 		if f.credit[priority] >= 1 {
-			next = f.nextOf(priority, now, capacity, waiting)
-			break
+			return Choice{among(f.order, now, capacity, waiting, indicesOf(waiting, priority)).Index, ReasonFairShare}
 		}
 	}
-	f.charge(waiting[next.Index].Priority)
-	return next
+	return f.order.Next(now, capacity, waiting)
 }
 
 // grant adds to what is owed to the less urgent priorities that wait, and forgets the others.
@@ -55,17 +59,15 @@
 	}
 }
 
-// nextOf chooses among the requests of a priority.
-func (f *FairShare) nextOf(priority uint8, now time.Duration, capacity Capacity, waiting []Request) Choice {
+// indicesOf returns the indices of the requests of a priority.
+func indicesOf(waiting []Request, priority uint8) []int {
 	var indices []int
-	var requests []Request
 	for index, request := range waiting {
 		if request.Priority == priority {
 			indices = append(indices, index)
-			requests = append(requests, request)
 		}
 	}
-	return Choice{indices[f.order.Next(now, capacity, requests).Index], ReasonFairShare}
+	return indices
 }
 
 // prioritiesOf returns the priorities of requests, the most urgent first.
--- a/internal/requestqueue/replay_test.go
+++ b/internal/requestqueue/replay_test.go
@@ -35,6 +35,10 @@
 // outcome counts what became of the requests of a kind.
 type outcome struct{ inTime, late, failed int }
 
+func (o outcome) plus(other outcome) outcome {
+	return outcome{o.inTime + other.inTime, o.late + other.late, o.failed + other.failed}
+}
+
 func (o outcome) asked() int { return o.inTime + o.late + o.failed }
 
 // load is a list of arrivals at an endpoint, which is cold at first if cold is set.
@@ -109,10 +113,23 @@
 	return load{arrivals, false}
 }
 
-// replay serves a load in an order and counts what becomes of it by priority.
-func replay(order requestqueue.Order, offered load, random *rand.Rand) map[uint8]outcome {
+// crowded asks 1.3 times what the endpoint can do for five seconds, two thirds of it from
+// network 0 and the rest from nine others.
+func crowded(random *rand.Rand) load {
+	offered := overload(random)
+	for index := range offered.arrivals {
+		if random.IntN(3) == 0 {
+			offered.arrivals[index].Network = requestqueue.Network(1 + random.IntN(9))
+		}
+	}
+	return offered
+}
+
+// replay serves a load in an order and counts what becomes of it.
+func replay(order requestqueue.Order, offered load, random *rand.Rand) *replayed {
 	arrivals := slices.SortedFunc(slices.Values(offered.arrivals), func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
-	run := &replayed{order: order, random: random, cold: offered.cold, outcomes: make(map[uint8]outcome)}
+	run := &replayed{order: order, random: random, cold: offered.cold}
+	run.priorities, run.networks = make(map[uint8]outcome), make(map[requestqueue.Network]outcome)
 	for len(arrivals) > 0 || len(run.waiting) > 0 || len(run.running) > 0 {
 		if len(arrivals) > 0 && (len(run.running) == 0 || arrivals[0].at <= run.running[0].answered) {
 			run.now = arrivals[0].at
@@ -123,7 +140,7 @@
 		}
 		run.admit()
 	}
-	return run.outcomes
+	return run
 }
 
 // given is a request that the endpoint has.
@@ -135,15 +152,17 @@
 
 // replayed is the state of a replay.
 type replayed struct {
-	order    requestqueue.Order
-	random   *rand.Rand
-	cold     bool
-	now      time.Duration
-	working  time.Duration
-	waiting  []arrival
-	running  []given
-	slots    [replaySlots]time.Duration
-	outcomes map[uint8]outcome
+	order   requestqueue.Order
+	random  *rand.Rand
+	cold    bool
+	now     time.Duration
+	working time.Duration
+	waiting []arrival
+	running []given
+	slots   [replaySlots]time.Duration
+	// priorities and networks are what became of the requests of each.
+	priorities map[uint8]outcome
+	networks   map[requestqueue.Network]outcome
 }
 
 // finish answers the request that is answered next.
@@ -159,17 +178,21 @@
 	r.count(done.arrival)
 }
 
+// count notes what became of a request that is answered.
 func (r *replayed) count(request arrival) {
-	counted := r.outcomes[request.Priority]
 	switch took := r.now - request.began; {
 	case took <= request.Objective:
-		counted.inTime++
+		r.add(request, outcome{inTime: 1})
 	case took <= request.Timeout:
-		counted.late++
+		r.add(request, outcome{late: 1})
 	default:
-		counted.failed++
+		r.add(request, outcome{failed: 1})
 	}
-	r.outcomes[request.Priority] = counted
+}
+
+func (r *replayed) add(request arrival, result outcome) {
+	r.priorities[request.Priority] = r.priorities[request.Priority].plus(result)
+	r.networks[request.Network] = r.networks[request.Network].plus(result)
 }
 
 // admit gives the endpoint what it may have, and drops what has expired.
@@ -177,9 +200,7 @@
 	r.waiting = slices.DeleteFunc(r.waiting, func(waiting arrival) bool {
 		expired := waiting.Outlook(r.now, r.working) == requestqueue.Expired
 		if expired {
-			counted := r.outcomes[waiting.Priority]
-			counted.failed++
-			r.outcomes[waiting.Priority] = counted
+			r.add(waiting, outcome{failed: 1})
 		}
 		return expired
 	})
@@ -219,9 +240,8 @@
 	sum := map[uint8]outcome{}
 	for seed := range uint64(replaySeeds) {
 		offered := make(rand.New(rand.NewPCG(seed, 1)))
-		for priority, counted := range replay(newOrder(), offered, rand.New(rand.NewPCG(seed, 2))) {
-			before := sum[priority]
-			sum[priority] = outcome{before.inTime + counted.inTime, before.late + counted.late, before.failed + counted.failed}
+		for priority, counted := range replay(newOrder(), offered, rand.New(rand.NewPCG(seed, 2))).priorities {
+			sum[priority] = sum[priority].plus(counted)
 		}
 	}
 	return sum
