--- a/internal/requestqueue/order.go
+++ b/internal/requestqueue/order.go
@@ -68,9 +68,6 @@
 
 // Next implements Order.
 func (EarliestDue) Next(now time.Duration, capacity Capacity, waiting []Request) Choice {
-	if index, exists := lateWithAmpleSlack(now, capacity, waiting); exists {
-		return Choice{index, ReasonLate}
-	}
 	inTime, giveUp := mostUrgent(now, capacity, waiting)
 	slices.SortStableFunc(inTime, func(a, b int) int { return cmp.Compare(waiting[a].due(), waiting[b].due()) })
 	switch {
@@ -136,21 +133,3 @@
 	}
 	return least
 }
-
-func lateWithAmpleSlack(now time.Duration, capacity Capacity, waiting []Request) (int, bool) {
-	var inTime, late []int
-	for index, request := range waiting {
-		if request.Outlook(now, capacity.Work) == InTime {
-			inTime = append(inTime, index)
-			continue
-		}
-		late = append(late, index)
-	}
-	slices.SortStableFunc(inTime, func(a, b int) int { return cmp.Compare(waiting[a].due(), waiting[b].due()) })
-	if len(late) == 0 || !allInTime(now+scaled(capacity.Work, 3), capacity, waiting, inTime) {
-		return 0, false
-	}
-	return slices.MinFunc(late, func(a, b int) int {
-		return cmp.Or(cmp.Compare(waiting[a].Priority, waiting[b].Priority), cmp.Compare(waiting[a].deadline(), waiting[b].deadline()))
-	}), true
-}
