--- /dev/null
+++ b/internal/requestqueue/requestqueue_test.go
@@ -0,0 +1,235 @@
+package requestqueue_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/requestqueue"
+)
+
+func TestRequestQueue(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Request queue")
+}
+
+const ms = time.Millisecond
+
+// request returns one that began at a time, with an objective of 300 ms and a timeout of 2 s.
+func request(began time.Duration, priority uint8) requestqueue.Request {
+	return requestqueue.Request{Priority: priority, Began: began, Objective: 300 * ms, Timeout: 2 * time.Second}
+}
+
+// served returns the indices of requests in the order in which they are served, all at once.
+func served(order requestqueue.Order, now time.Duration, capacity requestqueue.Capacity, waiting ...requestqueue.Request) []int {
+	indices := make([]int, len(waiting))
+	for index := range indices {
+		indices[index] = index
+	}
+	var result []int
+	for len(waiting) > 0 {
+		next := order.Next(now, capacity, waiting).Index
+		result = append(result, indices[next])
+		waiting = append(waiting[:next:next], waiting[next+1:]...)
+		indices = append(indices[:next:next], indices[next+1:]...)
+	}
+	return result
+}
+
+var _ = Describe("Outlook", func() {
+	DescribeTable("follows from the age and the expected work",
+		func(now, work time.Duration, expected requestqueue.Outlook) {
+			Expect(request(0, 0).Outlook(now, work)).To(Equal(expected))
+		},
+		Entry("just in time", 200*ms, 100*ms, requestqueue.InTime),
+		Entry("just late", 201*ms, 100*ms, requestqueue.Late),
+		Entry("just before the client gives up", 1900*ms, 100*ms, requestqueue.Late),
+		Entry("after it has", 1901*ms, 100*ms, requestqueue.Expired),
+	)
+
+	It("never expires without a timeout", func() {
+		endless := requestqueue.Request{Objective: 300 * ms}
+		Expect(endless.Outlook(time.Hour, 0)).To(Equal(requestqueue.Late))
+	})
+})
+
+var _ = Describe("NewestFirst", func() {
+	capacity := requestqueue.Capacity{Limit: 4, Work: 50 * ms}
+
+	It("serves what can be in time first, by priority and newest first, then what gives up first", func() {
+		Expect(served(requestqueue.NewestFirst{}, time.Second, capacity,
+			request(300*ms, 1), request(200*ms, 1), request(100*ms, 2),
+			request(900*ms, 2), request(800*ms, 1), request(850*ms, 1),
+		)).To(Equal([]int{5, 4, 3, 1, 0, 2}))
+	})
+})
+
+var _ = Describe("EarliestDue", func() {
+	capacity := requestqueue.Capacity{Limit: 4, Work: 50 * ms}
+	order := requestqueue.EarliestDue{}
+
+	It("serves what is safely in time by when its objective ends, by priority first", func() {
+		Expect(served(order, time.Second, capacity,
+			request(900*ms, 2), request(850*ms, 2), request(950*ms, 1), request(800*ms, 1),
+		)).To(Equal([]int{3, 2, 1, 0}))
+	})
+
+	It("serves what is just in time after what is safely so, the newest first", func() {
+		Expect(served(order, time.Second, capacity,
+			request(755*ms, 1), request(900*ms, 1), request(765*ms, 1),
+		)).To(Equal([]int{1, 2, 0}))
+	})
+
+	It("serves the late last, in the order in which their clients give up", func() {
+		Expect(served(order, time.Second, capacity,
+			request(600*ms, 1), request(500*ms, 1), request(900*ms, 2),
+		)).To(Equal([]int{2, 1, 0}))
+	})
+
+	It("serves a late one whose client is about to give up before those with ample slack", func() {
+		Expect(served(order, 1910*ms, capacity,
+			request(1900*ms, 2), request(1850*ms, 1), request(100*ms, 0), request(0, 1),
+		)).To(Equal([]int{3, 1, 0, 2}))
+	})
+
+	It("serves it after others of its priority that have less, and before the less urgent", func() {
+		Expect(served(order, 1910*ms, capacity,
+			request(1900*ms, 2), request(1750*ms, 1), request(100*ms, 0), request(0, 1),
+		)).To(Equal([]int{1, 3, 0, 2}))
+	})
+})
+
+var _ = Describe("Choice", func() {
+	capacity := requestqueue.Capacity{Limit: 4, Work: 50 * ms}
+
+	DescribeTable("tells why a request is served next",
+		func(order requestqueue.Order, expected string, waiting ...requestqueue.Request) {
+			Expect(order.Next(2*time.Second, capacity, waiting).Reason.String()).To(Equal(expected))
+		},
+		Entry("all can be in time", requestqueue.EarliestDue{}, "earliest_due", request(1900*ms, 1), request(1950*ms, 1)),
+		Entry("not all can", requestqueue.EarliestDue{}, "newest", request(1751*ms, 1), request(1950*ms, 1)),
+		Entry("its client is about to give up", requestqueue.EarliestDue{}, "last_chance", request(80*ms, 1), request(1950*ms, 1)),
+		Entry("nothing can be in time", requestqueue.EarliestDue{}, "late", request(time.Second, 1)),
+		Entry("newest first, in time", requestqueue.NewestFirst{}, "newest", request(1900*ms, 1)),
+		Entry("newest first, late", requestqueue.NewestFirst{}, "late", request(time.Second, 1)),
+		Entry("a floor", requestqueue.NewFairShare(requestqueue.NewestFirst{}, 1), "fair_share", request(1900*ms, 1), request(1900*ms, 2)),
+	)
+})
+
+var _ = Describe("FairShare", func() {
+	capacity := requestqueue.Capacity{Limit: 4, Work: 50 * ms}
+
+	// countOf returns how many of a hundred slots go to a priority while requests of all
+	// the given ones always wait.
+	countOf := func(order requestqueue.Order, counted uint8, priorities ...uint8) int {
+		count := 0
+		for slot := range 100 {
+			now := time.Duration(slot) * 10 * ms
+			var waiting []requestqueue.Request
+			for _, priority := range priorities {
+				waiting = append(waiting, request(now, priority))
+			}
+			if waiting[order.Next(now, capacity, waiting).Index].Priority == counted {
+				count++
+			}
+		}
+		return count
+	}
+
+	It("gives the less urgent their part, and no more, while they wait", func() {
+		Expect(countOf(requestqueue.EarliestDue{}, 2, 1, 2)).To(BeZero())
+		Expect(countOf(requestqueue.NewFairShare(requestqueue.EarliestDue{}, 0.25), 2, 1, 2)).To(Equal(25))
+	})
+
+	It("divides the part among several priorities", func() {
+		for _, priority := range []uint8{1, 2} {
+			Expect(countOf(requestqueue.NewFairShare(requestqueue.NewestFirst{}, 0.5), priority, 0, 1, 2)).
+				To(BeNumerically("~", 25, 1), "both are owed a slot at the same time, and one is still due")
+		}
+	})
+
+	It("changes nothing while one priority waits, and saves nothing up", func() {
+		order := requestqueue.NewFairShare(requestqueue.NewestFirst{}, 0.5)
+		Expect(countOf(order, 2, 2)).To(Equal(100))
+		now := time.Duration(0)
+		Expect(order.Next(now, capacity, []requestqueue.Request{request(now, 2), request(now, 1)}).Index).To(Equal(1))
+	})
+
+	It("counts what the order gives to the less urgent", func() {
+		order := requestqueue.NewFairShare(requestqueue.NewestFirst{}, 0.5)
+		late := request(-time.Second, 1)
+		for range 10 {
+			Expect(order.Next(0, capacity, []requestqueue.Request{late, request(0, 2)}).Index).To(Equal(1))
+		}
+		Expect(order.Next(0, capacity, []requestqueue.Request{request(0, 1), request(0, 2)}).Index).To(Equal(0))
+	})
+})
+
+var _ = Describe("NetworkShare", func() {
+	capacity := requestqueue.Capacity{Limit: 4, Work: 50 * ms}
+	from := func(network requestqueue.Network, began time.Duration, priority uint8) requestqueue.Request {
+		asked := request(began, priority)
+		asked.Network = network
+		return asked
+	}
+	// networksOf returns the networks of requests in the order in which they are served.
+	networksOf := func(order requestqueue.Order, waiting ...requestqueue.Request) []requestqueue.Network {
+		var networks []requestqueue.Network
+		for _, index := range served(order, 0, capacity, slices.Clone(waiting)...) {
+			networks = append(networks, waiting[index].Network)
+		}
+		return networks
+	}
+
+	It("lets networks take turns, however much one asks for", func() {
+		waiting := []requestqueue.Request{from(1, 5*ms, 1), from(1, 4*ms, 1), from(1, 3*ms, 1), from(2, 2*ms, 1), from(3, 1*ms, 1)}
+		Expect(networksOf(requestqueue.NewestFirst{}, waiting...)).To(Equal([]requestqueue.Network{1, 1, 1, 2, 3}))
+		Expect(networksOf(requestqueue.NewNetworkShare(requestqueue.NewestFirst{}), waiting...)).
+			To(Equal([]requestqueue.Network{1, 2, 3, 1, 1}))
+	})
+
+	It("leaves it to the order between priorities and outlooks", func() {
+		Expect(networksOf(requestqueue.NewNetworkShare(requestqueue.NewestFirst{}),
+			from(1, 0, 1), from(1, 0, 1), from(2, 0, 2), from(3, -time.Second, 1),
+		)).To(Equal([]requestqueue.Network{1, 1, 2, 3}))
+	})
+
+	It("owes at most a turn to a network that did not ask while another had ten", func() {
+		order := requestqueue.NewNetworkShare(requestqueue.NewestFirst{})
+		for range 10 {
+			order.Next(0, capacity, []requestqueue.Request{from(1, 0, 1)})
+		}
+		Expect(networksOf(order,
+			from(2, 2*ms, 1), from(2, 2*ms, 1), from(2, 2*ms, 1), from(1, 1*ms, 1), from(1, 1*ms, 1), from(1, 1*ms, 1),
+		)).To(Equal([]requestqueue.Network{2, 2, 1, 2, 1, 1}))
+	})
+
+	It("keeps to the floor of a less urgent priority", func() {
+		order := requestqueue.NewFairShare(requestqueue.NewNetworkShare(requestqueue.NewestFirst{}), 0.5)
+		Expect(networksOf(order, from(1, 0, 1), from(1, 0, 1), from(1, 0, 1), from(1, 0, 2), from(2, 0, 2))).
+			To(Equal([]requestqueue.Network{1, 2, 1, 1, 1}), "every second slot, and there the network that had none")
+	})
+})
+
+var _ = Describe("Policy", func() {
+	It("is newest first without a floor unless set", func() {
+		Expect(requestqueue.Policy{}.NewOrder()).To(Equal(requestqueue.NewestFirst{}))
+	})
+
+	It("tells networks apart by the leading bits, and not at all unless set", func() {
+		near, far := [4]byte{192, 0, 2, 1}, [4]byte{192, 0, 3, 1}
+		policy := requestqueue.Policy{NetworkBits: 24}
+		Expect(policy.NetworkOf(near)).To(Equal(policy.NetworkOf([4]byte{192, 0, 2, 200})))
+		Expect(policy.NetworkOf(near)).NotTo(Equal(policy.NetworkOf(far)))
+		Expect(requestqueue.Policy{}.NetworkOf(near)).To(Equal(requestqueue.Policy{}.NetworkOf(far)))
+		Expect(requestqueue.Policy{NetworkBits: 32}.NetworkOf(near)).To(Equal(requestqueue.Network(0xc0000201)))
+	})
+
+	It("names its order", func() {
+		Expect(requestqueue.Policy{Discipline: requestqueue.DisciplineEarliestDue}.NewOrder()).To(Equal(requestqueue.EarliestDue{}))
+		Expect(requestqueue.Policy{FairShare: 0.2}.NewOrder()).To(Equal(requestqueue.NewFairShare(requestqueue.NewestFirst{}, 0.2)))
+	})
+})
