Choose among endpoints in a package without input and output

The score of an endpoint and the choice among equals were methods of Balancer, so that other ways to choose could only be tried with a whole balancer. internal/placement takes candidates with what is known of each and returns one; what an agent knows of its endpoint's room has a file of its own. Behaviour is unchanged: the specs of relay pass untouched.

--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -8,6 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/placement"
 	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
@@ -118,13 +119,16 @@
 	demands map[string]*demand
 	swept   time.Duration
 	// paces is room for the paces of a service.
-	paces     []uint32
-	sharing   map[segment.Address]*sharing
-	budget    budget
-	searches  *rate.Limiter
-	reach     reach
-	nextSweep time.Duration
-	effects   []Effect
+	paces []uint32
+	// candidates and places are room for the endpoints that may get a flow.
+	candidates []directory.Candidate
+	places     []placement.Candidate
+	sharing    map[segment.Address]*sharing
+	budget     budget
+	searches   *rate.Limiter
+	reach      reach
+	nextSweep  time.Duration
+	effects    []Effect
 }
 
 // NewBalancer returns a balancer without a directory.
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -6,6 +6,7 @@
 
 	"github.com/vanetiller/vanetiller/internal/directory"
 	"github.com/vanetiller/vanetiller/internal/outlier"
+	"github.com/vanetiller/vanetiller/internal/placement"
 	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
@@ -17,9 +18,6 @@
 	// doubles up to longestSuspicion while its answers stay out.
 	firstSuspicion   = 300 * time.Millisecond
 	longestSuspicion = 2400 * time.Millisecond
-	// warmingFactor is how much busier an endpoint counts while it is slow
-	// after its start.
-	warmingFactor = 1.6
 )
 
 // health is what a balancer believes of one endpoint.
@@ -218,53 +216,38 @@
 	return occupant.ID == candidate.ID
 }
 
+// leastLoaded returns the endpoint of a service that takes a new flow best, among those that
+// are accepted and were not tried.
 func (b *Balancer) leastLoaded(now time.Duration, service string, tried []directory.EndpointID, accepts func(directory.Candidate) bool) (directory.Candidate, bool) {
-	var best directory.Candidate
-	found := false
-	leastScore := 0.0
-	ties := 0
 	usual := b.usualPace(service)
 	asks := b.demandOf(service).slots(usual)
+	b.candidates, b.places = b.candidates[:0], b.places[:0]
 	for _, candidate := range b.snapshot.Candidates(service) {
 		if !accepts(candidate) || slices.Contains(tried, candidate.ID) {
 			continue
 		}
-		score := b.score(now, candidate, usual, asks)
-		switch {
-		case !found || score < leastScore:
-			best, found, leastScore, ties = candidate, true, score, 1
-		case score == leastScore:
-			ties++
-			if b.config.Random.IntN(ties) == 0 {
-				best = candidate
-			}
-		}
+		b.candidates = append(b.candidates, candidate)
+		b.places = append(b.places, b.placeOf(now, candidate, usual, asks))
+	}
+	chosen, exists := placement.Choose(b.places, b.config.Random)
+	if !exists {
+		return directory.Candidate{}, false
 	}
-	return best, found
+	return b.candidates[chosen], true
 }
 
-// zoneBonus is what an endpoint in the balancer's zone counts less busy. It
-// decides only between equals.
-const zoneBonus = 0.01
-
-// score is the utilisation that the endpoint would have with one more flow, given
-// the pace that is usual for its service and the slots that one of its kept flows takes.
-func (b *Balancer) score(now time.Duration, candidate directory.Candidate, usual uint32, asks float64) float64 {
-	slots := float64(max(candidate.Endpoint.Slots, 1))
+// placeOf is what is known of an endpoint that may get a new flow, given the pace that is
+// usual for its service and the slots that one of its kept flows takes.
+func (b *Balancer) placeOf(now time.Duration, candidate directory.Candidate, usual uint32, asks float64) placement.Candidate {
 	known := b.healthOf(candidate.ID)
-	score := (float64(known.outstanding+1) + asks*float64(known.kept)) / slots
 	slowness := known.slowness(usual)
 	if slowness > 1 {
 		b.refreshPace(now, candidate, known)
 	}
-	if now < candidate.WarmAt {
-		slowness = max(slowness, warmingFactor)
-	}
-	score *= slowness
-	if candidate.Endpoint.Zone == b.config.Zone {
-		score -= zoneBonus
+	return placement.Candidate{
+		Slots: candidate.Endpoint.Slots, Outstanding: known.outstanding, Kept: asks * float64(known.kept),
+		Slowness: slowness, Warming: now < candidate.WarmAt, Local: candidate.Endpoint.Zone == b.config.Zone,
 	}
-	return score
 }
 
 // sharing spreads the new flows of one route over its services by smooth
--- /dev/null
+++ b/internal/relay/room.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// paceWeight is the weight of a new measurement in a moving average.
+	paceWeight = 0.1
+	// spareSlots is how many requests more than it works on an endpoint is
+	// given, so that it is never idle.
+	spareSlots = 1
+)
+
+// pace is what an agent measures of its endpoint.
+type pace struct {
+	slots uint32
+	// occupied is the number of requests that the endpoint was given and has
+	// not answered.
+	occupied uint32
+	// working is the mean time from request to answer, in seconds.
+	working float64
+}
+
+// limit returns how many requests the endpoint is given at once: all its slots
+// are busy then, and none of the requests waits for long.
+func (p *pace) limit() uint32 {
+	if p.slots == 0 {
+		return math.MaxUint32
+	}
+	return p.slots + spareSlots
+}
+
+func (p *pace) full() bool { return p.occupied >= p.limit() }
+
+func (p *pace) measure(took time.Duration) {
+	if p.working == 0 {
+		p.working = took.Seconds()
+		return
+	}
+	p.working += paceWeight * (took.Seconds() - p.working)
+}
+
+// overloaded reports whether the endpoint would take longer for the requests
+// that wait than a client waits for an answer, so that a new flow is better
+// offered to another or refused before anything of it has run.
+func (a *Agent) overloaded(terms Terms) bool {
+	a.pace.slots = terms.Slots
+	if terms.Slots == 0 || terms.Timeout == 0 {
+		return false
+	}
+	backlog := float64(len(a.queue.waiting)) * a.pace.working / float64(terms.Slots)
+	return backlog > float64(terms.Timeout)/1000
+}
+
+// busy reports whether a new request would have to wait, counting those that are about to
+// come in flows which are just being opened. A balancer knows only the flows that it has
+// placed itself, among hundreds next to nothing, so that it may find one that is not.
+func (a *Agent) busy(terms Terms) bool {
+	pending := a.pace.occupied + uint32(len(a.queue.waiting))
+	if terms.Slots == 0 || pending+uint32(len(a.flows)) < a.pace.limit() {
+		return false
+	}
+	for _, known := range a.flows {
+		if known.running() && !known.work.served && len(known.work.held) == 0 {
+			pending++
+		}
+	}
+	return pending >= a.pace.limit()
+}
