Tell the requests that an endpoint works on, and its pace without waits

Load told flows, most of which rest, and a mean time to an answer that mixed kinds of requests, single long ones and the wait at a full endpoint, so that a slow endpoint, a long request and a full endpoint looked alike. Agents now tell the requests in use, with those that are about to come, and the geometric mean over routes of the median time of the last nine answers, counted from when a slot was free. The order of waiting requests still goes by the mean with the wait, which is what a waiting request meets.

Ruled out: the mean of answers over the mean of their route, which is 1 at each endpoint unless all share one mean; a pace by route told to balancers, which hear of each endpoint too seldom for each of its routes.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/vanetiller/vanetiller/internal/outlier"
+	"github.com/vanetiller/vanetiller/internal/placement"
 	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
@@ -74,6 +75,9 @@
 	// flow last.
 	life uint64
 	work work
+	// started is when the endpoint began to work on the latest request, if that is not
+	// before it was given it.
+	started time.Duration
 }
 
 // running reports whether the endpoint has the flow and it has not ended.
@@ -117,6 +121,9 @@
 	running uint32
 	queue   queue
 	pace    pace
+	meter   placement.Meter
+	// opening are the flows that have been accepted and whose first request may be to come.
+	opening []*agentFlow
 	// unanswered and detector tell how well the endpoint is.
 	unanswered unanswered
 	detector   *outlier.Detector
@@ -159,11 +166,11 @@
 
 // loadFor is the load as a balancer of a zone shall know it.
 func (a *Agent) loadFor(zone string) Load {
-	pace := uint32(a.pace.working * microsecondsInSecond)
+	pace := uint32(min(a.meter.Pace().Microseconds(), math.MaxUint32))
 	hold := uint32(math.Ceil(a.cold.wait(a.now).Seconds() * 1000))
 	return Load{
 		Running: a.running, Waiting: uint32(len(a.queue.waiting)), Refusing: a.refusing(), Pace: pace, Hold: hold,
-		Report: a.detector.Report(a.now, zone),
+		Report: a.detector.Report(a.now, zone), Used: a.pending(),
 	}
 }
 
@@ -211,6 +218,7 @@
 func (a *Agent) Receive(now time.Duration, from segment.Address, message Message) []Effect {
 	a.begin(now)
 	a.receive(now, from, message)
+	a.noteStarts(now)
 	a.tellChanges()
 	return a.effects
 }
@@ -346,10 +354,12 @@
 	}
 	a.forget(now, key)
 	a.cold.gives(now)
-	a.flows[key] = &agentFlow{
+	opened := &agentFlow{
 		state: stateOffered, sequence: header.Sequence, balancer: from, zone: message.Zone, opened: now, touched: now, life: a.life,
 		work: work{terms: message.Terms, asked: now - milliseconds(message.Terms.Waited), sent: header.Sequence + 1},
 	}
+	a.flows[key] = opened
+	a.opening = append(a.opening, opened)
 	a.running++
 	a.detector.Gave(now)
 	a.deliver(message.Packet)
@@ -441,6 +451,7 @@
 	a.expire(now)
 	a.expireSurveys(now)
 	a.detector.Check(now)
+	a.noteStarts(now)
 	a.tellChanges()
 	if now >= a.nextSweep {
 		a.sweep(now)
--- a/internal/relay/emitted.go
+++ b/internal/relay/emitted.go
@@ -23,6 +23,7 @@
 		a.detector.Heard(now, header.Flags.Has(segment.Synchronize))
 		a.emittedOwn(now, header, packet)
 	}
+	a.noteStarts(now)
 	a.tellChanges()
 	return a.effects
 }
@@ -99,6 +100,7 @@
 	// An endpoint may end its side of the flow with the answer or, in another packet,
 	// before it.
 	if header.Length > 0 || header.Flags.Has(segment.Finish) {
+		a.measure(now, key, known)
 		a.responded(now, key, known)
 	}
 	if header.Flags.Has(segment.Finish) || header.Flags.Has(segment.Reset) {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -155,13 +155,16 @@
 	Waiting uint32
 	// Refusing is set if the endpoint gets no new flows.
 	Refusing bool
-	// Pace is the mean time that the endpoint took for its last answers, in
-	// microseconds; 0 means that this is not known.
+	// Pace is how long the endpoint usually works on a request, in microseconds; 0 means
+	// that this is not known.
 	Pace uint32
 	// Hold is how long a cold endpoint takes no further request, in milliseconds.
 	Hold uint32
 	// Report is how well the endpoint is, as the balancer's clients see it.
 	Report outlier.Report
+	// Used is the number of requests that the endpoint works on or that wait for it, with
+	// those that are about to come in flows which are just being opened.
+	Used uint32
 }
 
 // Terms tell an agent what a flow needs and what its endpoint can do.
--- a/internal/relay/message_gen.go
+++ b/internal/relay/message_gen.go
@@ -312,8 +312,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Running, err = dc.ReadUint32()
@@ -346,13 +346,18 @@
 		err = msgp.WrapError(err, "Report")
 		return
 	}
+	z.Used, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Used")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Load) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 6
-	err = en.Append(0x96)
+	// array header, size 7
+	err = en.Append(0x97)
 	if err != nil {
 		return
 	}
@@ -386,14 +391,19 @@
 		err = msgp.WrapError(err, "Report")
 		return
 	}
+	err = en.WriteUint32(z.Used)
+	if err != nil {
+		err = msgp.WrapError(err, "Used")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendUint32(o, z.Running)
 	o = msgp.AppendUint32(o, z.Waiting)
 	o = msgp.AppendBool(o, z.Refusing)
@@ -404,6 +414,7 @@
 		err = msgp.WrapError(err, "Report")
 		return
 	}
+	o = msgp.AppendUint32(o, z.Used)
 	return
 }
 
@@ -415,8 +426,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Running, bts, err = msgp.ReadUint32Bytes(bts)
@@ -449,13 +460,18 @@
 		err = msgp.WrapError(err, "Report")
 		return
 	}
+	z.Used, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Used")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.Uint32Size + msgp.Uint32Size + z.Report.Msgsize()
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.Uint32Size + msgp.Uint32Size + z.Report.Msgsize() + msgp.Uint32Size
 	return
 }
 
--- a/internal/relay/room.go
+++ b/internal/relay/room.go
@@ -2,7 +2,10 @@
 
 import (
 	"math"
+	"slices"
 	"time"
+
+	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
 const (
@@ -54,18 +57,37 @@
 	return backlog > float64(terms.Timeout)/1000
 }
 
-// busy reports whether a new request would have to wait, counting those that are about to
-// come in flows which are just being opened. A balancer knows only the flows that it has
-// placed itself, among hundreds next to nothing, so that it may find one that is not.
+// busy reports whether a new request would have to wait. A balancer knows only the flows
+// that it has placed itself, among hundreds next to nothing, so that it may find one that is
+// not.
 func (a *Agent) busy(terms Terms) bool {
-	pending := a.pace.occupied + uint32(len(a.queue.waiting))
-	if terms.Slots == 0 || pending+uint32(len(a.flows)) < a.pace.limit() {
-		return false
-	}
-	for _, known := range a.flows {
-		if known.running() && !known.work.served && len(known.work.held) == 0 {
-			pending++
+	return terms.Slots > 0 && a.pending() >= a.pace.limit()
+}
+
+// pending is the number of requests that the endpoint works on or that wait for it, with
+// those that are about to come in flows which are just being opened.
+func (a *Agent) pending() uint32 {
+	a.opening = slices.DeleteFunc(a.opening, func(flow *agentFlow) bool {
+		return !flow.running() || flow.work.served || len(flow.work.held) > 0
+	})
+	return a.pace.occupied + uint32(len(a.queue.waiting)+len(a.opening))
+}
+
+// noteStarts notes which requests the endpoint has begun to work on: it takes them in the
+// order in which it was given them, as many at a time as it has slots.
+func (a *Agent) noteStarts(now time.Duration) {
+	working := min(len(a.unanswered.flows), int(a.pace.slots))
+	for _, flow := range a.unanswered.flows[:working] {
+		if flow.started < flow.work.since {
+			flow.started = now
 		}
 	}
-	return pending >= a.pace.limit()
+}
+
+// measure takes account of how long the endpoint has worked on a request that it begins to
+// answer, without the time for which the request has waited there.
+func (a *Agent) measure(now time.Duration, key segment.FlowKey, known *agentFlow) {
+	if known.work.occupies && known.started >= known.work.since {
+		a.meter.Answered(key.Service, now-known.started)
+	}
 }
