Place a new flow where an answer is expected first

The score was the utilisation by the flows that a balancer had placed itself, a few of hundreds, times the slowness of the endpoint, and the best of all got the flow. Endpoints of half the speed got nothing while the fast ones were full: at the crest 1.6 of each request's placements were turned back. Now the best of five drawn, four of them in the own zone, gets the flow; what counts is the expected time to an answer, from the slots in use as agents told last, which counts less as it ages, the use of endpoints like it, speed, cold start and zone. The least busy of three that return a flow still has to take it, by the requests that it works on, no longer by flows, most of which rest.

--- /dev/null
+++ b/internal/placement/news.go
@@ -0,0 +1,60 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// shortestNews bounds from below how long news of an endpoint counts.
+	shortestNews = 10 * time.Millisecond
+	// defaultNews is how long it counts where the pace of the endpoint is not known.
+	defaultNews = 50 * time.Millisecond
+	// levelWeight is the least weight of news in the mean of a group, and levelMemory the
+	// time in which a mean loses most of its weight for news and for choices.
+	levelWeight = 0.05
+	levelMemory = 2 * time.Second
+)
+
+// News is what an agent has told last of its endpoint.
+type News struct {
+	// Used is the number of slots that others than the chooser take, told at the time At.
+	Used float64
+	At   time.Duration
+	// Known is set once anything was told.
+	Known bool
+}
+
+// Estimate is how many slots others take now. News counts less as it ages: within the time
+// of an answer most of what it counted has been answered, and the endpoint is used as those
+// like it are.
+func (n News) Estimate(now, pace time.Duration, usual float64) float64 {
+	if !n.Known {
+		return usual
+	}
+	lasts := defaultNews
+	if pace > 0 {
+		lasts = max(pace, shortestNews)
+	}
+	return usual + (n.Used-usual)*math.Exp(-float64(now-n.At)/float64(lasts))
+}
+
+// Level is how far the endpoints of a group are used on average: their slots that others
+// than the chooser take, as a share of all slots.
+type Level struct {
+	mean float64
+	at   time.Duration
+}
+
+// Note takes account of what was told of one endpoint of the group.
+func (l *Level) Note(now time.Duration, share float64) {
+	aged := 1 - math.Exp(-float64(now-l.at)/float64(levelMemory))
+	l.mean += max(levelWeight, aged) * (share - l.mean)
+	l.at = now
+}
+
+// At returns the mean. Without news it falls, so that a group that was found full is tried
+// again.
+func (l *Level) At(now time.Duration) float64 {
+	return l.mean * math.Exp(-float64(now-l.at)/float64(levelMemory))
+}
--- /dev/null
+++ b/internal/placement/news_test.go
@@ -0,0 +1,54 @@
+package placement_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/vanetiller/vanetiller/internal/placement"
+)
+
+var _ = Describe("News", func() {
+	const pace = 50 * time.Millisecond
+	news := placement.News{Used: 4, At: time.Second, Known: true}
+
+	It("counts in full when it is new, and less as it ages", func() {
+		Expect(news.Estimate(time.Second, pace, 1)).To(Equal(4.0))
+		Expect(news.Estimate(time.Second+pace, pace, 1)).To(BeNumerically("~", 2.1, 0.01))
+		Expect(news.Estimate(2*time.Second, pace, 1)).To(BeNumerically("~", 1, 0.01))
+	})
+
+	It("counts for longer at an endpoint that takes longer", func() {
+		Expect(news.Estimate(time.Second+pace, 4*pace, 1)).To(BeNumerically(">", news.Estimate(time.Second+pace, pace, 1)))
+	})
+
+	It("is what is usual without any", func() {
+		Expect(placement.News{}.Estimate(time.Second, pace, 1.5)).To(Equal(1.5))
+	})
+})
+
+var _ = Describe("Level", func() {
+	It("follows what is told, and is not moved much by one endpoint", func() {
+		level := placement.Level{}
+		for number := range 100 {
+			level.Note(time.Duration(number)*10*time.Millisecond, 0.5)
+		}
+		Expect(level.At(time.Second)).To(BeNumerically("~", 0.5, 0.01))
+		level.Note(time.Second, 1.5)
+		Expect(level.At(time.Second)).To(BeNumerically("<", 0.6))
+	})
+
+	It("takes the first news after a long time for the whole", func() {
+		level := placement.Level{}
+		level.Note(time.Second, 1)
+		level.Note(time.Minute, 0.2)
+		Expect(level.At(time.Minute)).To(BeNumerically("~", 0.2, 0.01))
+	})
+
+	It("falls without news", func() {
+		level := placement.Level{}
+		level.Note(time.Minute, 1)
+		Expect(level.At(time.Minute + 10*time.Second)).To(BeNumerically("<", 0.01))
+	})
+})
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -118,10 +118,15 @@
 	// demands are what the kept flows of services ask for, measured at swept.
 	demands map[string]*demand
 	swept   time.Duration
+	// levels are how far groups of endpoints are used.
+	levels map[group]*placement.Level
+	// usual are the paces that are usual for services.
+	usual map[string]usualPace
 	// paces is room for the paces of a service.
 	paces []uint32
-	// candidates and places are room for the endpoints that may get a flow.
+	// candidates, local and places are room for the endpoints that may get a flow.
 	candidates []directory.Candidate
+	local      []bool
 	places     []placement.Candidate
 	sharing    map[segment.Address]*sharing
 	budget     budget
@@ -139,6 +144,8 @@
 		flows:    make(map[segment.FlowKey]*balancerFlow),
 		health:   make(map[directory.EndpointID]*health),
 		demands:  make(map[string]*demand),
+		levels:   make(map[group]*placement.Level),
+		usual:    make(map[string]usualPace),
 		sharing:  make(map[segment.Address]*sharing),
 		budget:   newBudget(),
 		searches: rate.NewLimiter(searchRate, searchBurst),
@@ -156,6 +163,7 @@
 	previous := b.snapshot
 	b.snapshot = snapshot
 	b.ready = true
+	clear(b.usual)
 	for id := range b.health {
 		if _, exists := snapshot.Candidate(id); !exists {
 			delete(b.health, id)
@@ -262,6 +270,7 @@
 	}
 	b.heardAgent()
 	b.notePace(now, from, message.Load)
+	b.noteUse(now, from, message)
 	b.noteReport(now, from, message)
 	switch message.Kind {
 	case KindPlaced:
--- a/internal/relay/offer.go
+++ b/internal/relay/offer.go
@@ -24,10 +24,10 @@
 	// none; one is asked once.
 	lastResort      segment.Address
 	lastResortAsked bool
-	// waiting is the number of requests at that agent, and busy that of agents which
-	// have returned the packet since others may be less busy.
-	waiting uint32
-	busy    int
+	// used is the number of requests at that agent, and busy that of agents which have
+	// returned the packet since others may be less busy.
+	used uint32
+	busy int
 	// doubtful counts the endpoints that were asked although they did not seem well.
 	doubtful int
 	done     bool
@@ -230,19 +230,20 @@
 	b.offerAgain(now, key, known, "returned")
 }
 
-// noteLastResort notes an agent that would take the flow if no other does. The least busy
-// is asked in the end.
+// noteLastResort notes an agent that would take the flow if no other does. The least busy is
+// asked in the end, also if it is slow: where the newest requests go first, a new one does
+// not wait for those that are late already.
 func (o *offer) noteLastResort(agent segment.Address, load Load) {
 	if load.Report.Hold > 0 {
 		// It is left out for longer, as its endpoint is not well.
 		if o.lastResort.IsZero() {
-			o.lastResort, o.waiting = agent, math.MaxUint32
+			o.lastResort, o.used = agent, math.MaxUint32
 		}
 		return
 	}
 	o.busy++
-	if pending := load.Running + load.Waiting; o.lastResort.IsZero() || pending < o.waiting {
-		o.lastResort, o.waiting = agent, pending
+	if o.lastResort.IsZero() || load.Used < o.used {
+		o.lastResort, o.used = agent, load.Used
 	}
 }
 
--- a/internal/relay/pace.go
+++ b/internal/relay/pace.go
@@ -15,6 +15,9 @@
 	// paceRefresh is how old what is known of a slow endpoint may be. It gets few new
 	// flows, with which its agent would tell more.
 	paceRefresh = 300 * time.Millisecond
+	// usualLasts is how long the usual pace of a service is taken for unchanged: to find it
+	// takes a look at all of its endpoints.
+	usualLasts = 100 * time.Millisecond
 )
 
 // notePace notes how long an endpoint takes for answers, as its agent tells. Flows that
@@ -25,13 +28,30 @@
 		return
 	}
 	known := b.healthOf(candidate.ID)
+	if known.pace == 0 {
+		delete(b.usual, candidate.Endpoint.Service)
+	}
 	known.pace = load.Pace
 	known.told = now
 }
 
-// usualPace returns the median time to an answer of the endpoints of a service, 0 if
-// none is known.
-func (b *Balancer) usualPace(service string) uint32 {
+// usualPace is the pace that is usual for a service, as found at a time.
+type usualPace struct {
+	pace  uint32
+	found time.Duration
+}
+
+// usualPace returns the median pace of the endpoints of a service, 0 if none is known.
+func (b *Balancer) usualPace(now time.Duration, service string) uint32 {
+	known, exists := b.usual[service]
+	if !exists || now-known.found >= usualLasts {
+		known = usualPace{b.medianPace(service), now}
+		b.usual[service] = known
+	}
+	return known.pace
+}
+
+func (b *Balancer) medianPace(service string) uint32 {
 	b.paces = b.paces[:0]
 	for _, candidate := range b.snapshot.Candidates(service) {
 		if known, exists := b.health[candidate.ID]; exists && known.pace > 0 && !candidate.Leaving {
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -35,6 +35,8 @@
 	// was, or when it was asked.
 	pace uint32
 	told time.Duration
+	// news is what it told last of how far the endpoint is used.
+	news placement.News
 	// report is what its agent told last of its health, and ejectionEnds until when it
 	// holds the endpoint back.
 	report       outlier.Report
@@ -151,8 +153,8 @@
 	overruled bool
 }
 
-// choose returns the endpoint of a service with the fewest outstanding flows
-// for its size, among those not tried. Endpoints that are suspected or ejected are taken
+// choose returns an endpoint of a service that is expected to answer a new flow soon, among
+// those not tried. Endpoints that are suspected or ejected are taken
 // only if there are no others, those in a closed zone never, and those that are too cold
 // not now.
 func (b *Balancer) choose(now time.Duration, service string, tried []directory.EndpointID) (choice, bool) {
@@ -166,7 +168,7 @@
 	}
 	mayReturn := func(c directory.Candidate) bool { return open(c) && b.mayReturn(now, c) }
 	for tier, accepts := range []func(directory.Candidate) bool{trusted, usable, mayReturn} {
-		chosen, exists := b.leastLoaded(now, service, tried, accepts)
+		chosen, exists := b.quickest(now, service, tried, accepts)
 		if exists {
 			doubtful := tier > 0
 			overruled := !doubtful && b.healthOf(chosen.ID).ejected(now)
@@ -216,24 +218,28 @@
 	return occupant.ID == candidate.ID
 }
 
-// leastLoaded returns the endpoint of a service that takes a new flow best, among those that
-// are accepted and were not tried.
-func (b *Balancer) leastLoaded(now time.Duration, service string, tried []directory.EndpointID, accepts func(directory.Candidate) bool) (directory.Candidate, bool) {
-	usual := b.usualPace(service)
-	asks := b.demandOf(service).slots(usual)
-	b.candidates, b.places = b.candidates[:0], b.places[:0]
+// quickest returns the endpoint of a service that is expected to answer a new flow first
+// among a few that are drawn from those that are accepted and were not tried.
+func (b *Balancer) quickest(now time.Duration, service string, tried []directory.EndpointID, accepts func(directory.Candidate) bool) (directory.Candidate, bool) {
+	b.candidates, b.local, b.places = b.candidates[:0], b.local[:0], b.places[:0]
 	for _, candidate := range b.snapshot.Candidates(service) {
 		if !accepts(candidate) || slices.Contains(tried, candidate.ID) {
 			continue
 		}
 		b.candidates = append(b.candidates, candidate)
-		b.places = append(b.places, b.placeOf(now, candidate, usual, asks))
+		b.local = append(b.local, candidate.Endpoint.Zone == b.config.Zone)
+	}
+	usual := b.usualPace(now, service)
+	asks := b.demandOf(service).slots(usual)
+	drawn := placement.Draw(b.local, b.config.Random)
+	for _, index := range drawn {
+		b.places = append(b.places, b.placeOf(now, b.candidates[index], usual, asks))
 	}
-	chosen, exists := placement.Choose(b.places, b.config.Random)
+	best, exists := placement.Best(b.places)
 	if !exists {
 		return directory.Candidate{}, false
 	}
-	return b.candidates[chosen], true
+	return b.candidates[drawn[best]], true
 }
 
 // placeOf is what is known of an endpoint that may get a new flow, given the pace that is
@@ -244,9 +250,12 @@
 	if slowness > 1 {
 		b.refreshPace(now, candidate, known)
 	}
+	pace := time.Duration(known.pace) * time.Microsecond
+	level := b.levelOf(candidate, slowness).At(now) * float64(candidate.Endpoint.Slots)
 	return placement.Candidate{
 		Slots: candidate.Endpoint.Slots, Outstanding: known.outstanding, Kept: asks * float64(known.kept),
-		Slowness: slowness, Warming: now < candidate.WarmAt, Local: candidate.Endpoint.Zone == b.config.Zone,
+		Others: known.news.Estimate(now, pace, level), Slowness: slowness, Warming: now < candidate.WarmAt,
+		Local: candidate.Endpoint.Zone == b.config.Zone,
 	}
 }
 
