--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -6,6 +6,7 @@
 
 	"github.com/vanetiller/vanetiller/internal/directory"
 	"github.com/vanetiller/vanetiller/internal/outlier"
+	"github.com/vanetiller/vanetiller/internal/placement"
 	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
@@ -17,9 +18,6 @@
 	// doubles up to longestSuspicion while its answers stay out.
 	firstSuspicion   = 300 * time.Millisecond
 	longestSuspicion = 2400 * time.Millisecond
-	// warmingFactor is how much busier an endpoint counts while it is slow
-	// after its start.
-	warmingFactor = 1.6
 )
 
 // health is what a balancer believes of one endpoint.
@@ -37,6 +35,8 @@
 	// was, or when it was asked.
 	pace uint32
 	told time.Duration
+	// news is what it told last of how far the endpoint is used.
+	news placement.News
 	// report is what its agent told last of its health, and ejectionEnds until when it
 	// holds the endpoint back.
 	report       outlier.Report
@@ -153,8 +153,8 @@
 	overruled bool
 }
 
-// choose returns the endpoint of a service with the fewest outstanding flows
-// for its size, among those not tried. Endpoints that are suspected or ejected are taken
+// choose returns an endpoint of a service that is expected to answer a new flow soon, among
+// those not tried. Endpoints that are suspected or ejected are taken
 // only if there are no others, those in a closed zone never, and those that are too cold
 // not now.
 func (b *Balancer) choose(now time.Duration, service string, tried []directory.EndpointID) (choice, bool) {
@@ -168,7 +168,7 @@
 	}
 	mayReturn := func(c directory.Candidate) bool { return open(c) && b.mayReturn(now, c) }
 	for tier, accepts := range []func(directory.Candidate) bool{trusted, usable, mayReturn} {
-		chosen, exists := b.leastLoaded(now, service, tried, accepts)
+		chosen, exists := b.quickest(now, service, tried, accepts)
 		if exists {
 			doubtful := tier > 0
 			overruled := !doubtful && b.healthOf(chosen.ID).ejected(now)
@@ -218,53 +218,45 @@
 	return occupant.ID == candidate.ID
 }
 
-func (b *Balancer) leastLoaded(now time.Duration, service string, tried []directory.EndpointID, accepts func(directory.Candidate) bool) (directory.Candidate, bool) {
-	var best directory.Candidate
-	found := false
-	leastScore := 0.0
-	ties := 0
-	usual := b.usualPace(service)
-	asks := b.demandOf(service).slots(usual)
+// quickest returns the endpoint of a service that is expected to answer a new flow first
+// among a few that are drawn from those that are accepted and were not tried.
+func (b *Balancer) quickest(now time.Duration, service string, tried []directory.EndpointID, accepts func(directory.Candidate) bool) (directory.Candidate, bool) {
+	b.candidates, b.local, b.places = b.candidates[:0], b.local[:0], b.places[:0]
 	for _, candidate := range b.snapshot.Candidates(service) {
 		if !accepts(candidate) || slices.Contains(tried, candidate.ID) {
 			continue
 		}
-		score := b.score(now, candidate, usual, asks)
-		switch {
-		case !found || score < leastScore:
-			best, found, leastScore, ties = candidate, true, score, 1
-		case score == leastScore:
-			ties++
-			if b.config.Random.IntN(ties) == 0 {
-				best = candidate
-			}
-		}
+		b.candidates = append(b.candidates, candidate)
+		b.local = append(b.local, candidate.Endpoint.Zone == b.config.Zone)
+	}
+	usual := b.usualPace(now, service)
+	asks := b.demandOf(service).slots(usual)
+	drawn := placement.Draw(b.local, b.config.Random)
+	for _, index := range drawn {
+		b.places = append(b.places, b.placeOf(now, b.candidates[index], usual, asks))
 	}
-	return best, found
+	best, exists := placement.Best(b.places)
+	if !exists {
+		return directory.Candidate{}, false
+	}
+	return b.candidates[drawn[best]], true
 }
 
-// zoneBonus is what an endpoint in the balancer's zone counts less busy. It
-// decides only between equals.
-const zoneBonus = 0.01
-
-// score is the utilisation that the endpoint would have with one more flow, given
-// the pace that is usual for its service and the slots that one of its kept flows takes.
-func (b *Balancer) score(now time.Duration, candidate directory.Candidate, usual uint32, asks float64) float64 {
-	slots := float64(max(candidate.Endpoint.Slots, 1))
+// placeOf is what is known of an endpoint that may get a new flow, given the pace that is
+// usual for its service and the slots that one of its kept flows takes.
+func (b *Balancer) placeOf(now time.Duration, candidate directory.Candidate, usual uint32, asks float64) placement.Candidate {
 	known := b.healthOf(candidate.ID)
-	score := (float64(known.outstanding+1) + asks*float64(known.kept)) / slots
 	slowness := known.slowness(usual)
 	if slowness > 1 {
 		b.refreshPace(now, candidate, known)
 	}
-	if now < candidate.WarmAt {
-		slowness = max(slowness, warmingFactor)
-	}
-	score *= slowness
-	if candidate.Endpoint.Zone == b.config.Zone {
-		score -= zoneBonus
+	pace := time.Duration(known.pace) * time.Microsecond
+	level := b.levelOf(candidate, slowness).At(now) * float64(candidate.Endpoint.Slots)
+	return placement.Candidate{
+		Slots: candidate.Endpoint.Slots, Outstanding: known.outstanding, Kept: asks * float64(known.kept),
+		Others: known.news.Estimate(now, pace, level), Slowness: slowness, Warming: now < candidate.WarmAt,
+		Local: candidate.Endpoint.Zone == b.config.Zone,
 	}
-	return score
 }
 
 // sharing spreads the new flows of one route over its services by smooth
