Let the soak learn load: unlike endpoints, kept flows that ask at once, and a burst

Faults so far struck a site at a tenth of its capacity whose endpoints were all alike, so that nothing waited at an agent and no decision under load was ever made while processes were killed.

Specs: endpoints of each service differ in speed, and kept flows that ask at once rest for as long and have requests of their own.

--- a/bench/soak/client.go
+++ b/bench/soak/client.go
@@ -67,9 +67,10 @@
 	ip     [4]byte
 	socket *net.UDPConn
 
-	mutex sync.Mutex
-	port  uint16
-	flows map[uint16]*flow
+	mutex  sync.Mutex
+	number uint64
+	port   uint16
+	flows  map[uint16]*flow
 }
 
 func newClientHost(w *world, zone int) (*clientHost, error) {
@@ -79,7 +80,8 @@
 		return nil, errors.Wrap(err, "clients")
 	}
 	return &clientHost{
-		world: w, zone: zone, ip: at.IP, socket: socket, port: firstFlowPort, flows: make(map[uint16]*flow),
+		world: w, zone: zone, ip: at.IP, socket: socket, number: uint64(zone) << 48, port: firstFlowPort,
+		flows: make(map[uint16]*flow),
 	}, nil
 }
 
@@ -97,10 +99,12 @@
 	}
 }
 
-// ask sends a new request.
+// ask numbers and sends a new request.
 func (c *clientHost) ask(wanted *request) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.number++
+	wanted.number = c.number
 	c.try(wanted)
 	timeout := requestTimeout
 	if wanted.rest > 0 {
--- a/bench/soak/endpoint.go
+++ b/bench/soak/endpoint.go
@@ -20,7 +20,7 @@
 	answerParts = 3
 	// partSize is how many bytes each of them has.
 	partSize = 400
-	// shortestWork and longestWork bound how long an endpoint works on a request.
+	// shortestWork and longestWork bound how long the fastest endpoints work on a request.
 	shortestWork = 10 * time.Millisecond
 	longestWork  = 40 * time.Millisecond
 	// queueLength is how many requests wait at an endpoint; more are refused.
@@ -31,6 +31,12 @@
 	longestRepeat = 1600 * time.Millisecond
 )
 
+// slownesses are how many times as long as the fastest endpoints take for a request, by the
+// number of the machine: those of a service differ.
+var slownesses = []time.Duration{1, 2, 1, 4}
+
+func slownessOf(machine int) time.Duration { return slownesses[machine%len(slownesses)] }
+
 // The kinds of answers, which are the first byte of their data.
 const (
 	answerServed byte = iota + 1
@@ -90,6 +96,8 @@
 	socket  *net.UDPConn
 	agent   *net.UDPAddr
 	living  atomic.Bool
+	// slowness multiplies the time that a request takes.
+	slowness time.Duration
 
 	mutex   sync.Mutex
 	flows   map[segment.FlowKey]*heldFlow
@@ -239,7 +247,7 @@
 	e.working++
 	e.world.ledger.ran(known.request, known.repeatable)
 	takes := shortestWork + time.Duration(rand.Int64N(int64(longestWork-shortestWork)))
-	time.AfterFunc(takes, func() { e.finish(known) })
+	time.AfterFunc(e.slowness*takes, func() { e.finish(known) })
 }
 
 func (e *endpoint) finish(known *heldFlow) {
--- a/bench/soak/fault.go
+++ b/bench/soak/fault.go
@@ -81,10 +81,18 @@
 			balancer.kill(0)
 		}
 	}},
-	{name: "all processes killed", run: func(ctx context.Context, w *world, random *rand.Rand) {
-		for _, daemon := range w.daemons() {
-			daemon.kill(0)
-		}
+	{name: "all processes killed", run: func(ctx context.Context, w *world, random *rand.Rand) { w.killAll() }},
+	{name: "burst", calm: true, run: func(ctx context.Context, w *world, random *rand.Rand) {
+		w.burst(ctx, random, between(random, time.Second, 3*time.Second))
+	}},
+	{name: "kept flows ask at once", calm: true, run: func(ctx context.Context, w *world, random *rand.Rand) {
+		w.askAtOnce(random)
+	}},
+	{name: "all processes killed in a burst", run: func(ctx context.Context, w *world, random *rand.Rand) {
+		w.askAtOnce(random)
+		w.burst(ctx, random, between(random, 300*time.Millisecond, keptRest+300*time.Millisecond))
+		w.killAll()
+		w.burst(ctx, random, 2*time.Second)
 	}},
 }
 
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -116,13 +116,8 @@
 
 // ask sends requests until ctx ends.
 func (w *world) ask(ctx context.Context, host *clientHost, random *rand.Rand) {
-	number := uint64(host.zone) << 48
 	for pause(ctx, askInterval) {
-		number++
-		wanted := &request{
-			number: number, service: random.IntN(len(services)),
-			repeatable: random.Float64() < repeatableShare, sent: w.ledger.now(),
-		}
+		wanted := w.drawRequest(random)
 		if random.Float64() < lastingShare {
 			wanted.rest = shortestRest + time.Duration(random.Int64N(int64(longestRest-shortestRest)))
 		}
@@ -130,6 +125,13 @@
 	}
 }
 
+// drawRequest draws a request that has a flow of its own.
+func (w *world) drawRequest(random *rand.Rand) *request {
+	return &request{
+		service: random.IntN(len(services)), repeatable: random.Float64() < repeatableShare, sent: w.ledger.now(),
+	}
+}
+
 // playFaults begins the faults at their times and returns when all have ended.
 func (w *world) playFaults(ctx context.Context) {
 	begun := time.Now()
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -164,6 +165,38 @@
 	})
 })
 
+var _ = Describe("load", func() {
+	It("has endpoints of unlike speed in each service", func() {
+		machine := 0
+		for _, spec := range services {
+			found := make(map[time.Duration]bool)
+			for range spec.endpoints {
+				found[slownessOf(machine)] = true
+				machine++
+			}
+			Expect(len(found)).To(BeNumerically(">", 1), spec.name)
+		}
+	})
+
+	It("opens kept flows that all rest for as long, with requests of their own", func() {
+		socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(socket.Close)
+		w := &world{ledger: newLedger(func() time.Duration { return 0 }), fabric: newFabric(70, 0)}
+		host := &clientHost{world: w, socket: socket, port: firstFlowPort, flows: make(map[uint16]*flow)}
+		w.clients = []*clientHost{host}
+		w.askAtOnce(rand.New(rand.NewPCG(1, 2)))
+		host.mutex.Lock()
+		defer host.mutex.Unlock()
+		numbers := make(map[uint64]bool)
+		for _, each := range host.flows {
+			Expect(each.request.rest).To(Equal(keptRest))
+			numbers[each.request.number] = true
+		}
+		Expect(numbers).To(HaveLen(keptAtOnce))
+	})
+})
+
 var _ = Describe("fabric", func() {
 	key := func(number int) segment.FlowKey {
 		return segment.FlowKey{Client: segment.Address{Port: uint16(number)}, Service: routeAddress(0)}
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -152,6 +152,7 @@
 	started, err := newEndpoint(w, id, at.service, w.network.ip(netSides, at.number))
 	if err == nil {
 		started.zone = zoneName(at.number % zoneCount)
+		started.slowness = slownessOf(at.number)
 	}
 	if err != nil {
 		return err
