Show load by service and priority: what can be done, is asked, waits and is turned away

Cause: events were counted by kind alone, and lines of decisions are bounded, so that under overload neither told which callers waited, who was refused and why, or how much the endpoints could do; nothing told how long finding a dead flow out took.

Events have the class of their flow (service, priority), set where all of them pass; agents and balancers can be observed (observed.go). Metrics: capacity and slots of an endpoint and of each service, requests by kind, waiting requests and the longest of them, refusals and returns by reason, waits by class, and the time from the first question to the reset of a flow that no endpoint holds. Labels are service, priority, kind and reason: 256 classes at most. A line 'load' for each class, each second under pressure and else each ten, has what the bounded lines leave out.

Weighed: the class in each line of a decision (the bound still leaves most out); taking times from the log (the same); the elapsed time as an argument of declareOwnerless (three lines of verify.go instead of one).

Specs replay an endpoint whose slots are taken, a service of which one pace is unknown, 700 returns in a second, and a search that ends after 25 ms.

--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -113,6 +113,8 @@
 	started time.Duration
 	begun   bool
 	now     time.Duration
+	// terms are those of the message in hand.
+	terms   Terms
 	flows   map[segment.FlowKey]*agentFlow
 	running uint32
 	queue   queue
@@ -174,6 +176,7 @@
 
 func (a *Agent) begin(now time.Duration) {
 	a.effects = a.effects[:0]
+	a.terms = Terms{}
 	a.now = now
 	if !a.begun {
 		a.begun = true
@@ -210,6 +213,7 @@
 // until the next call.
 func (a *Agent) Receive(now time.Duration, from segment.Address, message Message) []Effect {
 	a.begin(now)
+	a.terms = message.Terms
 	a.receive(now, from, message)
 	a.tellChanges()
 	return a.effects
@@ -483,5 +487,6 @@
 }
 
 func (a *Agent) event(event Event) {
+	event.Class = a.classify(event)
 	a.effects = append(a.effects, Effect{Kind: EffectEvent, Event: event})
 }
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -353,5 +353,6 @@
 }
 
 func (b *Balancer) event(event Event) {
+	event.Class = b.classify(event)
 	b.effects = append(b.effects, Effect{Kind: EffectEvent, Event: event})
 }
--- a/internal/relay/effect.go
+++ b/internal/relay/effect.go
@@ -119,6 +119,8 @@
 type Event struct {
 	Kind EventKind
 	Flow segment.FlowKey
+	// Class is that of the flow, if there is one.
+	Class Class
 	// Request is the identifier of the request, if a packet has shown one.
 	Request string
 	// Peer is the daemon concerned, if any.
@@ -132,8 +134,8 @@
 	Zone               string
 	Failures, Outcomes int
 	// Elapsed is the time that ended with the event: from the first offer to
-	// EventPlaced, from the request to EventAnswered, and the wait before
-	// EventAdmitted and EventReleased.
+	// EventPlaced, from the request to EventAnswered, the wait before EventAdmitted,
+	// EventExpired and EventReleased, and from the first question to EventOwnerless.
 	Elapsed time.Duration
 }
 
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -189,7 +189,7 @@
 	case b.current < sought.begun:
 		b.effects = append(b.effects, Effect{Kind: EffectConfirm})
 	default:
-		b.declareOwnerless(known)
+		b.timed(now-sought.begun, func() { b.declareOwnerless(known) })
 	}
 }
 
--- a/internal/relaydaemon/agent.go
+++ b/internal/relaydaemon/agent.go
@@ -8,6 +8,7 @@
 
 	"github.com/oklog/run"
 
+	"github.com/vanetiller/vanetiller/internal/observability/registry"
 	"github.com/vanetiller/vanetiller/internal/relay"
 	"github.com/vanetiller/vanetiller/internal/segment"
 	"github.com/vanetiller/vanetiller/internal/settings"
@@ -18,9 +19,10 @@
 	settings settings.Relay
 	executor *executor
 	agent    *relay.Agent
+	metrics  *endpointMetrics
 }
 
-func newAgentRole(surroundings Surroundings, checked *settings.Relay, journal *journal) (*agentRole, error) {
+func newAgentRole(surroundings Surroundings, checked *settings.Relay, journal *journal, registered *registry.Registry) (*agentRole, error) {
 	agent := relay.NewAgent(relay.AgentConfig{
 		Service:      checked.Agent.Service,
 		Codec:        surroundings.Codec,
@@ -30,7 +32,10 @@
 		ColdBound:    relay.ColdBound{Overrun: checked.Agent.ColdOverrun, Slack: checked.Agent.ColdSlack},
 		Outliers:     checked.Agent.Outliers,
 	})
-	created := &agentRole{*checked, newExecutor(agent, checked.Peers.Port(), journal), agent}
+	created := &agentRole{
+		*checked, newExecutor(agent, checked.Peers.Port(), journal), agent, newEndpointMetrics(registered, checked.Agent.Service),
+	}
+	created.executor.after = created.observe
 	created.executor.endpoint = segment.AddressOf(checked.Agent.Endpoint)
 	var err error
 	created.executor.packets, err = listen(checked.Agent.Emitted, created.emitted)
@@ -47,6 +52,13 @@
 	r.executor.do(func(now time.Duration) []relay.Effect { return r.agent.Emitted(now, packet) })
 }
 
+// observe shows the load of the endpoint.
+func (r *agentRole) observe(now time.Duration) {
+	if r.metrics.due(now) {
+		r.metrics.observe(r.agent.Observe(now))
+	}
+}
+
 func (r *agentRole) add(group *run.Group) {
 	addActor(group, r.executor.packets.run)
 	addActor(group, r.executor.peers.run)
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -39,6 +39,7 @@
 	peers     *peers
 	updates   *updates
 	metrics   directoryMetrics
+	services  *serviceMetrics
 	refusals  *refusalLog
 	// closed are the zones that were reported last as closed.
 	closed []directory.ClosedZone
@@ -75,12 +76,13 @@
 		wake:      make(chan struct{}, 1),
 		store:     surroundings.NewStore(given.Store),
 		metrics:   newDirectoryMetrics(registered),
+		services:  newServiceMetrics(registered),
 		refusals:  newRefusalLog(journal.logger, registered),
 
 		confirmations: make(chan struct{}, 1),
 	}
 	created.executor.confirm = created.wantConfirmation
-	created.executor.after = created.reportReach
+	created.executor.after = created.observe
 	health.SetReady(conditionAgents)
 	health.SetNotReady(conditionDirectory, "routes and endpoints are not known yet")
 	var err error
@@ -128,6 +130,14 @@
 	return peers
 }
 
+// observe shows the load of the services, and whether agents can be reached.
+func (r *balancerRole) observe(now time.Duration) {
+	if r.services.due(now) {
+		r.services.observe(r.balancer.Observe())
+	}
+	r.reportReach()
+}
+
 // reportReach makes the fabric leave a balancer out that reaches no agent.
 func (r *balancerRole) reportReach() {
 	isolated := r.balancer.Isolated()
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -82,7 +82,7 @@
 	if checked.Relay.Balancer != nil {
 		created.role, err = newBalancerRole(surroundings, checked, health, watch, metrics)
 	} else {
-		created.role, err = newAgentRole(surroundings, checked.Relay, watch)
+		created.role, err = newAgentRole(surroundings, checked.Relay, watch, metrics)
 	}
 	return created, errors.Wrap(err, "relay")
 }
--- a/internal/relaydaemon/executor.go
+++ b/internal/relaydaemon/executor.go
@@ -38,7 +38,7 @@
 	// confirm, if set, asks for a confirmation of the directory.
 	confirm func()
 	// after, if set, is called after each input.
-	after func()
+	after func(now time.Duration)
 }
 
 func newExecutor(decider decider, clientPort uint16, journal *journal) *executor {
@@ -57,14 +57,15 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	now := time.Since(e.started)
-	e.execute(input(now))
+	e.execute(now, input(now))
+	e.journal.load.flush(now)
 	e.arm(now)
 	if e.after != nil {
-		e.after()
+		e.after(now)
 	}
 }
 
-func (e *executor) execute(effects []relay.Effect) {
+func (e *executor) execute(now time.Duration, effects []relay.Effect) {
 	for index := range effects {
 		effect := &effects[index]
 		switch effect.Kind {
@@ -75,7 +76,7 @@
 		case relay.EffectEndpoint:
 			e.packets.send(e.endpoint, effect.Packet)
 		case relay.EffectEvent:
-			e.journal.record(effect.Event)
+			e.journal.record(now, effect.Event)
 		case relay.EffectConfirm:
 			e.confirm()
 		}
@@ -132,5 +133,5 @@
 func (e *executor) record(event relay.Event) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.journal.record(event)
+	e.journal.record(time.Since(e.started), event)
 }
--- a/internal/relaydaemon/journal.go
+++ b/internal/relaydaemon/journal.go
@@ -1,6 +1,8 @@
 package relaydaemon
 
 import (
+	"time"
+
 	"github.com/charmbracelet/log"
 	"github.com/go-kit/kit/metrics"
 	"golang.org/x/time/rate"
@@ -36,6 +38,7 @@
 	routine limited
 	counts  []metrics.Counter
 	elapsed map[relay.EventKind]metrics.Histogram
+	load    *loadLog
 	// ejections count by the reason.
 	ejections map[string]metrics.Counter
 }
@@ -58,11 +61,14 @@
 		logger:  logger,
 		unusual: newLimited(eventsPerSecond, eventsBurst),
 		routine: newLimited(routinePerSecond, routineBurst),
+		load:    newLoadLog(logger, registered),
 		elapsed: map[relay.EventKind]metrics.Histogram{
 			relay.EventPlaced:   histogram("relay_placement_seconds", "Time from a flow's opening packet to the endpoint's answer to it."),
 			relay.EventAnswered: histogram("relay_answer_seconds", "Time from a request to the beginning of its answer."),
 			relay.EventReleased: histogram("relay_early_seconds", "Time that packets waited for the first directory."),
 			relay.EventAdmitted: histogram("relay_wait_seconds", "Time that requests waited for a busy endpoint."),
+			relay.EventOwnerless: histogram("relay_ownerless_seconds",
+				"Time from the first question for the owner of a flow to the reset of the flow, as no endpoint holds it."),
 		},
 	}
 	counter := registered.Counter("relay_events_total", "Decisions about packets and peers, by kind.", kindLabel)
@@ -84,7 +90,8 @@
 	return kind == relay.EventPlaced || kind == relay.EventGiven || kind == relay.EventAnswered || kind == relay.EventReleased
 }
 
-func (j *journal) record(event relay.Event) {
+func (j *journal) record(now time.Duration, event relay.Event) {
+	j.load.record(now, event)
 	j.counts[event.Kind].Add(1)
 	if histogram, timed := j.elapsed[event.Kind]; timed {
 		histogram.Observe(event.Elapsed.Seconds())
--- /dev/null
+++ b/internal/relaydaemon/load_test.go
@@ -0,0 +1,143 @@
+package relaydaemon
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/vanetiller/vanetiller/internal/logging"
+	"github.com/vanetiller/vanetiller/internal/observability/registry"
+	"github.com/vanetiller/vanetiller/internal/relay"
+)
+
+func scrape(registered *registry.Registry) string {
+	recorder := httptest.NewRecorder()
+	registered.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	return recorder.Body.String()
+}
+
+var _ = Describe("load", func() {
+	var (
+		written    *bytes.Buffer
+		registered *registry.Registry
+		watch      *journal
+	)
+	urgent := relay.Class{Service: "lookup", Priority: 0, Prioritized: true}
+	common := relay.Class{Service: "lookup", Priority: 2, Prioritized: true}
+
+	BeforeEach(func() {
+		written = &bytes.Buffer{}
+		registered = registry.New()
+		watch = newJournal(logging.New(written, log.InfoLevel, "side-1", "zone-1"), registered)
+	})
+
+	record := func(now time.Duration, class relay.Class, kind relay.EventKind, reason string, elapsed time.Duration) {
+		watch.record(now, relay.Event{Kind: kind, Class: class, Reason: reason, Elapsed: elapsed})
+	}
+	// lines returns the lines about load, and forgets them.
+	lines := func() []map[string]any {
+		var found []map[string]any
+		for line := range strings.Lines(written.String()) {
+			var fields map[string]any
+			Expect(json.Unmarshal([]byte(line), &fields)).To(Succeed())
+			if fields["msg"] == "load" {
+				found = append(found, fields)
+			}
+		}
+		written.Reset()
+		return found
+	}
+
+	It("has a line a second for each class under pressure, which leaves nothing out", func() {
+		for range 700 {
+			record(time.Second, common, relay.EventHeld, "", 0)
+			record(time.Second, common, relay.EventReturned, "busy", 0)
+		}
+		record(time.Second, common, relay.EventAdmitted, "", 30*time.Millisecond)
+		record(time.Second, common, relay.EventAdmitted, "", 7*time.Second)
+		record(time.Second, common, relay.EventExpired, "", 2*time.Second)
+		record(time.Second, urgent, relay.EventNoEndpoint, "all_returned", 0)
+		watch.load.flush(2 * time.Second)
+		found := lines()
+		Expect(found).To(HaveLen(2))
+		Expect(found[0]).To(And(HaveKeyWithValue("priority", "0"), HaveKeyWithValue("refused", HaveKeyWithValue("all_returned", 1.0))))
+		Expect(found[1]).To(And(
+			HaveKeyWithValue("service", "lookup"), HaveKeyWithValue("priority", "2"), HaveKeyWithValue("interval_ms", 1000.0),
+			HaveKeyWithValue("asked", 700.0), HaveKeyWithValue("returned", HaveKeyWithValue("busy", 700.0)),
+			HaveKeyWithValue("expired", 1.0), HaveKeyWithValue("longest_ms", 7000.0),
+		))
+		Expect(found[1]["waits"]).To(And(HaveLen(len(secondsBuckets)+1), HaveExactElements(
+			0.0, 0.0, 0.0, 0.0, 0.0, 1.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 1.0)))
+		watch.load.flush(3 * time.Second)
+		Expect(lines()).To(BeEmpty(), "nothing has happened since")
+	})
+
+	It("has a line in ten seconds for each class that nothing presses, with what was asked meanwhile", func() {
+		for second := range 10 {
+			now := time.Duration(second) * time.Second
+			record(now, common, relay.EventGiven, "", 0)
+			watch.load.flush(now)
+		}
+		Expect(lines()).To(BeEmpty())
+		watch.load.flush(10 * time.Second)
+		Expect(lines()).To(ConsistOf(HaveKeyWithValue("asked", 10.0)))
+	})
+
+	It("counts by service, priority and reason", func() {
+		record(0, common, relay.EventHeld, "", 0)
+		record(0, common, relay.EventAdmitted, "", 30*time.Millisecond)
+		record(0, common, relay.EventReturned, "busy", 0)
+		record(0, urgent, relay.EventNoEndpoint, "all_returned", 0)
+		record(0, relay.Class{Service: "lookup"}, relay.EventGiven, "", 0)
+		record(0, common, relay.EventOwnerless, "", 25*time.Millisecond)
+		Expect(scrape(registered)).To(And(
+			ContainSubstring(`vanetiller_relay_requests_total{kind="held",priority="2",service="lookup"} 1`),
+			ContainSubstring(`vanetiller_relay_requests_total{kind="given",priority="unknown",service="lookup"} 1`),
+			ContainSubstring(`vanetiller_relay_class_wait_seconds_bucket{priority="2",service="lookup",le="0.05"} 1`),
+			ContainSubstring(`vanetiller_relay_returned_total{priority="2",reason="busy",service="lookup"} 1`),
+			ContainSubstring(`vanetiller_relay_refused_total{priority="0",reason="all_returned",service="lookup"} 1`),
+			ContainSubstring(`vanetiller_relay_ownerless_seconds_bucket{le="0.02"} 0`),
+			ContainSubstring(`vanetiller_relay_ownerless_seconds_bucket{le="0.05"} 1`),
+		))
+	})
+
+	It("tells no more classes apart than its bound", func() {
+		for number := range 2 * classLimit {
+			record(0, relay.Class{Service: strconv.Itoa(number)}, relay.EventGiven, "", 0)
+		}
+		Expect(scrape(registered)).To(ContainSubstring(`{kind="given",priority="unknown",service="other"} ` + strconv.Itoa(classLimit)))
+		Expect(watch.load.counts).To(HaveLen(classLimit + 1))
+	})
+
+	It("shows what an endpoint can do and what waits, and that nothing does any more", func() {
+		shown := newEndpointMetrics(registered, "lookup")
+		shown.observe(relay.EndpointLoad{
+			Service: "lookup", Slots: 2, Occupied: 3, Pace: 20 * time.Millisecond,
+			Waiting: map[relay.Class]relay.Waiting{common: {Requests: 4, Longest: time.Second}},
+		})
+		Expect(scrape(registered)).To(And(
+			ContainSubstring(`vanetiller_relay_endpoint_capacity{service="lookup"} 100`),
+			ContainSubstring(`vanetiller_relay_waiting_requests{priority="2",service="lookup"} 4`),
+			ContainSubstring(`vanetiller_relay_waiting_longest_seconds{priority="2",service="lookup"} 1`),
+		))
+		shown.observe(relay.EndpointLoad{Service: "lookup"})
+		Expect(scrape(registered)).To(ContainSubstring(`vanetiller_relay_waiting_requests{priority="2",service="lookup"} 0`))
+	})
+
+	It("shows what services can do, and nothing for one that has gone", func() {
+		shown := newServiceMetrics(registered)
+		shown.observe([]relay.ServiceLoad{{Service: "lookup", Endpoints: 3, Slots: 12, Capacity: 450}})
+		Expect(scrape(registered)).To(ContainSubstring(`vanetiller_relay_service_capacity{service="lookup"} 450`))
+		shown.observe(nil)
+		Expect(scrape(registered)).To(ContainSubstring(`vanetiller_relay_service_capacity{service="lookup"} 0`))
+	})
+})
