Sum up the load of services from logs: vanetillerctl load

Cause: explain tells what became of one request; to learn from logs who waited or was turned away over a time, an operator had to count lines that are bounded, so that counts were wrong just when load was high. 'load' sums up the lines of that name, which leave nothing out: placed, asked, answered, waited (median, longest), expired, returned and refused by reason, flows found dead, by service and priority, with -service, -priority, -from and -to.

Lines name the buckets of waits by their bounds, so that the command needs no copy of these. Table specs for what is summed and for wrong usage.

--- a/cmd/vanetillerctl/command.go
+++ b/cmd/vanetillerctl/command.go
@@ -145,6 +145,8 @@
 		return createToken, rest, nil
 	case "explain":
 		return explain, rest, nil
+	case "load":
+		return load, rest, nil
 	}
 	return nil, nil, wrongUsage("unknown command %q", words[0])
 }
--- /dev/null
+++ b/cmd/vanetillerctl/load_test.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// loadLogs are lines of two agents and a balancer, with one of another kind.
+const loadLogs = `{"time":"2026-06-20T07:42:30Z","level":"info","msg":"load","name":"side-1","service":"lookup","priority":"2","interval_ms":1000,"asked":90,"answered":60,"placed":0,"expired":3,"ownerless":0,"returned":{"busy":40,"overload":2},"refused":{},"waits":{"20":1,"50":5,"100":10,"200":4},"longest_ms":180.5}
+side-2 {"time":"2026-06-20T07:42:31Z","level":"info","msg":"load","name":"side-2","service":"lookup","priority":"2","interval_ms":1000,"asked":30,"answered":31,"placed":0,"expired":0,"ownerless":0,"returned":{"busy":8,"cold":9},"refused":{},"waits":{"longer":1},"longest_ms":6100}
+{"time":"2026-06-20T07:42:31Z","level":"info","msg":"load","name":"side-2","service":"lookup","priority":"0","interval_ms":1000,"asked":12,"answered":12,"placed":0,"expired":0,"ownerless":0,"returned":{},"refused":{},"waits":{},"longest_ms":0}
+{"time":"2026-06-20T07:42:32Z","level":"info","msg":"load","name":"edge-1","service":"lookup","priority":"2","interval_ms":1000,"asked":0,"answered":0,"placed":70,"expired":0,"ownerless":6,"returned":{},"refused":{"all_returned":5},"waits":{},"longest_ms":0}
+{"time":"2026-06-20T07:42:32Z","level":"info","msg":"load","name":"edge-1","service":"export","priority":"unknown","interval_ms":1000,"asked":0,"answered":0,"placed":1,"expired":0,"ownerless":0,"returned":{},"refused":{},"waits":{"1":7},"longest_ms":0.5}
+{"time":"2026-06-20T07:42:32Z","level":"info","msg":"decision","name":"edge-1","event":"placed","service":"198.18.0.1:8080"}
+`
+
+var _ = Describe("load", func() {
+	var path string
+
+	BeforeEach(func() {
+		path = filepath.Join(GinkgoT().TempDir(), "all.log")
+		Expect(os.WriteFile(path, []byte(loadLogs), 0o600)).To(Succeed())
+	})
+
+	DescribeTable("sums up lines by service and priority",
+		func(flags []string, shown string) {
+			ran := execute(append([]string{"load", path, "-output", "csv"}, flags...)...)
+			Expect(ran.Status).To(Equal(exitDone), ran.Stderr)
+			Expect(ran.Stdout).To(Equal(
+				"service,priority,placed,asked,answered,waited,median ms,longest ms,expired,returned,refused,ownerless\n" + shown))
+		},
+		Entry("of all logs", nil,
+			`export,unknown,1,0,0,7,<=1,0.5,0,,,0
+lookup,0,0,12,12,0,,0,0,,,0
+lookup,2,70,120,91,21,<=100,6100,3,busy=48 cold=9 overload=2,all_returned=5,6
+`),
+		Entry("of a service", []string{"-service", "export"}, "export,unknown,1,0,0,7,<=1,0.5,0,,,0\n"),
+		Entry("of a priority", []string{"-priority", "0"}, "lookup,0,0,12,12,0,,0,0,,,0\n"),
+		Entry("of a span", []string{"-from", "2026-06-20T07:42:31Z", "-to", "2026-06-20T07:42:31.5Z", "-priority", "2"},
+			"lookup,2,0,30,31,1,longer,6100,0,cold=9 busy=8,,0\n"),
+	)
+
+	It("prints columns and JSON", func() {
+		ran := execute("load", path, "-priority", "0")
+		Expect(ran.Stdout).To(HavePrefix("SERVICE  PRIORITY  PLACED  ASKED"))
+		Expect(execute("load", path, "-priority", "0", "-output", "json").Stdout).To(ContainSubstring(`"asked": 12`))
+	})
+
+	DescribeTable("tells what is wrong",
+		func(arguments []string, status int, message string) {
+			ran := execute(arguments...)
+			Expect(ran.Status).To(Equal(status))
+			Expect(ran.Stderr).To(ContainSubstring(message))
+		},
+		Entry("no file", []string{"load"}, exitUsage, "load takes FILES of logs"),
+		Entry("a time that is none", []string{"load", "x", "-from", "07:42"}, exitUsage, `-from "07:42": must be a time such as`),
+		Entry("a span that ends before it begins", []string{"load", "x", "-from", "2026-06-20T07:42:31Z", "-to", "2026-06-20T07:42:30Z"},
+			exitUsage, "-to must not be before -from"),
+		Entry("a file that is missing", []string{"load", "/absent"}, exitFailed, "log: open /absent"),
+	)
+
+	It("says so if there was no such load", func() {
+		ran := execute("load", path, "-service", "other")
+		Expect(ran.Status).To(Equal(exitFailed))
+		Expect(ran.Stderr).To(ContainSubstring("no log has a line of such load in that time"))
+	})
+})
--- a/cmd/vanetillerctl/options.go
+++ b/cmd/vanetillerctl/options.go
@@ -47,6 +47,9 @@
   vanetillerctl [flags] explain REQUEST FILE...  print what processes did with a request,
                                                  from their logs; REQUEST is its identifier
                                                  or its client's address and port
+  vanetillerctl [flags] load FILE...             print what was asked, waited and was turned
+                                                 away of each service and priority, from
+                                                 the logs of processes
 
 ROW is SERVICE/NAME or the identifier of a row. Flags may also come after the
 command. A file is CSV if its name ends in .csv, and else JSON.
@@ -88,6 +91,9 @@
 	after         uint64
 	limit         int
 	version       bool
+	priority      string
+	from          string
+	to            string
 }
 
 // baseOfServer is the value of -base for the version that the server has.
@@ -106,7 +112,7 @@
 	flags.StringVar(&values.key, "key", "", "`FILE` with the key of -certificate in PEM form (default: none)")
 	flags.DurationVar(&values.timeout, "timeout", defaultTimeout, "longest `DURATION` of the command, with a unit such as 500ms or 1m")
 	flags.StringVar(&values.output, "output", "", "`FORMAT` of the result: table, csv or json (default: table; csv for table export)")
-	flags.StringVar(&values.service, "service", "", "`NAME` of the service that table show and table export print (default: every service)")
+	flags.StringVar(&values.service, "service", "", "`NAME` of the service that table show, table export and load print (default: every service)")
 	flags.StringVar(&values.reason, "reason", "", "`TEXT` for the history of the change, at most 256 bytes; required for changes, no default")
 	flags.StringVar(&values.id, "id", "", "`ID` of the change, to repeat one whose outcome is not known (default: a random one)")
 	flags.Int64Var(&values.base, "base", baseOfServer, "table `VERSION` the change was made at, to repeat one; -1 means the version that the server has")
@@ -115,6 +121,9 @@
 	flags.BoolVar(&values.removeMissing, "remove-missing", false, "let table import remove rows that the file lacks (default: keep them)")
 	flags.Uint64Var(&values.after, "after", 0, "table `VERSION` after which table history begins (default: the oldest that is remembered)")
 	flags.IntVar(&values.limit, "limit", adminapi.DefaultHistoryLimit, fmt.Sprintf("largest `NUMBER` of records of table history, at most %d", adminapi.MaxHistoryLimit))
+	flags.StringVar(&values.priority, "priority", "", "`PRIORITY` of the routes that load prints (default: every priority)")
+	flags.StringVar(&values.from, "from", "", "`TIME` in RFC 3339 form at which load begins (default: the first line)")
+	flags.StringVar(&values.to, "to", "", "`TIME` in RFC 3339 form at which load ends (default: the last line)")
 	flags.BoolVar(&values.version, "version", false, "print the version and exit (default: run a command)")
 	return flags
 }
@@ -153,6 +162,34 @@
 	return outputFormat(o.output)
 }
 
+// span returns the time between -from and -to.
+func (o options) span() (timeSpan, error) {
+	from, err := timeOf("-from", o.from)
+	if err != nil {
+		return timeSpan{}, err
+	}
+	to, err := timeOf("-to", o.to)
+	if err != nil {
+		return timeSpan{}, err
+	}
+	if !to.IsZero() && to.Before(from) {
+		return timeSpan{}, errors.New("-to must not be before -from")
+	}
+	return timeSpan{from, to}, nil
+}
+
+// timeOf returns the time that a flag gives, zero if it is not given.
+func timeOf(name, given string) (time.Time, error) {
+	if given == "" {
+		return time.Time{}, nil
+	}
+	at, err := time.Parse(time.RFC3339Nano, given)
+	if err != nil {
+		return time.Time{}, errors.Errorf("%s %q: must be a time such as 2026-06-20T07:42:30Z", name, given)
+	}
+	return at, nil
+}
+
 func (o options) check() error {
 	switch o.format(formatTable) {
 	case formatTable, formatCSV, formatJSON:
--- a/internal/relaydaemon/load.go
+++ b/internal/relaydaemon/load.go
@@ -45,15 +45,13 @@
 	ownerless int
 	returned  map[string]int
 	refused   map[string]int
-	// waits counts by the buckets of secondsBuckets, and one for what was longer.
-	waits   []int
+	// waits counts by the upper bound of secondsBuckets in milliseconds, or longerWait.
+	waits   map[string]int
 	longest time.Duration
 }
 
 func newLoadCount() *loadCount {
-	return &loadCount{
-		returned: make(map[string]int), refused: make(map[string]int), waits: make([]int, len(secondsBuckets)+1),
-	}
+	return &loadCount{returned: make(map[string]int), refused: make(map[string]int), waits: make(map[string]int)}
 }
 
 // count takes account of an event.
@@ -83,11 +81,21 @@
 }
 
 func (c *loadCount) waited(elapsed time.Duration) {
-	bucket, _ := slices.BinarySearch(secondsBuckets, elapsed.Seconds())
-	c.waits[bucket]++
+	c.waits[waitBucket(elapsed)]++
 	c.longest = max(c.longest, elapsed)
 }
 
+// longerWait is the bucket of waits beyond all bounds.
+const longerWait = "longer"
+
+func waitBucket(elapsed time.Duration) string {
+	bucket, _ := slices.BinarySearch(secondsBuckets, elapsed.Seconds())
+	if bucket == len(secondsBuckets) {
+		return longerWait
+	}
+	return strconv.FormatFloat(1000*secondsBuckets[bucket], 'f', -1, 64)
+}
+
 // pressed reports whether something waited or was turned away.
 func (c *loadCount) pressed() bool {
 	return c.longest > 0 || c.expired > 0 || c.ownerless > 0 || len(c.returned) > 0 || len(c.refused) > 0
