--- a/bench/soak/fault.go
+++ b/bench/soak/fault.go
@@ -82,6 +82,11 @@
 		}
 	}},
 	{name: "all processes killed", run: func(ctx context.Context, w *world, random *rand.Rand) { w.killAll() }},
+	{name: "all processes killed twice", run: func(ctx context.Context, w *world, random *rand.Rand) {
+		w.killAll()
+		pause(ctx, between(random, time.Second, 8*time.Second))
+		w.killAll()
+	}},
 	{name: "burst", calm: true, run: func(ctx context.Context, w *world, random *rand.Rand) {
 		w.burst(ctx, random, between(random, time.Second, 3*time.Second))
 	}},
