Let the soak not start an agent whose machine was removed while it was away

Its machine was replaced while the agent was away after a kill; it was started again afterwards, and what is removed is not among what a run ends. No fault of the product. A removed process is not started; the spec failed before.

--- a/bench/soak/daemon.go
+++ b/bench/soak/daemon.go
@@ -59,6 +59,9 @@
 			d.ledger.ownExit(d.name+": "+err.Error(), -1)
 			return
 		}
+		if process == nil {
+			return
+		}
 		<-process.Done()
 		away, goesOn := d.ended(process.Exit())
 		if !goesOn || !pause(ctx, away) {
@@ -71,12 +74,17 @@
 	}
 }
 
+// start starts the process. It returns none if the machine has been removed, as it may be
+// while the process is away.
 func (d *daemon) start() (*fleet.Process, error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if d.removed {
+		return nil, nil
+	}
 	process, err := fleet.Start(d.name, d.binary, d.base+".toml", d.base+".log")
 	d.process = process
-	d.expected = d.removed
+	d.expected = false
 	d.paused = false
 	if d.killed {
 		d.ledger.disturb()
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -197,6 +197,17 @@
 	})
 })
 
+var _ = Describe("daemon", func() {
+	It("is not started again if its machine is removed while it is away", func() {
+		judged := newLedger(func() time.Duration { return 0 })
+		removed := &daemon{binary: "/absent", base: GinkgoT().TempDir() + "/agent", ledger: judged}
+		removed.remove()
+		removed.run(context.Background())
+		Expect(removed.process).To(BeNil())
+		Expect(judged.broken).To(Equal(Broken{}), "there was nothing to start")
+	})
+})
+
 var _ = Describe("fabric", func() {
 	key := func(number int) segment.FlowKey {
 		return segment.FlowKey{Client: segment.Address{Port: uint16(number)}, Service: routeAddress(0)}
