--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -189,7 +189,7 @@
 		b.confirmFor(now, sought)
 	case b.confirmFor(now, sought):
 	default:
-		b.declareOwnerless(known)
+		b.timed(now-sought.begun, func() { b.declareOwnerless(known) })
 	}
 }
 
