Correct a directory that a forged revision led ahead of the store

Cause: the revision that a peer announces was merged into the machine's own and never lowered. Watches were then made after the false revision, which the store answers with nothing, and updates of others that told of a lower one still confirmed the directory.

Change: a watch or listing whose answer is below what was known when the call was decided on refutes the directory. The false revision is not taken again until the store has reached it. A state that is behind the own directory confirms nothing. A watch that ends below what peers have announced is followed by a poll.

Ruled out: believing a peer's statement that a revision is false, since that could be forged as well; a listing by each, since the store's link is what all wait for.

--- a/internal/directory/announce.go
+++ b/internal/directory/announce.go
@@ -42,6 +42,8 @@
 	receivers := slices.DeleteFunc(slices.Clone(to), func(peer Peer) bool { return peer == except })
 	receivers = append(receivers, s.subscribed(now, receivers, except)...)
 	base := s.machine.Complete()
+	// What was told before a refutation leads nowhere.
+	s.told = slices.DeleteFunc(s.told, func(revision Revision) bool { return revision > base })
 	if len(s.told) > 0 {
 		base = s.told[0]
 	}
@@ -68,7 +70,8 @@
 // its directory is current. The watcher tells it of changes from then on.
 func (s *Spread) Renewal(now time.Duration) []Outgoing {
 	patience := time.Duration(renewalShare * float64(s.timing.watchWait()))
-	if !s.machine.Known() || now-max(s.confirmed, s.renewed) < patience {
+	lasting := s.machine.Known() || s.machine.corrects()
+	if !lasting || now-max(s.confirmed, s.renewed) < patience {
 		return nil
 	}
 	watcher, exists := s.Asker()
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -64,7 +64,7 @@
 	if len(e.peers) > rememberedPeers {
 		e.peers = slices.Delete(e.peers, 0, 1)
 	}
-	if !digest.ahead(e.machine.Digest()) {
+	if !e.machine.lacks(digest) {
 		return
 	}
 	if !e.behind {
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -20,6 +20,9 @@
 	// further failure up to longestRetryDelay.
 	firstRetryDelay   = 60 * time.Millisecond
 	longestRetryDelay = 500 * time.Millisecond
+	// verifyDelay is the delay of a watch that verifies a revision which peers have announced
+	// and the store has not. It bounds the calls of a process that is told such again and again.
+	verifyDelay = 200 * time.Millisecond
 	// changeBurst is the number of answers with changes that may come in quick
 	// succession. Changes come in bursts, as when all endpoints start, and a later
 	// answer carries all that have come meanwhile.
@@ -116,6 +119,10 @@
 	// relist is set if a listing is needed though the directory is known.
 	relist   bool
 	failures int
+	// asked is the latest revision known when the last call was decided on.
+	asked Revision
+	// verify is set while the store has told less than others: the next call asks at once.
+	verify bool
 	// started is when the first call was considered.
 	started    time.Duration
 	hasStarted bool
@@ -145,23 +152,28 @@
 	f.spacing = secondsOf(float64(balancers) / (rate * rateShare))
 }
 
-// Next returns the next call and when to make it. Whoever waits for that asks again once
+// Next returns the next call and when to make it. It must not be called while a call is under
+// way. Whoever waits for that asks again once
 // the directory or the duty has changed.
 func (f *Follower) Next(now time.Duration) (Call, time.Duration) {
 	if !f.hasStarted {
 		f.hasStarted = true
 		f.started = now
 	}
+	f.asked = f.machine.latest
 	if f.machine.Complete() == 0 {
 		return f.page(), max(f.earliest, f.started+f.timing.ListingDelay, f.duty.ToldBy())
 	}
 	if f.relist {
 		return f.page(), f.earliest
 	}
-	if f.duty.Watching() {
+	poll := Call{AfterRevision: f.machine.Complete(), Wait: pollWait, Timeout: pollWait + callTimeout}
+	switch {
+	case f.verify:
+		return poll, f.earliest
+	case f.duty.Watching():
 		return f.watch(), f.earliest
 	}
-	poll := Call{AfterRevision: f.machine.Complete(), Wait: pollWait, Timeout: pollWait + callTimeout}
 	return poll, max(f.earliest, f.duty.PollAt())
 }
 
@@ -180,6 +192,7 @@
 	f.failures = 0
 	f.earliest = 0
 	if f.next == "" {
+		f.checkRevision(page.At)
 		f.begun = page.At
 		f.items = f.items[:0]
 	}
@@ -211,11 +224,41 @@
 	f.failures = 0
 	f.earliest = 0
 	f.dropIfTold()
+	if f.checkRevision(changes.Through) {
+		f.earliest = now + f.correctionDelay(random)
+		return false
+	}
 	if len(changes.Items) > 0 {
 		spacing := f.spacing/2 + time.Duration(random*float64(f.spacing))
 		f.earliest = now + max(f.changes.spend(now), spacing)
 	}
-	return f.machine.Changes(now, changes.Items, changes.Through)
+	changed := f.machine.Changes(now, changes.Items, changes.Through)
+	if changes.Through < f.machine.latest {
+		f.verify = true
+		f.earliest = max(f.earliest, now+verifyDelay)
+	}
+	return changed
+}
+
+// checkRevision refutes the directory if the store is behind what was known when it was asked.
+// It reports whether that is so.
+func (f *Follower) checkRevision(at Revision) bool {
+	f.verify = false
+	if at >= f.asked {
+		return false
+	}
+	f.machine.Refute(f.asked, at)
+	return true
+}
+
+// correctionDelay is how long a process whose directory was refuted leaves it to others to
+// give it a right one, before it lists the store. Hundreds are refuted at once; a watcher
+// lists without delay, so that they can ask it.
+func (f *Follower) correctionDelay(random float64) time.Duration {
+	if f.duty.Watching() {
+		return 0
+	}
+	return ListingDelay(random)
 }
 
 // Failed handles a failed call. Lost history takes a new listing.
@@ -247,7 +290,7 @@
 
 // Following reports whether the last call succeeded and the directory is known.
 func (f *Follower) Following() bool {
-	return f.machine.Complete() > 0 && !f.relist && f.failures == 0
+	return f.machine.Complete() > 0 && !f.relist && !f.verify && f.failures == 0
 }
 
 // pacer is a token bucket that earns a token in each interval.
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -36,6 +36,12 @@
 	// floor is the revision from which on all changes are remembered: who knows less
 	// has to be told everything.
 	floor Revision
+	// latest is the highest revision that was taken from anybody, complete or not.
+	latest Revision
+	// refuted is the lowest revision that the store has shown to be false, zero if there is
+	// none, and refutations is how often it has.
+	refuted     Revision
+	refutations uint64
 	// former are the services that earlier configurations gave addresses.
 	former map[segment.Address][]string
 	// zones are those that are closed, or were lately.
@@ -110,6 +116,7 @@
 	changed = m.openUnless(now, closed, begun) || changed
 	changed = m.reachBack(now) || changed
 	m.floor = max(m.floor, begun)
+	m.reached(begun)
 	return m.advance(now, begun, changed)
 }
 
@@ -129,6 +136,11 @@
 // Changes merges all changes up to a revision, given that the machine knows all
 // changes before them. It reports whether the snapshot changed.
 func (m *Machine) Changes(now time.Duration, items []Item, through Revision) bool {
+	m.reached(through)
+	if m.corrects() {
+		// The call was made before the refutation.
+		return false
+	}
 	changed := false
 	for _, item := range items {
 		changed = m.merge(now, item) || changed
@@ -138,6 +150,7 @@
 
 func (m *Machine) advance(now time.Duration, through Revision, changed bool) bool {
 	m.complete = max(m.complete, through)
+	m.latest = max(m.latest, m.complete)
 	if m.forget(now) || changed {
 		m.rebuild()
 		return true
--- a/internal/directory/spread.go
+++ b/internal/directory/spread.go
@@ -143,6 +143,9 @@
 // Receive handles an update of another balancer. It reports whether the snapshot
 // changed, and whether it lacks what the other knows.
 func (s *Spread) Receive(now time.Duration, from Peer, update Update) (changed, lacks bool, answers []Outgoing) {
+	if s.machine.refutes(update.State.Complete) {
+		return false, false, nil
+	}
 	before := s.machine.Digest()
 	if update.Asks && update.State.Complete > 0 {
 		s.subscribe(now, from)
@@ -150,10 +153,10 @@
 	s.noteMembers(now, update.State.Members)
 	changed = s.machine.Adopt(now, update.State)
 	digest := Digest{update.State.Version, update.State.Complete}
-	lacks = digest.ahead(s.machine.Digest()) || update.Source != 0 && !s.machine.Known()
+	lacks = s.machine.lacks(digest) || update.Source != 0 && !s.machine.Known()
 	answers = s.meet(now, from, update)
-	if update.State.Confirmed && !lacks {
-		s.confirmed = max(s.confirmed, now-max(update.State.Age, 0))
+	if !lacks {
+		s.noteConfirmation(now, update.State)
 	}
 	if update.Asks && !update.Confirms {
 		answers = append(answers, s.answer(now, from, update)...)
@@ -164,6 +167,14 @@
 	return changed, lacks, answers
 }
 
+// noteConfirmation takes account of a state that the store confirmed to its sender, which told
+// so, or was asked, at a time. One that is behind this directory does not confirm it.
+func (s *Spread) noteConfirmation(at time.Duration, state State) {
+	if state.Confirmed && state.Complete >= s.machine.Complete() {
+		s.confirmed = max(s.confirmed, at-max(state.Age, 0))
+	}
+}
+
 // SourceOf returns who can be asked for what an update shows.
 func (u Update) SourceOf(sender Peer) Peer {
 	if u.Source != 0 {
@@ -209,9 +220,11 @@
 // Took handles that this process has adopted a state which it asked another for at a time.
 // It returns what to tell its zone: a new configuration is not in any update.
 func (s *Spread) Took(now, asked time.Duration, from Peer, state State) []Outgoing {
-	behind := Digest{state.Version, state.Complete}.ahead(s.machine.Digest())
-	if state.Confirmed && !behind {
-		s.confirmed = max(s.confirmed, asked-max(state.Age, 0))
+	if s.machine.refutes(state.Complete) {
+		return nil
+	}
+	if !s.machine.lacks(Digest{state.Version, state.Complete}) {
+		s.noteConfirmation(asked, state)
 	}
 	var outgoing []Outgoing
 	if s.teller != 0 {
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -158,6 +158,9 @@
 // Adopt merges what another process knows. It reports whether the snapshot
 // changed.
 func (m *Machine) Adopt(now time.Duration, state State) bool {
+	if m.refutes(state.Complete) {
+		return false
+	}
 	changed := false
 	if state.Configuration != nil {
 		changed = m.mergeConfiguration(Item{Revision: state.ConfigurationRevision, Configuration: state.Configuration})
@@ -258,5 +261,6 @@
 		adopted.leave(now, m.complete)
 	}
 	m.endpoints[described.ID.Name] = adopted
+	m.latest = max(m.latest, described.Revision)
 	return true
 }
--- a/internal/directory/zone.go
+++ b/internal/directory/zone.go
@@ -85,6 +85,7 @@
 		adopted = heldZone{revision: m.complete, since: now}
 	}
 	m.zones[described.Zone] = adopted
+	m.latest = max(m.latest, described.Revision)
 	return adopted.closed || known.closed
 }
 
