Let members that start together learn from each other what they lack

Cause: a process that catches up asked only members that know what others know. When a whole fleet starts nobody does for 20 s; the answers were whole zones or nothing.

Change: requests hold a Bloom filter of the live members that are known, of all zones while a process catches up, and answers what is not in it, as far as the credit allows. Anybody is asked where nobody knows all; seeds are asked rarely, and tell whoever knows hardly anybody of six others.

Two tests are replaced. The end of catching up needs the last part of an answer, as answers may be partial now; the test checks that a part before does not end it.

--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -63,11 +63,13 @@
 	addresses []membership.Address
 	configure func(*membership.Config)
 	// filter may change or discard the effects of a process, as a fault.
-	filter   func(*process, []membership.Effect) []membership.Effect
-	seeding  int
-	starts   int
-	messages int
-	largest  int
+	filter  func(*process, []membership.Effect) []membership.Effect
+	seeding int
+	// fixedSeeds are those that every process is given, random ones if there are none.
+	fixedSeeds []membership.Address
+	starts     int
+	messages   int
+	largest    int
 }
 
 func newFleet(seed uint64, shape layout, config virtualnet.Config) *fleet {
@@ -131,6 +133,9 @@
 
 // seeds returns random addresses of the fleet, each at most once.
 func (f *fleet) seeds() []membership.Address {
+	if len(f.fixedSeeds) > 0 {
+		return f.fixedSeeds
+	}
 	var seeds []membership.Address
 	for _, index := range f.random.Perm(len(f.addresses))[:min(f.seeding, len(f.addresses))] {
 		seeds = append(seeds, f.addresses[index])
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -119,11 +119,13 @@
 		return nil
 	}
 	m.observeTime(now)
-	m.merge(now, message.Sender, true)
+	// What a process that has just started sees, or learns from a state, is no news.
+	catchingUp := m.syncsQuickly(now)
+	m.merge(now, message.Sender, !catchingUp || now >= m.recovery.began+joinRush)
 	m.hear(now, message)
+	m.noteContact(now, from)
 	m.noteInformed(from, message)
-	// What a process that catches up learns from a full state is no news.
-	spread := message.Kind != KindSyncResponse || !m.syncsQuickly(now)
+	spread := message.Kind != KindSyncResponse || !catchingUp
 	for _, update := range message.Updates {
 		m.merge(now, update, spread)
 	}
@@ -146,7 +148,7 @@
 	case KindSyncRequest:
 		m.answerSync(now, from, message)
 	case KindSyncResponse:
-		m.receiveSync(now, message)
+		m.receiveSync(message)
 	}
 }
 
@@ -156,7 +158,7 @@
 	if !m.Sender.valid() || m.Sender.Member.Address != from || m.Kind > KindLeave {
 		return false
 	}
-	if len(m.Updates) > maximumUpdates || len(m.Ages) > MaximumZones || len(m.Digests) > MaximumZones {
+	if len(m.Known) > maximumSummary || len(m.Updates) > maximumUpdates || len(m.Ages) > MaximumZones || len(m.Digests) > MaximumZones {
 		return false
 	}
 	for _, digest := range m.Digests {
@@ -164,7 +166,11 @@
 			return false
 		}
 	}
-	return m.Digest.Zone < MaximumZones && !slices.ContainsFunc(m.Updates, func(update Update) bool {
+	synchronizes := m.Kind == KindSyncRequest || m.Kind == KindSyncResponse
+	if m.Digest.Zone >= MaximumZones && !(synchronizes && m.Digest.Zone == allZones) {
+		return false
+	}
+	return !slices.ContainsFunc(m.Updates, func(update Update) bool {
 		return !update.valid()
 	})
 }
@@ -194,7 +200,8 @@
 	message.Sender = m.self
 	message.Attachment = m.attachment
 	message.CatchingUp = m.syncsQuickly(now)
-	if message.Kind != KindSyncResponse {
+	knowsFew := message.Kind == KindSyncRequest && m.roster.live < manyMembers
+	if message.Kind != KindSyncResponse && !knowsFew {
 		message.Updates = m.updatesFor(now, to)
 	}
 	if message.Kind == KindPing || message.Kind == KindAck {
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -49,6 +49,9 @@
 // MaximumZones bounds the number of zones.
 const MaximumZones = 32
 
+// allZones stands for every zone in a sync request and the answer to it.
+const allZones Zone = MaximumZones
+
 // Incarnation tells apart successive processes at one address: the time the
 // process started, in milliseconds since 1970. A process that hears of a
 // higher incarnation at its own address takes the next higher one, so that a
@@ -127,7 +130,8 @@
 	KindAck
 	// KindPingRequest asks the receiver to ping Target.
 	KindPingRequest
-	// KindSyncRequest asks for all that is known of zone Digest.Zone.
+	// KindSyncRequest asks for what is known of zone Digest.Zone, or allZones, and not in
+	// Known.
 	KindSyncRequest
 	// KindSyncResponse is one part of the answer to a sync request.
 	KindSyncResponse
@@ -162,6 +166,9 @@
 	Ages []byte
 	// Digests are the sender's views of all zones, only in sync responses.
 	Digests []ZoneDigest
+	// Known is the summary of what the sender of a sync request knows of the zone, salted
+	// by Sequence.
+	Known []byte
 	// Attachment is opaque; the sender set it by SetAttachment.
 	Attachment []byte
 }
--- a/internal/membership/message_gen.go
+++ b/internal/membership/message_gen.go
@@ -334,8 +334,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	{
@@ -474,6 +474,14 @@
 			return
 		}
 	}
+	z.Known, err = dc.ReadBytesLimit(z.Known, zdc5d9100limitArrays)
+	if err == nil && z.Known == nil {
+		z.Known = []byte{}
+	}
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
 	z.Attachment, err = dc.ReadBytesLimit(z.Attachment, zdc5d9100limitArrays)
 	if err == nil && z.Attachment == nil {
 		z.Attachment = []byte{}
@@ -487,8 +495,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Message) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 10
-	err = en.Append(0x9a)
+	// array header, size 11
+	err = en.Append(0x9b)
 	if err != nil {
 		return
 	}
@@ -571,6 +579,11 @@
 			return
 		}
 	}
+	err = en.WriteBytes(z.Known)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
 	err = en.WriteBytes(z.Attachment)
 	if err != nil {
 		err = msgp.WrapError(err, "Attachment")
@@ -582,8 +595,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendUint8(o, uint8(z.Kind))
 	o, err = z.Sender.MarshalMsg(o)
 	if err != nil {
@@ -613,6 +626,7 @@
 		o = msgp.AppendUint8(o, uint8(z.Digests[za0002].Zone))
 		o = msgp.AppendUint32(o, z.Digests[za0002].Hash)
 	}
+	o = msgp.AppendBytes(o, z.Known)
 	o = msgp.AppendBytes(o, z.Attachment)
 	return
 }
@@ -625,8 +639,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	{
@@ -773,24 +787,45 @@
 	var zb0011 uint32
 	zb0011, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Attachment")
+		err = msgp.WrapError(err, "Known")
 		return
 	}
 	if zb0011 > zdc5d9100limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if z.Attachment == nil || uint32(cap(z.Attachment)) < zb0011 {
-		z.Attachment = make([]byte, zb0011)
+	if z.Known == nil || uint32(cap(z.Known)) < zb0011 {
+		z.Known = make([]byte, zb0011)
 	} else {
-		z.Attachment = z.Attachment[:zb0011]
+		z.Known = z.Known[:zb0011]
 	}
 	if uint32(len(bts)) < zb0011 {
 		err = msgp.ErrShortBytes
 		return
 	}
-	copy(z.Attachment, bts[:zb0011])
+	copy(z.Known, bts[:zb0011])
 	bts = bts[zb0011:]
+	var zb0012 uint32
+	zb0012, bts, err = msgp.ReadBytesHeader(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Attachment")
+		return
+	}
+	if zb0012 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Attachment == nil || uint32(cap(z.Attachment)) < zb0012 {
+		z.Attachment = make([]byte, zb0012)
+	} else {
+		z.Attachment = z.Attachment[:zb0012]
+	}
+	if uint32(len(bts)) < zb0012 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Attachment, bts[:zb0012])
+	bts = bts[zb0012:]
 	o = bts
 	return
 }
@@ -801,7 +836,7 @@
 	for za0001 := range z.Updates {
 		s += z.Updates[za0001].Msgsize()
 	}
-	s += 1 + msgp.Uint8Size + msgp.Uint32Size + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Ages) + msgp.ArrayHeaderSize + (len(z.Digests) * (11 + msgp.Uint8Size + msgp.Uint32Size)) + msgp.BytesPrefixSize + len(z.Attachment)
+	s += 1 + msgp.Uint8Size + msgp.Uint32Size + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Ages) + msgp.ArrayHeaderSize + (len(z.Digests) * (11 + msgp.Uint8Size + msgp.Uint32Size)) + msgp.BytesPrefixSize + len(z.Known) + msgp.BytesPrefixSize + len(z.Attachment)
 	return
 }
 
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -79,8 +79,12 @@
 	return live
 }
 
-// probeNext advances the current probe and starts the next one when it is due.
+// probeNext advances the current probe and starts the next one when it is due. A process that
+// does not know what others know would accuse nobody, and may know none but the seeds.
 func (m *Machine) probeNext(now time.Duration) {
+	if m.recovery.active {
+		return
+	}
 	if m.probe.pending {
 		m.urgeProbe(now)
 	}
--- a/internal/membership/recovery.go
+++ b/internal/membership/recovery.go
@@ -3,14 +3,15 @@
 
 package membership
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// pauseThreshold is the time between ticks from which the process is
 	// taken to have been paused.
 	pauseThreshold = time.Second
-	// recoveryRetry is the time between two requests while catching up.
-	recoveryRetry = 500 * time.Millisecond
 	// recoveryTimeout ends catching up if nobody answers: the process may be
 	// the only one.
 	recoveryTimeout = 10 * time.Second
@@ -21,14 +22,24 @@
 	quickSyncExtension = time.Minute
 	// quickSyncInterval is the time between two requests meanwhile; it keeps
 	// a starting process within its bytes a second.
-	quickSyncInterval = 1500 * time.Millisecond
+	quickSyncInterval = 300 * time.Millisecond
+	// seedInterval is the least time between two requests to seeds, which all others ask at
+	// the same time. Meanwhile those that were answered ask those that were not.
+	seedInterval = 1200 * time.Millisecond
+	// manyMembers is how many members a process knows that may ask seeds again.
+	manyMembers = 32
+	// joinRush is how long after its start a process takes whom it hears of for one that
+	// started with it, of whom others learn without it.
+	joinRush = 3 * time.Second
+	// longestQuickSync bounds it while nobody answers, and is the time to the next request if
+	// the other knew nothing more.
+	longestQuickSync = 2400 * time.Millisecond
 )
 
 // recovery is the state of catching up.
 type recovery struct {
-	active  bool
-	began   time.Duration
-	nextTry time.Duration
+	active bool
+	began  time.Duration
 }
 
 // observeTime notices the first call and pauses of the process.
@@ -45,7 +56,9 @@
 }
 
 func (m *Machine) beginRecovery(now time.Duration) {
-	m.recovery = recovery{active: true, began: now, nextTry: now}
+	m.recovery = recovery{active: true, began: now}
+	m.sync.next = now
+	m.sync.unanswered = 0
 	m.sync.quickUntil = now + quickSyncTime
 	m.probe.pending = false
 	m.probe.next = now + time.Duration(m.random.Int64N(int64(m.config.ProbeInterval)))
@@ -66,38 +79,60 @@
 	}
 }
 
-// catchUp asks one member after another for the state of the own zone.
+// catchUp asks one member after another for what it knows.
 func (m *Machine) catchUp(now time.Duration) {
-	if !m.recovery.active || now < m.recovery.nextTry {
+	if !m.recovery.active || now < m.sync.next {
 		return
 	}
 	if now >= m.recovery.began+recoveryTimeout {
 		m.recovery.active = false
 		return
 	}
-	m.recovery.nextTry = now + recoveryRetry
 	if asked, exists := m.recoverySource(); exists {
-		m.requestSync(now, asked, m.self.Member.Zone)
+		m.requestAll(now, asked)
 	}
 }
 
 // recoverySource returns a random member that knows what others know, in the
-// own zone or else elsewhere, or a seed, or any member.
+// own zone or else elsewhere. Where all start at once it is any member, and only if none
+// is known a seed, which all others ask.
 func (m *Machine) recoverySource() (Address, bool) {
 	if known, exists := m.roster.randomMember(m.random, m.self.Member.Zone, m.isInformedPeer); exists {
 		return known.update.Member.Address, true
 	}
-	if known, exists := m.nextRemote(m.isInformedPeer); exists {
-		return known.update.Member.Address, true
+	for _, suits := range []func(*member) bool{m.isInformedPeer, m.isPeerBesideSeeds} {
+		if known, exists := m.randomAnywhere(suits); exists {
+			return known.update.Member.Address, true
+		}
 	}
 	if len(m.seeds) > 0 {
 		return m.seeds[m.random.IntN(len(m.seeds))], true
 	}
-	if known, exists := m.roster.randomMember(m.random, m.self.Member.Zone, m.isLivePeer); exists {
-		return known.update.Member.Address, true
+	return 0, false
+}
+
+// randomAnywhere returns a member of any zone that suits, if there is one. Zones with more
+// members are chosen more often.
+func (m *Machine) randomAnywhere(suits func(*member) bool) (*member, bool) {
+	position := m.random.IntN(max(len(m.roster.byAddress), 1))
+	first := Zone(0)
+	for first < MaximumZones-1 && position >= len(m.roster.zones[first].members) {
+		position -= len(m.roster.zones[first].members)
+		first++
 	}
-	if known, exists := m.nextRemote(m.isLivePeer); exists {
-		return known.update.Member.Address, true
+	for offset := range Zone(MaximumZones) {
+		zone := (first + offset) % MaximumZones
+		if found, exists := m.roster.randomMember(m.random, zone, suits); exists {
+			return found, true
+		}
 	}
-	return 0, false
+	return nil, false
+}
+
+// isPeerBesideSeeds reports whether another process runs, as far as is known, that is not one
+// of the seeds, which all others ask as well. Once many are known a seed is asked as rarely as
+// any of them, and what it knows must not stay with it.
+func (m *Machine) isPeerBesideSeeds(candidate *member) bool {
+	spared := m.roster.live < manyMembers && slices.Contains(m.seeds, candidate.update.Member.Address)
+	return m.isLivePeer(candidate) && !spared
 }
--- a/internal/membership/synchronize.go
+++ b/internal/membership/synchronize.go
@@ -3,7 +3,10 @@
 
 package membership
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // settleTime is how long a zone must differ, without a change, before it is
 // fetched: while an update travels, digests differ for a moment.
@@ -16,10 +19,23 @@
 	// answerRate is how many bytes a second a member spends on answering sync
 	// requests, and answerBurst how many at once; other requests are dropped
 	// and repeated elsewhere.
-	answerRate  = 2000
-	answerBurst = 8000
-	// estimatedUpdateSize is the usual encoding of an update in bytes.
+	answerRate  = 500
+	answerBurst = 90000
+	// estimatedUpdateSize is the usual encoding of an update in bytes, and estimatedHead that
+	// of an answer without updates, headers included.
 	estimatedUpdateSize = 24
+	estimatedHead       = 100
+	estimatedDigestSize = 8
+	// introduction is how many updates an answer holds to a process that knows hardly anybody,
+	// while this one catches up itself: somebody else to ask.
+	introduction = 6
+	// introductionReserve is the credit that introductions leave for longer answers, in bytes.
+	introductionReserve = 45000
+	// answerShare is the part of the credit that another answer may take, as a divisor.
+	answerShare = 4
+	// requestRate bounds the bytes a second that a process that catches up spends on
+	// requests.
+	requestRate = 800
 )
 
 // difference is a zone that another member knows differently.
@@ -39,6 +55,12 @@
 	// turn is the zone from which to look for a difference.
 	turn          Zone
 	nextReconnect time.Duration
+	// unanswered is how many requests were made since the last answer.
+	unanswered int
+	// askedSeed is set after a request to a seed which all others may ask as well.
+	askedSeed bool
+	// answered is set once the last request was answered in full.
+	answered bool
 	// credit is how many bytes may be spent on answers, as of creditTime.
 	credit     int
 	creditTime time.Duration
@@ -57,7 +79,8 @@
 
 // compare notes the zones that the sender of a message knows differently.
 func (m *Machine) compare(now time.Duration, from Address, message Message) {
-	if message.CatchingUp {
+	// What a process that catches up does not know is of no use but to another that does.
+	if message.CatchingUp && !m.syncsQuickly(now) {
 		return
 	}
 	switch message.Kind {
@@ -91,7 +114,11 @@
 
 // synchronize fetches one zone that differs, if the time has come.
 func (m *Machine) synchronize(now time.Duration) {
-	if now < m.sync.next {
+	if now < m.sync.next || m.recovery.active {
+		return
+	}
+	if m.syncsQuickly(now) {
+		m.synchronizeAll(now)
 		return
 	}
 	for range MaximumZones {
@@ -101,10 +128,43 @@
 			continue
 		}
 		noted.known = false
-		m.requestSync(now, m.syncSource(now, noted.peer), m.sync.turn)
-		m.sync.next = now + m.syncInterval(now)
+		m.requestSync(now, noted.peer, m.sync.turn)
+		m.sync.next = now + m.config.SyncInterval
+		return
+	}
+}
+
+// synchronizeAll lets a process that catches up fetch what it lacks of all zones, as long as
+// somebody knows one differently.
+func (m *Machine) synchronizeAll(now time.Duration) {
+	if !m.differs() {
 		return
 	}
+	if source, exists := m.recoverySource(); exists {
+		m.requestAll(now, source)
+	}
+}
+
+// requestAll asks another member for what it knows of all zones. The next request comes the
+// later the longer this one is.
+func (m *Machine) requestAll(now time.Duration, to Address) {
+	agreed := m.sync.answered && !m.differs()
+	m.sync.answered = false
+	for zone := range m.sync.differences {
+		m.sync.differences[zone].known = false
+	}
+	m.requestSync(now, to, allZones)
+	bytes := min(m.roster.live*summaryBits/8, maximumSummary)
+	interval := min(quickSyncInterval<<m.sync.unanswered, longestQuickSync)
+	m.sync.askedSeed = slices.Contains(m.seeds, to) && m.roster.live < manyMembers
+	switch {
+	case agreed:
+		interval = longestQuickSync
+	case m.sync.askedSeed:
+		interval = max(interval, seedInterval)
+	}
+	m.sync.next = now + max(interval, time.Duration(bytes)*time.Second/requestRate)
+	m.sync.unanswered++
 }
 
 // syncsQuickly reports whether the process still learns what others know: for
@@ -136,29 +196,7 @@
 	return m.isLivePeer(candidate) && candidate.informed
 }
 
-// syncSource spreads the requests of a process that catches up over the members
-// of its zone that do not, so that they do not all burden the seed.
-func (m *Machine) syncSource(now time.Duration, peer Address) Address {
-	if !m.syncsQuickly(now) {
-		return peer
-	}
-	if known, exists := m.roster.randomMember(m.random, m.self.Member.Zone, m.isInformedPeer); exists {
-		return known.update.Member.Address
-	}
-	return peer
-}
-
-func (m *Machine) syncInterval(now time.Duration) time.Duration {
-	if m.syncsQuickly(now) {
-		return quickSyncInterval
-	}
-	return m.config.SyncInterval
-}
-
 func (m *Machine) settled(now time.Duration, zone Zone, noted *difference) bool {
-	if m.syncsQuickly(now) {
-		return now >= noted.since+recoveryRetry
-	}
 	if now >= noted.since+longDifference {
 		return true
 	}
@@ -167,58 +205,98 @@
 }
 
 func (m *Machine) requestSync(now time.Duration, to Address, zone Zone) {
+	sequence := m.nextSequence()
+	digest := ZoneDigest{Zone: zone}
+	if zone != allZones {
+		digest = m.roster.digestOf(zone)
+	}
 	m.send(now, to, Message{
-		Kind: KindSyncRequest, Sequence: m.nextSequence(), Digest: m.roster.digestOf(zone),
+		Kind: KindSyncRequest, Sequence: sequence, Digest: digest,
+		Known: m.roster.summaryOf(zone, sequence),
 	})
 }
 
-// answerSync sends all that is known of the zone, in as many messages as it
-// takes, unless the two agree by now.
+// answerSync sends what is known of the zone and the other lacks, in as many messages as it
+// takes and the credit allows.
 func (m *Machine) answerSync(now time.Duration, from Address, request Message) {
-	members := m.roster.zones[request.Digest.Zone].members
-	if request.Digest == m.roster.digestOf(request.Digest.Zone) {
-		members = nil
-	}
-	if !m.spendAnswer(now, len(members)*estimatedUpdateSize) {
+	allowance := m.allowance(now, request)
+	if allowance == 0 {
 		return
 	}
-	for first := true; first || len(members) > 0; first = false {
-		part := members[:min(len(members), syncUpdates)]
-		members = members[len(part):]
-		updates := make([]Update, len(part))
-		for index, known := range part {
-			updates[index] = known.update
-		}
+	missing := m.missing(request)
+	introduces := allowance == introduction && len(missing) > allowance
+	missing = missing[:min(len(missing), allowance)]
+	for first := true; first || len(missing) > 0; first = false {
+		part := missing[:min(len(missing), syncUpdates)]
+		missing = missing[len(part):]
 		response := Message{
-			Kind: KindSyncResponse, Sequence: request.Sequence,
-			Updates: updates, Digest: m.roster.digestOf(request.Digest.Zone),
+			Kind: KindSyncResponse, Sequence: request.Sequence, Updates: part,
+			Digest: ZoneDigest{Zone: request.Digest.Zone},
 		}
-		if len(members) == 0 {
+		if len(missing) == 0 && !introduces {
 			response.Digests = m.roster.digests()
 		}
+		m.sync.credit -= estimatedHead + len(part)*estimatedUpdateSize + len(response.Digests)*estimatedDigestSize
 		m.send(now, from, response)
 	}
 }
 
-// spendAnswer takes the bytes of an answer from the credit. It returns false if
-// earlier answers have used it up.
-func (m *Machine) spendAnswer(now time.Duration, bytes int) bool {
+// missing returns what the sender of a request lacks, from a random member on: where the credit
+// does not suffice for all, those who ask get different parts, and can ask each other.
+func (m *Machine) missing(request Message) []Update {
+	zone := request.Digest.Zone
+	if zone != allZones && request.Digest == m.roster.digestOf(zone) {
+		return nil
+	}
+	var updates []Update
+	for _, record := range m.roster.recordsOf(zone) {
+		for _, known := range record.members {
+			if summary(request.Known).lacks(known.update, request.Sequence) {
+				updates = append(updates, known.update)
+			}
+		}
+	}
+	if len(updates) == 0 {
+		return nil
+	}
+	first := m.random.IntN(len(updates))
+	return slices.Concat(updates[first:], updates[:first])
+}
+
+// allowance returns how many updates an answer may hold, zero if earlier answers have used the
+// credit up. Where all start at once and ask the seeds, many get a few, and learn whom else to
+// ask.
+func (m *Machine) allowance(now time.Duration, request Message) int {
 	earned := int((now - m.sync.creditTime) * answerRate / time.Second)
 	if earned > 0 {
 		m.sync.credit = min(m.sync.credit+earned, answerBurst)
 		m.sync.creditTime = now
 	}
-	if m.sync.credit <= 0 {
-		return false
+	if m.sync.credit < estimatedHead+introduction*estimatedUpdateSize {
+		return 0
+	}
+	if m.syncsQuickly(now) && len(request.Known) <= introduction*summaryBits/8 {
+		return introduction * min(m.sync.credit/introductionReserve, 1)
+	}
+	return max(m.sync.credit/(answerShare*estimatedUpdateSize), introduction)
+}
+
+// noteContact lets a process that has only asked a seed ask the first other that it hears of.
+func (m *Machine) noteContact(now time.Duration, from Address) {
+	if m.sync.askedSeed && !slices.Contains(m.seeds, from) {
+		m.sync.askedSeed = false
+		m.sync.unanswered = 0
+		m.sync.next = min(m.sync.next, now+quickSyncInterval)
 	}
-	m.sync.credit -= bytes
-	return true
 }
 
-// receiveSync ends the wait for the own zone's state, if the sender knows it;
-// the updates have been merged already.
-func (m *Machine) receiveSync(_ time.Duration, message Message) {
-	if message.Digest.Zone == m.self.Member.Zone && !message.CatchingUp {
+// receiveSync ends the wait for the state of others, if the sender knows it; the updates have
+// been merged already.
+func (m *Machine) receiveSync(message Message) {
+	m.sync.unanswered = 0
+	last := len(message.Digests) > 0
+	m.sync.answered = m.sync.answered || last
+	if last && !message.CatchingUp {
 		m.recovery.active = false
 	}
 }
