--- a/bench/flownet/balancer.go
+++ b/bench/flownet/balancer.go
@@ -189,7 +189,7 @@
 	case received.update != nil:
 		n.receiveUpdate(now, from, *received.update)
 	case received.digest != nil:
-		n.exchange.Heard(now, from, *received.digest)
+		n.exchange.ReceiveDigest(now, from, *received.digest)
 	case received.fetch != nil:
 		n.spread.Fetched(now, directory.Peer(from))
 		state := n.spread.State(now, *received.fetch)
--- a/internal/directory/announce.go
+++ b/internal/directory/announce.go
@@ -1,4 +1,4 @@
-// This file implements what a Spread tells other balancers of changes, and to whom.
+// This file implements which updates a Spread sends to other balancers.
 
 package directory
 
@@ -8,21 +8,19 @@
 )
 
 const (
-	// subscription is how long a process that has asked is told of changes. Until the
-	// membership knows a process it asks again whenever it hears nothing: of 304 that start
-	// together the first of a zone knew nine in ten only after 35 s.
+	// subscription is how long a process that has asked is sent updates: longer than the
+	// membership takes to have it.
 	subscription = 30 * time.Second
-	// subscriberLimit bounds those that are told.
+	// subscriberLimit bounds the subscribers.
 	subscriberLimit = 256
 	// renewalShare is how much longer than the time between two confirmations a process
 	// waits for one before it asks a watcher, which is before it asks the store.
 	renewalShare = 1.15
-	// toldOverlap is how many updates back an update reaches, so that one that is lost
+	// announcementOverlap is how many updates back an update reaches, so that one that is lost
 	// costs nothing.
-	toldOverlap = 2
-	// repeatDelay is how long after an update it is sent again: longer than a queue at a link
-	// lasts. Without it 99 of 100 of 304 balancers knew a change 2.9 s after the first, with
-	// it 1.5 s, in the middle of 19 changes.
+	announcementOverlap = 2
+	// repeatDelay is how long after an update it is sent again, since a lost one is made up
+	// for only by the next. It is longer than a queue at a link lasts.
 	repeatDelay = 100 * time.Millisecond
 )
 
@@ -33,30 +31,29 @@
 	to    []Peer
 }
 
-// tell returns what others are told, except for one: all changes since they were told
-// before.
-func (s *Spread) tell(now time.Duration, to []Peer, except Peer) []Outgoing {
+// announce returns the updates for others, except for one: all changes since the last ones.
+func (s *Spread) announce(now time.Duration, to []Peer, except Peer) []Outgoing {
 	if !s.machine.Known() {
 		return nil
 	}
 	receivers := slices.DeleteFunc(slices.Clone(to), func(peer Peer) bool { return peer == except })
 	receivers = append(receivers, s.subscribed(now, receivers, except)...)
 	base := s.machine.Complete()
-	// What was told before a refutation leads nowhere.
-	s.told = slices.DeleteFunc(s.told, func(revision Revision) bool { return revision > base })
-	if len(s.told) > 0 {
-		base = s.told[0]
+	// What was announced before a refutation leads nowhere.
+	s.announcedRevisions = slices.DeleteFunc(s.announcedRevisions, func(revision Revision) bool { return revision > base })
+	if len(s.announcedRevisions) > 0 {
+		base = s.announcedRevisions[0]
 	}
-	s.told = append(s.told, s.machine.Complete())
-	s.told = s.told[max(len(s.told)-toldOverlap, 0):]
-	s.toldAt = now
-	s.toldVersion = s.machine.Snapshot().Version()
+	s.announcedRevisions = append(s.announcedRevisions, s.machine.Complete())
+	s.announcedRevisions = s.announcedRevisions[max(len(s.announcedRevisions)-announcementOverlap, 0):]
+	s.announcedAt = now
+	s.announcedVersion = s.machine.Snapshot().Version()
 	s.repeat = repetition{at: now + repeatDelay, after: base, to: receivers}
 	return s.address(s.updates(now, base), receivers)
 }
 
-// Repeat returns what others were told last, once repeatDelay has passed. It is to be called
-// about as often.
+// Repeat returns the last updates again, once repeatDelay has passed. It is to be called about
+// as often.
 func (s *Spread) Repeat(now time.Duration) []Outgoing {
 	due := s.repeat
 	if len(due.to) == 0 || now < due.at {
@@ -66,8 +63,8 @@
 	return s.address(s.updates(now, due.after), due.to)
 }
 
-// Renewal returns what asks a watcher for changes, if this process has not heard in time that
-// its directory is current. The watcher tells it of changes from then on.
+// Renewal returns what asks a watcher for changes, if no confirmation has come in time. This
+// process is a subscriber of the watcher from then on.
 func (s *Spread) Renewal(now time.Duration) []Outgoing {
 	patience := time.Duration(renewalShare * float64(s.timing.watchWait()))
 	lasting := s.machine.Known() || s.machine.corrects()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -16,7 +16,7 @@
 
 //go:generate go tool msgp -tests=false
 //msgp:limit arrays:65536
-//msgp:ignore Candidate Snapshot Machine held Item Page Changes StoreError Follower Confirmer Call Exchange Timing pacer
+//msgp:ignore Candidate Snapshot Machine endpointRecord Item Page Changes StoreError Follower Confirmer Call Exchange Timing pacer
 //msgp:ignore Refusal refusals RefusalReason
 //msgp:tuple Share Route Configuration ColdStart Endpoint EndpointID
 
--- a/internal/directory/exchange.go
+++ b/internal/directory/exchange.go
@@ -8,11 +8,11 @@
 
 const (
 	// fetchInterval is the least time between two fetches, startFetchInterval that of a
-	// process which knows nothing.
+	// process without a directory.
 	fetchInterval      = 250 * time.Millisecond
 	startFetchInterval = 50 * time.Millisecond
-	// startPatience is how long the store has to tell a process that has started,
-	// before it asks a peer for everything.
+	// startPatience is how long a process that has started waits for the store, before it
+	// fetches everything from a peer.
 	startPatience = 500 * time.Millisecond
 	// rememberedPeers bounds the peers that are remembered.
 	rememberedPeers = 16
@@ -37,7 +37,7 @@
 	fetched bool
 	behind  bool
 	since   time.Duration
-	// lacks is set if no other way is left to learn what informed knows.
+	// lacks is set if only a fetch from informed brings what is missing.
 	lacks    bool
 	informed Peer
 	busy     bool
@@ -52,12 +52,12 @@
 // SetSeeds replaces the seeds.
 func (e *Exchange[Peer]) SetSeeds(seeds []Peer) { e.seeds = seeds }
 
-// StoreFailed tells that a call of the store has failed: a process that has
-// started need not wait for it.
+// StoreFailed notes that a call of the store has failed: a process that has started need not
+// wait for it.
 func (e *Exchange[Peer]) StoreFailed() { e.storeFailed = true }
 
-// Heard handles the digest of a peer.
-func (e *Exchange[Peer]) Heard(now time.Duration, from Peer, digest Digest) {
+// ReceiveDigest handles the digest of a peer.
+func (e *Exchange[Peer]) ReceiveDigest(now time.Duration, from Peer, digest Digest) {
 	if !slices.Contains(e.peers, from) {
 		e.peers = append(e.peers, from)
 	}
@@ -74,7 +74,7 @@
 	e.informed = from
 }
 
-// Lacks tells that an update of a peer did not hold all that this process lacks.
+// Lacks notes that an update of a peer did not hold all that this process lacks.
 func (e *Exchange[Peer]) Lacks(now time.Duration, from Peer) {
 	if !e.behind {
 		e.behind = true
@@ -134,9 +134,9 @@
 	return known[e.random.IntN(len(known))], true
 }
 
-// mayBegin reports whether it is time for the first fetch. Once the store has told
-// what there is, a peer has little to add; all of it, asked for by all processes that
-// start together, would take the network from flows.
+// mayBegin reports whether it is time for the first fetch. Once the store has been listed, a
+// peer has little to add; all of it, asked for by all processes that start together, would
+// take the network from flows.
 func (e *Exchange[Peer]) mayBegin(now time.Duration) bool {
 	if !e.hasBegun {
 		e.hasBegun = true
@@ -151,12 +151,12 @@
 	e.behind = false
 	e.lacks = false
 	changed := e.machine.Adopt(now, state)
-	// A peer that has just been started itself may have had nothing to tell.
+	// A peer that has just been started itself may have had no directory.
 	e.fetched = e.fetched || e.machine.Known()
 	return changed
 }
 
-// FetchFailed tells that a peer did not answer.
+// FetchFailed notes that a peer did not answer.
 func (e *Exchange[Peer]) FetchFailed() {
 	e.busy = false
 	e.behind = false
--- a/internal/directory/exchange_test.go
+++ b/internal/directory/exchange_test.go
@@ -45,7 +45,7 @@
 	It("fetches from a peer that is ahead, but leaves the store some time first", func() {
 		fetch(0)
 		exchange.Fetched(0, directory.State{})
-		exchange.Heard(time.Second, "peer", newer)
+		exchange.ReceiveDigest(time.Second, "peer", newer)
 		Expect(fetch(time.Second)).To(BeEmpty())
 		Expect(fetch(1900 * time.Millisecond)).To(BeEmpty())
 		Expect(fetch(2000 * time.Millisecond)).To(Equal("peer"))
@@ -55,7 +55,7 @@
 		fetch(0)
 		exchange.Fetched(0, directory.State{})
 		machine.Changes(0, []directory.Item{configurationItem(9, 100)}, 100)
-		exchange.Heard(time.Second, "peer", newer)
+		exchange.ReceiveDigest(time.Second, "peer", newer)
 		Expect(fetch(time.Minute)).To(BeEmpty())
 	})
 
@@ -88,7 +88,7 @@
 
 	It("fetches from a peer that knows something at once while it knows nothing itself", func() {
 		starting := directory.NewExchange[string](directory.New(), timing, nil, rand.New(rand.NewPCG(1, 1)))
-		starting.Heard(0, "peer", newer)
+		starting.ReceiveDigest(0, "peer", newer)
 		peer, wanted := starting.Next(0)
 		Expect(wanted).To(BeTrue())
 		Expect(peer).To(Equal("peer"))
@@ -97,7 +97,7 @@
 	It("asks peers that it hears of too, and forgets those that are lost", func() {
 		exchange = directory.NewExchange[string](machine, timing, nil, rand.New(rand.NewPCG(1, 1)))
 		Expect(fetch(0)).To(BeEmpty())
-		exchange.Heard(0, "peer", directory.Digest{})
+		exchange.ReceiveDigest(0, "peer", directory.Digest{})
 		Expect(fetch(0)).To(Equal("peer"))
 		exchange.FetchFailed()
 		exchange.Lost("peer")
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -21,7 +21,7 @@
 	firstRetryDelay   = 60 * time.Millisecond
 	longestRetryDelay = 500 * time.Millisecond
 	// verifyDelay is the delay of a watch that verifies a revision which peers have announced
-	// and the store has not. It bounds the calls of a process that is told such again and again.
+	// and the store has not. It bounds the calls under repeated announcements.
 	verifyDelay = 200 * time.Millisecond
 	// changeBurst is the number of answers with changes that may come in quick
 	// succession. Changes come in bursts, as when all endpoints start, and a later
@@ -34,8 +34,8 @@
 type Timing struct {
 	// ApplyTimeout is the time in which a change has to be in force.
 	ApplyTimeout time.Duration
-	// ListingDelay is how long a process that starts leaves it to others to tell it the
-	// directory, before it lists the store.
+	// ListingDelay is how long a process that starts waits for a snapshot of a peer, before it
+	// lists the store.
 	ListingDelay time.Duration
 	// ContactTimeout is the time in which balancers have to be in touch after connections
 	// were lost, 0 if there is no bound.
@@ -55,7 +55,7 @@
 }
 
 // watchWait is how long one watch waits for changes. An answer of any kind confirms the
-// directory for all balancers, so it also bounds how often they hear that.
+// directory for all balancers, so it also bounds the time between confirmations.
 func (t Timing) watchWait() time.Duration { return t.unlessSilent(t.ApplyTimeout * 2 / 5) }
 
 // lonelyWait is how long a watch waits that confirms the directory for nobody else. It
@@ -76,8 +76,8 @@
 // changeInterval is the time between two watches while changes go on and on.
 func (t Timing) changeInterval() time.Duration { return t.ApplyTimeout / 5 }
 
-// patience is how long a process that is behind waits for others to tell it, before it
-// asks a peer. It is longer than the time between watches.
+// patience is how long a process that is behind waits for updates, before it fetches from a
+// peer. It is longer than the time between watches.
 func (t Timing) patience() time.Duration { return t.ApplyTimeout / 3 }
 
 // Call is a call of the store.
@@ -97,18 +97,19 @@
 // Polls reports whether the call only asks what there is.
 func (c Call) Polls() bool { return !c.Listing && c.Wait == pollWait }
 
-// Duty tells whether a process watches the store, or else when it asks it.
+// Duty decides whether a process watches the store, or else when it polls it.
 type Duty interface {
 	Watching() bool
 	Alone() bool
 	PollAt() time.Duration
-	// ToldBy returns until when a process that knows nothing may expect others to tell it.
-	ToldBy() time.Duration
+	// SnapshotDue returns until when a process without a directory may expect a snapshot of
+	// another.
+	SnapshotDue() time.Duration
 }
 
-// Follower decides which calls keep a directory current: a listing, page by page, if
-// nobody else has told it, and then watches from the revision at which the listing
-// began, since the pages are no snapshot. It is deterministic.
+// Follower decides which calls keep a directory current: a listing, page by page, if no
+// snapshot of a peer has come, and then watches from the revision at which the listing began,
+// since the pages are no snapshot. It is deterministic.
 type Follower struct {
 	machine *Machine
 	timing  Timing
@@ -121,7 +122,7 @@
 	failures int
 	// asked is the latest revision known when the last call was decided on.
 	asked Revision
-	// verify is set while the store has told less than others: the next call asks at once.
+	// verify is set while peers have announced more than the store: the next call polls.
 	verify bool
 	// started is when the first call was considered.
 	started    time.Duration
@@ -146,8 +147,8 @@
 // come in quick succession.
 const rateShare = 0.5
 
-// Share tells how many balancers may call the store, which answers rate calls a
-// second of all of them together.
+// Share sets how many balancers may call the store, which answers rate calls a second of all
+// of them together.
 func (f *Follower) Share(balancers int, rate float64) {
 	f.spacing = secondsOf(float64(balancers) / (rate * rateShare))
 }
@@ -162,7 +163,7 @@
 	}
 	f.asked = f.machine.latest
 	if f.machine.Complete() == 0 {
-		return f.page(), max(f.earliest, f.started+f.timing.ListingDelay, f.duty.ToldBy())
+		return f.page(), max(f.earliest, f.started+f.timing.ListingDelay, f.duty.SnapshotDue())
 	}
 	if f.relist {
 		return f.page(), f.earliest
@@ -199,7 +200,7 @@
 	f.items = append(f.items, page.Items...)
 	if page.More && page.Last != f.next {
 		f.next = page.Last
-		f.dropIfTold()
+		f.dropIfReceived()
 		return false
 	}
 	f.next = ""
@@ -209,9 +210,9 @@
 	return changed
 }
 
-// dropIfTold gives up a listing that is needed no more, since others have told the
-// directory meanwhile.
-func (f *Follower) dropIfTold() {
+// dropIfReceived gives up a listing that is needed no more, since a snapshot of a peer has
+// come meanwhile.
+func (f *Follower) dropIfReceived() {
 	if f.machine.Complete() > 0 && !f.relist {
 		f.next = ""
 		f.items = nil
@@ -223,7 +224,7 @@
 func (f *Follower) Watched(now time.Duration, changes Changes, random float64) bool {
 	f.failures = 0
 	f.earliest = 0
-	f.dropIfTold()
+	f.dropIfReceived()
 	if f.checkRevision(changes.Through) {
 		f.earliest = now + f.correctionDelay(random)
 		return false
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -12,9 +12,9 @@
 // that its open flows can still be found. It is longer than a flow may last.
 const Retention = 90 * time.Second
 
-// held is what the machine keeps of one endpoint.
-type held struct {
-	// started tells the incarnation.
+// endpointRecord is what the machine keeps of one endpoint.
+type endpointRecord struct {
+	// started is the incarnation.
 	started  int64
 	revision Revision
 	endpoint Endpoint
@@ -29,12 +29,12 @@
 type Machine struct {
 	configuration *Item
 	// endpoints are the latest incarnations, by name: those before hold no flow any more.
-	endpoints map[string]*held
+	endpoints map[string]*endpointRecord
 	refusals  refusals
 	// complete is the revision up to which all changes are known.
 	complete Revision
-	// floor is the revision from which on all changes are remembered: who knows less
-	// has to be told everything.
+	// floor is the revision from which on all changes are remembered: a process that is behind it
+	// needs a whole state.
 	floor Revision
 	// latest is the highest revision that was taken from anybody, complete or not.
 	latest Revision
@@ -45,7 +45,7 @@
 	// former are the services that earlier configurations gave addresses.
 	former map[segment.Address][]string
 	// zones are those that are closed, or were lately.
-	zones map[string]heldZone
+	zones map[string]zoneRecord
 	// since is when the knowledge of endpoints that leave begins, never if it has
 	// not begun.
 	since    time.Duration
@@ -55,12 +55,12 @@
 // formerServices bounds the services remembered of an address.
 const formerServices = 4
 
-// New returns a machine that knows nothing.
+// New returns a machine without a directory.
 func New() *Machine {
 	return &Machine{
-		endpoints: make(map[string]*held),
+		endpoints: make(map[string]*endpointRecord),
 		refusals:  newRefusals(),
-		zones:     make(map[string]heldZone),
+		zones:     make(map[string]zoneRecord),
 		since:     never,
 		snapshot:  newSnapshot(contents{since: never}),
 	}
@@ -88,9 +88,9 @@
 // first listing.
 func (m *Machine) Complete() Revision { return m.complete }
 
-// Known reports whether the endpoints are known, from a listing or from another process.
-// There may be no configuration yet when a whole fleet starts: it can be told like any later
-// change, and nobody has to list the store for it.
+// Known reports whether the endpoints are known, from a listing or from another process. There
+// may be no configuration yet when a whole fleet starts: it comes like any later change, and
+// nobody has to list the store for it.
 func (m *Machine) Known() bool { return m.complete > 0 }
 
 // Ready reports whether there is a configuration and the endpoints are known,
@@ -240,7 +240,7 @@
 		known.refused = item.Refused.Refused()
 		return true
 	}
-	m.endpoints[item.EndpointID.Name] = &held{
+	m.endpoints[item.EndpointID.Name] = &endpointRecord{
 		started:  item.EndpointID.Started,
 		revision: item.Revision,
 		endpoint: *item.Endpoint,
@@ -249,10 +249,10 @@
 	return true
 }
 
-func (h *held) leave(now time.Duration, revision Revision) {
-	h.gone = true
-	h.goneAt = now
-	h.revision = max(h.revision, revision)
+func (r *endpointRecord) leave(now time.Duration, revision Revision) {
+	r.gone = true
+	r.goneAt = now
+	r.revision = max(r.revision, revision)
 }
 
 func (m *Machine) forget(now time.Duration) bool {
@@ -307,8 +307,8 @@
 // latestAt returns, by address, the entry that was written last of those that are there and
 // of a known service. An endpoint that has been started again has a new entry, while that
 // of the one before, which writes no more, takes some time to lapse.
-func (m *Machine) latestAt(services serviceSet) map[[4]byte]*held {
-	latest := make(map[[4]byte]*held, len(m.endpoints))
+func (m *Machine) latestAt(services serviceSet) map[[4]byte]*endpointRecord {
+	latest := make(map[[4]byte]*endpointRecord, len(m.endpoints))
 	for _, known := range m.endpoints {
 		other := latest[known.endpoint.IP]
 		usable := !known.gone && services.has(known.endpoint.Service)
--- a/internal/directory/machine_test.go
+++ b/internal/directory/machine_test.go
@@ -214,10 +214,10 @@
 	pollAt, toldBy  time.Duration
 }
 
-func (d *duty) Watching() bool        { return d.watching }
-func (d *duty) Alone() bool           { return d.alone }
-func (d *duty) PollAt() time.Duration { return d.pollAt }
-func (d *duty) ToldBy() time.Duration { return d.toldBy }
+func (d *duty) Watching() bool             { return d.watching }
+func (d *duty) Alone() bool                { return d.alone }
+func (d *duty) PollAt() time.Duration      { return d.pollAt }
+func (d *duty) SnapshotDue() time.Duration { return d.toldBy }
 
 var _ = Describe("Follower", func() {
 	var (
--- a/internal/directory/rank.go
+++ b/internal/directory/rank.go
@@ -29,8 +29,8 @@
 	return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.Peer, b.Peer))
 }
 
-// SetMembers tells which balancers run, as far as is known, this process included. One that
-// knows few of them takes itself for a watcher more often.
+// SetMembers replaces the live members, this process included. With an incomplete membership a
+// process takes itself for a watcher more often.
 func (s *Spread) SetMembers(members []Member) {
 	ordered := slices.Clone(members)
 	slices.SortFunc(ordered, compareRanks)
--- a/internal/directory/refusal.go
+++ b/internal/directory/refusal.go
@@ -65,7 +65,7 @@
 	return RefusedNot
 }
 
-// usable reports whether what another process tells of an endpoint can be used.
+// usable reports whether what another process announces of an endpoint can be used.
 func (e *EndpointState) usable() bool {
 	named := len(e.ID.Name) > 0 && len(e.ID.Name) <= MaximumName
 	return named && e.GoneFor >= 0 && !e.Endpoint.Check().Refused()
@@ -94,7 +94,7 @@
 
 func newRefusals() refusals { return refusals{known: make(map[string]Refusal)} }
 
-// note takes account of an entry that the store has told.
+// note takes account of an entry of the store.
 func (r *refusals) note(item Item) {
 	if !item.Refused.Refused() {
 		if known, exists := r.known[item.Key]; exists && known.Revision <= item.Revision {
--- a/internal/directory/refutation.go
+++ b/internal/directory/refutation.go
@@ -6,7 +6,7 @@
 // Refute handles that the store itself was only at a revision when it was asked about changes
 // after a later one. Nothing that was merged can be ordered any more, so that a whole
 // directory is needed, from the store or from a peer; the snapshot stays in force meanwhile.
-// Peers that show the false revision are not believed until the store has reached it.
+// What peers announce at the false revision or later is stale until the store has reached it.
 func (m *Machine) Refute(asked, at Revision) {
 	m.refuted = asked
 	if at < m.complete {
@@ -41,8 +41,8 @@
 	}
 }
 
-// lacks reports whether a digest shows something that this machine does not have and may
-// believe.
+// lacks reports whether a digest shows something that this machine does not have and that is
+// not refuted.
 func (m *Machine) lacks(digest Digest) bool {
 	return !m.refutes(digest.Complete) && digest.ahead(m.Digest())
 }
--- a/internal/directory/refutation_test.go
+++ b/internal/directory/refutation_test.go
@@ -26,9 +26,9 @@
 // watchingDuty is that of a process which always watches.
 type watchingDuty struct{ directory.Duty }
 
-func (watchingDuty) Watching() bool        { return true }
-func (watchingDuty) Alone() bool           { return false }
-func (watchingDuty) ToldBy() time.Duration { return 0 }
+func (watchingDuty) Watching() bool             { return true }
+func (watchingDuty) Alone() bool                { return false }
+func (watchingDuty) SnapshotDue() time.Duration { return 0 }
 
 var _ = Describe("A directory that was led ahead of the store", func() {
 	// poisoned returns a watcher that was at revision 5 and has taken a forged update.
@@ -85,7 +85,7 @@
 		Expect(each.machine.Adopt(time.Second, other.spread.State(time.Second, directory.Digest{}))).To(BeFalse())
 		Expect(each.spread.Took(time.Second, time.Second, 2, other.spread.State(time.Second, directory.Digest{}))).To(BeEmpty())
 		exchange := directory.NewExchange[directory.Peer](each.machine, timing, nil, rand.New(rand.NewPCG(1, 1)))
-		exchange.Heard(time.Second, 2, other.machine.Digest())
+		exchange.ReceiveDigest(time.Second, 2, other.machine.Digest())
 		exchange.Fetched(time.Second, directory.State{})
 		_, wanted := exchange.Next(time.Minute)
 		Expect(wanted).To(BeFalse())
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -23,7 +23,7 @@
 	GoneAt time.Duration
 	// WarmAt is when it is no longer slow after its start.
 	WarmAt time.Duration
-	// Told is the revision at which WarmAt was told.
+	// Told is the revision of the entry that WarmAt is from.
 	Told Revision
 	// Closed is set if its zone is closed: it must get no new flow, but may hold open
 	// ones for long.
--- a/internal/directory/source.go
+++ b/internal/directory/source.go
@@ -11,9 +11,8 @@
 	// sourceLifetime is how long after it has shown a directory a process is named to
 	// others.
 	sourceLifetime = 2 * time.Second
-	// fanOut is to how many processes that start one source is named within fetchTime: as
-	// many as it gives some 40 KB each in that time on a link of 20 Mbit/s. Named to all that
-	// ask, the first of 1,000 served 380 of them, and the last waited 1.4 s for it.
+	// fanOut is to how many processes that start one source is named within fetchTime: as many
+	// as it sends a snapshot in that time on a slow link. More would wait for each other.
 	fanOut    = 4
 	fetchTime = 60 * time.Millisecond
 	// waitingLimit bounds the processes that wait until there is a source for them.
@@ -49,7 +48,7 @@
 	// self is the process that keeps them, which is among them once it has a directory.
 	self  Peer
 	known []source
-	// waiting are processes that know nothing, in the order in which they have asked.
+	// waiting are processes without a directory, in the order in which they have asked.
 	waiting []Peer
 }
 
@@ -92,7 +91,7 @@
 	return best.peer, true
 }
 
-// wait notes a process that knows nothing and for which there is no source now.
+// wait notes a process without a directory for which there is no source now.
 func (s *sources) wait(peer Peer) {
 	if !slices.Contains(s.waiting, peer) && len(s.waiting) < waitingLimit {
 		s.waiting = append(s.waiting, peer)
--- a/internal/directory/spread.go
+++ b/internal/directory/spread.go
@@ -13,11 +13,11 @@
 	Update Update
 }
 
-// Spread decides which balancers ask the store and what they tell each other. A few
-// watch it; each tells the balancers of its own zone, and one of every other zone, which
-// tells its own. Whoever has not heard for too long that its directory is current asks
-// the store itself and tells the others, those of low rank first: there is no election,
-// and nobody depends on a watcher. It is deterministic.
+// Spread decides which balancers call the store and which updates they send each other. A few
+// watch it; each announces changes to the balancers of its own zone, and to one of every other
+// zone, which passes them on. Whoever has had no confirmation for too long polls the store
+// itself and announces the answer, those of low rank first: there is no election, and nobody
+// depends on a watcher. It is deterministic.
 type Spread struct {
 	machine *Machine
 	timing  Timing
@@ -35,42 +35,42 @@
 	watchers   []Peer
 	place      float64
 	head       bool
-	// members is how many balancers are known to run, and heard the most that others have
-	// told of lately, at heardAt.
-	members uint32
-	heard   uint32
-	heardAt time.Duration
+	// members is how many balancers the membership has, and advertisedMembers the most that
+	// others have advertised lately, at advertisedAt.
+	members           uint32
+	advertisedMembers uint32
+	advertisedAt      time.Duration
 	// asked is set once this process has listed the store itself.
 	asked bool
 	// confirmed is the latest time for which the directory is known to be current.
 	confirmed time.Duration
-	// told are the revisions up to which others were told, the latest last, toldAt is when
-	// that was, and toldVersion the version of the configuration then.
-	told        []Revision
-	toldAt      time.Duration
-	toldVersion uint64
-	repeat      repetition
+	// announcedRevisions are the latest that were announced, the last one last, announcedAt is
+	// when that was, and announcedVersion the version of the configuration then.
+	announcedRevisions []Revision
+	announcedAt        time.Duration
+	announcedVersion   uint64
+	repeat             repetition
 	// renewed is when a watcher was asked last.
 	renewed time.Duration
 	// subscribers are processes that know something and have asked lately.
 	subscribers map[Peer]time.Duration
 	sources     sources
-	// teller is who has named a source to this process, zero if nobody has.
-	teller Peer
-	// toldBy is until when one of them may be expected to give it.
-	toldBy time.Duration
-	// introduced is set once a seed has shown that it has a directory, so that others
-	// which start are told of one.
-	introduced bool
-	// patience is until when a seed that knows nothing yet is waited for, zero if none has
+	// referrer is the seed that has named a source to this process, zero if none has.
+	referrer Peer
+	// snapshotDue is until when a snapshot of a source may be expected.
+	snapshotDue time.Duration
+	// seedAdvertised is set once a seed has shown that it has a directory, so that it can name
+	// a source to others which start.
+	seedAdvertised bool
+	// patience is until when a seed without a directory is waited for, zero if none has
 	// answered.
 	patience time.Duration
-	// announced is set once this process has told a seed that it has a directory.
-	announced bool
+	// advertised is set once this process has announced to a seed that it has a directory.
+	advertised bool
 }
 
-// NewSpread returns the spread of what a machine knows, for a process which asks the
-// seeds at its start.
+// NewSpread returns the spread of a machine's directory, for a process which asks the seeds at
+// its start.
 func NewSpread(machine *Machine, timing Timing, self Member, seeds []Peer, random *rand.Rand) *Spread {
 	return &Spread{
 		machine: machine, timing: timing, random: random, self: self, seeds: seeds, alone: true,
@@ -81,30 +81,29 @@
 // SetSeeds replaces the seeds.
 func (s *Spread) SetSeeds(seeds []Peer) { s.seeds = seeds }
 
-// Watching reports whether this process watches the store. While it knows no other
-// balancer it does so if it has listed the store itself or nobody has told it anything.
+// Watching reports whether this process watches the store. While it knows no other balancer it
+// does so if it has listed the store itself or no other has a directory.
 func (s *Spread) Watching() bool {
 	if s.alone {
 		return s.asked || !s.sources.others()
 	}
-	return s.watching && membershipShare*float64(s.heard) <= float64(s.members)
+	return s.watching && membershipShare*float64(s.advertisedMembers) <= float64(s.members)
 }
 
 const (
-	// membershipShare is the part of the balancers that others know of which a process has to
-	// know to take itself for a watcher. While the membership spreads, each of 304 processes
-	// that start together is among the first of the few that it knows: 60 watched the store
-	// for two seconds and made 250 calls.
+	// membershipShare is the part of the advertised members which a process has to have itself
+	// to be a watcher. While the membership spreads, each is among the first of the few that
+	// it has.
 	membershipShare = 0.5
-	// membershipMemory is how long it counts what others have told of their number, longer
-	// than the membership takes to spread. Meanwhile a process that hears nothing polls.
+	// membershipMemory is how long an advertised number of members counts. A process without
+	// confirmations polls before.
 	membershipMemory = 5 * time.Second
 )
 
-// noteMembers takes account of how many balancers another knows.
-func (s *Spread) noteMembers(now time.Duration, told uint32) {
-	if told >= s.heard || now-s.heardAt > membershipMemory {
-		s.heard, s.heardAt = told, now
+// noteMembers takes account of how many members another advertises.
+func (s *Spread) noteMembers(now time.Duration, advertised uint32) {
+	if advertised >= s.advertisedMembers || now-s.advertisedAt > membershipMemory {
+		s.advertisedMembers, s.advertisedAt = advertised, now
 	}
 }
 
@@ -131,17 +130,17 @@
 // Listed notes that this process has listed the store itself.
 func (s *Spread) Listed() { s.asked = true }
 
-// Answered handles that the store has answered, so that the directory is current as of
-// now, and returns what to tell others.
+// Answered handles that the store has answered, so that the directory is current as of now,
+// and returns what to announce.
 func (s *Spread) Answered(now time.Duration) []Outgoing {
 	s.confirmed = max(s.confirmed, now)
-	outgoing := s.tell(now, slices.Concat(s.neighbours, s.heads), 0)
-	outgoing = append(outgoing, s.introduce(now, s.seeds)...)
+	outgoing := s.announce(now, slices.Concat(s.neighbours, s.heads), 0)
+	outgoing = append(outgoing, s.advertise(now, s.seeds)...)
 	return append(outgoing, s.serveWaiting(now)...)
 }
 
-// Receive handles an update of another balancer. It reports whether the snapshot
-// changed, and whether it lacks what the other knows.
+// Receive handles an update of another balancer. It reports whether the snapshot changed, and
+// whether it lacks what the other announces.
 func (s *Spread) Receive(now time.Duration, from Peer, update Update) (changed, lacks bool, answers []Outgoing) {
 	if s.machine.refutes(update.State.Complete) {
 		return false, false, nil
@@ -154,7 +153,7 @@
 	changed = s.machine.Adopt(now, update.State)
 	digest := Digest{update.State.Version, update.State.Complete}
 	lacks = s.machine.lacks(digest) || update.Source != 0 && !s.machine.Known()
-	answers = s.meet(now, from, update)
+	answers = s.noteSources(now, from, update)
 	if !lacks {
 		s.noteConfirmation(now, update.State)
 	}
@@ -162,13 +161,13 @@
 		answers = append(answers, s.answer(now, from, update)...)
 	}
 	if !lacks && !update.Asks && s.passesOn(now, from, before) {
-		answers = append(answers, s.tell(now, s.neighbours, from)...)
+		answers = append(answers, s.announce(now, s.neighbours, from)...)
 	}
 	return changed, lacks, answers
 }
 
-// noteConfirmation takes account of a state that the store confirmed to its sender, which told
-// so, or was asked, at a time. One that is behind this directory does not confirm it.
+// noteConfirmation takes account of a confirmed state, which was sent, or asked for, at a
+// time. One that is behind this directory does not confirm it.
 func (s *Spread) noteConfirmation(at time.Duration, state State) {
 	if state.Confirmed && state.Complete >= s.machine.Complete() {
 		s.confirmed = max(s.confirmed, at-max(state.Age, 0))
@@ -183,15 +182,15 @@
 	return sender
 }
 
-// passesOn reports whether this process tells its zone what another zone has told it.
+// passesOn reports whether this process announces to its zone what came from another.
 func (s *Spread) passesOn(now time.Duration, from Peer, before Digest) bool {
 	if !s.head || slices.Contains(s.neighbours, from) {
 		return false
 	}
-	return s.machine.Digest().ahead(before) || now-s.toldAt >= s.timing.watchWait()/2
+	return s.machine.Digest().ahead(before) || now-s.announcedAt >= s.timing.watchWait()/2
 }
 
-// answer tells another process what it does not know, or who can tell it.
+// answer returns the changes that another process lacks, or a source for it.
 func (s *Spread) answer(now time.Duration, to Peer, question Update) []Outgoing {
 	known := question.State.Complete
 	switch {
@@ -208,8 +207,7 @@
 	return served
 }
 
-// Answer returns what to tell a process that wanted the store to be asked, which has
-// confirmed the directory as of a time.
+// Answer returns the answer to a process that wanted a confirmation by the store.
 func (s *Spread) Answer(now time.Duration, to Peer, question Update) []Outgoing {
 	answers := s.address(s.updates(now, question.State.Complete), []Peer{to})
 	last := &answers[len(answers)-1].Update
@@ -217,8 +215,8 @@
 	return answers
 }
 
-// Took handles that this process has adopted a state which it asked another for at a time.
-// It returns what to tell its zone: a new configuration is not in any update.
+// Took handles that this process has adopted a state which it asked another for at a time. It
+// returns what to announce to its zone: a new configuration is not in any update.
 func (s *Spread) Took(now, asked time.Duration, from Peer, state State) []Outgoing {
 	if s.machine.refutes(state.Complete) {
 		return nil
@@ -227,13 +225,13 @@
 		s.noteConfirmation(asked, state)
 	}
 	var outgoing []Outgoing
-	if s.teller != 0 {
-		outgoing = s.introduce(now, []Peer{s.teller})
+	if s.referrer != 0 {
+		outgoing = s.advertise(now, []Peer{s.referrer})
 	}
-	if !s.head || s.machine.Snapshot().Version() <= s.toldVersion {
+	if !s.head || s.machine.Snapshot().Version() <= s.announcedVersion {
 		return outgoing
 	}
-	return append(outgoing, s.tell(now, s.neighbours, from)...)
+	return append(outgoing, s.announce(now, s.neighbours, from)...)
 }
 
 // Lost forgets a process that has failed.
--- a/internal/directory/startup.go
+++ b/internal/directory/startup.go
@@ -12,25 +12,25 @@
 // before it lists the store: some fetches on a slow link.
 const fetchPatience = 150 * time.Millisecond
 
-// ToldBy returns until when another that has the directory may be expected to give it,
-// zero if none is known.
-func (s *Spread) ToldBy() time.Duration { return max(s.toldBy, s.patience) }
+// SnapshotDue returns until when a snapshot of another may be expected, zero if there is no
+// source.
+func (s *Spread) SnapshotDue() time.Duration { return max(s.snapshotDue, s.patience) }
 
 // Question returns what a process that has been started sends a seed: until it knows the
 // directory and the seed does too.
 func (s *Spread) Question(now time.Duration) (Outgoing, bool) {
-	if len(s.seeds) == 0 || s.introduced && s.machine.Known() {
+	if len(s.seeds) == 0 || s.seedAdvertised && s.machine.Known() {
 		return Outgoing{}, false
 	}
 	return Outgoing{To: s.seeds[s.random.IntN(len(s.seeds))], Update: Update{Asks: true, State: s.Announced(now)}}, true
 }
 
-// introduce returns what tells seeds at once that this process has a directory.
-func (s *Spread) introduce(now time.Duration, seeds []Peer) []Outgoing {
-	if s.announced || !s.machine.Known() {
+// advertise returns what announces to seeds that this process has a directory.
+func (s *Spread) advertise(now time.Duration, seeds []Peer) []Outgoing {
+	if s.advertised || !s.machine.Known() {
 		return nil
 	}
-	s.announced = true
+	s.advertised = true
 	return s.address([]Update{{Asks: true, State: s.Announced(now)}}, seeds)
 }
 
@@ -46,9 +46,9 @@
 	return outgoing
 }
 
-// meet takes account of what an update shows of who has a directory, or is about to. It
+// noteSources takes account of what an update shows of who has a directory, or is about to. It
 // returns what to send those that have waited for that.
-func (s *Spread) meet(now time.Duration, from Peer, update Update) []Outgoing {
+func (s *Spread) noteSources(now time.Duration, from Peer, update Update) []Outgoing {
 	isSeed := slices.Contains(s.seeds, from)
 	if update.Waits && s.patience == 0 && isSeed {
 		s.patience = now + fetchPatience + ListingDelay(s.random.Float64())
@@ -57,18 +57,18 @@
 		return nil
 	}
 	if !s.sources.others() {
-		s.toldBy = now + fetchPatience
+		s.snapshotDue = now + fetchPatience
 	}
 	s.noteSource(now, update.SourceOf(from))
-	s.noteTeller(from)
-	s.introduced = s.introduced || isSeed
+	s.noteReferrer(from)
+	s.seedAdvertised = s.seedAdvertised || isSeed
 	return s.serveWaiting(now)
 }
 
-// noteTeller remembers the seed that has named a source first.
-func (s *Spread) noteTeller(from Peer) {
-	if s.teller == 0 && slices.Contains(s.seeds, from) {
-		s.teller = from
+// noteReferrer remembers the seed that has named a source first.
+func (s *Spread) noteReferrer(from Peer) {
+	if s.referrer == 0 && slices.Contains(s.seeds, from) {
+		s.referrer = from
 	}
 }
 
--- a/internal/directory/startup_test.go
+++ b/internal/directory/startup_test.go
@@ -42,12 +42,12 @@
 	It("waits for a seed that is about to know the directory, for a time and only for a seed", func() {
 		asked := newParticipant(directory.Member{Peer: 2}, 1)
 		asked.spread.Receive(0, 7, directory.Update{Waits: true})
-		Expect(asked.spread.ToldBy()).To(BeZero())
+		Expect(asked.spread.SnapshotDue()).To(BeZero())
 		asked.spread.Receive(0, 1, directory.Update{Waits: true})
-		patience := asked.spread.ToldBy()
+		patience := asked.spread.SnapshotDue()
 		Expect(patience).To(And(BeNumerically(">", 150*millisecond), BeNumerically("<", 450*millisecond)))
 		asked.spread.Receive(100*millisecond, 1, directory.Update{Waits: true})
-		Expect(asked.spread.ToldBy()).To(Equal(patience), "the store may turn the seed away")
+		Expect(asked.spread.SnapshotDue()).To(Equal(patience), "the store may turn the seed away")
 	})
 
 	It("names one source to no more processes at once than it can serve, and those that it has served to the next", func() {
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -12,9 +12,9 @@
 //go:generate go tool msgp -tests=false
 //msgp:limit arrays:65536
 //msgp:tuple Digest State EndpointState FormerRoute ZoneState
-//msgp:ignore heldZone ClosedZone contents serviceSet
+//msgp:ignore zoneRecord ClosedZone contents serviceSet
 
-// Digest tells how much a process knows. It is small enough to travel with
+// Digest is the version and the revision of a directory. It is small enough to travel with
 // every message between balancers.
 type Digest struct {
 	Version  uint64
@@ -26,7 +26,7 @@
 	return d.Version > other.Version || d.Complete > other.Complete
 }
 
-// State is what a process knows and another does not.
+// State is the delta between two directories, or a whole one.
 type State struct {
 	// Complete is the revision up to which all changes are in it, given what the
 	// other knew: all changes after From or, if Whole is set, everything.
@@ -51,20 +51,20 @@
 	KnownFor time.Duration
 	// Zones are those that were closed or opened since.
 	Zones []ZoneState
-	// Members is how many balancers its teller knows to run.
+	// Members is how many balancers the membership of its sender has.
 	Members uint32
 }
 
-// FormerRoute tells which services an address had in earlier configurations, the
-// latest ones last.
+// FormerRoute lists the services that an address had in earlier configurations, the latest
+// ones last.
 type FormerRoute struct {
 	IP       [4]byte
 	Port     uint16
 	Services []string
 }
 
-// ZoneState is what a process knows of the entry that closes a zone to new flows. One
-// that has gone is remembered, so that nothing older closes the zone again.
+// ZoneState is the state of the entry that closes a zone to new flows. One that has gone is
+// remembered, so that nothing older closes the zone again.
 type ZoneState struct {
 	Zone     string
 	Revision Revision
@@ -73,7 +73,7 @@
 	For time.Duration
 }
 
-// EndpointState is what a process knows of an endpoint.
+// EndpointState is the state of an endpoint's entry.
 type EndpointState struct {
 	ID       EndpointID
 	Revision Revision
@@ -91,17 +91,16 @@
 // State returns everything that is known.
 func (m *Machine) State(now time.Duration) State { return m.StateAfter(now, Digest{}) }
 
-// StateAfter returns what is known beyond what a digest shows, to be adopted by the
-// process whose digest it is. Endpoints that have gone are always in it, since the
-// store tells of them only when they go. So are, if the other knows later changes,
-// those that are believed to be there: the store may have told it that they are not.
+// StateAfter returns what is known beyond what a digest shows, to be adopted by the process
+// whose digest it is. Endpoints that have gone are always in it, since the store shows them
+// only when they go. So are, if the other is ahead, those that are there: they may be stale.
 // If the other has not followed the changes that are remembered here, it is everything.
 func (m *Machine) StateAfter(now time.Duration, known Digest) State {
 	state := m.stateFrom(known.Complete)
 	state.Former = describeFormer(m.former)
 	state.KnownFor = m.knownFor(now)
-	// Those that are closed are always in it, as the store may have told the other that
-	// they are open.
+	// Those that are closed are always in it, as the other may have seen that they were
+	// opened.
 	state.Zones = m.zonesAfter(now, 0)
 	if m.configuration != nil && state.Version > known.Version {
 		state.Configuration = m.configuration.Configuration
@@ -144,19 +143,18 @@
 	return state
 }
 
-func (h *held) describe(now time.Duration, name string) EndpointState {
+func (r *endpointRecord) describe(now time.Duration, name string) EndpointState {
 	described := EndpointState{
-		ID: EndpointID{name, h.started}, Revision: h.revision, Endpoint: h.endpoint, Gone: h.gone, Refused: h.refused,
+		ID: EndpointID{name, r.started}, Revision: r.revision, Endpoint: r.endpoint, Gone: r.gone, Refused: r.refused,
 	}
-	described.Endpoint.Warming = max(h.warmAt-now, 0)
-	if h.gone {
-		described.GoneFor = now - h.goneAt
+	described.Endpoint.Warming = max(r.warmAt-now, 0)
+	if r.gone {
+		described.GoneFor = now - r.goneAt
 	}
 	return described
 }
 
-// Adopt merges what another process knows. It reports whether the snapshot
-// changed.
+// Adopt merges a state of another process. It reports whether the snapshot changed.
 func (m *Machine) Adopt(now time.Duration, state State) bool {
 	if m.refutes(state.Complete) {
 		return false
@@ -204,7 +202,7 @@
 }
 
 // leaveMissing notes that endpoints have gone which are not there in a whole state. One that
-// has gone in it may have come back and gone again, of which its teller has not heard.
+// has gone in it may have come back and gone again, which its sender has missed.
 func (m *Machine) leaveMissing(now time.Duration, state State) bool {
 	there := make(map[string]bool, len(state.Endpoints))
 	for _, described := range state.Endpoints {
@@ -213,8 +211,8 @@
 	return m.leaveUnless(now, there, state.Complete)
 }
 
-// adoptFormer merges the former services that another process knows. It reports
-// whether there are new ones. Snapshots share the map, so it is replaced.
+// adoptFormer merges the former services of another process. It reports whether there are new
+// ones. Snapshots share the map, so it is replaced.
 func (m *Machine) adoptFormer(described []FormerRoute) bool {
 	merged := maps.Clone(m.former)
 	if merged == nil {
@@ -239,16 +237,16 @@
 	return described
 }
 
-// adoptEndpoint takes what another process says of an endpoint if it is newer. An entry
-// that this process does not know, though it knows all changes since it was written, has
-// gone: the other has not heard of that. The same endpoint may have had one before. One
-// that cannot be used, as a fault of the other may bring, is left out.
+// adoptEndpoint takes the state of an endpoint's entry if it is newer. An entry that this
+// process does not have, though it has all changes since it was written, has gone: the other
+// is stale. The same endpoint may have had one before. One that cannot be used, as a fault of
+// the other may bring, is left out.
 func (m *Machine) adoptEndpoint(now time.Duration, described EndpointState) bool {
 	known, exists := m.endpoints[described.ID.Name]
 	if exists && described.Revision <= known.revision || !described.usable() {
 		return false
 	}
-	adopted := &held{
+	adopted := &endpointRecord{
 		started:  described.ID.Started,
 		revision: described.Revision,
 		endpoint: described.Endpoint,
--- a/internal/directory/update.go
+++ b/internal/directory/update.go
@@ -5,10 +5,9 @@
 //msgp:tuple Update
 //msgp:ignore Question Questions
 
-// Update is what balancers tell each other of the directory, in one datagram.
+// Update is an announcement of the directory among balancers, in one datagram.
 type Update struct {
-	// Asks wants an Update in return that tells what the sender, which knows what State
-	// shows, does not know.
+	// Asks wants an Update in return with what the sender lacks beyond State.
 	Asks bool
 	// Confirms wants the store to be asked first, and Number names the question. Both
 	// are the same in the answer.
@@ -17,7 +16,7 @@
 	State    State
 	// Source is who can be asked for what State shows, the sender if it is zero.
 	Source Peer
-	// Waits tells that the sender is listing the store, so that the receiver need not.
+	// Waits is set while the sender is listing the store, so that the receiver need not.
 	Waits bool
 }
 
@@ -33,8 +32,8 @@
 	endpointRoom = 64
 	// zoneRoom is room for one zone beside its name, in bytes.
 	zoneRoom = 32
-	// updateParts bounds the datagrams in which one process tells another of changes. Of
-	// more it tells that there are some, and they are fetched by a stream.
+	// updateParts bounds the datagrams of one delta. More changes are announced without their
+	// content, and fetched by a stream.
 	updateParts = 4
 )
 
@@ -43,9 +42,9 @@
 	return endpointRoom + len(e.ID.Name) + len(e.Endpoint.Service) + len(e.Endpoint.Zone)
 }
 
-// updatesOf divides changes of endpoints, which are in the order of their revisions,
-// into updates that fit into datagrams. Each leads from the revision of the one before
-// to its own. If there are too many, one update tells of them without naming them.
+// updatesOf divides changes of endpoints, which are in the order of their revisions, into
+// updates that fit into datagrams. Each leads from the revision of the one before to its own.
+// If there are too many, one update announces them without their content.
 func updatesOf(changes State) []Update {
 	if changes.Whole {
 		return []Update{announcement(changes)}
@@ -83,7 +82,7 @@
 	return parts
 }
 
-// announcement returns an update that tells how much is known, and nothing of it.
+// announcement returns an update with the revision of a state and none of its content.
 func announcement(changes State) Update {
 	changes.Endpoints = nil
 	changes.Zones = nil
--- a/internal/directory/zone.go
+++ b/internal/directory/zone.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// heldZone is what the machine keeps of one zone that is closed or was.
-type heldZone struct {
+// zoneRecord is what the machine keeps of one zone that is closed or was.
+type zoneRecord struct {
 	revision Revision
 	closed   bool
 	// since is when this process learned that it was closed or opened.
@@ -30,7 +30,7 @@
 	if exists && item.Revision <= known.revision {
 		return false
 	}
-	m.zones[item.Zone] = heldZone{revision: item.Revision, closed: item.Closed, since: now}
+	m.zones[item.Zone] = zoneRecord{revision: item.Revision, closed: item.Closed, since: now}
 	return item.Closed || known.closed
 }
 
@@ -40,16 +40,16 @@
 	opened := false
 	for zone, known := range m.zones {
 		if known.closed && !there[zone] && known.revision <= at {
-			m.zones[zone] = heldZone{revision: at, since: now}
+			m.zones[zone] = zoneRecord{revision: at, since: now}
 			opened = true
 		}
 	}
 	return opened
 }
 
-// forgetZones forgets zones that have long been open: nobody has heard of less by then.
+// forgetZones forgets zones that have long been open: nobody is as stale by then.
 func (m *Machine) forgetZones(now time.Duration) {
-	maps.DeleteFunc(m.zones, func(_ string, known heldZone) bool {
+	maps.DeleteFunc(m.zones, func(_ string, known zoneRecord) bool {
 		forgotten := !known.closed && now-known.since > Retention
 		if forgotten {
 			m.floor = max(m.floor, known.revision)
@@ -73,16 +73,16 @@
 	return zones
 }
 
-// adoptZone takes what another process says of a zone if it is newer. An entry that this
-// process does not know, though it knows all changes since it was written, has gone.
+// adoptZone takes the state of a zone's entry if it is newer. An entry that this process does
+// not have, though it has all changes since it was written, has gone.
 func (m *Machine) adoptZone(now time.Duration, described ZoneState) bool {
 	known, exists := m.zones[described.Zone]
 	if exists && described.Revision <= known.revision || described.Zone == "" {
 		return false
 	}
-	adopted := heldZone{revision: described.Revision, closed: described.Closed, since: now - max(described.For, 0)}
+	adopted := zoneRecord{revision: described.Revision, closed: described.Closed, since: now - max(described.For, 0)}
 	if described.Closed && described.Revision <= m.complete {
-		adopted = heldZone{revision: m.complete, since: now}
+		adopted = zoneRecord{revision: m.complete, since: now}
 	}
 	m.zones[described.Zone] = adopted
 	m.latest = max(m.latest, described.Revision)
@@ -112,7 +112,7 @@
 
 // warmAt returns when an endpoint is no longer cold: as it has announced or, since it may
 // not have announced it yet, some time after its zone was opened again.
-func (m *Machine) warmAt(known *held, starts map[string]ColdStart) time.Duration {
+func (m *Machine) warmAt(known *endpointRecord, starts map[string]ColdStart) time.Duration {
 	zone, exists := m.zones[known.endpoint.Zone]
 	start, cold := starts[known.endpoint.Service]
 	if !exists || zone.closed || !cold {
--- a/internal/relaydaemon/peermembers.go
+++ b/internal/relaydaemon/peermembers.go
@@ -17,7 +17,7 @@
 		var digest directory.Digest
 		if _, err := digest.UnmarshalMsg(event.Attachment); err == nil {
 			p.role.executor.do(func(now time.Duration) []relay.Effect {
-				p.exchange.Heard(now, event.Member.Address, digest)
+				p.exchange.ReceiveDigest(now, event.Member.Address, digest)
 				return nil
 			})
 		}
