--- a/internal/relaydaemon/load_test.go
+++ b/internal/relaydaemon/load_test.go
@@ -17,6 +17,7 @@
 	"github.com/vanetiller/vanetiller/internal/logging"
 	"github.com/vanetiller/vanetiller/internal/observability/registry"
 	"github.com/vanetiller/vanetiller/internal/relay"
+	"github.com/vanetiller/vanetiller/internal/requestqueue"
 )
 
 func scrape(registered *registry.Registry) string {
@@ -62,8 +63,8 @@
 			record(time.Second, common, relay.EventHeld, "", 0)
 			record(time.Second, common, relay.EventReturned, "busy", 0)
 		}
-		record(time.Second, common, relay.EventAdmitted, "", 30*time.Millisecond)
-		record(time.Second, common, relay.EventAdmitted, "", 7*time.Second)
+		record(time.Second, common, relay.EventAdmitted, requestqueue.ReasonNewest.String(), 30*time.Millisecond)
+		record(time.Second, common, relay.EventAdmitted, requestqueue.ReasonNewest.String(), 7*time.Second)
 		record(time.Second, common, relay.EventExpired, "", 2*time.Second)
 		record(time.Second, urgent, relay.EventNoEndpoint, "all_returned", 0)
 		watch.load.flush(2 * time.Second)
@@ -101,7 +102,7 @@
 
 	It("counts by service, priority and reason", func() {
 		record(0, common, relay.EventHeld, "", 0)
-		record(0, common, relay.EventAdmitted, "", 30*time.Millisecond)
+		record(0, common, relay.EventAdmitted, requestqueue.ReasonNewest.String(), 30*time.Millisecond)
 		record(0, common, relay.EventReturned, "busy", 0)
 		record(0, urgent, relay.EventNoEndpoint, "all_returned", 0)
 		record(0, relay.Class{Service: "lookup"}, relay.EventGiven, "", 0)
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -97,8 +97,9 @@
 	MaxColdOverrun        = 100
 	MaxColdSlack          = 100_000
 	DefaultContactTimeout = "5s"
-	// DefaultQueueDiscipline meets more objectives while an endpoint is overloaded.
-	DefaultQueueDiscipline = requestqueue.DisciplineEarliestDue
+	// DefaultQueueDiscipline keeps the order that callers know until a deployment asks for
+	// another.
+	DefaultQueueDiscipline = requestqueue.DisciplineNewestFirst
 	// MaxOutlierWindow is as many outcomes as an agent can tell of.
 	MaxOutlierWindow = 100
 	MinEjection      = 100 * time.Millisecond
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -201,10 +201,10 @@
 
 	It("takes the order of requests that wait and a floor for the less urgent", func() {
 		parsed, err := settings.Parse("r.toml", []byte(strings.Replace(relayAgentFile, "first_start",
-			"queue_discipline = \"newest_first\"\nfair_share = 0.2\nfair_network_bits = 24\nfirst_start", 1)))
+			"queue_discipline = \"earliest_due\"\nfair_share = 0.2\nfair_network_bits = 24\nfirst_start", 1)))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(parsed.Relay.Agent.QueuePolicy).To(Equal(requestqueue.Policy{
-			Discipline: requestqueue.DisciplineNewestFirst, FairShare: 0.2, NetworkBits: 24,
+			Discipline: requestqueue.DisciplineEarliestDue, FairShare: 0.2, NetworkBits: 24,
 		}))
 	})
 
@@ -231,7 +231,7 @@
 				Service: "lookup", Endpoint: endpoint("192.0.2.1:8081"), Emitted: endpoint("192.0.2.1:8082"), FirstStart: true,
 				Outliers:    outlier.Limits{Window: 10, Failures: 3, FirstEjection: time.Second, LongestEjection: 8 * time.Second},
 				ColdOverrun: 1,
-				QueuePolicy: requestqueue.Policy{Discipline: requestqueue.DisciplineEarliestDue},
+				QueuePolicy: requestqueue.Policy{Discipline: requestqueue.DisciplineNewestFirst},
 			},
 		}))
 	})
