Tell balancers of no late request that waits as one in use

Cause: after a return of everything each agent had 20 to 30 late requests waiting, so that the load it told was the number of these; a new request, which goes before them, was given to the agent with the fewest late ones of three.

Spec: counts no request that waits and is late already.

--- a/bench/flownet/confirm.go
+++ b/bench/flownet/confirm.go
@@ -26,6 +26,7 @@
 	if n.askWatcher(now) {
 		return
 	}
+	n.confirmer.Serves(n.questions.Any())
 	call, wanted := n.confirmer.Next(now)
 	if !wanted {
 		return
--- a/internal/directory/confirmer.go
+++ b/internal/directory/confirmer.go
@@ -1,12 +1,23 @@
 package directory
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
 
 const (
 	// confirmInterval is the least time between two confirmations, each of which costs a
 	// call. A client whose flow is dead waits for one before it is told, out of a latency
 	// objective of some hundreds of milliseconds.
 	confirmInterval = 25 * time.Millisecond
+	// ownInterval is that of a confirmation which serves only the searches of one balancer.
+	ownInterval = 75 * time.Millisecond
+	// confirmRate is how many confirmations a second begin in the long run, and confirmBurst
+	// how many may begin faster: as many as in the seconds after everything has returned, in
+	// which endpoints have no room for clients that come back late.
+	confirmRate  = 12
+	confirmBurst = 100
 	// askRate is how many questions a second a watcher gets at the most of those who ask it: a
 	// small part of a slow machine's processor.
 	askRate = 1000
@@ -26,7 +37,10 @@
 type Confirmer struct {
 	machine  *Machine
 	interval time.Duration
-	wanted   bool
+	// serves is set if other balancers wait for a confirmation.
+	serves bool
+	rush   *rate.Limiter
+	wanted bool
 	busy     bool
 	next     time.Duration
 	// askInterval is the least time between two questions to watchers, and nextAsk when the
@@ -42,13 +56,15 @@
 
 // NewConfirmer returns a confirmer of what a machine knows.
 func NewConfirmer(machine *Machine) *Confirmer {
-	return &Confirmer{machine: machine, interval: confirmInterval}
+	return &Confirmer{
+		machine: machine, interval: confirmInterval, rush: rate.NewLimiter(confirmRate, confirmBurst),
+	}
 }
 
 // Share tells how many balancers there are and how many calls a second the store
 // answers of all of them together.
-func (c *Confirmer) Share(balancers int, rate float64) {
-	c.interval = max(confirmInterval, secondsOf(float64(balancers)/(rate*confirmRateShare)))
+func (c *Confirmer) Share(balancers int, storeRate float64) {
+	c.interval = max(confirmInterval, secondsOf(float64(balancers)/(storeRate*confirmRateShare)))
 	c.askInterval = secondsOf(float64(balancers) / float64(askedAmong(balancers)*askRate))
 }
 
@@ -82,10 +98,21 @@
 	return Call{Listing: true, After: keyAfterAll, Timeout: callTimeout}, true
 }
 
+// Serves tells whether other balancers wait for a confirmation by this one.
+func (c *Confirmer) Serves(others bool) { c.serves = others }
+
+// ownDelay is how much longer than for others a confirmation for one balancer waits.
+func (c *Confirmer) ownDelay() time.Duration {
+	if c.serves {
+		return 0
+	}
+	return ownInterval - confirmInterval
+}
+
 // Begin begins a confirmation without a call of the store, as by a peer where the store
 // has never answered. It reports whether one is wanted and may begin.
 func (c *Confirmer) Begin(now time.Duration) bool {
-	if c.busy || !c.wanted || now < c.next {
+	if c.busy || !c.wanted || now < c.next+c.ownDelay() || !c.rush.AllowN(time.Unix(0, int64(now)), 1) {
 		return false
 	}
 	c.wanted = false
--- a/internal/directory/confirmer_test.go
+++ b/internal/directory/confirmer_test.go
@@ -105,6 +105,32 @@
 		Expect(confirmer.Ask(millisecond)).To(BeTrue())
 	})
 
+	// callsIn returns how many confirmations begin in a period in which they are always wanted.
+	callsIn := func(from, to time.Duration) int {
+		calls := 0
+		for now := from; now < to; now += millisecond {
+			confirmer.Want()
+			if _, wanted := confirmer.Next(now); wanted {
+				confirmer.Listed(directory.Page{At: 10})
+				calls++
+			}
+		}
+		return calls
+	}
+
+	It("calls more often while others wait for it", func() {
+		alone := callsIn(0, time.Second)
+		confirmer.Serves(true)
+		Expect(callsIn(time.Second, 2*time.Second)).To(BeNumerically(">=", 2*alone))
+	})
+
+	It("calls less often once a rush has lasted", func() {
+		confirmer.Serves(true)
+		rush := callsIn(0, 2*time.Second)
+		callsIn(2*time.Second, 10*time.Second)
+		Expect(callsIn(10*time.Second, 12*time.Second)).To(BeNumerically("<=", rush/3))
+	})
+
 	It("keeps the questions of many balancers to what a watcher can answer", func() {
 		const balancers, watchers, period = 1100, 5, 10 * time.Second
 		confirmer.Share(balancers, 2000)
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -162,8 +162,8 @@
 	Hold uint32
 	// Report is how well the endpoint is, as the balancer's clients see it.
 	Report outlier.Report
-	// Used is the number of requests that the endpoint works on or that wait for it, with
-	// those that are about to come in flows which are just being opened.
+	// Used is the number of requests that the endpoint works on or that wait for it and can be
+	// in time, with those that are about to come in flows which are just being opened.
 	Used uint32
 }
 
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -102,6 +102,17 @@
 	return expired
 }
 
+// inTime returns how many of the requests that wait can be answered within their objective.
+func (q *queue) inTime(now, working time.Duration) uint32 {
+	count := uint32(0)
+	for _, w := range q.waiting {
+		if w.flow.work.wanted().Outlook(now, working) == requestqueue.InTime {
+			count++
+		}
+	}
+	return count
+}
+
 // next removes and returns what shall be served next, and why. It returns false if there is
 // nothing to serve.
 func (q *queue) next(now time.Duration, capacity requestqueue.Capacity) (waiting, requestqueue.Reason, bool) {
--- a/internal/relay/room.go
+++ b/internal/relay/room.go
@@ -64,13 +64,14 @@
 	return terms.Slots > 0 && a.pending() >= a.pace.limit()
 }
 
-// pending is the number of requests that the endpoint works on or that wait for it, with
-// those that are about to come in flows which are just being opened.
+// pending is the number of requests that the endpoint works on or that wait and can be in
+// time, with those that are about to come in flows which are just being opened. Late ones that
+// wait keep no new request waiting, which goes first.
 func (a *Agent) pending() uint32 {
 	a.opening = slices.DeleteFunc(a.opening, func(flow *agentFlow) bool {
 		return !flow.running() || flow.work.served || len(flow.work.held) > 0
 	})
-	return a.pace.occupied + uint32(len(a.queue.waiting)+len(a.opening))
+	return a.pace.occupied + a.queue.inTime(a.now, a.capacity().Work) + uint32(len(a.opening))
 }
 
 // noteStarts notes which requests the endpoint has begun to work on: it takes them in the
--- a/internal/relay/room_test.go
+++ b/internal/relay/room_test.go
@@ -32,6 +32,17 @@
 		Expect(agent.Load().Used).To(Equal(uint32(5)))
 	})
 
+	It("counts no request that waits and is late already, since a new one goes before it", func() {
+		agent.lastResort = true
+		for number := range 5 {
+			agent.open(0, number)
+		}
+		Expect(agent.Load().Used).To(Equal(uint32(5)), "three at the endpoint and two that wait")
+		agent.Tick(300 * millisecond)
+		Expect(agent.Load().Waiting).To(Equal(uint32(2)))
+		Expect(agent.Load().Used).To(Equal(uint32(3)))
+	})
+
 	It("counts neither what is answered nor what has ended", func() {
 		agent.open(0, 0)
 		answerRequest(work, 0)
--- a/internal/relaydaemon/confirm.go
+++ b/internal/relaydaemon/confirm.go
@@ -84,6 +84,7 @@
 		wanted := false
 		r.executor.do(func(now time.Duration) []relay.Effect {
 			var call directory.Call
+			confirmer.Serves(r.updates.questions.Any())
 			call, wanted = confirmer.Next(now)
 			next = storeCall{call, r.store, r.storeTurn}
 			return nil
