--- a/internal/directory/confirmer.go
+++ b/internal/directory/confirmer.go
@@ -41,8 +41,8 @@
 	serves bool
 	rush   *rate.Limiter
 	wanted bool
-	busy     bool
-	next     time.Duration
+	busy   bool
+	next   time.Duration
 	// askInterval is the least time between two questions to watchers, and nextAsk when the
 	// next may be sent.
 	askInterval time.Duration
@@ -57,7 +57,8 @@
 // NewConfirmer returns a confirmer of what a machine knows.
 func NewConfirmer(machine *Machine) *Confirmer {
 	return &Confirmer{
-		machine: machine, interval: confirmInterval, rush: rate.NewLimiter(confirmRate, confirmBurst),
+		machine: machine, interval: confirmInterval, next: -ownInterval,
+		rush: rate.NewLimiter(confirmRate, confirmBurst),
 	}
 }
 
