Take turns between clients' networks out again

fair_network_bits gave a network its start tag when its request was served, not when that began to wait: a network that had been served waited for ever while new ones kept coming, each left a tag behind without a bound, and the order then chose among one network's requests, so that last chances of others were lost and 'all can be in time' was judged by that network alone.

--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -68,7 +68,7 @@
 
 func milliseconds(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
 
-// wanted is the request as the queue sees it, without the client's network.
+// wanted is the request as the queue sees it.
 func (w *work) wanted() requestqueue.Request {
 	return requestqueue.Request{
 		Priority: w.terms.Priority, Began: w.asked,
@@ -78,14 +78,13 @@
 
 // queue holds the flows whose requests wait for the endpoint.
 type queue struct {
-	policy   requestqueue.Policy
 	order    requestqueue.Order
 	waiting  []waiting
 	requests []requestqueue.Request
 }
 
 func newQueue(policy requestqueue.Policy) queue {
-	return queue{policy: policy, order: policy.NewOrder()}
+	return queue{order: policy.NewOrder()}
 }
 
 // expire removes and returns the requests whose clients have given up.
@@ -110,9 +109,7 @@
 	}
 	q.requests = q.requests[:0]
 	for _, w := range q.waiting {
-		request := w.flow.work.wanted()
-		request.Network = q.policy.NetworkOf(w.key.Client.IP)
-		q.requests = append(q.requests, request)
+		q.requests = append(q.requests, w.flow.work.wanted())
 	}
 	choice := q.order.Next(now, capacity, q.requests)
 	chosen := q.waiting[choice.Index]
--- a/internal/requestqueue/comparison_test.go
+++ b/internal/requestqueue/comparison_test.go
@@ -117,27 +117,6 @@
 		Entry("when late ones return", "returning"),
 	)
 
-	It("serves what networks ask that ask for little, if networks take turns", func() {
-		inTime := func(newOrder func() requestqueue.Order) float64 {
-			var little outcome
-			for seed := range uint64(replaySeeds) {
-				offered := crowded(rand.New(rand.NewPCG(seed, 1)))
-				for network, counted := range replay(newOrder(), offered, rand.New(rand.NewPCG(seed, 2))).networks {
-					if network > 0 {
-						little = little.plus(counted)
-					}
-				}
-			}
-			return float64(little.inTime) / float64(little.asked())
-		}
-		policy := requestqueue.Policy{Discipline: requestqueue.DisciplineEarliestDue}
-		without := inTime(policy.NewOrder)
-		policy.NetworkBits = 24
-		with := inTime(policy.NewOrder)
-		GinkgoWriter.Printf("networks that ask for little: in time %.3f, %.3f if networks take turns\n", without, with)
-		Expect(with).To(BeNumerically(">", without))
-	})
-
 	It("leaves the less urgent more while it is overloaded if there is a floor", func() {
 		without, with := results["overload"]["earliest due"], results["overload"]["earliest due, one half"]
 		Expect(with[2].failed).To(BeNumerically("<", without[2].failed))
--- a/internal/requestqueue/fairshare.go
+++ b/internal/requestqueue/fairshare.go
@@ -81,3 +81,13 @@
 	slices.Sort(priorities)
 	return priorities
 }
+
+// among lets an order choose among some of the requests, given by their indices.
+func among(order Order, now time.Duration, capacity Capacity, waiting []Request, indices []int) Choice {
+	requests := make([]Request, len(indices))
+	for position, index := range indices {
+		requests[position] = waiting[index]
+	}
+	choice := order.Next(now, capacity, requests)
+	return Choice{indices[choice.Index], choice.Reason}
+}
--- a/internal/requestqueue/replay_test.go
+++ b/internal/requestqueue/replay_test.go
@@ -113,23 +113,11 @@
 	return load{arrivals, false}
 }
 
-// crowded asks 1.3 times what the endpoint can do for five seconds, two thirds of it from
-// network 0 and the rest from nine others.
-func crowded(random *rand.Rand) load {
-	offered := overload(random)
-	for index := range offered.arrivals {
-		if random.IntN(3) == 0 {
-			offered.arrivals[index].Network = requestqueue.Network(1 + random.IntN(9))
-		}
-	}
-	return offered
-}
-
 // replay serves a load in an order and counts what becomes of it.
 func replay(order requestqueue.Order, offered load, random *rand.Rand) *replayed {
 	arrivals := slices.SortedFunc(slices.Values(offered.arrivals), func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
 	run := &replayed{order: order, random: random, cold: offered.cold}
-	run.priorities, run.networks = make(map[uint8]outcome), make(map[requestqueue.Network]outcome)
+	run.priorities = make(map[uint8]outcome)
 	for len(arrivals) > 0 || len(run.waiting) > 0 || len(run.running) > 0 {
 		if len(arrivals) > 0 && (len(run.running) == 0 || arrivals[0].at <= run.running[0].answered) {
 			run.now = arrivals[0].at
@@ -160,9 +148,8 @@
 	waiting []arrival
 	running []given
 	slots   [replaySlots]time.Duration
-	// priorities and networks are what became of the requests of each.
+	// priorities is what became of the requests of each.
 	priorities map[uint8]outcome
-	networks   map[requestqueue.Network]outcome
 }
 
 // finish answers the request that is answered next.
@@ -192,7 +179,6 @@
 
 func (r *replayed) add(request arrival, result outcome) {
 	r.priorities[request.Priority] = r.priorities[request.Priority].plus(result)
-	r.networks[request.Network] = r.networks[request.Network].plus(result)
 }
 
 // admit gives the endpoint what it may have, and drops what has expired.
--- a/internal/requestqueue/request.go
+++ b/internal/requestqueue/request.go
@@ -6,8 +6,6 @@
 type Request struct {
 	// Priority orders kinds of requests; 0 is the most urgent.
 	Priority uint8
-	// Network is that of the client.
-	Network Network
 	// Began is when the client began with the request, as far as is known.
 	Began time.Duration
 	// Objective is the time from Began in which the client should have the answer.
--- a/internal/requestqueue/requestqueue_test.go
+++ b/internal/requestqueue/requestqueue_test.go
@@ -1,7 +1,6 @@
 package requestqueue_test
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -168,66 +167,11 @@
 	})
 })
 
-var _ = Describe("NetworkShare", func() {
-	capacity := requestqueue.Capacity{Limit: 4, Work: 50 * ms}
-	from := func(network requestqueue.Network, began time.Duration, priority uint8) requestqueue.Request {
-		asked := request(began, priority)
-		asked.Network = network
-		return asked
-	}
-	// networksOf returns the networks of requests in the order in which they are served.
-	networksOf := func(order requestqueue.Order, waiting ...requestqueue.Request) []requestqueue.Network {
-		var networks []requestqueue.Network
-		for _, index := range served(order, 0, capacity, slices.Clone(waiting)...) {
-			networks = append(networks, waiting[index].Network)
-		}
-		return networks
-	}
-
-	It("lets networks take turns, however much one asks for", func() {
-		waiting := []requestqueue.Request{from(1, 5*ms, 1), from(1, 4*ms, 1), from(1, 3*ms, 1), from(2, 2*ms, 1), from(3, 1*ms, 1)}
-		Expect(networksOf(requestqueue.NewestFirst{}, waiting...)).To(Equal([]requestqueue.Network{1, 1, 1, 2, 3}))
-		Expect(networksOf(requestqueue.NewNetworkShare(requestqueue.NewestFirst{}), waiting...)).
-			To(Equal([]requestqueue.Network{1, 2, 3, 1, 1}))
-	})
-
-	It("leaves it to the order between priorities and outlooks", func() {
-		Expect(networksOf(requestqueue.NewNetworkShare(requestqueue.NewestFirst{}),
-			from(1, 0, 1), from(1, 0, 1), from(2, 0, 2), from(3, -time.Second, 1),
-		)).To(Equal([]requestqueue.Network{1, 1, 2, 3}))
-	})
-
-	It("owes at most a turn to a network that did not ask while another had ten", func() {
-		order := requestqueue.NewNetworkShare(requestqueue.NewestFirst{})
-		for range 10 {
-			order.Next(0, capacity, []requestqueue.Request{from(1, 0, 1)})
-		}
-		Expect(networksOf(order,
-			from(2, 2*ms, 1), from(2, 2*ms, 1), from(2, 2*ms, 1), from(1, 1*ms, 1), from(1, 1*ms, 1), from(1, 1*ms, 1),
-		)).To(Equal([]requestqueue.Network{2, 2, 1, 2, 1, 1}))
-	})
-
-	It("keeps to the floor of a less urgent priority", func() {
-		order := requestqueue.NewFairShare(requestqueue.NewNetworkShare(requestqueue.NewestFirst{}), 0.5)
-		Expect(networksOf(order, from(1, 0, 1), from(1, 0, 1), from(1, 0, 1), from(1, 0, 2), from(2, 0, 2))).
-			To(Equal([]requestqueue.Network{1, 2, 1, 1, 1}), "every second slot, and there the network that had none")
-	})
-})
-
 var _ = Describe("Policy", func() {
 	It("is newest first without a floor unless set", func() {
 		Expect(requestqueue.Policy{}.NewOrder()).To(Equal(requestqueue.NewestFirst{}))
 	})
 
-	It("tells networks apart by the leading bits, and not at all unless set", func() {
-		near, far := [4]byte{192, 0, 2, 1}, [4]byte{192, 0, 3, 1}
-		policy := requestqueue.Policy{NetworkBits: 24}
-		Expect(policy.NetworkOf(near)).To(Equal(policy.NetworkOf([4]byte{192, 0, 2, 200})))
-		Expect(policy.NetworkOf(near)).NotTo(Equal(policy.NetworkOf(far)))
-		Expect(requestqueue.Policy{}.NetworkOf(near)).To(Equal(requestqueue.Policy{}.NetworkOf(far)))
-		Expect(requestqueue.Policy{NetworkBits: 32}.NetworkOf(near)).To(Equal(requestqueue.Network(0xc0000201)))
-	})
-
 	It("names its order", func() {
 		Expect(requestqueue.Policy{Discipline: requestqueue.DisciplineEarliestDue}.NewOrder()).To(Equal(requestqueue.EarliestDue{}))
 		Expect(requestqueue.Policy{FairShare: 0.2}.NewOrder()).To(Equal(requestqueue.NewFairShare(requestqueue.NewestFirst{}, 0.2)))
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -107,8 +107,6 @@
 	MinChangeTimeout = 500 * time.Millisecond
 	MaxChangeTimeout = 30 * time.Second
 	MaxStoreRate     = 1_000_000
-	// MaxNetworkBits makes each address a network of its own.
-	MaxNetworkBits = 32
 	// MaxFairShare leaves the most urgent priority half of the slots at least.
 	MaxFairShare    = 0.5
 	MinFlowLifetime = time.Second
@@ -156,7 +154,6 @@
 
 	QueueDiscipline any `toml:"queue_discipline"`
 	FairShare       any `toml:"fair_share"`
-	NetworkBits     any `toml:"fair_network_bits"`
 }
 
 func (c *checker) relay(raw *relayDocument, zone string) *Relay {
@@ -227,8 +224,7 @@
 		QueuePolicy: requestqueue.Policy{
 			Discipline: c.discipline("relay.agent.queue_discipline",
 				withDefault(raw.QueueDiscipline, DefaultQueueDiscipline.String())),
-			FairShare:   c.number("relay.agent.fair_share", withDefault(raw.FairShare, 0.0), 0, MaxFairShare),
-			NetworkBits: c.integer("relay.agent.fair_network_bits", withDefault(raw.NetworkBits, int64(0)), 0, MaxNetworkBits),
+			FairShare: c.number("relay.agent.fair_share", withDefault(raw.FairShare, 0.0), 0, MaxFairShare),
 		},
 	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -201,10 +201,10 @@
 
 	It("takes the order of requests that wait and a floor for the less urgent", func() {
 		parsed, err := settings.Parse("r.toml", []byte(strings.Replace(relayAgentFile, "first_start",
-			"queue_discipline = \"earliest_due\"\nfair_share = 0.2\nfair_network_bits = 24\nfirst_start", 1)))
+			"queue_discipline = \"earliest_due\"\nfair_share = 0.2\nfirst_start", 1)))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(parsed.Relay.Agent.QueuePolicy).To(Equal(requestqueue.Policy{
-			Discipline: requestqueue.DisciplineEarliestDue, FairShare: 0.2, NetworkBits: 24,
+			Discipline: requestqueue.DisciplineEarliestDue, FairShare: 0.2,
 		}))
 	})
 
@@ -267,8 +267,8 @@
 			"r.toml:11: relay.agent.queue_discipline: must be a string"),
 		Entry("more than half for the less urgent", relayAgentFile, "first_start", "fair_share = 0.6\nfirst_start",
 			"r.toml:11: relay.agent.fair_share: must be a number from 0 to 0.5"),
-		Entry("more bits than an address has", relayAgentFile, "first_start", "fair_network_bits = 33\nfirst_start",
-			"r.toml:11: relay.agent.fair_network_bits: must be from 0 to 32"),
+		Entry("turns of clients' networks", relayAgentFile, "first_start", "fair_network_bits = 24\nfirst_start",
+			"r.toml:11: relay.agent.fair_network_bits: is not a known key"),
 		Entry("text for a truth value", relayAgentFile, "first_start = true", `first_start = "yes"`,
 			"r.toml:11: relay.agent.first_start: must be true or false"),
 		Entry("a role of the other kind beside it", relayAgentFile, "[relay.agent]", "[cluster]\n[relay.agent]",
