Serve requests of clients that never give up after those of clients that do

A request without a timeout had its beginning as its deadline, so that it went first of the late ones. Its deadline is the latest time now, which also is what Outlook means. newest_first changes for it too: there it also goes after all late requests that have a timeout, no longer before. The specs for both orders failed first ([1 2 0] wanted, [0 1 2] got the like).

--- a/internal/requestqueue/request.go
+++ b/internal/requestqueue/request.go
@@ -1,6 +1,9 @@
 package requestqueue
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Request is a request that waits.
 type Request struct {
@@ -18,8 +21,13 @@
 // due is when the request has to be answered to meet its objective.
 func (r Request) due() time.Duration { return r.Began + r.Objective }
 
-// deadline is when the client gives up.
-func (r Request) deadline() time.Duration { return r.Began + r.Timeout }
+// deadline is when the client gives up, the latest time if it never does.
+func (r Request) deadline() time.Duration {
+	if r.Timeout == 0 {
+		return math.MaxInt64
+	}
+	return r.Began + r.Timeout
+}
 
 // Outlook is what a request can still achieve.
 type Outlook uint8
@@ -41,7 +49,7 @@
 	switch {
 	case answered <= r.due():
 		return InTime
-	case r.Timeout == 0 || answered <= r.deadline():
+	case answered <= r.deadline():
 		return Late
 	}
 	return Expired
--- a/internal/requestqueue/requestqueue_test.go
+++ b/internal/requestqueue/requestqueue_test.go
@@ -64,6 +64,13 @@
 			request(900*ms, 2), request(800*ms, 1), request(850*ms, 1),
 		)).To(Equal([]int{5, 4, 3, 1, 0, 2}))
 	})
+
+	It("gives up last what never expires", func() {
+		endless := requestqueue.Request{Priority: 1, Began: 100 * ms, Objective: 300 * ms}
+		Expect(served(requestqueue.NewestFirst{}, time.Second, capacity,
+			endless, request(600*ms, 1), request(500*ms, 1),
+		)).To(Equal([]int{2, 1, 0}))
+	})
 })
 
 var _ = Describe("EarliestDue", func() {
@@ -99,6 +106,12 @@
 			request(1900*ms, 2), request(1750*ms, 1), request(100*ms, 0), request(0, 1),
 		)).To(Equal([]int{1, 3, 0, 2}))
 	})
+
+	It("serves one that never expires after the other late ones, and never as a last chance", func() {
+		endless := requestqueue.Request{Priority: 1, Objective: 300 * ms}
+		Expect(served(order, 1910*ms, capacity, endless, request(100*ms, 1), request(200*ms, 1))).To(Equal([]int{1, 2, 0}))
+		Expect(order.Next(time.Hour, capacity, []requestqueue.Request{endless}).Reason).To(Equal(requestqueue.ReasonLate))
+	})
 })
 
 var _ = Describe("Choice", func() {
