--- a/internal/requestqueue/order.go
+++ b/internal/requestqueue/order.go
@@ -47,6 +47,9 @@
 
 // The times by which EarliestDue decides, as multiples of the expected work.
 const (
+	// lastChance: a late request whose client gives up in less is lost if it is not begun
+	// now, since at least one other answer comes while it waits on.
+	lastChance = 2
 	// safeSlack is what requests in time must have left for all to count as in time: others
 	// follow, and work varies.
 	safeSlack = 0.5
@@ -102,7 +105,7 @@
 	urgent := -1
 	for index, request := range waiting {
 		isInTime := request.Outlook(now, capacity.Work) == InTime
-		if !isInTime && request.Outlook(now, capacity.interval()+capacity.Work) != Expired {
+		if !isInTime && request.Outlook(now, lastChance*capacity.Work) != Expired {
 			continue
 		}
 		if urgent < 0 || int(request.Priority) < urgent {
