Give the true reason for when a late request has its last chance

It said that another answer comes while the request waits on; that comes after Work/Limit, and what counts is that work, and with it the wait, varies.

--- a/internal/requestqueue/order.go
+++ b/internal/requestqueue/order.go
@@ -47,8 +47,8 @@
 
 // The times by which EarliestDue decides, as multiples of the expected work.
 const (
-	// lastChance: a late request whose client gives up in less is lost if it is not begun
-	// now, since at least one other answer comes while it waits on.
+	// lastChance: a late request whose client gives up in less may be lost if it is not begun
+	// now. The next slot is free sooner than that, but work varies, and so does the wait.
 	lastChance = 2
 	// safeSlack is what requests in time must have left for all to count as in time: others
 	// follow, and work varies.
--- a/internal/requestqueue/requestqueue_test.go
+++ b/internal/requestqueue/requestqueue_test.go
@@ -107,6 +107,12 @@
 		)).To(Equal([]int{1, 3, 0, 2}))
 	})
 
+	It("takes for a last chance what would have less than twice the work", func() {
+		waiting := []requestqueue.Request{request(1900*ms, 1), request(0, 1)}
+		Expect(order.Next(1900*ms, capacity, waiting).Reason).To(Equal(requestqueue.ReasonEarliestDue))
+		Expect(order.Next(1901*ms, capacity, waiting).Reason).To(Equal(requestqueue.ReasonLastChance))
+	})
+
 	It("serves one that never expires after the other late ones, and never as a last chance", func() {
 		endless := requestqueue.Request{Priority: 1, Objective: 300 * ms}
 		Expect(served(order, 1910*ms, capacity, endless, request(100*ms, 1), request(200*ms, 1))).To(Equal([]int{1, 2, 0}))
