Say what the reasons of a choice mean, and fair_share only where it changed something

newest was told as 'not all others can be in time', which newest_first never asks; late as 'nothing can be in time', though it tells of the chosen request only; fair_share also where the order would have served the same request. FairShare now asks the order first, and again among the priority that is owed a slot; orders below it keep no state. The spec on the reason of the order failed first (fair_share, newest wanted). The entry 'a floor', with a share of 1 that no setting allows, is replaced by two specs with a half, one for each answer, which want the index too.

--- a/internal/requestqueue/choice.go
+++ b/internal/requestqueue/choice.go
@@ -14,16 +14,17 @@
 
 // The reasons.
 const (
-	// ReasonNewest: it can be in time, and not all others of its priority can.
+	// ReasonNewest: it is the newest of its priority that can be in time.
 	ReasonNewest Reason = iota
-	// ReasonEarliestDue: its objective ends first, and all others of its priority can be in
-	// time after it.
+	// ReasonEarliestDue: of those of its priority that can be in time its objective ends
+	// first, and all others of them can be in time after it.
 	ReasonEarliestDue
 	// ReasonLastChance: it is late and its client is about to give up.
 	ReasonLastChance
-	// ReasonLate: it is late, and nothing can be in time.
+	// ReasonLate: it is late.
 	ReasonLate
-	// ReasonFairShare: its priority is owed a slot by the floor.
+	// ReasonFairShare: its priority is owed a slot by the floor, and the order alone would
+	// have chosen another request.
 	ReasonFairShare
 	reasonCount
 )
--- a/internal/requestqueue/fairshare.go
+++ b/internal/requestqueue/fairshare.go
@@ -16,7 +16,7 @@
 	credit map[uint8]float64
 }
 
-// NewFairShare returns a floor, as a share of the slots, below an order.
+// NewFairShare returns a floor, as a share of the slots, below an order that keeps no state.
 func NewFairShare(order Order, share float64) *FairShare {
 	return &FairShare{order: order, share: share, credit: make(map[uint8]float64)}
 }
@@ -30,14 +30,20 @@
 	return choice
 }
 
-// choose asks the order once, for all requests or for those of a priority that is owed a slot.
+// choose prefers a priority that is owed a slot to what the order alone would choose.
 func (f *FairShare) choose(now time.Duration, capacity Capacity, waiting []Request, lessUrgent []uint8) Choice {
+	choice := f.order.Next(now, capacity, waiting)
 	for _, priority := range lessUrgent {
-		if f.credit[priority] >= 1 {
-			return Choice{among(f.order, now, capacity, waiting, indicesOf(waiting, priority)).Index, ReasonFairShare}
+		if f.credit[priority] < 1 {
+			continue
 		}
+		owed := among(f.order, now, capacity, waiting, indicesOf(waiting, priority)).Index
+		if owed == choice.Index {
+			return choice
+		}
+		return Choice{owed, ReasonFairShare}
 	}
-	return f.order.Next(now, capacity, waiting)
+	return choice
 }
 
 // grant adds to what is owed to the less urgent priorities that wait, and forgets the others.
--- a/internal/requestqueue/requestqueue_test.go
+++ b/internal/requestqueue/requestqueue_test.go
@@ -133,8 +133,27 @@
 		Entry("nothing can be in time", requestqueue.EarliestDue{}, "late", request(time.Second, 1)),
 		Entry("newest first, in time", requestqueue.NewestFirst{}, "newest", request(1900*ms, 1)),
 		Entry("newest first, late", requestqueue.NewestFirst{}, "late", request(time.Second, 1)),
-		Entry("a floor", requestqueue.NewFairShare(requestqueue.NewestFirst{}, 1), "fair_share", request(1900*ms, 1), request(1900*ms, 2)),
+		Entry("late, while a late one that is more urgent waits", requestqueue.NewestFirst{}, "late",
+			request(time.Second, 2), request(time.Second, 1)),
 	)
+
+	// second returns the second choice of an order of which half of the slots are owed to
+	// the less urgent, so that the second is the first that they are owed.
+	second := func(waiting ...requestqueue.Request) requestqueue.Choice {
+		order := requestqueue.NewFairShare(requestqueue.NewestFirst{}, 0.5)
+		order.Next(2*time.Second, capacity, []requestqueue.Request{request(1900*ms, 1), request(1900*ms, 2)})
+		return order.Next(2*time.Second, capacity, waiting)
+	}
+
+	It("tells of a fair share if the order alone would have chosen another", func() {
+		Expect(second(request(1900*ms, 1), request(1900*ms, 2))).
+			To(Equal(requestqueue.Choice{Index: 1, Reason: requestqueue.ReasonFairShare}))
+	})
+
+	It("tells the reason of the order if that would have chosen the same", func() {
+		Expect(second(request(time.Second, 1), request(1900*ms, 2))).
+			To(Equal(requestqueue.Choice{Index: 1, Reason: requestqueue.ReasonNewest}))
+	})
 })
 
 var _ = Describe("FairShare", func() {
