Call the share of less urgent requests fair share throughout, with one bound

Policy.FairShare said 'from 0 to 1' where settings allow half: requestqueue.MaxFairShare is the one bound now, which settings check against ('must be a number from 0 to 0.5', as before). The package comment says which load it is made for. Words and a constant moved; no spec could fail first, and nothing is served otherwise.

--- a/internal/relay/queue_test.go
+++ b/internal/relay/queue_test.go
@@ -130,7 +130,7 @@
 		Expect(given(respond(6*millisecond, 1))).To(Equal([]int{11}))
 	})
 
-	It("admits a less urgent flow for its share, if there is a floor", func() {
+	It("admits a less urgent flow for its fair share, if that is set", func() {
 		fill(requestqueue.Policy{FairShare: 0.5})
 		for number := 10; number < 14; number++ {
 			agent.terms.Priority = uint8(1 + number%2)
--- a/internal/requestqueue/choice.go
+++ b/internal/requestqueue/choice.go
@@ -23,8 +23,8 @@
 	ReasonLastChance
 	// ReasonLate: it is late.
 	ReasonLate
-	// ReasonFairShare: its priority is owed a slot by the floor, and the order alone would
-	// have chosen another request.
+	// ReasonFairShare: its priority is owed a slot of its fair share, and the order alone
+	// would have chosen another request.
 	ReasonFairShare
 	reasonCount
 )
--- a/internal/requestqueue/comparison_test.go
+++ b/internal/requestqueue/comparison_test.go
@@ -120,7 +120,7 @@
 		Entry("when late ones return", "returning"),
 	)
 
-	It("has fewer failed of the less urgent kind under overload with a floor of one half than without", func() {
+	It("has fewer failed of the less urgent kind under overload with a fair share of one half than without", func() {
 		without, with := results["overload"]["earliest due"].kinds, results["overload"]["earliest due, one half"].kinds
 		Expect(with[2].failed).To(BeNumerically("<", without[2].failed))
 	})
--- a/internal/requestqueue/doc.go
+++ b/internal/requestqueue/doc.go
@@ -1,12 +1,11 @@
 // Package requestqueue decides which of the requests that wait for an endpoint gets its next
 // free slot.
 //
-// The load that it answers: more requests than slots; a backlog of requests that are late
-// already beside fresh ones, as after a loss of power; kinds of requests whose priority,
-// latency objective and timeout differ. It matters little which request goes first while
-// there is room; under this load it decides who is served in time, who late and who not at
-// all.
+// It is made for the load under which that matters: more requests than slots; requests that
+// are late already beside fresh ones, as after a loss of power; kinds of requests whose
+// priority, latency objective and timeout differ. The order then decides which requests are
+// answered in time, which late and which not at all. While slots are free it plays no part.
 //
-// Everything in it is deterministic: requests and times come in, a choice comes out. Times
-// are measured from a start of the caller's.
+// The package is deterministic: requests, the time and the capacity come in, a choice comes
+// out. All times count from one start, which the caller chooses.
 package requestqueue
--- a/internal/requestqueue/fairshare.go
+++ b/internal/requestqueue/fairshare.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// FairShare gives less urgent priorities a least part of the slots while requests of them
-// wait beside more urgent ones. The part is divided equally among them; what one does not
+// FairShare gives less urgent priorities a share of the slots, at least, while requests of
+// them wait beside more urgent ones. The share is divided equally among them; what one does not
 // need is left to the order (deficit round robin: Shreedhar and Varghese, 1995).
 type FairShare struct {
 	order Order
@@ -16,7 +16,8 @@
 	credit map[uint8]float64
 }
 
-// NewFairShare returns a floor, as a share of the slots, below an order that keeps no state.
+// NewFairShare returns a fair share of the slots, from 0 to MaxFairShare, below an order that
+// keeps no state.
 func NewFairShare(order Order, share float64) *FairShare {
 	return &FairShare{order: order, share: share, credit: make(map[uint8]float64)}
 }
--- a/internal/requestqueue/policy.go
+++ b/internal/requestqueue/policy.go
@@ -22,11 +22,15 @@
 // Disciplines lists every discipline.
 func Disciplines() []Discipline { return label.All(disciplineCount) }
 
-// Policy holds the settings of a queue. The zero value is newest first without a floor.
+// MaxFairShare leaves the most urgent priority half of the slots at least.
+const MaxFairShare = 0.5
+
+// Policy holds the settings of a queue. The zero value is newest first without a fair
+// share.
 type Policy struct {
 	Discipline Discipline
-	// FairShare is the least part of the slots that requests of less urgent priorities get
-	// together while they wait, from 0 to 1; 0 means none.
+	// FairShare is the share of the slots that requests of less urgent priorities get at
+	// least, together, while they wait, from 0 to MaxFairShare; 0 means none.
 	FairShare float64
 }
 
--- a/internal/requestqueue/requestqueue_test.go
+++ b/internal/requestqueue/requestqueue_test.go
@@ -176,12 +176,12 @@
 		return count
 	}
 
-	It("gives the less urgent their part, and no more, while they wait", func() {
+	It("gives the less urgent their share, and no more, while they wait", func() {
 		Expect(countOf(requestqueue.EarliestDue{}, 2, 1, 2)).To(BeZero())
 		Expect(countOf(requestqueue.NewFairShare(requestqueue.EarliestDue{}, 0.25), 2, 1, 2)).To(Equal(25))
 	})
 
-	It("divides the part among several priorities", func() {
+	It("divides the share among several priorities", func() {
 		for _, priority := range []uint8{1, 2} {
 			Expect(countOf(requestqueue.NewFairShare(requestqueue.NewestFirst{}, 0.5), priority, 0, 1, 2)).
 				To(BeNumerically("~", 25, 1), "both are owed a slot at the same time, and one is still due")
@@ -206,7 +206,7 @@
 })
 
 var _ = Describe("Policy", func() {
-	It("is newest first without a floor unless set", func() {
+	It("is newest first without a fair share unless set", func() {
 		Expect(requestqueue.Policy{}.NewOrder()).To(Equal(requestqueue.NewestFirst{}))
 	})
 
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -107,11 +107,9 @@
 	MinChangeTimeout = 500 * time.Millisecond
 	MaxChangeTimeout = 30 * time.Second
 	MaxStoreRate     = 1_000_000
-	// MaxFairShare leaves the most urgent priority half of the slots at least.
-	MaxFairShare    = 0.5
-	MinFlowLifetime = time.Second
-	MaxFlowLifetime = time.Hour
-	maxSeeds        = 64
+	MinFlowLifetime  = time.Second
+	MaxFlowLifetime  = time.Hour
+	maxSeeds         = 64
 )
 
 type relayDocument struct {
@@ -224,7 +222,7 @@
 		QueuePolicy: requestqueue.Policy{
 			Discipline: c.discipline("relay.agent.queue_discipline",
 				withDefault(raw.QueueDiscipline, DefaultQueueDiscipline.String())),
-			FairShare: c.number("relay.agent.fair_share", withDefault(raw.FairShare, 0.0), 0, MaxFairShare),
+			FairShare: c.number("relay.agent.fair_share", withDefault(raw.FairShare, 0.0), 0, requestqueue.MaxFairShare),
 		},
 	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -199,7 +199,7 @@
 		}))
 	})
 
-	It("takes the order of requests that wait and a floor for the less urgent", func() {
+	It("takes the order of requests that wait and a fair share for the less urgent", func() {
 		parsed, err := settings.Parse("r.toml", []byte(strings.Replace(relayAgentFile, "first_start",
 			"queue_discipline = \"earliest_due\"\nfair_share = 0.2\nfirst_start", 1)))
 		Expect(err).NotTo(HaveOccurred())
