Play the order in the emulator that the deployments ask for

The emulator's agents had no policy, so that all of its promises were checked with newest_first, while deploy/agent.toml.tmpl asks for earliest_due. They have that order now, and the report counts the reasons of admitted requests.

--- a/bench/flownet/flownet_test.go
+++ b/bench/flownet/flownet_test.go
@@ -36,6 +36,14 @@
 		}
 	})
 
+	It("serves requests that wait by when their objectives end", func() {
+		chosen := options("casablanca", 1)
+		chosen.Events = 0
+		chosen.PowerLoss = true
+		report := flownet.Run(chosen)
+		Expect(report.Decisions["admitted: earliest_due"]).To(BeNumerically(">", 100), fmt.Sprintf("%+v", report.Decisions))
+	})
+
 	It("asks the store little in a large fleet, and no more often for having more balancers", func() {
 		chosen := options("large", 1)
 		chosen.Events = 0
--- a/bench/flownet/side.go
+++ b/bench/flownet/side.go
@@ -8,9 +8,13 @@
 	"github.com/vanetiller/vanetiller/internal/directory"
 	"github.com/vanetiller/vanetiller/internal/outlier"
 	"github.com/vanetiller/vanetiller/internal/relay"
+	"github.com/vanetiller/vanetiller/internal/requestqueue"
 	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
+// queueDiscipline is that of the deployments rather than of the settings' defaults.
+const queueDiscipline = requestqueue.DisciplineEarliestDue
+
 // agentPart is the deciding part of an agent, of the product or of a baseline.
 type agentPart interface {
 	Receive(now time.Duration, from segment.Address, message relay.Message) []relay.Effect
@@ -58,6 +62,7 @@
 	n.part = w.options.newAgent(relay.AgentConfig{
 		Service: n.side.service.Name, Codec: w.codec, Complete: first, FlowLifetime: time.Minute, FlowLimit: 10_000,
 		ColdBound: relay.ColdBound{Overrun: coldOverrun, Slack: coldSlack}, Outliers: outlier.DefaultLimits(),
+		QueuePolicy: requestqueue.Policy{Discipline: queueDiscipline},
 	})
 	w.net.Schedule(n.id, tickInterval, tickTimer)
 }
@@ -95,6 +100,9 @@
 			w.net.Send(n.id, n.side.endpoint.id, simnet.Payload, len(copied), datagram{port: endpointPort, packet: copied})
 		case relay.EffectEvent:
 			w.ledger.decided(effect.Event)
+			if effect.Event.Kind == relay.EventAdmitted {
+				w.ledger.decisions["admitted: "+effect.Event.Reason]++
+			}
 		}
 	}
 }
