--- a/internal/requestqueue/fairshare.go
+++ b/internal/requestqueue/fairshare.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// FairShare gives less urgent priorities a least part of the slots while requests of them
-// wait beside more urgent ones. The part is divided equally among them; what one does not
+// FairShare gives less urgent priorities a share of the slots, at least, while requests of
+// them wait beside more urgent ones. The share is divided equally among them; what one does not
 // need is left to the order (deficit round robin: Shreedhar and Varghese, 1995).
 type FairShare struct {
 	order Order
@@ -16,7 +16,8 @@
 	credit map[uint8]float64
 }
 
-// NewFairShare returns a floor, as a share of the slots, below an order.
+// NewFairShare returns a fair share of the slots, from 0 to MaxFairShare, below an order that
+// keeps no state.
 func NewFairShare(order Order, share float64) *FairShare {
 	return &FairShare{order: order, share: share, credit: make(map[uint8]float64)}
 }
@@ -30,14 +31,20 @@
 	return choice
 }
 
-// choose asks the order once, for all requests or for those of a priority that is owed a slot.
+// choose prefers a priority that is owed a slot to what the order alone would choose.
 func (f *FairShare) choose(now time.Duration, capacity Capacity, waiting []Request, lessUrgent []uint8) Choice {
+	choice := f.order.Next(now, capacity, waiting)
 	for _, priority := range lessUrgent {
-		if f.credit[priority] >= 1 {
-			return Choice{among(f.order, now, capacity, waiting, indicesOf(waiting, priority)).Index, ReasonFairShare}
+		if f.credit[priority] < 1 {
+			continue
 		}
+		owed := among(f.order, now, capacity, waiting, indicesOf(waiting, priority)).Index
+		if owed == choice.Index {
+			return choice
+		}
+		return Choice{owed, ReasonFairShare}
 	}
-	return f.order.Next(now, capacity, waiting)
+	return choice
 }
 
 // grant adds to what is owed to the less urgent priorities that wait, and forgets the others.
@@ -81,3 +88,13 @@
 	slices.Sort(priorities)
 	return priorities
 }
+
+// among lets an order choose among some of the requests, given by their indices.
+func among(order Order, now time.Duration, capacity Capacity, waiting []Request, indices []int) Choice {
+	requests := make([]Request, len(indices))
+	for position, index := range indices {
+		requests[position] = waiting[index]
+	}
+	choice := order.Next(now, capacity, requests)
+	return Choice{indices[choice.Index], choice.Reason}
+}
--- a/internal/requestqueue/policy.go
+++ b/internal/requestqueue/policy.go
@@ -1,11 +1,6 @@
 package requestqueue
 
-import (
-	"encoding/binary"
-	"math"
-
-	"github.com/vanetiller/vanetiller/internal/label"
-)
+import "github.com/vanetiller/vanetiller/internal/label"
 
 // Discipline names an Order.
 type Discipline uint8
@@ -27,21 +22,16 @@
 // Disciplines lists every discipline.
 func Disciplines() []Discipline { return label.All(disciplineCount) }
 
-// Policy holds the settings of a queue. The zero value is newest first without a floor.
+// MaxFairShare leaves the most urgent priority half of the slots at least.
+const MaxFairShare = 0.5
+
+// Policy holds the settings of a queue. The zero value is newest first without a fair
+// share.
 type Policy struct {
 	Discipline Discipline
-	// FairShare is the least part of the slots that requests of less urgent priorities get
-	// together while they wait, from 0 to 1; 0 means none.
+	// FairShare is the share of the slots that requests of less urgent priorities get at
+	// least, together, while they wait, from 0 to MaxFairShare; 0 means none.
 	FairShare float64
-	// NetworkBits is how many leading bits of a client's address are its network, for
-	// networks to take turns within a priority; 0 means that they do not.
-	NetworkBits int
-}
-
-// NetworkOf returns the network of a client's address, which is the same for all unless
-// networks take turns.
-func (p Policy) NetworkOf(address [4]byte) Network {
-	return Network(binary.BigEndian.Uint32(address[:]) &^ (math.MaxUint32 >> p.NetworkBits))
 }
 
 // NewOrder returns the order of a queue. It must not be shared between queues.
@@ -50,9 +40,6 @@
 	if p.Discipline == DisciplineEarliestDue {
 		order = EarliestDue{}
 	}
-	if p.NetworkBits > 0 {
-		order = NewNetworkShare(order)
-	}
 	if p.FairShare > 0 {
 		order = NewFairShare(order, p.FairShare)
 	}
--- a/internal/requestqueue/request.go
+++ b/internal/requestqueue/request.go
@@ -1,13 +1,14 @@
 package requestqueue
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Request is a request that waits.
 type Request struct {
 	// Priority orders kinds of requests; 0 is the most urgent.
 	Priority uint8
-	// Network is that of the client.
-	Network Network
 	// Began is when the client began with the request, as far as is known.
 	Began time.Duration
 	// Objective is the time from Began in which the client should have the answer.
@@ -20,8 +21,13 @@
 // due is when the request has to be answered to meet its objective.
 func (r Request) due() time.Duration { return r.Began + r.Objective }
 
-// deadline is when the client gives up.
-func (r Request) deadline() time.Duration { return r.Began + r.Timeout }
+// deadline is when the client gives up, the latest time if it never does.
+func (r Request) deadline() time.Duration {
+	if r.Timeout == 0 {
+		return math.MaxInt64
+	}
+	return r.Began + r.Timeout
+}
 
 // Outlook is what a request can still achieve.
 type Outlook uint8
@@ -43,7 +49,7 @@
 	switch {
 	case answered <= r.due():
 		return InTime
-	case r.Timeout == 0 || answered <= r.deadline():
+	case answered <= r.deadline():
 		return Late
 	}
 	return Expired
