Forget the use of groups without news, and bound what one agent can tell

A group of a service or zone that is gone stayed in a balancer's memory for good, and one agent that told a wild number of requests made all endpoints like its own look full. Means without news for 30 s are forgotten, when nothing is left of them, and an endpoint counts as used four times at most in its group's mean. The specs "falls without news" and "does not believe any number that one agent tells" fail without.

--- a/internal/placement/news.go
+++ b/internal/placement/news.go
@@ -14,6 +14,10 @@
 	// time in which a mean loses most of its weight for news and for choices.
 	levelWeight = 0.05
 	levelMemory = 2 * time.Second
+	// mostShare bounds what the word of one agent can do to the mean of its group.
+	mostShare = 4.0
+	// levelLifetime is how long a mean without news is kept; nothing is left of it then.
+	levelLifetime = 30 * time.Second
 )
 
 // News is what an agent has told last of its endpoint.
@@ -49,10 +53,13 @@
 // Note takes account of what was told of one endpoint of the group.
 func (l *Level) Note(now time.Duration, share float64) {
 	aged := 1 - math.Exp(-float64(now-l.at)/float64(levelMemory))
-	l.mean += max(levelWeight, aged) * (share - l.mean)
+	l.mean += max(levelWeight, aged) * (min(share, mostShare) - l.mean)
 	l.at = now
 }
 
+// Expired reports whether the group has had no news for so long that it can be forgotten.
+func (l *Level) Expired(now time.Duration) bool { return now-l.at > levelLifetime }
+
 // At returns the mean. Without news it falls, so that a group that was found full is tried
 // again.
 func (l *Level) At(now time.Duration) float64 {
--- a/internal/placement/news_test.go
+++ b/internal/placement/news_test.go
@@ -46,9 +46,18 @@
 		Expect(level.At(time.Minute)).To(BeNumerically("~", 0.2, 0.01))
 	})
 
+	It("does not believe any number that one agent tells", func() {
+		level := placement.Level{}
+		level.Note(time.Second, 0.5)
+		level.Note(time.Second, 1e9)
+		Expect(level.At(time.Second)).To(BeNumerically("<", 0.7))
+	})
+
 	It("falls without news", func() {
 		level := placement.Level{}
 		level.Note(time.Minute, 1)
 		Expect(level.At(time.Minute + 10*time.Second)).To(BeNumerically("<", 0.01))
+		Expect(level.Expired(time.Minute + 10*time.Second)).To(BeFalse())
+		Expect(level.Expired(2 * time.Minute)).To(BeTrue())
 	})
 })
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -337,6 +338,7 @@
 		known.measure(now - b.swept)
 	}
 	b.swept = now
+	maps.DeleteFunc(b.levels, func(_ group, level *placement.Level) bool { return level.Expired(now) })
 	for key, known := range b.flows {
 		retention := b.config.FlowLifetime
 		switch known.state {
