Ping nobody twice while a process only knows seeds, and spend less on answers

Seeds of a fleet that starts got requests, pings and reconnections of all members at once. While a process catches up and knows hardly anybody it only asks. The credit of answers is 60 KB instead of 90, of which introductions leave 40.

--- a/internal/membership/reachability.go
+++ b/internal/membership/reachability.go
@@ -24,6 +24,10 @@
 
 // pingRemote pings a random member of the next other zone, reachable or not.
 func (m *Machine) pingRemote(now time.Duration) {
+	// A process that knows hardly anybody would ping seeds, which it asks already.
+	if m.recovery.active && m.roster.live < manyMembers {
+		return
+	}
 	if now < m.remote.next {
 		return
 	}
--- a/internal/membership/synchronize.go
+++ b/internal/membership/synchronize.go
@@ -20,7 +20,7 @@
 	// requests, and answerBurst how many at once; other requests are dropped
 	// and repeated elsewhere.
 	answerRate  = 500
-	answerBurst = 90000
+	answerBurst = 60000
 	// estimatedUpdateSize is the usual encoding of an update in bytes, and estimatedHead that
 	// of an answer without updates, headers included.
 	estimatedUpdateSize = 24
@@ -28,14 +28,14 @@
 	estimatedDigestSize = 8
 	// introduction is how many updates an answer holds to a process that knows hardly anybody,
 	// while this one catches up itself: somebody else to ask.
-	introduction = 6
+	introduction = 4
 	// introductionReserve is the credit that introductions leave for longer answers, in bytes.
-	introductionReserve = 45000
+	introductionReserve = 40000
 	// answerShare is the part of the credit that another answer may take, as a divisor.
 	answerShare = 4
 	// requestRate bounds the bytes a second that a process that catches up spends on
 	// requests.
-	requestRate = 800
+	requestRate = 1000
 )
 
 // difference is a zone that another member knows differently.
@@ -304,7 +304,7 @@
 // reconnect pings one member that has failed, or a seed where no member is
 // known to run: after a partition both sides find each other again this way.
 func (m *Machine) reconnect(now time.Duration) {
-	if now < m.sync.nextReconnect {
+	if now < m.sync.nextReconnect || m.recovery.active {
 		return
 	}
 	m.sync.nextReconnect = now + m.config.ReconnectInterval
