--- a/internal/membership/recovery.go
+++ b/internal/membership/recovery.go
@@ -34,6 +34,8 @@
 	// longestQuickSync bounds it while nobody answers, and is the time to the next request if
 	// the other knew nothing more.
 	longestQuickSync = 2400 * time.Millisecond
+	// mostDoublings is how often quickSyncInterval is doubled up to longestQuickSync.
+	mostDoublings = 3
 )
 
 // recovery is the state of catching up.
--- a/internal/membership/synchronize.go
+++ b/internal/membership/synchronize.go
@@ -21,11 +21,11 @@
 	// and repeated elsewhere.
 	answerRate  = 500
 	answerBurst = 60000
-	// estimatedUpdateSize is the usual encoding of an update in bytes, and estimatedHead that
-	// of an answer without updates, headers included.
+	// estimatedUpdateSize and estimatedDigestSize are the usual encodings of an update and of a
+	// digest in bytes, and estimatedHead that of an answer without either, headers included.
 	estimatedUpdateSize = 24
-	estimatedHead       = 100
 	estimatedDigestSize = 8
+	estimatedHead       = 100
 	// introduction is how many updates an answer holds to a process that knows hardly anybody,
 	// while this one catches up itself: somebody else to ask.
 	introduction = 4
@@ -155,7 +155,7 @@
 	}
 	m.requestSync(now, to, allZones)
 	bytes := min(m.roster.live*summaryBits/8, maximumSummary)
-	interval := min(quickSyncInterval<<m.sync.unanswered, longestQuickSync)
+	interval := min(quickSyncInterval<<min(m.sync.unanswered, mostDoublings), longestQuickSync)
 	m.sync.askedSeed = slices.Contains(m.seeds, to) && m.roster.live < manyMembers
 	switch {
 	case agreed:
