Confirm no directory that is ahead of the store

While a forged revision was in force, the store's lower one still confirmed the directory, so that a proof that a flow is dead would have held for a false directory.

--- a/internal/directory/confirmer.go
+++ b/internal/directory/confirmer.go
@@ -49,6 +49,8 @@
 	nextAsk     time.Duration
 	// begun is when the present call, or the first of two, began.
 	begun time.Duration
+	// known is the revision that the directory had when the present listing began.
+	known Revision
 	// target is the revision that the directory has to reach; it is zero until the
 	// store has told it.
 	target Revision
@@ -96,6 +98,7 @@
 		return Call{}, false
 	}
 	c.busy = true
+	c.known = c.machine.Complete()
 	return Call{Listing: true, After: keyAfterAll, Timeout: callTimeout}, true
 }
 
@@ -138,9 +141,13 @@
 func (c *Confirmer) Unanswered() { c.wanted = true }
 
 // Listed handles the revision of the store. It returns the time for which the
-// directory is confirmed, false if changes are missing.
+// directory is confirmed, false if changes are missing or if the directory is ahead of the
+// store, since a peer announced a false revision.
 func (c *Confirmer) Listed(page Page) (time.Duration, bool) {
 	c.busy = false
+	if page.At < c.known {
+		return 0, false
+	}
 	if page.At > c.machine.Complete() {
 		c.target = page.At
 		return 0, false
--- a/internal/directory/confirmer_test.go
+++ b/internal/directory/confirmer_test.go
@@ -56,6 +56,14 @@
 		Expect(confirmed).To(Equal(5 * millisecond))
 	})
 
+	It("does not confirm a directory that is ahead of the store", func() {
+		begin(0)
+		_, current := confirmer.Listed(directory.Page{At: 9})
+		Expect(current).To(BeFalse())
+		_, wanted := confirmer.Next(time.Second)
+		Expect(wanted).To(BeFalse(), "nothing is missing that could be fetched")
+	})
+
 	It("does not confirm if a watch that hears nothing answers less than the store has", func() {
 		begin(0)
 		confirmer.Listed(directory.Page{At: 12})
