Give the account of dead flows found out in time, and share the store's rate among those that call

Cause: the time between two confirmations of a balancer was reckoned as if each balancer of the fleet called by itself: 2.2 s with 1,100 balancers and 2,000 calls a second, also for the few watchers that call for all. Now half of the part goes to these, half to calls that balancers make for themselves. The spec of a large fleet failed before.

--- a/internal/directory/confirmer.go
+++ b/internal/directory/confirmer.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	// confirmInterval is the least time between two confirmations, each of which costs a
-	// call. A client whose flow is dead waits for one before it is told, out of a latency
-	// objective of some hundreds of milliseconds.
-	confirmInterval = 25 * time.Millisecond
-	// ownInterval is that of a confirmation which serves only the searches of one balancer.
-	ownInterval = 75 * time.Millisecond
+	// shortestServing is the least time between two confirmations that others wait for, each of
+	// which costs a call. A client whose flow is dead waits for one before it is told, out of a
+	// latency objective of some hundreds of milliseconds.
+	shortestServing = 25 * time.Millisecond
+	// shortestOwn is that between two which serve only the searches of one balancer.
+	shortestOwn = 75 * time.Millisecond
 	// confirmRate is how many confirmations a second begin in the long run, and confirmBurst
 	// how many may begin faster: as many as in the seconds after everything has returned, in
 	// which endpoints have no room for clients that come back late.
@@ -22,7 +22,7 @@
 	// small part of a slow machine's processor.
 	askRate = 1000
 	// confirmRateShare is the part of the store's rate that the confirmations of all
-	// balancers together may take.
+	// balancers together may take, half of it those that others wait for.
 	confirmRateShare = 0.25
 	// confirmWait is how long a watch for what is missing waits. The store has it.
 	confirmWait = time.Millisecond
@@ -35,8 +35,11 @@
 // store accepted before a time. An answer to a watch proves that only for the time at
 // which the store gave it, and the next may be seconds away. It is deterministic.
 type Confirmer struct {
-	machine  *Machine
-	interval time.Duration
+	machine *Machine
+	// servingInterval and ownInterval are the least times between two confirmations that others
+	// wait for, and between two that serve this balancer alone.
+	servingInterval time.Duration
+	ownInterval     time.Duration
 	// serves is set if other balancers wait for a confirmation.
 	serves bool
 	rush   *rate.Limiter
@@ -59,7 +62,7 @@
 // NewConfirmer returns a confirmer of what a machine knows.
 func NewConfirmer(machine *Machine) *Confirmer {
 	return &Confirmer{
-		machine: machine, interval: confirmInterval, next: -ownInterval,
+		machine: machine, servingInterval: shortestServing, ownInterval: shortestOwn,
 		rush: rate.NewLimiter(confirmRate, confirmBurst),
 	}
 }
@@ -67,7 +70,9 @@
 // Share tells how many balancers there are and how many calls a second the store
 // answers of all of them together.
 func (c *Confirmer) Share(balancers int, storeRate float64) {
-	c.interval = max(confirmInterval, secondsOf(float64(balancers)/(storeRate*confirmRateShare)))
+	half := storeRate * confirmRateShare / 2
+	c.servingInterval = max(shortestServing, secondsOf(float64(askedAmong(balancers))/half))
+	c.ownInterval = max(shortestOwn, secondsOf(float64(balancers)/half))
 	c.askInterval = secondsOf(float64(balancers) / float64(askedAmong(balancers)*askRate))
 }
 
@@ -105,23 +110,23 @@
 // Serves tells whether other balancers wait for a confirmation by this one.
 func (c *Confirmer) Serves(others bool) { c.serves = others }
 
-// ownDelay is how much longer than for others a confirmation for one balancer waits.
-func (c *Confirmer) ownDelay() time.Duration {
+// interval is the least time between two confirmations now.
+func (c *Confirmer) interval() time.Duration {
 	if c.serves {
-		return 0
+		return c.servingInterval
 	}
-	return ownInterval - confirmInterval
+	return c.ownInterval
 }
 
 // Begin begins a confirmation without a call of the store, as by a peer where the store
 // has never answered. It reports whether one is wanted and may begin.
 func (c *Confirmer) Begin(now time.Duration) bool {
-	if c.busy || !c.wanted || now < c.next+c.ownDelay() || !c.rush.AllowN(time.Unix(0, int64(now)), 1) {
+	if c.busy || !c.wanted || c.made && now < c.last+c.interval() || !c.rush.AllowN(time.Unix(0, int64(now)), 1) {
 		return false
 	}
 	c.wanted = false
 	c.begun = now
-	c.next = now + c.interval
+	c.last, c.made = now, true
 	return true
 }
 
--- a/internal/directory/confirmer_test.go
+++ b/internal/directory/confirmer_test.go
@@ -95,6 +95,12 @@
 		Expect(wanted).To(BeFalse())
 	})
 
+	It("calls often for all in a large fleet, since few are asked", func() {
+		confirmer.Share(1100, 2000)
+		confirmer.Serves(true)
+		Expect(callsIn(0, time.Second)).To(BeNumerically(">=", 20))
+	})
+
 	It("calls the store if the balancer that was asked in its place does not answer", func() {
 		confirmer.Want()
 		Expect(confirmer.Ask(0)).To(BeTrue())
