--- a/internal/directory/confirmer.go
+++ b/internal/directory/confirmer.go
@@ -45,12 +45,13 @@
 	rush   *rate.Limiter
 	wanted bool
 	busy   bool
-	next   time.Duration
+	// made is set once one has begun.
+	made bool
 	// askInterval is the least time between two questions to watchers, and nextAsk when the
 	// next may be sent.
 	askInterval time.Duration
 	nextAsk     time.Duration
-	// begun is when the present call, or the first of two, began.
+	// begun is when the latest confirmation began: its call, or the first of two.
 	begun time.Duration
 	// known is the revision that the directory had when the present listing began.
 	known Revision
@@ -121,12 +122,12 @@
 // Begin begins a confirmation without a call of the store, as by a peer where the store
 // has never answered. It reports whether one is wanted and may begin.
 func (c *Confirmer) Begin(now time.Duration) bool {
-	if c.busy || !c.wanted || c.made && now < c.last+c.interval() || !c.rush.AllowN(time.Unix(0, int64(now)), 1) {
+	if c.busy || !c.wanted || c.made && now < c.begun+c.interval() || !c.rush.AllowN(time.Unix(0, int64(now)), 1) {
 		return false
 	}
 	c.wanted = false
 	c.begun = now
-	c.last, c.made = now, true
+	c.made = true
 	return true
 }
 
--- a/internal/directory/confirmer_test.go
+++ b/internal/directory/confirmer_test.go
@@ -30,6 +30,19 @@
 		return call
 	}
 
+	// callsIn returns how many confirmations begin in a period in which they are always wanted.
+	callsIn := func(from, to time.Duration) int {
+		calls := 0
+		for now := from; now < to; now += millisecond {
+			confirmer.Want()
+			if _, wanted := confirmer.Next(now); wanted {
+				confirmer.Listed(directory.Page{At: 10})
+				calls++
+			}
+		}
+		return calls
+	}
+
 	It("calls the store only if it is asked to", func() {
 		_, wanted := confirmer.Next(0)
 		Expect(wanted).To(BeFalse())
@@ -119,19 +132,6 @@
 		Expect(confirmer.Ask(millisecond)).To(BeTrue())
 	})
 
-	// callsIn returns how many confirmations begin in a period in which they are always wanted.
-	callsIn := func(from, to time.Duration) int {
-		calls := 0
-		for now := from; now < to; now += millisecond {
-			confirmer.Want()
-			if _, wanted := confirmer.Next(now); wanted {
-				confirmer.Listed(directory.Page{At: 10})
-				calls++
-			}
-		}
-		return calls
-	}
-
 	It("calls more often while others wait for it", func() {
 		alone := callsIn(0, time.Second)
 		confirmer.Serves(true)
