Begin a round of the relay's comparison with its first datagram

Cause: the spec measures both relays failed once beside other work, with no datagram in a round of 200 ms: the time of the round ran before its goroutines did.

The credit of the membership's answers is checked against the budget of a member as well.

--- a/bench/relay/round.go
+++ b/bench/relay/round.go
@@ -99,9 +99,13 @@
 	return nil
 }
 
-// relay runs the senders through the relay and returns for how long.
-func (r *round) relay(ctx context.Context, how pattern) (time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.options.RoundLength)
+// firstPacketPoll is how often a round looks whether its relay has sent a datagram.
+const firstPacketPoll = time.Millisecond
+
+// relay runs the senders through the relay and returns for how long it has sent. The round
+// begins with its first datagram, so that a busy machine which starts it late shortens no round.
+func (r *round) relay(parent context.Context, how pattern) (time.Duration, error) {
+	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	started := time.Now()
 	var group errgroup.Group
@@ -114,10 +118,33 @@
 			return sending.flood(ctx)
 		})
 	}
+	group.Go(func() error {
+		defer cancel()
+		r.awaitFirstPacket(ctx)
+		started = time.Now()
+		wait(ctx, r.options.RoundLength)
+		return nil
+	})
 	err := group.Wait()
 	return time.Since(started), err
 }
 
+func (r *round) awaitFirstPacket(ctx context.Context) {
+	for r.sent.Value() == 0 && ctx.Err() == nil {
+		wait(ctx, firstPacketPoll)
+	}
+}
+
+// wait returns after a duration, or once ctx ends.
+func wait(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (r *round) close() {
 	for _, opened := range r.sinks {
 		// The only error is that the socket is closed already.
--- a/internal/membership/faults_test.go
+++ b/internal/membership/faults_test.go
@@ -294,7 +294,11 @@
 		introductions := answered(0, few)
 		gomega.Expect(introductions).To(gomega.BeNumerically("~", 19000, 4000))
 		gomega.Expect(answered(0, few)).To(gomega.BeZero())
-		gomega.Expect(introductions + answered(0, most)).To(gomega.BeNumerically("~", 56000, 6000))
+		// A member may send 3 KB/s in the mean over a minute.
+		const budget = 3000 * 60
+		burst := introductions + answered(0, most)
+		gomega.Expect(burst).To(gomega.BeNumerically("<=", budget))
+		gomega.Expect(burst).To(gomega.BeNumerically("~", 56000, 6000))
 		gomega.Expect(answered(0, most)).To(gomega.BeZero())
 		gomega.Expect(answered(10*time.Second, most)).To(gomega.BeNumerically("<=", 5000))
 		gomega.Expect(answered(70*time.Second, few)).To(gomega.BeZero(), "it is left to longer answers")
