--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -109,8 +108,6 @@
 	// It outlasts what any balancer may not have heard, and ends since another
 	// endpoint may come to the agent's address.
 	drainMemory = 30 * time.Second
-	// balancerLimit bounds the balancers that are remembered.
-	balancerLimit = 4096
 )
 
 // Agent decides what becomes of packets to and from one endpoint. It is not
@@ -144,13 +141,6 @@
 	effects   []Effect
 }
 
-// knownBalancer is a balancer that has sent this agent a message.
-type knownBalancer struct {
-	heard time.Duration
-	// zone is empty until it has offered a flow.
-	zone string
-}
-
 // NewAgent returns an agent that knows no flow.
 func NewAgent(config AgentConfig) *Agent {
 	return &Agent{
@@ -214,12 +204,6 @@
 	return a.effects
 }
 
-// knownBalancers returns the balancers that have sent this agent a message, in the order of
-// their addresses.
-func (a *Agent) knownBalancers() []segment.Address {
-	return slices.SortedFunc(maps.Keys(a.balancers), segment.Address.Compare)
-}
-
 // Receive handles a message from a balancer. The returned effects are valid
 // until the next call.
 func (a *Agent) Receive(now time.Duration, from segment.Address, message Message) []Effect {
@@ -256,28 +240,6 @@
 	}
 }
 
-// balancerOf returns the balancer that a message came from, or for which another agent
-// sent it.
-func balancerOf(from segment.Address, message Message) segment.Address {
-	if replyTo := message.ReplyTo.Address(); !replyTo.IsZero() {
-		return replyTo
-	}
-	return from
-}
-
-// remember notes a balancer, which is told when the agent stops.
-func (a *Agent) remember(now time.Duration, balancer segment.Address, zone string) {
-	known, exists := a.balancers[balancer]
-	if !exists && len(a.balancers) >= balancerLimit {
-		return
-	}
-	if zone != "" {
-		known.zone = zone
-	}
-	known.heard = now
-	a.balancers[balancer] = known
-}
-
 func (a *Agent) receivePacket(now time.Duration, from segment.Address, message Message) {
 	header, outcome := a.config.Codec.Decode(message.Packet)
 	if outcome != segment.Decoded {
--- /dev/null
+++ b/internal/relay/knownbalancers.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/vanetiller/vanetiller/internal/segment"
+)
+
+// balancerLimit bounds the balancers that an agent remembers.
+const balancerLimit = 4096
+
+// knownBalancer is a balancer that has sent this agent a message.
+type knownBalancer struct {
+	heard time.Duration
+	// zone is empty until it has offered a flow.
+	zone string
+}
+
+// knownBalancers returns the balancers that have sent this agent a message, in the order of
+// their addresses.
+func (a *Agent) knownBalancers() []segment.Address {
+	return slices.SortedFunc(maps.Keys(a.balancers), segment.Address.Compare)
+}
+
+// balancerOf returns the balancer that a message came from, or for which another agent
+// sent it.
+func balancerOf(from segment.Address, message Message) segment.Address {
+	if replyTo := message.ReplyTo.Address(); !replyTo.IsZero() {
+		return replyTo
+	}
+	return from
+}
+
+// remember notes a balancer, which is told when the agent stops.
+func (a *Agent) remember(now time.Duration, balancer segment.Address, zone string) {
+	known, exists := a.balancers[balancer]
+	if !exists && len(a.balancers) >= balancerLimit {
+		return
+	}
+	if zone != "" {
+		known.zone = zone
+	}
+	known.heard = now
+	a.balancers[balancer] = known
+}
