--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/vanetiller/vanetiller/internal/outlier"
