Mend what reviews of searches and of placement found

Searches: the answer of a watcher counted as a proof although its state had been refused as refuted, or was behind a directory that a false revision led ahead; a balancer that had to wait before its next question called the store at once; one that knew few balancers yet took itself for the one that confirms; the watcher that had not answered was asked again. Placement: an endpoint measured as slow got no flow below full use of the others, so that its pace was never measured again; the first pace of each endpoint made the median of its service be found anew; flows opened ahead of need counted as about to ask for as long as they rest. Each has a spec that fails before, but the second question and the median (read).

--- a/bench/flownet/balancer.go
+++ b/bench/flownet/balancer.go
@@ -73,6 +73,7 @@
 	questions directory.Questions
 	asked     time.Duration
 	question  uint32
+	watcher   directory.Peer
 	fetching  time.Duration
 	call      directory.Call
 	// calling is set while a call is under way.
--- a/internal/directory/confirmer_test.go
+++ b/internal/directory/confirmer_test.go
@@ -108,6 +108,13 @@
 		Expect(wanted).To(BeFalse())
 	})
 
+	It("takes no answer that is behind, or ahead of what it has adopted, for a confirmation", func() {
+		Expect(machine.ConfirmedBy(10, 10)).To(BeTrue())
+		Expect(machine.ConfirmedBy(9, 10)).To(BeFalse(), "the watcher is behind")
+		Expect(machine.ConfirmedBy(12, 10)).To(BeFalse(), "what came with it was refused")
+		Expect(machine.ConfirmedBy(10, 0)).To(BeFalse(), "nothing was known")
+	})
+
 	It("calls often for all in a large fleet, since few are asked", func() {
 		confirmer.Share(1100, 2000)
 		confirmer.Serves(true)
--- a/internal/directory/refutation.go
+++ b/internal/directory/refutation.go
@@ -26,6 +26,13 @@
 // Refutations returns how often the store has shown that this directory was ahead of it.
 func (m *Machine) Refutations() uint64 { return m.refutations }
 
+// ConfirmedBy reports whether the answer of a watcher, which has announced a revision, proves
+// that this directory is current, given the revision that it had when the watcher was asked:
+// neither is ahead of the other by a false revision, and nothing that was announced is missing.
+func (m *Machine) ConfirmedBy(announced, known Revision) bool {
+	return known > 0 && announced >= known && m.complete >= announced
+}
+
 // corrects reports whether a whole directory is needed to replace one that was refuted.
 func (m *Machine) corrects() bool { return m.refutations > 0 && m.complete == 0 }
 
--- a/internal/directory/spread.go
+++ b/internal/directory/spread.go
@@ -35,10 +35,12 @@
 	heads      []Peer
 	neighbours []Peer
 	watchers   []Peer
-	// askAnyUntil is until when any watcher may be asked for a confirmation.
-	askAnyUntil time.Duration
-	place       float64
-	head        bool
+	// silentWatcher has not confirmed the directory in time; until askAnyUntil any other may be
+	// asked.
+	silentWatcher Peer
+	askAnyUntil   time.Duration
+	place         float64
+	head          bool
 	// members is how many balancers the membership has, and advertisedMembers the most that
 	// others have advertised lately, at advertisedAt.
 	members           uint32
@@ -137,30 +139,34 @@
 	if s.Watching() {
 		return 0, false
 	}
-	return s.watcherAmong(len(s.watchers))
+	return s.anyOf(s.watchers)
 }
 
 // Confirming returns the watcher to ask for a confirmation of the directory, false if that is
-// this process or none is known.
+// this process or none is known that answers.
 func (s *Spread) Confirming(now time.Duration) (Peer, bool) {
-	if s.confirms {
+	if s.confirms && s.Watching() {
 		return 0, false
 	}
 	if now < s.askAnyUntil {
-		return s.watcherAmong(len(s.watchers))
+		answering := slices.DeleteFunc(slices.Clone(s.watchers), func(watcher Peer) bool { return watcher == s.silentWatcher })
+		return s.anyOf(answering)
 	}
-	return s.watcherAmong(min(len(s.watchers), askedAmong(int(s.members))))
+	return s.anyOf(s.watchers[:min(len(s.watchers), askedAmong(int(s.members)))])
 }
 
-func (s *Spread) watcherAmong(first int) (Peer, bool) {
-	if first == 0 {
+func (s *Spread) anyOf(watchers []Peer) (Peer, bool) {
+	if len(watchers) == 0 {
 		return 0, false
 	}
-	return s.watchers[s.random.IntN(first)], true
+	return watchers[s.random.IntN(len(watchers))], true
 }
 
-// Unanswered notes that a watcher has not confirmed the directory in time.
-func (s *Spread) Unanswered(now time.Duration) { s.askAnyUntil = now + askedElsewhere }
+// Unanswered notes that a watcher has not confirmed the directory in time. Any other is asked
+// for a while.
+func (s *Spread) Unanswered(now time.Duration, watcher Peer) {
+	s.silentWatcher, s.askAnyUntil = watcher, now+askedElsewhere
+}
 
 // Listed notes that this process has listed the store itself.
 func (s *Spread) Listed() { s.asked = true }
--- a/internal/relay/balancer_test.go
+++ b/internal/relay/balancer_test.go
@@ -46,6 +46,31 @@
 		Expect(offer.Message.LastResort).To(BeTrue())
 	})
 
+	It("gives a slow endpoint flows again, after a while in which its pace has not changed", func() {
+		tell := func(now time.Duration, number int, pace uint32) {
+			balancer.Receive(now, agentAddress(number), relay.Message{
+				Kind: relay.KindPong, Service: service, Load: relay.Load{Pace: pace},
+			})
+		}
+		offeredToSlow := func(now time.Duration, first int) (count int) {
+			for number := first; number < first+30; number++ {
+				for _, effect := range sent(balancer.Arrive(now, opening(number, 100))) {
+					if effect.Message.Kind == relay.KindOffer && effect.To == agentAddress(0) {
+						count++
+					}
+				}
+				balancer.Arrive(now, fromClient(number, segment.Reset, 101, 0, ""))
+			}
+			return count
+		}
+		tell(0, 0, 250_000)
+		tell(0, 1, 50_000)
+		tell(0, 2, 50_000)
+		Expect(offeredToSlow(time.Second, 0)).To(BeZero())
+		tell(2*time.Second, 0, 250_000)
+		Expect(offeredToSlow(2500*millisecond, 100)).To(BeNumerically(">", 0))
+	})
+
 	It("goes elsewhere while an endpoint is told to be full, and comes back as the news ages", func() {
 		tell := func(now time.Duration, number int, used uint32) {
 			load := relay.Load{Used: used, Pace: 50_000}
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -22,9 +22,7 @@
 
 // demand is what the kept flows of a service ask for: at rest they cost an endpoint nothing,
 // and a flow with a request costs a slot. If each counts as one with a request, endpoints
-// without kept flows, such as those that have just come back, get all new flows: with 300
-// clients that keep flows, 106 requests were late instead of 69 in the seconds around the
-// crash of 12 of 35 endpoints (60 emulated machines).
+// without kept flows, such as those that have just come back, get all new flows.
 type demand struct {
 	// flows is the number of kept flows at the last sweep, and requests how many requests
 	// they have made since.
--- a/internal/relay/level.go
+++ b/internal/relay/level.go
@@ -41,5 +41,5 @@
 		own--
 	}
 	known.news = placement.News{Used: max(float64(message.Load.Used)-max(own, 0), 0), At: now, Known: true}
-	b.levelOf(candidate, known.slowness(usual)).Note(now, known.news.Used/float64(candidate.Endpoint.Slots))
+	b.levelOf(candidate, known.slowness(now, usual)).Note(now, known.news.Used/float64(candidate.Endpoint.Slots))
 }
--- a/internal/relay/pace.go
+++ b/internal/relay/pace.go
@@ -18,6 +18,9 @@
 	// usualLasts is how long the usual pace of a service is taken for unchanged: to find it
 	// takes a look at all of its endpoints.
 	usualLasts = 100 * time.Millisecond
+	// slowLasts is for how long an endpoint counts as slow by answers that have not changed its
+	// pace. Then it gets flows again and shows whether it has recovered.
+	slowLasts = 2 * time.Second
 )
 
 // notePace notes how long an endpoint takes for answers, as its agent tells. Flows that
@@ -28,10 +31,12 @@
 		return
 	}
 	known := b.healthOf(candidate.ID)
-	if known.pace == 0 {
+	if b.usual[candidate.Endpoint.Service].pace == 0 {
 		delete(b.usual, candidate.Endpoint.Service)
 	}
-	known.pace = load.Pace
+	if known.pace != load.Pace {
+		known.pace, known.paceChanged = load.Pace, now
+	}
 	known.told = now
 }
 
@@ -67,8 +72,8 @@
 
 // slowness is how many times as long as usual the endpoint takes for answers, 1 if
 // that is within chance or not known.
-func (h *health) slowness(usual uint32) float64 {
-	if usual == 0 {
+func (h *health) slowness(now time.Duration, usual uint32) float64 {
+	if usual == 0 || now-h.paceChanged >= slowLasts {
 		return 1
 	}
 	ratio := float64(h.pace) / float64(usual)
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -34,7 +34,9 @@
 	// pace is what the agent told last of the time to an answer, told when that
 	// was, or when it was asked.
 	pace uint32
-	told time.Duration
+	// paceChanged is when it told another pace than before.
+	paceChanged time.Duration
+	told        time.Duration
 	// news is what it told last of how far the endpoint is used.
 	news placement.News
 	// report is what its agent told last of its health, and ejectionEnds until when it
@@ -52,9 +54,7 @@
 }
 
 // avoid leaves the endpoint out for a while, since it has returned a flow. Else it would be
-// chosen again at once, as it has the fewest flows, and get the next one in vain: 12 of 35
-// endpoints that returned everything left half of all requests unserved (60 emulated
-// machines).
+// chosen again at once, as it has the fewest flows, and get the next one in vain.
 func (h *health) avoid(now time.Duration) { h.avoidedUntil = now + firstSuspicion }
 
 // suspect leaves the endpoint out for a while, then lets one flow find out.
@@ -246,7 +246,7 @@
 // usual for its service and the slots that one of its kept flows takes.
 func (b *Balancer) placeOf(now time.Duration, candidate directory.Candidate, usual uint32, asks float64) placement.Candidate {
 	known := b.healthOf(candidate.ID)
-	slowness := known.slowness(usual)
+	slowness := known.slowness(now, usual)
 	if slowness > 1 {
 		b.refreshPace(now, candidate, known)
 	}
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -250,8 +250,7 @@
 }
 
 // expire frees slots of requests that are never answered, as after a crash of
-// the endpoint. Without it an endpoint whose slots were all taken when it crashed got no
-// new flow for a minute after it had come back: its agent returned them all as busy.
+// the endpoint: its agent would return all new flows as busy.
 func (a *Agent) expire(now time.Duration) {
 	for _, known := range a.flows {
 		if known.work.occupies && now-known.work.since > longestWork {
--- a/internal/relay/room.go
+++ b/internal/relay/room.go
@@ -14,6 +14,9 @@
 	// spareSlots is how many requests more than it works on an endpoint is
 	// given, so that it is never idle.
 	spareSlots = 1
+	// openingLasts is for how long a flow counts as one whose first request is about to come.
+	// Clients that open flows ahead of need let them rest for longer.
+	openingLasts = time.Second
 )
 
 // pace is what an agent measures of its endpoint.
@@ -69,7 +72,8 @@
 // wait keep no new request waiting, which goes first.
 func (a *Agent) pending() uint32 {
 	a.opening = slices.DeleteFunc(a.opening, func(flow *agentFlow) bool {
-		return !flow.running() || flow.work.served || len(flow.work.held) > 0
+		rests := a.now-flow.opened >= openingLasts
+		return !flow.running() || flow.work.served || len(flow.work.held) > 0 || rests
 	})
 	return a.pace.occupied + a.queue.inTime(a.now, a.capacity().Work) + uint32(len(a.opening))
 }
--- a/internal/relay/room_test.go
+++ b/internal/relay/room_test.go
@@ -43,6 +43,14 @@
 		Expect(agent.Load().Used).To(Equal(uint32(3)))
 	})
 
+	It("counts no flow that was opened ahead of need", func() {
+		agent.offer(0, 0, 100)
+		agent.answer(millisecond, 0, 500)
+		Expect(agent.Load().Used).To(Equal(uint32(1)))
+		agent.Tick(time.Second)
+		Expect(agent.Load().Used).To(BeZero())
+	})
+
 	It("counts neither what is answered nor what has ended", func() {
 		agent.open(0, 0)
 		answerRequest(work, 0)
--- a/internal/relaydaemon/confirm.go
+++ b/internal/relaydaemon/confirm.go
@@ -48,9 +48,12 @@
 		begun = now
 		return nil
 	})
-	through, confirmed := r.updates.confirmByWatcher(ctx)
+	through, outcome := r.updates.confirmByWatcher(ctx)
 	var err error
-	if !confirmed {
+	switch outcome {
+	case askLater:
+		err = errNotNow
+	case askedNobody, askUnanswered:
 		through, err = r.confirmByStore(ctx, r.confirmer)
 	}
 	if err != nil && !errors.Is(err, errNotNow) {
--- a/internal/relaydaemon/peerfetch.go
+++ b/internal/relaydaemon/peerfetch.go
@@ -117,10 +117,13 @@
 	}
 	p.role.executor.do(func(now time.Duration) []relay.Effect {
 		changed := p.role.directory.Adopt(now, state)
+		if !p.role.directory.ConfirmedBy(state.Complete, max(known.Complete, 1)) {
+			err = errUnconfirmed
+		}
 		p.role.updates.send(p.role.spread.Took(now, at, directory.Peer(from), state))
 		return p.role.installIf(changed, now)
 	})
-	return nil
+	return err
 }
 
 func (p *peers) conclude(from membership.Address, state directory.State, at time.Duration, err error) {
--- a/internal/relaydaemon/updates.go
+++ b/internal/relaydaemon/updates.go
@@ -30,11 +30,13 @@
 	number   uint32
 }
 
-// question is one of this balancer for a confirmation of the directory, which was sent at
-// a time; confirmed is set once it was answered.
+// question is one of this balancer for a confirmation of the directory, which was sent to a
+// watcher at a time, when the directory had a revision; confirmed is set once it was answered.
 type question struct {
 	number    uint32
+	watcher   directory.Peer
 	at        time.Duration
+	known     directory.Revision
 	confirmed bool
 }
 
@@ -79,7 +81,7 @@
 	case update.Confirms && update.Asks:
 		u.questions.Add(now, from, update)
 		role.wantConfirmation()
-	case update.Confirms && !lacks:
+	case update.Confirms && !lacks && role.directory.ConfirmedBy(update.State.Complete, u.asked.known):
 		u.noteAnswer(update.Number)
 	}
 	return effects
@@ -123,45 +125,76 @@
 // for a client whose flow is dead to be served in time if a datagram is lost.
 const confirmPatience = 150 * time.Millisecond
 
+// askOutcome is what became of asking a watcher for a confirmation.
+type askOutcome uint8
+
+const (
+	// askedNobody: there is no watcher to ask, or others wait for this balancer.
+	askedNobody askOutcome = iota
+	// askLater: nothing is wanted, or the next question must wait.
+	askLater
+	// askUnanswered: the watcher has not confirmed the directory in time.
+	askUnanswered
+	// askConfirmed: it has.
+	askConfirmed
+)
+
 // confirmByWatcher lets a balancer that watches the store confirm the directory, unless
-// others wait for this one to do it. It returns the time for which it is confirmed, false if
-// no watcher has answered.
-func (u *updates) confirmByWatcher(ctx context.Context) (through time.Duration, confirmed bool) {
+// others wait for this one to do it. It returns the time for which it is confirmed, if it is.
+func (u *updates) confirmByWatcher(ctx context.Context) (time.Duration, askOutcome) {
 	select {
 	case <-u.answered:
 	default:
 	}
-	sent := false
+	outcome := u.ask()
+	if outcome != askUnanswered {
+		return 0, outcome
+	}
+	timer := time.NewTimer(confirmPatience)
+	defer timer.Stop()
+	select {
+	case <-u.answered:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return u.takeAnswer()
+}
+
+// ask sends a question to a watcher. It returns askUnanswered once it is sent.
+func (u *updates) ask() askOutcome {
+	outcome := askedNobody
 	u.role.executor.do(func(now time.Duration) []relay.Effect {
 		watcher, exists := u.role.spread.Confirming(now)
-		if !exists || u.questions.Any() || !u.role.confirmer.Ask(now) {
+		if !exists || u.questions.Any() {
 			return nil
 		}
-		sent = true
+		if !u.role.confirmer.Ask(now) {
+			outcome = askLater
+			return nil
+		}
+		outcome = askUnanswered
 		u.number++
+		u.asked = question{number: u.number, watcher: watcher, at: now, known: u.role.directory.Complete()}
 		asking := directory.Update{Asks: true, Confirms: true, Number: u.number, State: u.role.spread.Announced(now)}
-		u.asked = question{number: u.number, at: now}
 		u.send([]directory.Outgoing{{To: watcher, Update: asking}})
 		return nil
 	})
-	if !sent {
-		return 0, false
-	}
-	timer := time.NewTimer(confirmPatience)
-	defer timer.Stop()
-	select {
-	case <-u.answered:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	return outcome
+}
+
+// takeAnswer ends the question under way.
+func (u *updates) takeAnswer() (through time.Duration, outcome askOutcome) {
 	u.role.executor.do(func(now time.Duration) []relay.Effect {
-		through, confirmed = u.asked.at, u.asked.confirmed
+		asked := u.asked
 		u.asked = question{}
-		if !confirmed {
-			u.role.confirmer.Unanswered()
-			u.role.spread.Unanswered(now)
+		if asked.confirmed {
+			through, outcome = asked.at, askConfirmed
+			return nil
 		}
+		outcome = askUnanswered
+		u.role.confirmer.Unanswered()
+		u.role.spread.Unanswered(now, asked.watcher)
 		return nil
 	})
-	return through, confirmed
+	return through, outcome
 }
