--- a/internal/directory/confirmer_test.go
+++ b/internal/directory/confirmer_test.go
@@ -30,6 +30,19 @@
 		return call
 	}
 
+	// callsIn returns how many confirmations begin in a period in which they are always wanted.
+	callsIn := func(from, to time.Duration) int {
+		calls := 0
+		for now := from; now < to; now += millisecond {
+			confirmer.Want()
+			if _, wanted := confirmer.Next(now); wanted {
+				confirmer.Listed(directory.Page{At: 10})
+				calls++
+			}
+		}
+		return calls
+	}
+
 	It("calls the store only if it is asked to", func() {
 		_, wanted := confirmer.Next(0)
 		Expect(wanted).To(BeFalse())
@@ -95,6 +108,19 @@
 		Expect(wanted).To(BeFalse())
 	})
 
+	It("takes no answer that is behind, or ahead of what it has adopted, for a confirmation", func() {
+		Expect(machine.ConfirmedBy(10, 10)).To(BeTrue())
+		Expect(machine.ConfirmedBy(9, 10)).To(BeFalse(), "the watcher is behind")
+		Expect(machine.ConfirmedBy(12, 10)).To(BeFalse(), "what came with it was refused")
+		Expect(machine.ConfirmedBy(10, 0)).To(BeFalse(), "nothing was known")
+	})
+
+	It("calls often for all in a large fleet, since few are asked", func() {
+		confirmer.Share(1100, 2000)
+		confirmer.Serves(true)
+		Expect(callsIn(0, time.Second)).To(BeNumerically(">=", 20))
+	})
+
 	It("calls the store if the balancer that was asked in its place does not answer", func() {
 		confirmer.Want()
 		Expect(confirmer.Ask(0)).To(BeTrue())
@@ -113,19 +139,6 @@
 		Expect(confirmer.Ask(millisecond)).To(BeTrue())
 	})
 
-	// callsIn returns how many confirmations begin in a period in which they are always wanted.
-	callsIn := func(from, to time.Duration) int {
-		calls := 0
-		for now := from; now < to; now += millisecond {
-			confirmer.Want()
-			if _, wanted := confirmer.Next(now); wanted {
-				confirmer.Listed(directory.Page{At: 10})
-				calls++
-			}
-		}
-		return calls
-	}
-
 	It("calls more often while others wait for it", func() {
 		alone := callsIn(0, time.Second)
 		confirmer.Serves(true)
