--- a/bench/flownet/flownet_test.go
+++ b/bench/flownet/flownet_test.go
@@ -145,8 +145,8 @@
 
 	DescribeTable("needs every part of the proof that nobody holds a flow", func(planted flownet.Planted) {
 		broken := 0
-		// Some 1 in 50 runs shows the fault; the search ends with the first.
-		for seed := uint64(1); seed <= 96 && broken == 0; seed++ {
+		// Some 1 in 300 runs shows the fault; the search ends with the first.
+		for seed := uint64(1); seed <= 160 && broken == 0; seed++ {
 			for _, shape := range flownet.Shapes() {
 				chosen := options(shape.Name, seed)
 				chosen.Planted = planted
