--- a/internal/directory/confirmer.go
+++ b/internal/directory/confirmer.go
@@ -119,8 +119,8 @@
 	return c.ownInterval
 }
 
-// Begin begins a confirmation without a call of the store, as by a peer where the store
-// has never answered. It reports whether one is wanted and may begin.
+// Begin begins a confirmation by the store, within the bounds on calls. It reports whether one
+// is wanted and may begin.
 func (c *Confirmer) Begin(now time.Duration) bool {
 	if c.busy || !c.wanted || c.made && now < c.begun+c.interval() || !c.rush.AllowN(time.Unix(0, int64(now)), 1) {
 		return false
@@ -142,8 +142,8 @@
 	return true
 }
 
-// Unanswered tells that the other balancer which was to confirm the directory has not
-// answered: what was begun without a call of the store is wanted again, now by a call.
+// Unanswered notes that a watcher which was asked has not answered: a confirmation is wanted
+// again.
 func (c *Confirmer) Unanswered() { c.wanted = true }
 
 // Listed handles the revision of the store. It returns the time for which the
--- a/internal/relaydaemon/peerfetch.go
+++ b/internal/relaydaemon/peerfetch.go
@@ -117,6 +117,7 @@
 	}
 	p.role.executor.do(func(now time.Duration) []relay.Effect {
 		changed := p.role.directory.Adopt(now, state)
+		// Whoever knows nothing yet is behind any state that has something.
 		if !p.role.directory.ConfirmedBy(state.Complete, max(known.Complete, 1)) {
 			err = errUnconfirmed
 		}
