--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
 // begin starts the store, the endpoints with their agents, the balancers, the router and the client,
@@ -212,9 +214,10 @@
 	return late > 0, nil
 }
 
-// foreignEntry: another writer has produced an entry that lacks ColdRemainingMs and CallSeq and has a
-// Version of another type. It names another service and the address of a living endpoint. Then a
-// balancer is stopped as planned and starts again, and knows none of the flows that come to it.
+// foreignEntry: another writer has produced entries that lack ColdRemainingMs and CallSeq and have a
+// Version of another type. They name another service and the addresses of the living endpoints of
+// svc-a. Then a balancer is stopped as planned and starts again, and knows none of the flows that come
+// to it.
 func foreignEntry(ctx context.Context, d *deployment, trouble bool) (bool, error) {
 	if err := d.begin(ctx, 2, "svc-a", "svc-a", "svc-b"); err != nil {
 		return false, err
@@ -226,25 +229,23 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	time.Sleep(time.Second)
-	victim := d.sides[0].endpoint
-	onVictim := 0
 	for _, flow := range flows {
 		if by, _ := flow.answeredBy(flow.request); by == "" {
 			return false, fmt.Errorf("a first request was not answered")
 		}
-		if victim.owns(flow.key) {
-			onVictim++
-		}
 	}
-	d.record.write("%d flows are open and were answered, %d of them at endpoint %s", len(flows), onVictim, victim.id)
+	d.record.write("%d flows are open and were answered", len(flows))
 	if trouble {
-		foreign := d.entry(victim, "ready")
-		foreign["Service"] = "svc-b"
-		foreign["Version"] = 7
-		delete(foreign, "CallSeq")
-		delete(foreign, "ColdRemainingMs")
-		d.store.Put("servers/i-other", foreign)
-		d.record.write("another writer makes the entry servers/i-other: %v", foreign)
+		for number, each := range d.sides[:2] {
+			foreign := d.entry(each.endpoint, "ready")
+			foreign["Service"] = "svc-b"
+			foreign["Version"] = 7
+			delete(foreign, "CallSeq")
+			delete(foreign, "ColdRemainingMs")
+			key := fmt.Sprintf("servers/i-other-%d", number)
+			d.store.Put(key, foreign)
+			d.record.write("another writer makes the entry %s: %v", key, foreign)
+		}
 	}
 	time.Sleep(500 * time.Millisecond)
 	d.balancers[0].signal(syscall.SIGTERM)
@@ -259,29 +260,49 @@
 	for number, flow := range flows {
 		requests[number] = flow.again()
 	}
-	time.Sleep(4 * time.Second)
+	var fresh []*kept
+	for range 20 {
+		fresh = append(fresh, d.client.open(0))
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(3 * time.Second)
 	resets := 0
 	for number, flow := range flows {
 		by, resetAt := flow.answeredBy(requests[number])
-		owner := "another endpoint"
-		if victim.owns(flow.key) {
-			owner = "endpoint " + victim.id
-		}
+		owner := d.ownerOf(flow.key)
 		switch {
-		case resetAt > 0:
+		case resetAt > 0 && owner != nil:
 			resets++
-			d.record.write("flow %s, open at %s, which lives and sent no reset: a reset reached the client at %.3f s", flow.key.Client, owner, resetAt.Seconds())
+			d.record.write("flow %s, open at endpoint %s, which lives and sent no reset: a reset reached the client at %.3f s", flow.key.Client, owner.id, resetAt.Seconds())
 		case by == "":
-			d.record.write("flow %s, open at %s: request %s has no answer", flow.key.Client, owner, requests[number])
+			d.record.write("flow %s: request %s has no answer", flow.key.Client, requests[number])
 		default:
-			d.record.write("flow %s, open at %s: request %s answered by %s", flow.key.Client, owner, requests[number], by)
+			d.record.write("flow %s: request %s answered by %s", flow.key.Client, requests[number], by)
 		}
 		flow.finish()
 	}
+	served := 0
+	for _, flow := range fresh {
+		if by, _ := flow.answeredBy(flow.request); by != "" {
+			served++
+		}
+		flow.finish()
+	}
+	d.record.write("of %d new flows to svc-a, whose endpoints are all well, %d were served", len(fresh), served)
 	d.record.write("FLOW: %d open flows were reset", resets)
 	return resets > 0, nil
 }
 
+// ownerOf returns the endpoint at which a flow was opened, or nil.
+func (d *deployment) ownerOf(key segment.FlowKey) *endpoint {
+	for _, each := range d.sides {
+		if each.endpoint.owns(key) {
+			return each.endpoint
+		}
+	}
+	return nil
+}
+
 // coldAgain: a new endpoint is cold. Before that ends it crashes and starts again under its id, so it
 // is cold once more. Its first write to the store is done some seconds late.
 func coldAgain(ctx context.Context, d *deployment, trouble bool) (bool, error) {
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -30,12 +30,10 @@
 	established    bool
 	closed         bool
 	// resetAt is when a reset reached the client on the established flow, 0 if none has.
-	resetAt     time.Duration
-	resetNumber uint32
-	request     string
-	data        []byte
-	answers     map[string]string
-	attempt     int
+	resetAt time.Duration
+	request string
+	data    []byte
+	answers map[string]string
 }
 
 // client stands in for a machine of clients with one address.
