--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -98,8 +98,8 @@
 	if onLeaving == 0 {
 		return false, fmt.Errorf("the endpoint that leaves has no flow")
 	}
-	d.store.Delete("servers/" + leaving.id)
-	d.record.write("the entry of endpoint %s is gone; it said nothing before and serves on", leaving.id)
+	d.record.write("endpoint %s leaves without a word and serves on", leaving.id)
+	d.remove(leaving.id)
 	time.Sleep(500 * time.Millisecond)
 	if trouble {
 		if err := d.herdKill(); err != nil {
@@ -181,10 +181,10 @@
 		}
 	}
 	leaving := []*side{d.sides[2], d.sides[3]}
+	d.record.write("two endpoints leave without a word and serve on")
 	acknowledged := d.record.now()
 	for _, each := range leaving {
-		d.store.Delete("servers/" + each.endpoint.id)
-		d.record.write("the entry of endpoint %s is gone; it said nothing before and serves on", each.endpoint.id)
+		d.remove(each.endpoint.id)
 	}
 	time.Sleep(drainBound + 250*time.Millisecond)
 	for _, each := range leaving {
@@ -214,8 +214,8 @@
 	return late > 0, nil
 }
 
-// foreignEntry: another writer has produced entries that lack ColdRemainingMs and CallSeq and have a
-// Version of another type. They name another service and the addresses of the living endpoints of
+// foreignEntry: another writer has produced entries that lack two fields and have another of another
+// type. They name another service and the addresses of the living endpoints of
 // svc-a. Then a balancer is stopped as planned and starts again, and knows none of the flows that come
 // to it.
 func foreignEntry(ctx context.Context, d *deployment, trouble bool) (bool, error) {
@@ -237,14 +237,10 @@
 	d.record.write("%d flows are open and were answered", len(flows))
 	if trouble {
 		for number, each := range d.sides[:2] {
-			foreign := d.entry(each.endpoint, "ready")
-			foreign["Service"] = "svc-b"
-			foreign["Version"] = 7
-			delete(foreign, "CallSeq")
-			delete(foreign, "ColdRemainingMs")
-			key := fmt.Sprintf("servers/i-other-%d", number)
-			d.store.Put(key, foreign)
-			d.record.write("another writer makes the entry %s: %v", key, foreign)
+			foreign := d.entryOf(each.endpoint, "ready")
+			foreign.Service, foreign.Foreign = "svc-b", true
+			d.record.write("another writer makes an entry")
+			d.put(fmt.Sprintf("i-other-%d", number), foreign)
 		}
 	}
 	time.Sleep(500 * time.Millisecond)
@@ -329,10 +325,9 @@
 	}
 	cold := d.sides[2].endpoint
 	announce := func(remaining time.Duration) {
-		entry := d.entry(cold, "ready")
-		entry["ColdRemainingMs"], entry["born"] = remaining.Milliseconds(), time.Now().UnixMilli()
-		d.store.Put("servers/"+cold.id, entry)
-		d.record.write("the store has the entry of endpoint %s, cold for %s", cold.id, remaining)
+		document := d.entryOf(cold, "ready")
+		document.ColdMilliseconds, document.Born = remaining.Milliseconds(), time.Now().UnixMilli()
+		d.put(cold.id, document)
 	}
 	announce(coldStart)
 	began := d.record.now()
@@ -385,14 +380,13 @@
 	ended := d.sides[2]
 	d.announce(ended.endpoint, "draining")
 	time.Sleep(contactBound)
-	late := d.entry(ended.endpoint, "draining")
-	late["CallSeq"] = 9
+	late := d.entryOf(ended.endpoint, "draining")
+	late.Calls = 9
 	written := time.Now()
 	after := func(passed time.Duration) { time.Sleep(time.Until(written.Add(passed))) }
 	d.record.write("endpoint %s writes its entry once more; the store will do that 5.9 s late", ended.endpoint.id)
 	ended.endpoint.end("has drained and ends")
-	d.store.Delete("servers/" + ended.endpoint.id)
-	d.record.write("its entry is removed")
+	d.remove(ended.endpoint.id)
 	ended.agent.signal(syscall.SIGTERM)
 	ended.agent.wait()
 	after(2100 * time.Millisecond)
@@ -414,8 +408,8 @@
 	go func() { restarted <- d.balancers[1].startAgain() }()
 	after(5900 * time.Millisecond)
 	if trouble {
-		d.store.Put("servers/"+ended.endpoint.id, late)
 		d.record.write("the store does the late write of endpoint %s", ended.endpoint.id)
+		d.put(ended.endpoint.id, late)
 	}
 	after(6900 * time.Millisecond)
 	d.record.write("edge-0, the endpoint's machine and the store have had no disruption for longer than %s", contactBound)
@@ -424,8 +418,8 @@
 		requests[number] = flow.again()
 	}
 	after(9500 * time.Millisecond)
-	d.store.Delete("servers/" + ended.endpoint.id)
-	d.record.write("the entry of endpoint %s goes after three heartbeats without a write", ended.endpoint.id)
+	d.record.write("three heartbeats have passed without a write")
+	d.remove(ended.endpoint.id)
 	if err := <-restarted; err != nil {
 		return false, err
 	}
--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -137,41 +137,6 @@
 	return nil
 }
 
-// putConfiguration writes the next version of the configuration: one route for each service.
-func (d *deployment) putConfiguration(services ...string) {
-	d.version += 3
-	var routes, declared []map[string]any
-	for number, service := range services {
-		address := d.routeAddress(number)
-		routes = append(routes, map[string]any{
-			"Name": "route-" + service, "Host": address.AddrPort().Addr().String(), "PathPrefix": fmt.Sprintf("/%d/", address.Port),
-			"Service": service, "RouteType": "non_idempotent", "TimeoutMs": 3000, "TargetLatencyMs": 300, "MaxAttempts": 1, "Priority": 1,
-		})
-		declaration := map[string]any{"Name": service, "HealthPath": "/health"}
-		if d.coldPerS > 0 {
-			declaration["ColdStartS"], declaration["ColdPerS"] = coldStart.Seconds(), d.coldPerS
-		}
-		declared = append(declared, declaration)
-	}
-	d.store.Put("op/config", map[string]any{
-		"Version": d.version, "Routes": routes, "Services": declared, "Limits": map[string]any{"IdleTimeoutMs": 30000},
-	})
-	d.record.write("the store acknowledges configuration %d with routes of %v", d.version, services)
-}
-
-// entry is what an endpoint writes about itself, with all fields that the pages name.
-func (d *deployment) entry(e *endpoint, state string) map[string]any {
-	return map[string]any{
-		"Service": e.service, "Address": netip.AddrPortFrom(netip.AddrFrom4(e.ip), uint16(d.ports.app)).String(), "Zone": "zone-1",
-		"Version": "v1", "Slots": 7, "State": state, "ColdRemainingMs": 0, "CallSeq": 1,
-	}
-}
-
-func (d *deployment) announce(e *endpoint, state string) {
-	d.store.Put("servers/"+e.id, d.entry(e, state))
-	d.record.write("the store has the entry of endpoint %s (%s, %s)", e.id, e.service, state)
-}
-
 // process is a process of vanetiller-relay on one machine, which is started again when it ends.
 type process struct {
 	d              *deployment
