--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -206,3 +206,14 @@
 	defer f.client.mutex.Unlock()
 	return f.answers[request], f.resetAt
 }
+
+// requestIn returns the latest request of a flow, and whether it was answered.
+func (c *client) requestIn(key segment.FlowKey) (id string, answered bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	flow, exists := c.flows[key.Client.Port]
+	if !exists {
+		return "", false
+	}
+	return flow.request, flow.answers[flow.request] != ""
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -24,6 +24,7 @@
 	"reset-after-herd-kill": resetAfterHerdKill,
 	"late-openings":         lateOpenings,
 	"foreign-entry":         foreignEntry,
+	"cold-again":            coldAgain,
 }
 
 func main() { os.Exit(run()) }
