--- a/bench/flownet/agent.go
+++ b/bench/flownet/agent.go
@@ -1,7 +1,9 @@
 package flownet
 
 import (
+	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/vanetiller/vanetiller/bench/simnet"
@@ -22,6 +24,7 @@
 	HandleEndpointPacket(now time.Duration, packet []byte) []relay.Effect
 	Tick(now time.Duration) []relay.Effect
 	Stop(now time.Duration) []relay.Effect
+	SetSeeds(seeds []segment.Address)
 }
 
 // endpointHost is one machine that runs an endpoint and its agent.
@@ -64,10 +67,21 @@
 		Service: n.host.service.Name, Codec: w.codec, StartedWithEndpoint: first, FlowLifetime: time.Minute, FlowLimit: 10_000,
 		ColdStartLimit: relay.ColdStartLimit{Overrun: coldOverrun, Slack: coldSlack}, OutlierDetection: outlier.DefaultConfig(),
 		QueuePolicy: requestqueue.Policy{Discipline: queueDiscipline},
+		Random:      rand.New(rand.NewPCG(w.options.Seed, uint64(binary.BigEndian.Uint32(n.host.ip[:])))),
 	})
+	n.logic.SetSeeds(w.agentSeeds())
 	w.net.Schedule(n.id, tickInterval, tickTimer)
 }
 
+// agentSeeds returns the balancers that agents register with at first, which may be down.
+func (w *world) agentSeeds() []segment.Address {
+	var seeds []segment.Address
+	for _, each := range w.balancers[:min(len(w.balancers), 3)] {
+		seeds = append(seeds, each.address())
+	}
+	return seeds
+}
+
 func (n *agentNode) restart() {
 	n.host.world.net.Restart(n.id, n)
 	n.start(false)
--- a/bench/flownet/balancer.go
+++ b/bench/flownet/balancer.go
@@ -48,6 +48,7 @@
 	Tick(now time.Duration) []relay.Effect
 	Isolated() bool
 	MarkCurrentThrough(now, through time.Duration) []relay.Effect
+	SetPeers(now time.Duration, peers []segment.Address) []relay.Effect
 }
 
 // balancerNode simulates one machine that runs a balancer.
@@ -103,7 +104,7 @@
 func (n *balancerNode) start() {
 	w := n.world
 	n.logic = w.options.newBalancer(relay.BalancerConfig{
-		Zone: w.zoneName(n.zone), Codec: w.codec, AgentPort: packetPort, FlowLifetime: time.Minute, FlowLimit: 100_000,
+		Zone: w.zoneName(n.zone), Codec: w.codec, AgentPort: packetPort, PeerPort: peerPort, FlowLifetime: time.Minute, FlowLimit: 100_000,
 		ApplyTimeout: applyTimeout, DrainTimeout: drainTimeout, ContactTimeout: contactTime,
 		Random: rand.New(rand.NewPCG(w.random.Uint64(), 1)),
 	})
@@ -126,6 +127,9 @@
 	w.net.Schedule(n.id, 0, digestTimer)
 }
 
+// address returns the address at which the balancer receives messages of other daemons.
+func (n *balancerNode) address() segment.Address { return segment.Address{IP: n.ip, Port: peerPort} }
+
 func (n *balancerNode) restart() {
 	n.world.net.Restart(n.id, n)
 	n.start()
@@ -303,7 +307,7 @@
 	for _, effect := range effects {
 		switch effect.Kind {
 		case relay.EffectSendMessage:
-			n.world.sendMessage(n.id, segment.Address{IP: n.ip, Port: peerPort}, effect.To, effect.Message)
+			n.world.sendMessage(n.id, n.address(), effect.To, effect.Message)
 		case relay.EffectSendToClient:
 			n.world.sendToClient(n.id, effect.To, effect.Packet)
 		case relay.EffectEvent:
--- a/bench/flownet/baseline.go
+++ b/bench/flownet/baseline.go
@@ -58,6 +58,9 @@
 
 func (b *hashBalancer) MarkConfirmed(time.Duration) {}
 
+// SetPeers implements balancerLogic.
+func (b *hashBalancer) SetPeers(time.Duration, []segment.Address) []relay.Effect { return nil }
+
 // MarkCurrentThrough implements balancerLogic.
 func (b *hashBalancer) MarkCurrentThrough(time.Duration, time.Duration) []relay.Effect { return nil }
 func (b *hashBalancer) Tick(time.Duration) []relay.Effect                              { return nil }
@@ -78,6 +81,7 @@
 	return []relay.Effect{{Kind: relay.EffectSendToClient, To: header.Destination, Packet: packet}}
 }
 
+func (a *hashAgent) SetSeeds([]segment.Address)        {}
 func (a *hashAgent) Tick(time.Duration) []relay.Effect { return nil }
 func (a *hashAgent) Stop(time.Duration) []relay.Effect { return nil }
 
--- a/bench/flownet/dissemination.go
+++ b/bench/flownet/dissemination.go
@@ -5,6 +5,7 @@
 
 	"github.com/vanetiller/vanetiller/bench/simnet"
 	"github.com/vanetiller/vanetiller/internal/directory"
+	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
 const (
@@ -30,6 +31,7 @@
 // and failed ones after failureDelay.
 func (n *balancerNode) refreshMembers(now time.Duration) {
 	members := []directory.Member{{Peer: directory.Peer(n.id), Zone: n.zone}}
+	var peers []segment.Address
 	for _, other := range n.world.balancers {
 		if other == n {
 			continue
@@ -39,9 +41,11 @@
 		}
 		if seen, known := n.lastSeen[other.id]; known && now-seen < failureDelay && !other.removed {
 			members = append(members, directory.Member{Peer: directory.Peer(other.id), Zone: other.zone})
+			peers = append(peers, other.address())
 		}
 	}
 	n.disseminator.SetMembers(members)
+	n.execute(n.logic.SetPeers(now, peers))
 }
 
 // sendUpdates sends updates. It encodes and decodes each one as the daemons do.
--- a/bench/flownet/events.go
+++ b/bench/flownet/events.go
@@ -139,9 +139,15 @@
 			w.net.Pause(each.id)
 		}
 	}
+	w.leaveWithoutNotice(2.0 / 3)
+}
+
+// leaveWithoutNotice makes a share of the endpoints of each service leave without draining first. The
+// share is rounded up.
+func (w *world) leaveWithoutNotice(share float64) {
 	left := make(map[string]int)
 	for _, each := range w.servingHosts() {
-		if 3*left[each.service.Name] < 2*each.service.Endpoints {
+		if float64(left[each.service.Name]) < share*float64(each.service.Endpoints) {
 			left[each.service.Name]++
 			each.leave()
 		}
@@ -285,6 +291,23 @@
 	}
 }
 
+// killAll kills all daemons and starts them again at the same time. Endpoints, also those that have
+// left and still serve, live on.
+func (w *world) killAll(away time.Duration) {
+	w.suspendTimeBounds(away)
+	for _, each := range w.balancers {
+		w.net.Stop(each.id)
+		w.net.At(w.net.Now()+away, each.restart)
+	}
+	for _, each := range w.endpointHosts {
+		if w.net.Stopped(each.endpoint.id) {
+			continue
+		}
+		w.net.Stop(each.agent.id)
+		w.net.At(w.net.Now()+away, each.agent.restart)
+	}
+}
+
 // powerLoss stops every machine. All start again at the same time, without their
 // state.
 func (w *world) powerLoss(away time.Duration) {
--- a/bench/flownet/flownet_test.go
+++ b/bench/flownet/flownet_test.go
@@ -126,6 +126,25 @@
 		Entry("sahel", "sahel", uint64(7021), uint64(7023), uint64(7053), uint64(7103)),
 	)
 
+	// Guards against resets of open flows after all daemons were killed, when none of them knows of
+	// the endpoints that had left. 56 of 60 runs reset some when the age of agents counted as a proof.
+	DescribeTable("resets no flow of an endpoint that left without notice before all daemons were killed", func(shape string) {
+		for seed := uint64(1); seed <= 3; seed++ {
+			chosen := options(shape, seed)
+			chosen.Duration = 15 * time.Second
+			chosen.Events = 0
+			chosen.KillAll = true
+			report := flownet.Run(chosen)
+			Expect(report.Decisions["unlisted"]).To(BeNumerically(">", 0))
+			Expect(report.Violations()).To(BeZero(), fmt.Sprintf("seed %d: %+v", seed, report))
+		}
+	},
+		Entry("casablanca", "casablanca"),
+		Entry("kolkata", "kolkata"),
+		Entry("sahel", "sahel"),
+		Entry("large", "large"),
+	)
+
 	It("returns the same report for the same seed", func() {
 		Expect(flownet.Run(options("kolkata", 3))).To(Equal(flownet.Run(options("kolkata", 3))))
 	})
--- a/bench/flownet/run.go
+++ b/bench/flownet/run.go
@@ -34,6 +34,9 @@
 	Load float64
 	// PowerLoss makes all machines lose power once, after two thirds of the duration.
 	PowerLoss bool
+	// KillAll kills all daemons once, after two thirds of the duration. Endpoints live on. Shortly
+	// before, a third of the endpoints of each service leave without notice.
+	KillAll bool
 	// PauseWatchers pauses the balancers that watch the store after a third of the duration, and
 	// makes many endpoints leave without notice.
 	PauseWatchers bool
@@ -91,6 +94,8 @@
 	quietTime = 2 * time.Second
 	// powerLossTime is how long machines are without power.
 	powerLossTime = 800 * time.Millisecond
+	// killDelay is the time from the departures before a kill of all daemons to the kill.
+	killDelay = 300 * time.Millisecond
 	// pauseDelay is the time from a change that reaches all balancers to the pause of the watchers.
 	pauseDelay = 100 * time.Millisecond
 	// windowLength is the length of a report window.
@@ -108,6 +113,10 @@
 	if options.PowerLoss {
 		w.net.At(leadTime+options.Duration*2/3, func() { w.powerLoss(powerLossTime) })
 	}
+	if options.KillAll {
+		w.net.At(leadTime+options.Duration*2/3-killDelay, func() { w.leaveWithoutNotice(1.0 / 3) })
+		w.net.At(leadTime+options.Duration*2/3, func() { w.killAll(powerLossTime) })
+	}
 	if options.PauseWatchers {
 		w.net.At(leadTime+options.Duration/3, func() { w.store.configure(w.store.routes) })
 		w.net.At(leadTime+options.Duration/3+pauseDelay, w.pauseWatchers)
--- a/cmd/vanetiller-bench/commands.go
+++ b/cmd/vanetiller-bench/commands.go
@@ -33,6 +33,7 @@
 	flags := newFlagSet("run", &values, defaultDuration)
 	flags.BoolVar(&values.json, "json", false, "print only the JSON line, without the summary before it")
 	flags.StringVar(&values.hash, "hash", string(flownet.HashRendezvous), "`method` by which the fabric of the experiment platform chooses balancers: steady or modulo")
+	flags.BoolVar(&values.killAll, "kill-all", false, "simulate one kill of all daemons of the experiment platform, shortly after endpoints have left without notice")
 	flags.BoolVar(&values.powerLoss, "power-loss", false, "simulate one power loss of all machines of the experiment platform")
 	flags.BoolVar(&values.planned, "planned", false, "schedule only planned operations in the experiment platform")
 	flags.BoolVar(&values.unbounded, "unbounded", false, "make the agents of the experiment platform deliver all packets to their endpoints at once, for comparison")
--- a/cmd/vanetiller-bench/flags.go
+++ b/cmd/vanetiller-bench/flags.go
@@ -34,6 +34,7 @@
 	json      bool
 	hash      string
 	powerLoss bool
+	killAll   bool
 	planned   bool
 	unbounded bool
 }
--- a/cmd/vanetiller-bench/platform.go
+++ b/cmd/vanetiller-bench/platform.go
@@ -37,7 +37,7 @@
 	report := flownet.Run(flownet.Options{
 		Shape: shape, Seed: values.seed, Duration: values.duration, Hash: flownet.HashScheme(values.hash),
 		Events: int(values.duration.Seconds() * platformEventRate), Load: 1,
-		PowerLoss: values.powerLoss, PlannedOnly: values.planned, Baseline: baseline != "", DisableAgentQueue: values.unbounded,
+		PowerLoss: values.powerLoss, KillAll: values.killAll, PlannedOnly: values.planned, Baseline: baseline != "", DisableAgentQueue: values.unbounded,
 	})
 	if !values.json {
 		printPlatform(report)
--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/vanetiller/vanetiller/internal/outlier"
@@ -28,6 +29,9 @@
 	OutlierDetection outlier.Config
 	// QueuePolicy decides which waiting request is served first.
 	QueuePolicy requestqueue.Policy
+	// Random draws the balancers that the agent registers with. It must not be shared with other
+	// users. It is not needed without seeds.
+	Random *rand.Rand
 }
 
 // agentFlowState is the state of a flow at its agent.
@@ -132,6 +136,7 @@
 	// endpointIncarnation counts the detected restarts of the endpoint.
 	endpointIncarnation uint64
 	surveys             map[segment.FlowKey]*agentSurvey
+	registration        registration
 	// drainingUntil is the time until which the endpoint counts as draining.
 	drainingUntil time.Duration
 	stopping      bool
@@ -150,6 +155,8 @@
 		coldStart: newColdStartLimiter(config.ColdStartLimit),
 		detector:  outlier.NewDetector(config.OutlierDetection),
 		queue:     newRequestQueue(config.QueuePolicy),
+
+		registration: registration{retryDelay: firstRegistrationRetry},
 	}
 }
 
@@ -219,6 +226,9 @@
 	case KindDenied, KindUncertain:
 		a.receiveSurveyReply(from, message)
 		return
+	case KindRegistered:
+		a.receiveRegistered(now)
+		return
 	case KindSurvey:
 		a.receiveSurvey(now, from, message)
 	}
@@ -414,7 +424,7 @@
 	if due, waits := a.detector.CheckDue(); waits {
 		next = min(next, due)
 	}
-	return min(next, a.nextSurveyReport())
+	return min(next, a.nextSurveyReport(), a.nextRegistration())
 }
 
 // Tick handles timeouts. The returned effects are valid until the next call.
@@ -422,6 +432,7 @@
 	a.beginCall(now)
 	a.releaseStuckSlots(now)
 	a.expireSurveys(now)
+	a.registerIfDue(now)
 	a.detector.CheckOpenings(now)
 	a.markWorkStarted(now)
 	a.reportStateChanges()
--- a/internal/relay/agent_survey.go
+++ b/internal/relay/agent_survey.go
@@ -30,6 +30,8 @@
 	// uncertain holds those that are uncertain whether they own the flow.
 	pending   map[segment.Address]string
 	uncertain []AgentGroup
+	// unregistered is set if an agent has replied that is not registered.
+	unregistered bool
 	// reportAt is when unresponsive agents are reported to the balancer, never once that is done.
 	reportAt  time.Duration
 	expiresAt time.Duration
@@ -79,6 +81,7 @@
 		return
 	}
 	delete(survey.pending, from)
+	survey.unregistered = survey.unregistered || !message.Registered
 	if message.Kind == KindUncertain {
 		survey.uncertain = appendToGroup(survey.uncertain, service, from)
 	}
@@ -92,7 +95,7 @@
 func (a *Agent) reportSurvey(survey *agentSurvey) {
 	a.send(survey.balancer, Message{
 		Kind: KindSurveyResult, Service: a.config.Service, Flow: EncodeFlow(survey.flow), Sequence: survey.number,
-		Uncertain: survey.uncertain, Unresponsive: survey.unresponsive(),
+		Registered: !survey.unregistered, Uncertain: survey.uncertain, Unresponsive: survey.unresponsive(),
 	})
 }
 
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -18,8 +18,10 @@
 	// Zone is the zone of the balancer and of its clients.
 	Zone  string
 	Codec segment.Codec
-	// AgentPort is the port on which all agents receive messages.
+	// AgentPort is the port on which all agents receive messages, and PeerPort that of all
+	// balancers.
 	AgentPort uint16
+	PeerPort  uint16
 	// FlowLifetime is the longest time that a flow may last.
 	FlowLifetime time.Duration
 	// FlowLimit is the maximum number of flows remembered.
@@ -138,8 +140,12 @@
 	retryBudget      retryBudget
 	searchLimiter    *rate.Limiter
 	reachability     reachability
-	nextSweep        time.Duration
-	effects          []Effect
+	// peers are the other balancers. unlisted holds the unlisted agents by their IP addresses.
+	peers        []segment.Address
+	unlisted     map[[4]byte]unlistedAgent
+	shareLimiter *rate.Limiter
+	nextSweep    time.Duration
+	effects      []Effect
 }
 
 // NewBalancer returns a balancer without a directory.
@@ -155,6 +161,8 @@
 		roundRobins:           make(map[segment.Address]*weightedRoundRobin),
 		retryBudget:           newRetryBudget(),
 		searchLimiter:         rate.NewLimiter(searchMessageRate, searchMessageBurst),
+		unlisted:              make(map[[4]byte]unlistedAgent),
+		shareLimiter:          rate.NewLimiter(registrationShareRate, registrationShareBurst),
 	}
 }
 
@@ -167,8 +175,10 @@
 	b.effects = b.effects[:0]
 	previous := b.snapshot
 	b.snapshot = snapshot
+	b.forgetListedAgents()
 	if !b.hasDirectory {
 		b.hasDirectory, b.directorySince = true, now
+		b.shareRegistrations(now, b.peers)
 	}
 	clear(b.medianProcessingTimes)
 	for id := range b.health {
@@ -275,6 +285,10 @@
 // until the next call.
 func (b *Balancer) Receive(now time.Duration, from segment.Address, message Message) []Effect {
 	b.effects = b.effects[:0]
+	if message.Kind == KindRegister {
+		b.receiveRegister(now, from, message)
+		return b.effects
+	}
 	if !b.isAgent(from) {
 		b.recordEvent(Event{Kind: EventForged, Peer: from, Reason: "not_an_agent"})
 		return b.effects
@@ -348,6 +362,7 @@
 		demand.update(now - b.lastSweep)
 	}
 	b.lastSweep = now
+	b.expireRegistrations(now)
 	maps.DeleteFunc(b.utilization, func(_ endpointGroup, utilization *placement.GroupUtilization) bool { return utilization.Expired(now) })
 	for key, flow := range b.flows {
 		retention := b.config.FlowLifetime
--- a/internal/relay/balancer_survey.go
+++ b/internal/relay/balancer_survey.go
@@ -123,7 +123,7 @@
 			continue
 		}
 		search.replies[agent] = searchReply{
-			denied: !slices.Contains(uncertain, agent), probed: search.replies[agent].probed,
+			denied: !slices.Contains(uncertain, agent), probed: search.replies[agent].probed, registered: message.Registered,
 		}
 	}
 	b.conclude(now, flow)
@@ -181,7 +181,7 @@
 // probeNext sends a probe to the next uncertain agents.
 func (b *Balancer) probeNext(now time.Duration, search *ownerSearch, packet []byte) {
 	for _, agent := range search.nextProbes(now) {
-		candidate, exists := b.snapshot.CandidateAt(agent.IP)
+		candidate, exists := b.candidateOf(agent)
 		if exists {
 			b.send(agent, Message{Kind: KindProbe, Service: candidate.Endpoint.Service, Packet: packet})
 		}
--- a/internal/relay/effect.go
+++ b/internal/relay/effect.go
@@ -106,6 +106,8 @@
 	EventProbation
 	// EventRestored: an ejected endpoint gets its share of new flows again.
 	EventRestored
+	// EventUnlisted: an agent has registered whose endpoint is not in the directory.
+	EventUnlisted
 	eventKindCount
 )
 
@@ -113,7 +115,7 @@
 	"malformed", "forged", "placed", "answered", "admitted", "offered_again", "locating", "located", "no_route",
 	"no_endpoint", "not_ready", "suspected", "recovered", "endpoint_lost_flow", "not_owned", "probed",
 	"returned", "isolated", "reconnected", "held", "given", "expired", "denied", "ownerless", "released", "restarted",
-	"relapsed", "ejected", "probation", "restored",
+	"relapsed", "ejected", "probation", "restored", "unlisted",
 }
 
 // Event describes a decision and what led to it.
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -123,7 +123,7 @@
 
 func newBalancer() *relay.Balancer {
 	return relay.NewBalancer(relay.BalancerConfig{
-		Zone: ownZone, Codec: codec, AgentPort: agentPort, FlowLifetime: flowLifetime, FlowLimit: 1000,
+		Zone: ownZone, Codec: codec, AgentPort: agentPort, PeerPort: peerPort, FlowLifetime: flowLifetime, FlowLimit: 1000,
 		ApplyTimeout: 3 * time.Second, DrainTimeout: 3 * time.Second, ContactTimeout: 4 * time.Second,
 		Random: newRandom(),
 	})
@@ -158,7 +158,7 @@
 func newAgentWith(startedWithEndpoint bool, policy requestqueue.Policy) *relay.Agent {
 	return relay.NewAgent(relay.AgentConfig{
 		Service: service, Codec: codec, StartedWithEndpoint: startedWithEndpoint, FlowLifetime: flowLifetime, FlowLimit: 1000,
-		OutlierDetection: outlier.DefaultConfig(), QueuePolicy: policy,
+		OutlierDetection: outlier.DefaultConfig(), QueuePolicy: policy, Random: newRandom(),
 	})
 }
 
--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -168,20 +168,21 @@
 }
 
 // possibleOwners returns the endpoints that may hold a flow: those of the services of its route,
-// including endpoints that are leaving. With widen, which is used after an unsuccessful search, it
+// including endpoints that are leaving and those of unlisted agents. With widen, which is used after an unsuccessful search, it
 // adds endpoints of the route's former services, since the configuration may have changed during
 // the flow; in a small fleet it returns all endpoints. The result is complete if widen is set, it
 // is not empty, and maxLocateAgents has cut off none.
 func (b *Balancer) possibleOwners(key segment.FlowKey, widen bool) (owners []directory.Candidate, complete bool) {
 	if widen && len(b.snapshot.All()) <= maxLocateAgents {
-		owners = b.reachable(b.snapshot.All())
+		owners = b.withUnlisted(b.reachable(b.snapshot.All()), nil)
 		return owners, len(owners) > 0
 	}
 	var candidates []directory.Candidate
-	for _, service := range b.ownerServices(key, widen) {
+	services := b.ownerServices(key, widen)
+	for _, service := range services {
 		candidates = append(candidates, b.snapshot.Candidates(service)...)
 	}
-	candidates = b.reachable(candidates)
+	candidates = b.withUnlisted(b.reachable(candidates), services)
 	complete = widen && len(candidates) > 0 && len(candidates) <= maxLocateAgents
 	return candidates[:min(len(candidates), maxLocateAgents)], complete
 }
@@ -229,7 +230,7 @@
 	if !slices.Contains(flow.search.uncertain, from) {
 		flow.search.uncertain = append(flow.search.uncertain, from)
 	}
-	b.recordReply(now, flow, from, searchReply{})
+	b.recordReply(now, flow, from, searchReply{registered: message.Registered})
 }
 
 // receiveOwned handles a reply that an agent owns a flow.
@@ -256,7 +257,7 @@
 // have restarted and lost them.
 func (b *Balancer) parametersAt(key segment.FlowKey, agent segment.Address) FlowParameters {
 	route, routed := b.snapshot.Route(key.Service)
-	candidate, exists := b.snapshot.CandidateAt(agent.IP)
+	candidate, exists := b.candidateOf(agent)
 	if !routed || !exists {
 		return FlowParameters{}
 	}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -58,8 +58,14 @@
 	// asks by KindProbe if the message carries a packet, else by KindVerify.
 	KindSurvey
 	// KindSurveyResult reports the replies to a survey. All agents asked have denied the flow
-	// except those in Uncertain and Unresponsive.
+	// except those in Uncertain and Unresponsive. Registered is set if it is for all of those that
+	// replied.
 	KindSurveyResult
+	// KindRegister makes the agent known to a balancer. One balancer passes it on to others with the
+	// agent in ReplyTo.
+	KindRegister
+	// KindRegistered confirms a registration to its agent.
+	KindRegistered
 )
 
 // EncodedFlow is the encoded form of a segment.FlowKey.
@@ -215,8 +221,12 @@
 	IgnoreEjection bool
 	// Zone is the zone of the balancer's clients. It is set in offers.
 	Zone string
+	// Registered is set in KindUncertain, KindDenied and KindSurveyResult if a balancer has confirmed
+	// a registration of the agent.
+	Registered bool
 	// ReplyTo is the balancer on whose behalf another agent asks. The owner replies to that
-	// balancer, other agents reply to the sender.
+	// balancer, other agents reply to the sender. In a registration that a balancer passes on, it is
+	// the agent.
 	ReplyTo EncodedAddress
 	// Targets are the agents to ask in KindSurvey. In KindSurveyResult, Uncertain are the agents
 	// that are uncertain whether they own the flow, and Unresponsive those that have not replied.
--- a/internal/relay/message_gen.go
+++ b/internal/relay/message_gen.go
@@ -720,8 +720,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 16 {
-		err = msgp.ArrayError{Wanted: 16, Got: zb0001}
+	if zb0001 != 17 {
+		err = msgp.ArrayError{Wanted: 17, Got: zb0001}
 		return
 	}
 	{
@@ -777,6 +777,11 @@
 		err = msgp.WrapError(err, "Zone")
 		return
 	}
+	z.Registered, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Registered")
+		return
+	}
 	{
 		var zb0004 []byte
 		zb0004, err = dc.ReadBytesLimit([]byte(z.ReplyTo), 4096)
@@ -956,8 +961,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Message) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 16
-	err = en.Append(0xdc, 0x0, 0x10)
+	// array header, size 17
+	err = en.Append(0xdc, 0x0, 0x11)
 	if err != nil {
 		return
 	}
@@ -1006,6 +1011,11 @@
 		err = msgp.WrapError(err, "Zone")
 		return
 	}
+	err = en.WriteBool(z.Registered)
+	if err != nil {
+		err = msgp.WrapError(err, "Registered")
+		return
+	}
 	err = en.WriteBytes([]byte(z.ReplyTo))
 	if err != nil {
 		err = msgp.WrapError(err, "ReplyTo")
@@ -1113,8 +1123,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 16
-	o = append(o, 0xdc, 0x0, 0x10)
+	// array header, size 17
+	o = append(o, 0xdc, 0x0, 0x11)
 	o = msgp.AppendUint8(o, uint8(z.Kind))
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendBytes(o, (z.Flow)[:])
@@ -1124,6 +1134,7 @@
 	o = msgp.AppendBool(o, z.LastResort)
 	o = msgp.AppendBool(o, z.IgnoreEjection)
 	o = msgp.AppendString(o, z.Zone)
+	o = msgp.AppendBool(o, z.Registered)
 	o = msgp.AppendBytes(o, []byte(z.ReplyTo))
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Targets)))
 	for za0002 := range z.Targets {
@@ -1171,8 +1182,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 16 {
-		err = msgp.ArrayError{Wanted: 16, Got: zb0001}
+	if zb0001 != 17 {
+		err = msgp.ArrayError{Wanted: 17, Got: zb0001}
 		return
 	}
 	{
@@ -1228,6 +1239,11 @@
 		err = msgp.WrapError(err, "Zone")
 		return
 	}
+	z.Registered, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Registered")
+		return
+	}
 	{
 		var zb0004 []byte
 		var zb0005 uint32
@@ -1465,7 +1481,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Message) Msgsize() (s int) {
-	s = 3 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (encodedFlowSize * (msgp.ByteSize)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Zone) + msgp.BytesPrefixSize + len([]byte(z.ReplyTo)) + msgp.ArrayHeaderSize
+	s = 3 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Service) + msgp.ArrayHeaderSize + (encodedFlowSize * (msgp.ByteSize)) + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Zone) + msgp.BoolSize + msgp.BytesPrefixSize + len([]byte(z.ReplyTo)) + msgp.ArrayHeaderSize
 	for za0002 := range z.Targets {
 		s += 1 + msgp.StringPrefixSize + len(z.Targets[za0002].Service) + msgp.Uint16Size + msgp.BytesPrefixSize + len(z.Targets[za0002].IPs)
 	}
--- a/internal/relay/ownership.go
+++ b/internal/relay/ownership.go
@@ -22,7 +22,7 @@
 
 // deny replies that the endpoint does not hold a flow.
 func (a *Agent) deny(to segment.Address, key segment.FlowKey) {
-	a.send(to, Message{Kind: KindDenied, Service: a.config.Service, Flow: EncodeFlow(key)})
+	a.send(to, Message{Kind: KindDenied, Service: a.config.Service, Flow: EncodeFlow(key), Registered: a.registration.confirmed})
 }
 
 // mayOwn reports whether the endpoint may hold a flow that this agent has not recorded, because the
@@ -48,7 +48,7 @@
 }
 
 func (a *Agent) sendUncertain(to segment.Address, query Message) {
-	a.send(to, Message{Kind: KindUncertain, Service: a.config.Service, Flow: query.Flow})
+	a.send(to, Message{Kind: KindUncertain, Service: a.config.Service, Flow: query.Flow, Registered: a.registration.confirmed})
 }
 
 // receiveVerify replies whether the endpoint holds a flow. It denies flows of an endpoint of
--- a/internal/relay/reachability.go
+++ b/internal/relay/reachability.go
@@ -96,6 +96,6 @@
 // isAgent reports whether an address belongs to a known agent. Messages of other senders do not
 // prove that agents can be reached, so they are ignored.
 func (b *Balancer) isAgent(from segment.Address) bool {
-	_, exists := b.snapshot.CandidateAt(from.IP)
+	_, exists := b.candidateOf(from)
 	return exists && from.Port == b.config.AgentPort
 }
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -32,6 +32,8 @@
 	// uncertain. probed is set once the agent was made to probe its endpoint.
 	denied bool
 	probed bool
+	// registered is set if a balancer has confirmed a registration of the agent.
+	registered bool
 }
 
 // scheduleVerification schedules the verification of a search in case the owner has not replied by
@@ -144,7 +146,7 @@
 // receiveDenied handles a reply that an agent's endpoint does not hold a flow.
 func (b *Balancer) receiveDenied(now time.Duration, from segment.Address, message Message) {
 	if flow, exists := b.searchedFlow(message); exists {
-		b.recordReply(now, flow, from, searchReply{denied: true})
+		b.recordReply(now, flow, from, searchReply{denied: true, registered: message.Registered})
 	}
 }
 
@@ -156,7 +158,9 @@
 }
 
 // conclude resets a flow that no endpoint holds. Once all possible owners have replied, it makes
-// those that are uncertain probe their endpoints.
+// those that are uncertain probe their endpoints, provided that the owner is among them: the directory
+// covers it, or all agents are registered, as then is that of an endpoint without an entry. The latter
+// is no proof, since an agent may not reach any balancer, and does not suffice for a reset.
 func (b *Balancer) conclude(now time.Duration, flow *balancerFlow) {
 	search := flow.search
 	if search.verifications == 0 {
@@ -167,21 +171,26 @@
 		return
 	}
 	var uncertain []directory.Candidate
+	registered := true
 	for _, candidate := range owners {
 		reply, exists := search.replies[b.agentAddress(candidate)]
 		if !exists {
 			return
 		}
+		registered = registered && reply.registered
 		if !reply.denied {
 			uncertain = append(uncertain, candidate)
 		}
 	}
+	covered := b.directoryCovers(now)
 	switch {
-	case !b.directoryCovers(now):
-		search.markInconclusive(now)
-	case len(uncertain) > 0:
+	case len(uncertain) > 0 && (covered || registered):
 		b.probeUncertain(search, uncertain)
-		b.awaitConfirmation(now, search)
+		if covered {
+			b.awaitConfirmation(now, search)
+		}
+	case !covered:
+		search.markInconclusive(now)
 	case b.awaitConfirmation(now, search):
 	default:
 		b.withElapsed(now-search.beganAt, func() { b.declareOwnerless(flow) })
--- a/internal/relaydaemon/agent.go
+++ b/internal/relaydaemon/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"net/netip"
 	"reflect"
 	"time"
@@ -32,7 +33,9 @@
 		ColdStartLimit:      relay.ColdStartLimit{Overrun: config.Agent.ColdOverrun, Slack: config.Agent.ColdSlack},
 		OutlierDetection:    config.Agent.OutlierDetection,
 		QueuePolicy:         config.Agent.QueuePolicy,
+		Random:              rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
+	agent.SetSeeds(addressesOf(config.Agent.Seeds))
 	created := &agentRole{
 		*config, newExecutor(agent, config.Peers.Port(), recorder), agent, newEndpointMetrics(reg, config.Agent.Service),
 	}
@@ -85,10 +88,26 @@
 	return idle
 }
 
-// reload reports whether all settings are unchanged except the stop timeout, which Daemon
-// applies. Every other change needs a restart of the agent.
+// reload applies changed seeds. It reports whether these and the stop timeout, which Daemon applies,
+// are the only changes. Every other change needs a restart of the agent.
 func (r *agentRole) reload(changed *settings.Relay) bool {
-	compared := *changed
-	compared.StopTimeout = r.settings.StopTimeout
-	return reflect.DeepEqual(compared, r.settings)
+	if changed.Agent == nil {
+		return false
+	}
+	r.executor.do(func(time.Duration) []relay.Effect {
+		r.agent.SetSeeds(addressesOf(changed.Agent.Seeds))
+		return nil
+	})
+	applied := *r.settings.Agent
+	applied.Seeds = changed.Agent.Seeds
+	r.settings.Agent, r.settings.StopTimeout = &applied, changed.StopTimeout
+	return reflect.DeepEqual(*changed, r.settings)
+}
+
+func addressesOf(all []netip.AddrPort) []segment.Address {
+	addresses := make([]segment.Address, len(all))
+	for index, each := range all {
+		addresses[index] = segment.AddressOf(each)
+	}
+	return addresses
 }
--- a/internal/relaydaemon/balancer.go
+++ b/internal/relaydaemon/balancer.go
@@ -22,6 +22,7 @@
 // current.
 type balancerRole struct {
 	settings     settings.Relay
+	self         directory.Peer
 	newStore     func(netip.AddrPort) directory.Store
 	executor     *executor
 	balancer     *relay.Balancer
@@ -57,6 +58,7 @@
 		Zone:           config.Zone,
 		Codec:          dependencies.Codec,
 		AgentPort:      balancerConfig.Listen.Port(),
+		PeerPort:       config.Relay.Peers.Port(),
 		FlowLifetime:   config.Relay.FlowLifetime,
 		FlowLimit:      config.Relay.FlowLimit,
 		ApplyTimeout:   balancerConfig.ApplyTimeout,
@@ -73,6 +75,7 @@
 	disseminator := directory.NewDisseminator(replica, timing, selfMember(config), toPeers(otherSeeds(balancerConfig)), random)
 	created := &balancerRole{
 		settings:         *config.Relay,
+		self:             selfMember(config).Peer,
 		newStore:         dependencies.NewStore,
 		executor:         newExecutor(balancer, balancerConfig.Listen.Port(), recorder),
 		balancer:         balancer,
--- a/internal/relaydaemon/peermembership.go
+++ b/internal/relaydaemon/peermembership.go
@@ -8,6 +8,7 @@
 	"github.com/vanetiller/vanetiller/internal/directory"
 	"github.com/vanetiller/vanetiller/internal/membership"
 	"github.com/vanetiller/vanetiller/internal/relay"
+	"github.com/vanetiller/vanetiller/internal/segment"
 )
 
 // handleMembershipEvent passes the digests and losses of other balancers to the fetcher and
@@ -43,8 +44,8 @@
 	p.membership.SetAttachment(encoded)
 }
 
-// updateMembers passes the reachable members to the disseminator if the membership has
-// changed, and signals the follower, whose next store call depends on them.
+// updateMembers passes the reachable members to the disseminator and the balancer if the membership
+// has changed, and signals the follower, whose next store call depends on them.
 func (p *peerExchange) updateMembers() {
 	if !p.membersChanged.Swap(false) {
 		return
@@ -57,9 +58,21 @@
 			})
 		}
 	}
-	p.role.executor.do(func(time.Duration) []relay.Effect {
+	p.role.executor.do(func(now time.Duration) []relay.Effect {
 		p.role.disseminator.SetMembers(members)
-		return nil
+		return p.role.balancer.SetPeers(now, p.role.peerAddresses(members))
 	})
 	p.role.signalFollower()
 }
+
+// peerAddresses returns the addresses at which the other members receive messages of the relay.
+func (r *balancerRole) peerAddresses(members []directory.Member) []segment.Address {
+	var addresses []segment.Address
+	for _, member := range members {
+		address := segment.AddressOf(membership.Address(member.Peer).AddrPort())
+		if member.Peer != r.self {
+			addresses = append(addresses, address.WithPort(r.settings.Peers.Port()))
+		}
+	}
+	return addresses
+}
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -79,6 +80,9 @@
 	// FirstStart is true if the endpoint starts together with the agent, so that
 	// it cannot hold any flows yet.
 	FirstStart bool
+	// Seeds are the Peers addresses of balancers with which the agent registers
+	// while it knows no other. Without seeds it does not register.
+	Seeds []netip.AddrPort
 	// ColdOverrun and ColdSlack limit the requests that a cold endpoint, which has
 	// started recently, may get within one second. The limit is its request rate
 	// for a cold start times ColdOverrun, plus ColdSlack.
@@ -150,6 +154,9 @@
 	Emitted    any `toml:"emitted"`
 	FirstStart any `toml:"first_start"`
 
+	Seeds        any `toml:"seeds"`
+	BalancerPort any `toml:"balancer_port"`
+
 	ColdOverrun any `toml:"cold_overrun"`
 	ColdSlack   any `toml:"cold_slack"`
 
@@ -222,6 +229,7 @@
 		Endpoint:   c.address("relay.agent.endpoint", raw.Endpoint, remoteAddress),
 		Emitted:    c.address("relay.agent.emitted", raw.Emitted, remoteAddress),
 		FirstStart: c.boolean("relay.agent.first_start", withDefault(raw.FirstStart, false)),
+		Seeds:      c.agentSeeds(raw),
 		ColdOverrun: c.float("relay.agent.cold_overrun",
 			withDefault(raw.ColdOverrun, DefaultColdOverrun), 1, MaxColdOverrun),
 		ColdSlack: c.float("relay.agent.cold_slack",
@@ -235,6 +243,20 @@
 	}
 }
 
+// agentSeeds returns the Peers addresses of the balancers at the seeds, which are given by their
+// Exchange addresses as for a balancer.
+func (c *checker) agentSeeds(raw *relayAgentDocument) []netip.AddrPort {
+	seeds := c.seeds("relay.agent.seeds", raw.Seeds)
+	if len(seeds) == 0 {
+		return nil
+	}
+	port := uint16(c.integer("relay.agent.balancer_port", raw.BalancerPort, 1, math.MaxUint16))
+	for index := range seeds {
+		seeds[index] = netip.AddrPortFrom(seeds[index].Addr(), port)
+	}
+	return seeds
+}
+
 func (c *checker) discipline(key string, value any) requestqueue.Discipline {
 	text, ok := c.stringValue(key, value)
 	if !ok {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -236,6 +236,13 @@
 		}))
 	})
 
+	It("combines the seeds of a relay agent with the port of the balancers", func() {
+		file := relayAgentFile + "seeds = [\"192.0.2.2:8166\"]\nbalancer_port = 7700\n"
+		parsed, err := settings.Parse("r.toml", []byte(file))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(parsed.Relay.Agent.Seeds).To(Equal([]netip.AddrPort{address("192.0.2.2:7700")}))
+	})
+
 	DescribeTable("reports an invalid relay setting with its line and key",
 		func(file, old, replacement, expected string) {
 			Expect(strings.Count(file, old)).To(Equal(1), "occurrences of the text to replace")
@@ -252,6 +259,8 @@
 			"r.toml:14: relay.balancer.seeds: must be an array of at most 64 addresses"),
 		Entry("a zone of the process that is not listed", relayBalancerFile, `zones = ["zone-1", "zone-2"]`, `zones = ["zone-2"]`,
 			"r.toml:15: relay.balancer.zones: must contain the zone of this process, zone-1"),
+		Entry("seeds of an agent without the port of the balancers", relayAgentFile, "first_start", "seeds = [\"192.0.2.2:8166\"]\nfirst_start",
+			"r.toml:7: relay.agent.balancer_port: is required"),
 		Entry("a cold_overrun below 1", relayAgentFile, "first_start", "cold_overrun = 0.5\nfirst_start",
 			"r.toml:11: relay.agent.cold_overrun: must be a number from 1 to 100"),
 		Entry("more failures than outcomes in the window", relayAgentFile, "first_start", "outlier_failures = 11\nfirst_start",
