--- a/internal/directory/replica.go
+++ b/internal/directory/replica.go
@@ -12,11 +12,6 @@
 // can still be found. It exceeds the longest lifetime of a flow.
 const Retention = 90 * time.Second
 
-// fleetStartSpread is how long after the first start of a fleet a listing counts as earlier than all
-// departures. An endpoint that such a listing misses would have to start, get a flow from a balancer
-// that listed it, and leave, all within this time.
-const fleetStartSpread = 3 * time.Second
-
 // endpointRecord is the state that a Replica keeps of one endpoint.
 type endpointRecord struct {
 	// started identifies the incarnation, as EndpointID.Started does.
@@ -65,15 +60,9 @@
 	// formerServices holds the services that earlier configurations assigned to addresses.
 	formerServices map[segment.Address][]string
 	// zones holds the zones that are closed or were closed recently.
-	zones map[string]zoneRecord
-	// departuresKnownSince is the start of the period for which all departures of endpoints are
-	// known. A departure is the change of an endpoint to gone. The value is the constant never if
-	// there is no such period.
-	departuresKnownSince time.Duration
-	// fleetListedBy is until when a listing, at the first start of the fleet, precedes all
-	// departures. It is longAgo at any other start.
-	fleetListedBy time.Duration
-	snapshot      *Snapshot
+	zones      map[string]zoneRecord
+	departures departureHistory
+	snapshot   *Snapshot
 }
 
 // maxFormerServices limits the former services kept for one address.
@@ -82,14 +71,13 @@
 // NewReplica returns an empty replica.
 func NewReplica() *Replica {
 	return &Replica{
-		endpoints:            make(map[string]*endpointRecord),
-		refusals:             newRefusals(),
-		zones:                make(map[string]zoneRecord),
-		currentAt:            longAgo,
-		storeFailedAt:        longAgo,
-		departuresKnownSince: never,
-		fleetListedBy:        longAgo,
-		snapshot:             newSnapshot(snapshotData{departuresKnownSince: never}),
+		endpoints:     make(map[string]*endpointRecord),
+		refusals:      newRefusals(),
+		zones:         make(map[string]zoneRecord),
+		currentAt:     longAgo,
+		storeFailedAt: longAgo,
+		departures:    newDepartureHistory(),
+		snapshot:      newSnapshot(snapshotData{departuresKnownSince: never}),
 	}
 }
 
@@ -103,28 +91,6 @@
 // responded that it is unavailable.
 func (r *Replica) MarkStoreFailed(at time.Duration) { r.storeFailedAt = max(r.storeFailedAt, at) }
 
-// MarkFirstStart records that the whole fleet starts for the first time at now, so that no endpoint
-// has left before.
-func (r *Replica) MarkFirstStart(now time.Duration) { r.fleetListedBy = now + fleetStartSpread }
-
-// extendDepartureHistory records that all departures after since are known. It reports whether
-// that extends the known period.
-func (r *Replica) extendDepartureHistory(since time.Duration) bool {
-	if since >= r.departuresKnownSince {
-		return false
-	}
-	r.departuresKnownSince = since
-	return true
-}
-
-// departuresKnownFrom returns the time from which all departures are known after a listing.
-func (r *Replica) departuresKnownFrom(listedAt time.Duration) time.Duration {
-	if listedAt <= r.fleetListedBy {
-		return longAgo
-	}
-	return listedAt
-}
-
 // Snapshot returns the current view.
 func (r *Replica) Snapshot() *Snapshot { return r.snapshot }
 
@@ -157,7 +123,7 @@
 	}
 	changed = r.markUnlistedGone(now, listed, revision) || changed
 	changed = r.openUnlistedZones(now, closed, revision) || changed
-	changed = r.extendDepartureHistory(r.departuresKnownFrom(now)) || changed
+	changed = r.recordListedDepartures(now, revision) || changed
 	r.historyFloor = max(r.historyFloor, revision)
 	r.recordStoreRevision(revision)
 	return r.advance(now, revision, changed)
@@ -329,7 +295,7 @@
 // rebuildSnapshot builds the snapshot from the configuration and the records. It omits
 // endpoints of unknown services and records a refusal for those that are not gone.
 func (r *Replica) rebuildSnapshot() {
-	data := snapshotData{formerServices: r.formerServices, departuresKnownSince: r.departuresKnownSince, closedZones: r.closedZones()}
+	data := snapshotData{formerServices: r.formerServices, departuresKnownSince: r.departures.since, closedZones: r.closedZones()}
 	if r.configuration != nil {
 		data.configuration = r.configuration.Configuration
 	}
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -191,8 +191,8 @@
 		changed = r.applyZoneState(now, received) || changed
 	}
 	changed = r.applyFormerRoutes(state.FormerRoutes) || changed
-	if state.DepartureHistory > 0 {
-		changed = r.extendDepartureHistory(now-state.DepartureHistory) || changed
+	if state.DepartureHistory > 0 || state.Full {
+		changed = r.mergeDepartures(now, state, complete) || changed
 	}
 	if !complete {
 		return r.advance(now, 0, changed)
