--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -256,8 +256,9 @@
 		return
 	}
 	key := segment.FlowKey{Client: header.Source, Service: header.Destination}
-	if message.Service != a.config.Service {
-		a.refuseOtherService(from, key, header, message)
+	// A probe asks whether the endpoint holds a flow, as KindVerify does.
+	if message.Service != a.config.Service && (message.Kind != KindProbe || header.OpensFlow()) {
+		a.returnPacket(from, key, header, message.Packet, "other_service")
 		return
 	}
 	if header.OpensFlow() {
@@ -267,16 +268,6 @@
 	a.receiveSegment(now, from, key, header, message)
 }
 
-// refuseOtherService handles a packet for an endpoint of another service that had this address
-// before. It does not answer a probe: an answer would restart the search that the probe is part of,
-// and the search would never end.
-func (a *Agent) refuseOtherService(from segment.Address, key segment.FlowKey, header segment.Header, message Message) {
-	if message.Kind == KindProbe {
-		return
-	}
-	a.returnPacket(from, key, header, message.Packet, "other_service")
-}
-
 // returnPacket sends a packet back to the balancer it came from.
 func (a *Agent) returnPacket(to segment.Address, key segment.FlowKey, header segment.Header, packet []byte, reason string) {
 	message := Message{Kind: KindNotOwned, Service: a.config.Service, Sequence: header.Sequence, Packet: packet}
--- a/internal/relay/ownership.go
+++ b/internal/relay/ownership.go
@@ -32,11 +32,8 @@
 }
 
 // receiveLocate replies if this agent owns a flow or may own it. It does not reply otherwise,
-// because all agents are asked.
+// because all agents are asked. Like receiveVerify it ignores the service in the message.
 func (a *Agent) receiveLocate(now time.Duration, from segment.Address, message Message) {
-	if message.Service != a.config.Service {
-		return
-	}
 	flow := a.flows[message.Flow.Key()]
 	header := segment.Header{Flags: message.Flags, Acknowledgment: message.Acknowledgment}
 	switch {
@@ -51,17 +48,17 @@
 	a.send(to, Message{Kind: KindUncertain, Service: a.config.Service, Flow: query.Flow, Registered: a.registration.confirmed})
 }
 
-// receiveVerify replies whether the endpoint holds a flow. It denies flows of an endpoint of
-// another service that had this address before: nothing of that endpoint is left.
+// receiveVerify replies whether the endpoint holds a flow, whatever service the sender expects at this
+// address. An entry that is late, or of another writer, may name this address for an endpoint that is
+// not here, and hide the one that is. Nothing is left of endpoints that had the address before.
 func (a *Agent) receiveVerify(now time.Duration, from segment.Address, message Message) {
 	key := message.Flow.Key()
 	flow := a.flows[key]
 	header := segment.Header{Flags: message.Flags, Acknowledgment: message.Acknowledgment}
-	otherService := message.Service != a.config.Service
 	switch {
-	case !otherService && flow != nil && a.owns(flow, header):
+	case flow != nil && a.owns(flow, header):
 		a.send(originBalancer(from, message), Message{Kind: KindOwned, Service: a.config.Service, Flow: message.Flow})
-	case otherService || a.certainlyNotHeld(now, flow):
+	case a.certainlyNotHeld(now, flow):
 		a.deny(from, key)
 	default:
 		a.sendUncertain(from, message)
