--- a/internal/relay/agent_coldstart.go
+++ b/internal/relay/agent_coldstart.go
@@ -47,6 +47,9 @@
 	// of the entry that it is from, 0 if the agent inferred it.
 	coldUntil time.Duration
 	revision  uint64
+	// restartColdUntil is the end of the cold phase after the latest restart that the agent inferred.
+	// The entry may be that of an earlier start until the endpoint's next write arrives.
+	restartColdUntil time.Duration
 	crashLoop crashLoopLimiter
 	// down is set from a failure of the endpoint until it accepts a flow again.
 	down bool
@@ -129,7 +132,7 @@
 		return false
 	}
 	c.down = false
-	c.coldUntil = max(c.coldUntil, now+c.warmupTime)
+	c.restartColdUntil = now + c.warmupTime
 	c.crashLoop.recordRestart(now)
 	return true
 }
@@ -137,7 +140,7 @@
 // isCold reports whether the endpoint is limited to its rate. That includes a failed endpoint,
 // which is cold as soon as it is back.
 func (c *coldStartLimiter) isCold(now time.Duration) bool {
-	return c.rate > 0 && (c.down || now < c.coldUntil)
+	return c.rate > 0 && (c.down || now < max(c.coldUntil, c.restartColdUntil))
 }
 
 // limited reports whether the requests for the endpoint are limited.
--- a/internal/relay/coldstart_test.go
+++ b/internal/relay/coldstart_test.go
@@ -173,6 +173,20 @@
 		Expect(endpoint.maxPerSecond(2*time.Second, 3*time.Second)).To(BeNumerically("<=", maxAdmitted))
 	})
 
+	// Guards against too many flows for an endpoint that crashes before its cold start has ended and
+	// whose first write after its next start is late.
+	It("limits an endpoint that restarts while cold for a whole cold start, although its entry is that of the start before", func() {
+		endpoint := &coldEndpoint{agent: newColdAgent(true, coldStartLimit), coldStart: coldStart(warmupTime, 3)}
+		endpoint.offer(0)
+		endpoint.down = true
+		endpoint.coldStart = coldStart(warmupTime-time.Second, 3)
+		endpoint.offer(time.Second)
+		endpoint.down = false
+		endpoint.coldStart = coldStart(warmupTime-1500*millisecond, 3)
+		endpoint.offerContinuously(1500*millisecond, 3500*millisecond)
+		Expect(endpoint.maxPerSecond(1500*millisecond, 3500*millisecond)).To(BeNumerically("<=", maxAdmitted))
+	})
+
 	It("limits an endpoint that has lost a flow", func() {
 		endpoint := &coldEndpoint{agent: newColdAgent(true, coldStartLimit), coldStart: coldStart(0, 3)}
 		endpoint.offer(0)
