--- a/bench/soak/daemon.go
+++ b/bench/soak/daemon.go
@@ -170,11 +170,16 @@
 	}
 }
 
-func balancerSettings(n network, number, seeds int) string {
-	var seedAddresses []string
-	for seed := range seeds {
-		seedAddresses = append(seedAddresses, fmt.Sprintf("%q", n.addrPort(netBalancers, seed, exchangePort)))
+// seedAddresses returns the addresses of the seeds as elements of an array.
+func seedAddresses(n network) string {
+	var addresses []string
+	for seed := range seedCount {
+		addresses = append(addresses, fmt.Sprintf("%q", n.addrPort(netBalancers, seed, exchangePort)))
 	}
+	return strings.Join(addresses, ", ")
+}
+
+func balancerSettings(n network, number int, first bool) string {
 	return fmt.Sprintf(`name = "balancer-%d"
 zone = %q
 [observability]
@@ -189,10 +194,11 @@
 exchange = %q
 seeds = [%s]
 zones = ["zone-1", "zone-2", "zone-3"]
+first_start = %t
 `, number, zoneName(number%zoneCount),
 		n.addrPort(netBalancers, number, healthPort), n.addrPort(netBalancers, number, peerPort),
 		n.addrPort(netBalancers, number, packetPort), n.addrPort(netProxies, number, storePort),
-		n.addrPort(netBalancers, number, exchangePort), strings.Join(seedAddresses, ", "))
+		n.addrPort(netBalancers, number, exchangePort), seedAddresses(n), first)
 }
 
 func agentSettings(n network, number int, service string, first bool) string {
@@ -208,6 +214,8 @@
 endpoint = %q
 emitted = %q
 first_start = %t
+seeds = [%s]
+balancer_port = %d
 `, number, zoneName(number%zoneCount), n.addrPort(netMachines, number, healthPort), n.addrPort(netMachines, number, packetPort),
-		service, n.addrPort(netMachines, number, appPort), n.addrPort(netMachines, number, emittedPort), first)
+		service, n.addrPort(netMachines, number, appPort), n.addrPort(netMachines, number, emittedPort), first, seedAddresses(n), peerPort)
 }
--- a/bench/soak/harness.go
+++ b/bench/soak/harness.go
@@ -110,8 +110,8 @@
 	}
 	h.proxies = append(h.proxies, proxy)
 	h.running.Go(func() { proxy.Run(ctx) })
-	settings := balancerSettings(h.network, number, seedCount)
-	created, err := newDaemon(h, fmt.Sprint("balancer-", number), settings, settings)
+	created, err := newDaemon(h, fmt.Sprint("balancer-", number),
+		balancerSettings(h.network, number, true), balancerSettings(h.network, number, false))
 	if err != nil {
 		return err
 	}
