--- a/internal/relay/locate.go
+++ b/internal/relay/locate.go
@@ -136,7 +136,8 @@
 	}
 	search.lastRoundAt = now
 	search.rounds++
-	if search.rounds == 1 {
+	if search.rounds == 1 || search.verifications >= verifyRounds {
+		search.verifications = 0
 		b.scheduleVerification(now+verifyDelay, search)
 	}
 }
--- a/internal/relay/registration_test.go
+++ b/internal/relay/registration_test.go
@@ -236,6 +236,22 @@
 		Entry("one is not", false),
 	)
 
+	// Guards against requests that time out after a kill of all processes, because agents had not
+	// registered yet when the search began.
+	It("probes all uncertain agents in a later round once they are registered", func() {
+		balancer.HandleClientPacket(start, request)
+		balancer.Tick(start + 10*millisecond)
+		for number := range 3 {
+			reply(start+11*millisecond, number, relay.KindUncertain, false)
+		}
+		later := start + 1200*millisecond
+		balancer.HandleClientPacket(later, request)
+		Expect(asked(balancer.Tick(later+10*millisecond), relay.KindVerify)).To(ConsistOf(0, 1, 2))
+		reply(later+11*millisecond, 0, relay.KindDenied, true)
+		reply(later+11*millisecond, 1, relay.KindUncertain, true)
+		Expect(asked(reply(later+11*millisecond, 2, relay.KindUncertain, true), relay.KindProbe)).To(ConsistOf(1, 2))
+	})
+
 	It("forgets an agent that does not repeat its registration, or whose endpoint has appeared in the directory", func() {
 		register(start, former)
 		balancer.Tick(start + 11*time.Second)
--- a/internal/relay/verify.go
+++ b/internal/relay/verify.go
@@ -43,7 +43,9 @@
 // then.
 func (b *Balancer) scheduleVerification(due time.Duration, search *ownerSearch) {
 	search.verifyAt = due
-	b.pendingVerifications = append(b.pendingVerifications, search)
+	if !slices.Contains(b.pendingVerifications, search) {
+		b.pendingVerifications = append(b.pendingVerifications, search)
+	}
 }
 
 // verifyDue runs the verifications that are due.
