--- a/internal/relay/agent_coldstart.go
+++ b/internal/relay/agent_coldstart.go
@@ -50,7 +50,7 @@
 	// restartColdUntil is the end of the cold phase after the latest restart that the agent inferred.
 	// The entry may be that of an earlier start until the endpoint's next write arrives.
 	restartColdUntil time.Duration
-	crashLoop crashLoopLimiter
+	crashLoop        crashLoopLimiter
 	// down is set from a failure of the endpoint until it accepts a flow again.
 	down bool
 	// tokens is the fill level of the bucket at refilledAt.
