--- a/bench/flownet/events.go
+++ b/bench/flownet/events.go
@@ -291,14 +291,19 @@
 	}
 }
 
-// killAll kills all daemons and starts them again at the same time. Endpoints, also those that have
-// left and still serve, live on.
-func (w *world) killAll(away time.Duration) {
-	w.suspendTimeBounds(away)
+// killBalancers kills all balancers and starts them again at the same time.
+func (w *world) killBalancers(away time.Duration) {
 	for _, each := range w.balancers {
 		w.net.Stop(each.id)
 		w.net.At(w.net.Now()+away, each.restart)
 	}
+}
+
+// killAll kills all daemons and starts them again at the same time. Endpoints, also those that have
+// left and still serve, live on.
+func (w *world) killAll(away time.Duration) {
+	w.suspendTimeBounds(away)
+	w.killBalancers(away)
 	for _, each := range w.endpointHosts {
 		if w.net.Stopped(each.endpoint.id) {
 			continue
@@ -312,10 +317,7 @@
 // state.
 func (w *world) powerLoss(away time.Duration) {
 	w.suspendTimeBounds(away)
-	for _, each := range w.balancers {
-		w.net.Stop(each.id)
-		w.net.At(w.net.Now()+away, each.restart)
-	}
+	w.killBalancers(away)
 	for _, each := range w.endpointHosts {
 		if each.removed {
 			continue
