--- a/internal/relay/agent.go
+++ b/internal/relay/agent.go
@@ -96,9 +96,10 @@
 	// to belong to the flow.
 	ackWindow = 1 << 26
 	// handshakeAckWindow replaces ackWindow for the first packet after the handshake. The endpoint
-	// has sent next to nothing then, and a packet for another endpoint falls into the window by
-	// chance only once in 2^16 times.
-	handshakeAckWindow = 1 << 16
+	// has sent nothing else until its agent has passed that packet on, so that the client acknowledges
+	// exactly its opening answer. In a window of 2^16 a packet for another endpoint that answered too
+	// would be taken for one of this flow once in 2^16 times, and the flow be reset.
+	handshakeAckWindow = 1
 	// offeredRetention is how long a flow is remembered whose opening packet was not answered, or
 	// whose answer was not acknowledged.
 	offeredRetention = 5 * time.Second
--- a/internal/relay/agent_test.go
+++ b/internal/relay/agent_test.go
@@ -209,6 +209,19 @@
 			Expect(verify(millisecond, service).Kind).To(Equal(relay.KindOwned))
 		})
 
+		// Guards against a reset of a flow that is open at another endpoint, whose initial sequence
+		// number is near that of this one.
+		It("denies a flow whose client acknowledges a sequence number near that of its endpoint", func() {
+			agent.Tick(0)
+			agent.offer(0, 1, 100)
+			agent.answer(0, 1, 499)
+			Expect(verify(millisecond, service).Kind).To(Equal(relay.KindDenied))
+			agent = newTestAgent(newAgent(true))
+			agent.offer(0, 1, 100)
+			agent.answer(0, 1, 500)
+			Expect(verify(millisecond, service).Kind).To(Equal(relay.KindOwned))
+		})
+
 		It("denies an unknown flow if it was started with its endpoint", func() {
 			agent.Tick(0)
 			denied := verify(3*time.Second, service)
