--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -32,6 +32,8 @@
 	next     uint32
 	peer     uint32
 	packets  chan []byte
+	// sent is the number of opening packets sent.
+	sent int
 	// via chooses the balancer that the router picks, by number.
 	via func() int
 }
@@ -94,6 +96,7 @@
 		if header, _, got := f.await(time.Until(began.Add(after))); got {
 			return f.conclude(header)
 		}
+		f.sent++
 		f.transmit(segment.Header{Flags: segment.Synchronize, Sequence: f.sequence, Acknowledgment: uint32(number)}, nil)
 	}
 	if header, _, got := f.await(time.Until(began.Add(1400 * time.Millisecond))); got {
