--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -80,8 +80,9 @@
 	}
 }
 
-// open opens a flow to a route. It sends the opening packet as the pages say.
-func (c *client) open(route segment.Address, via func() int) (*flow, outcome) {
+// open opens a flow to a route. It sends the opening packet as the pages say. created, if given, gets the
+// flow before its first packet is sent.
+func (c *client) open(route segment.Address, via func() int, created ...func(*flow)) (*flow, outcome) {
 	c.mutex.Lock()
 	c.port++
 	f := &flow{
@@ -91,6 +92,9 @@
 	c.flows[c.port] = f
 	c.mutex.Unlock()
 	f.next = f.sequence + 1
+	for _, call := range created {
+		call(f)
+	}
 	began := time.Now()
 	for number, after := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
 		if header, _, got := f.await(time.Until(began.Add(after))); got {
--- a/review/rig-2/endpoint.go
+++ b/review/rig-2/endpoint.go
@@ -91,7 +91,7 @@
 	}
 	if flow == nil || header.Flags.Has(segment.Acknowledge) && header.Acknowledgment-flow.sequence > 1<<24 {
 		e.rig.log("endpoint %s: returned a packet of %s", e.id, key.Client)
-		e.rig.misrouted(e, key)
+		e.rig.arrived(e, key)
 		e.rig.codec.MarkReturned(packet)
 		_, _ = e.socket.WriteToUDP(packet, e.agent)
 		return
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -73,9 +73,11 @@
 	mutex     sync.Mutex
 	processes []*process
 	openings  map[segment.FlowKey][]*endpoint
-	strays    map[segment.FlowKey]int
-	arrivals  map[segment.FlowKey]int
-	runs      map[string][]*endpoint
+	// onOpening, if set, is called with the endpoint for each flow that an endpoint is given.
+	onOpening func(*endpoint)
+	// onPacket, if set, is called for each packet of a client in an open flow that comes to an endpoint.
+	onPacket func(*endpoint, segment.FlowKey)
+	runs     map[string][]*endpoint
 }
 
 // cases are the cases by their names. Each reports whether the rule held.
@@ -108,10 +110,9 @@
 	defer os.RemoveAll(directory)
 	r := &rig{
 		trouble: os.Getenv("TROUBLE") != "0", directory: directory, record: file, began: time.Now(), store: newStore(),
-		codec: platformtest.Codec{Key: 7}, zones: []string{"zone-a", "zone-b"},
+		codec: platformtest.Codec{Key: 7}, zones: []string{"zone-a"},
 		serving:  make(map[int]bool),
-		openings: make(map[segment.FlowKey][]*endpoint), strays: make(map[segment.FlowKey]int),
-		arrivals: make(map[segment.FlowKey]int), runs: make(map[string][]*endpoint),
+		openings: make(map[segment.FlowKey][]*endpoint), runs: make(map[string][]*endpoint),
 	}
 	defer r.stopAll()
 	defer func() {
@@ -238,7 +239,7 @@
 exchange = %q
 updates = %q
 seeds = [%s]
-zones = ["zone-a","zone-b"]
+zones = ["zone-a"]
 `, number, r.zone(number), r.at(ip, portReady), r.at(ip, portInternalFirst), r.at(ip, portDatagram),
 		r.at(r.ip(kindStore, number), portStore), first, r.at(ip, portControl), r.at(ip, portInternalLast), r.seeds()))
 }
@@ -354,18 +355,16 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.openings[key] = append(r.openings[key], e)
+	if r.onOpening != nil {
+		r.onOpening(e)
+	}
 }
 
-func (r *rig) misrouted(_ *endpoint, key segment.FlowKey) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.strays[key]++
-}
-
-func (r *rig) arrived(_ *endpoint, key segment.FlowKey) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.arrivals[key]++
+// arrived records a packet of a client that came to an endpoint, whether it holds the flow or not.
+func (r *rig) arrived(e *endpoint, key segment.FlowKey) {
+	if r.onPacket != nil {
+		r.onPacket(e, key)
+	}
 }
 
 func (r *rig) ran(e *endpoint, id string) {
--- a/review/rig-2/store.go
+++ b/review/rig-2/store.go
@@ -43,12 +43,24 @@
 	refused map[int]bool
 	// held holds for how long answers to listings are held up on their way to a balancer.
 	held map[int]time.Duration
+	// silent holds the balancers that are partitioned from the store.
+	silent map[int]bool
+	// cutWatches is how many of the next watches of a balancer are cut.
+	cutWatches map[int]int
+	// longWatches counts the watches of a balancer that wait for long. confirmed is called when one
+	// of them is answered without changes.
+	longWatches map[int]int
+	confirmed   func(balancer int)
 	// listed is called when the answer to a listing of a balancer is settled.
 	listed func(balancer int)
 }
 
 func newStore() *store {
-	return &store{items: make(map[string]event), changed: make(chan struct{}), refused: make(map[int]bool), held: make(map[int]time.Duration), listed: func(int) {}}
+	return &store{
+		items: make(map[string]event), changed: make(chan struct{}), refused: make(map[int]bool), held: make(map[int]time.Duration),
+		silent: make(map[int]bool), cutWatches: make(map[int]int), longWatches: make(map[int]int),
+		listed: func(int) {}, confirmed: func(int) {},
+	}
 }
 
 // put writes an item. Its return is the acknowledgment.
@@ -109,6 +121,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if s.isSilent(balancer) {
+		<-request.Context().Done()
+		return
+	}
 	query := request.URL.Query()
 	switch request.URL.Path {
 	case "/-/kv-range":
@@ -148,6 +164,13 @@
 }
 
 func (s *store) serveWatch(balancer int, w http.ResponseWriter, request *http.Request, prefix string, after uint64, wait time.Duration) {
+	if s.cuts(balancer) {
+		if connection, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			connection.Close()
+		}
+		return
+	}
+	s.countWatch(balancer, wait)
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	for last := false; ; {
@@ -161,6 +184,9 @@
 		at, changed, gone := s.revision, s.changed, after < s.dropped
 		s.mutex.Unlock()
 		switch {
+		case s.isSilent(balancer):
+			<-request.Context().Done()
+			return
 		case s.turnsAway(balancer):
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -169,6 +195,9 @@
 			return
 		case len(events) > 0 || last:
 			writeJSON(w, map[string]any{"events": events, "at": at})
+			if len(events) == 0 && wait >= longWatch {
+				s.confirmed(balancer)
+			}
 			return
 		}
 		select {
@@ -181,6 +210,64 @@
 	}
 }
 
+// longWatch is the wait from which a watch is one of a balancer that watches the store all the time.
+const longWatch = 300 * time.Millisecond
+
+func (s *store) countWatch(balancer int, wait time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if wait >= longWatch {
+		s.longWatches[balancer]++
+	}
+}
+
+// watchers returns the balancers that watch the store all the time, from a number of watches on.
+func (s *store) watchers(atLeast int) []int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var found []int
+	for balancer, count := range s.longWatches {
+		if count >= atLeast {
+			found = append(found, balancer)
+		}
+	}
+	sort.Ints(found)
+	return found
+}
+
+// partition sets whether balancers are partitioned from the store.
+func (s *store) partition(silent bool, balancers ...int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, balancer := range balancers {
+		s.silent[balancer] = silent
+	}
+}
+
+func (s *store) isSilent(balancer int) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.silent[balancer]
+}
+
+// cutNextWatch cuts the next watch of a balancer, and its repetition on a new connection, which an
+// HTTP client makes by itself.
+func (s *store) cutNextWatch(balancer int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.cutWatches[balancer] = 2
+}
+
+func (s *store) cuts(balancer int) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.cutWatches[balancer] == 0 {
+		return false
+	}
+	s.cutWatches[balancer]--
+	return true
+}
+
 // hold sets for how long answers to listings are held up on their way to a balancer.
 func (s *store) hold(balancer int, held time.Duration) {
 	s.mutex.Lock()
