--- a/review/rig-2/astray.go
+++ b/review/rig-2/astray.go
@@ -14,7 +14,7 @@
 func init() { cases["astray"] = astray }
 
 const (
-	// misroute is MisrouteMs of the pages, and misroutedPackets how many packets of a flow may not
+	// misroute is the span of the rule on flows, and misroutedPackets how many packets of a flow may not
 	// reach other endpoints within it while none reaches its own.
 	misroute         = 2 * time.Second
 	misroutedPackets = 3
@@ -35,7 +35,7 @@
 func astray(r *rig) bool {
 	const machines = 9
 	r.balancers = 3
-	r.store.put("op/config", configuration(10, 14, keptRoute))
+	r.store.put(wire["configuration-key"], configuration(10, 14, keptRoute))
 	var endpoints []*endpoint
 	var agents []*process
 	for number := range machines {
--- a/review/rig-2/copy.go
+++ b/review/rig-2/copy.go
@@ -12,7 +12,7 @@
 func init() { cases["copy"] = copyAfterChange }
 
 const (
-	// rollbackSlack is RollbackSlackMs of the pages.
+	// rollbackSlack is how long a machine may still act by an older version.
 	rollbackSlack = 250 * time.Millisecond
 	// restartDelay is the short delay after which the platform starts a process again.
 	restartDelay = 300 * time.Millisecond
@@ -32,7 +32,7 @@
 	r.balancers = 2
 	before := []routed{{keptRoute, "huvo11a"}, {droppedRoute, "wuno96b"}}
 	after := []routed{{keptRoute, "huvo11a"}, {addedRoute, "huvo11a"}}
-	r.store.put("op/config", routedConfiguration(10, before))
+	r.store.put(wire["configuration-key"], routedConfiguration(10, before))
 	var agents []*process
 	for number := range machines {
 		service := []string{"huvo11a", "huvo11a", "wuno96b"}[number]
@@ -76,7 +76,7 @@
 		ended <- ending{copies, result, id}
 	}()
 	time.Sleep(20 * time.Millisecond)
-	r.store.put("op/config", routedConfiguration(13, after))
+	r.store.put(wire["configuration-key"], routedConfiguration(13, after))
 	r.log("version 13 is acknowledged; it drops %s and adds %s", droppedRoute, addedRoute)
 	var effect time.Duration
 	for time.Since(began) < 500*time.Millisecond {
@@ -103,9 +103,9 @@
 		if number > 0 {
 			text += ","
 		}
-		text += fmt.Sprintf(`{"Name":"r-%07d","Host":"%d.%d.%d.%d","PathPrefix":"/%d/","RouteType":"non_idempotent","TimeoutMs":2500,"TargetLatencyMs":250,"Priority":1,"Service":%q,"MaxAttempts":2}`,
+		text += fmt.Sprintf(wire["routed"],
 			number, route.address.IP[0], route.address.IP[1], route.address.IP[2], route.address.IP[3], route.address.Port, route.service)
 	}
-	return fmt.Appendf(nil, `{"Version":%d,"Routes":[%s],"Services":[{"Name":"huvo11a","HealthPath":"/health","MaxConnections":2000,"Protocol":"h1","Tls":false},{"Name":"wuno96b","HealthPath":"/health","MaxConnections":2000,"Protocol":"h1","Tls":false}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`,
+	return fmt.Appendf(nil, wire["configuration"],
 		version, text)
 }
--- a/review/rig-2/endpoint.go
+++ b/review/rig-2/endpoint.go
@@ -52,7 +52,7 @@
 
 // entry returns the entry of the endpoint in the store.
 func (e *endpoint) entry(state string) []byte {
-	return fmt.Appendf(nil, `{"Service":%q,"Address":"%s","Zone":%q,"Version":"v1","Slots":5,"State":%q,"ColdRemainingMs":0,"CallSeq":4}`,
+	return fmt.Appendf(nil, wire["entry"],
 		e.service, e.rig.at(e.rig.machineIP(e.machine), portApp), e.rig.zone(e.machine), state)
 }
 
--- a/review/rig-2/ghost.go
+++ b/review/rig-2/ghost.go
@@ -11,7 +11,7 @@
 func init() { cases["ghost"] = ghost }
 
 const (
-	// drainBound is DrainMs of the pages.
+	// drainBound is the bound of the rule on draining.
 	drainBound = 3 * time.Second
 	// heldAnswer is how long the cut holds up the answer of the store to one balancer. The pages
 	// have cuts of up to 5.5 s.
@@ -29,7 +29,7 @@
 func ghost(r *rig) bool {
 	const machines = 4
 	r.balancers = 2
-	r.store.put("op/config", configuration(10, 14, keptRoute))
+	r.store.put(wire["configuration-key"], configuration(10, 14, keptRoute))
 	var endpoints []*endpoint
 	for number := range machines {
 		r.startAgent(number, "huvo11a", true)
--- a/review/rig-2/late.go
+++ b/review/rig-2/late.go
@@ -27,7 +27,7 @@
 func late(r *rig) bool {
 	const machines = 4
 	r.balancers = 3
-	r.store.put("op/config", configuration(10, 14, keptRoute))
+	r.store.put(wire["configuration-key"], configuration(10, 14, keptRoute))
 	var endpoints []*endpoint
 	for number := range machines {
 		r.startAgent(number, "huvo11a", true)
--- a/review/rig-2/store.go
+++ b/review/rig-2/store.go
@@ -20,17 +20,24 @@
 	pageBytes = 1 << 20
 )
 
-// event is an item, or its removal, in the encoding of the store.
+// event is an item, or its removal.
 type event struct {
-	Key      string `json:"TlsKey"`
-	Value    []byte `json:"Value,omitempty"`
-	Revision uint64 `json:"Revision"`
-	Made     uint64 `json:"made,omitempty"`
-	Lease    uint64 `json:"lease"`
-	Gone     bool   `json:"gone,omitempty"`
+	Key      string
+	Value    []byte
+	Revision uint64
+	Made     uint64
+	Gone     bool
 	at       time.Time
 }
 
+// MarshalJSON implements json.Marshaler with the encoding of the store.
+func (e event) MarshalJSON() ([]byte, error) {
+	if e.Gone {
+		return json.Marshal(map[string]any{wire["key"]: e.Key, "Revision": e.Revision, "gone": true})
+	}
+	return json.Marshal(map[string]any{wire["key"]: e.Key, "Value": e.Value, "Revision": e.Revision, "made": e.Made, "lease": 0})
+}
+
 // store is the platform's metadata store. It speaks the three reading calls of the pages.
 type store struct {
 	mutex    sync.Mutex
@@ -127,12 +134,12 @@
 	}
 	query := request.URL.Query()
 	switch request.URL.Path {
-	case "/-/kv-range":
-		s.serveRange(balancer, w, query.Get("PathPrefix"), query.Get("after"))
-	case "/-/kv-watch":
+	case wire["range"]:
+		s.serveRange(balancer, w, query.Get(wire["prefix"]), query.Get("after"))
+	case wire["watch"]:
 		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(query.Get("WaitMs"))
-		s.serveWatch(balancer, w, request, query.Get("PathPrefix"), after, time.Duration(min(wait, 30000))*time.Millisecond)
+		s.serveWatch(balancer, w, request, query.Get(wire["prefix"]), after, time.Duration(min(wait, 30000))*time.Millisecond)
 	default:
 		http.NotFound(w, request)
 	}
--- a/review/rig-2/storm.go
+++ b/review/rig-2/storm.go
@@ -37,14 +37,14 @@
 func configuration(version, idle int, routes ...segment.Address) []byte {
 	var parts []string
 	for number, route := range routes {
-		parts = append(parts, fmt.Sprintf(`{"Name":"r-%07d","Host":"%d.%d.%d.%d","PathPrefix":"/%d/","RouteType":"idempotent","TimeoutMs":2500,"TargetLatencyMs":250,"Priority":2,"Service":"huvo11a","MaxAttempts":2}`,
+		parts = append(parts, fmt.Sprintf(wire["route"],
 			number, route.IP[0], route.IP[1], route.IP[2], route.IP[3], route.Port))
 	}
 	for number := range idle {
-		parts = append(parts, fmt.Sprintf(`{"Name":"x-%07d","Host":"198.19.%d.%d","PathPrefix":"/8443/","RouteType":"idempotent","TimeoutMs":%d,"TargetLatencyMs":200,"Priority":2,"WeightedBackends":[{"Service":"huvo11a","Weight":90},{"Service":"wuno96b","Weight":10}],"MaxAttempts":2}`,
+		parts = append(parts, fmt.Sprintf(wire["idle-route"],
 			number, number/250, number%250, 2000+version%100))
 	}
-	return fmt.Appendf(nil, `{"Version":%d,"Routes":[%s],"Services":[{"Name":"huvo11a","HealthPath":"/health","MaxConnections":2000,"Protocol":"h1","Tls":false},{"Name":"wuno96b","HealthPath":"/health","MaxConnections":2000,"Protocol":"h1","Tls":false}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`,
+	return fmt.Appendf(nil, wire["configuration"],
 		version, strings.Join(parts, ","))
 }
 
@@ -54,7 +54,7 @@
 	const machines = 4
 	r.balancers = 2
 	version := 10
-	r.store.put("op/config", configuration(version, idleRoutes, keptRoute, droppedRoute))
+	r.store.put(wire["configuration-key"], configuration(version, idleRoutes, keptRoute, droppedRoute))
 	r.log("the configuration has %d bytes", len(configuration(version, idleRoutes, keptRoute, droppedRoute)))
 	for number := range machines {
 		service := []string{"huvo11a", "wuno96b"}[number/3]
@@ -93,7 +93,7 @@
 		if change == stormChanges-1 {
 			routes = []segment.Address{keptRoute, addedRoute}
 		}
-		r.store.put("op/config", configuration(version, idleRoutes, routes...))
+		r.store.put(wire["configuration-key"], configuration(version, idleRoutes, routes...))
 		time.Sleep(stormGap)
 	}
 	acknowledged := time.Now()
